Add the build, the checks and the platform's interfaces

The tree had nothing to build on. This adds the CMake presets, formatter, linter, test runner with KNOWN-RED.txt, the millisecond clock, typed errors and the abstract interfaces of the platform's table, objects and membership.

--- /dev/null
+++ b/src/core/steadyclock.cpp
@@ -0,0 +1,14 @@
+#include "core/steadyclock.h"
+
+#include <chrono>
+
+namespace savorywick {
+
+Instant SteadyClock::now() const
+{
+    static const auto start = std::chrono::steady_clock::now();
+    const auto span = std::chrono::steady_clock::now() - start;
+    return Instant{std::chrono::duration_cast<std::chrono::milliseconds>(span).count()};
+}
+
+} // namespace savorywick
