--- /dev/null
+++ b/src/lib/shardlease.cpp
@@ -0,0 +1,260 @@
+#include "savorywick/shardlease.h"
+
+#include "savorywick/errors.h"
+
+#include <algorithm>
+#include <json/json.h>
+#include <memory>
+#include <set>
+
+namespace savorywick {
+
+namespace {
+
+constexpr std::string_view entryPrefix = "entry/";
+
+Json::Value parseObject(std::string_view text)
+{
+    Json::Value json;
+    const Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    const bool parsed = reader->parse(text.data(), text.data() + text.size(), &json, nullptr);
+    if (!parsed || !json.isObject())
+        throw Error(ErrorKind::InvalidInput, "the text is no JSON object", "give one object");
+    return json;
+}
+
+std::string entryValue(std::string_view fields, std::uint64_t beat)
+{
+    Json::Value json = parseObject(fields);
+    json["beat"] = Json::UInt64(beat);
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, json);
+}
+
+std::uint64_t beatOf(const Row &row)
+{
+    return row.version == 0 ? 0 : parseObject(row.value)["beat"].asUInt64();
+}
+
+std::size_t startingPoint(const std::string &session, int shards)
+{
+    return std::hash<std::string>{}(session) % static_cast<std::size_t>(shards);
+}
+
+} // namespace
+
+LeaseKeeper::LeaseKeeper(std::string session, std::string peer, LeaseSettings settings)
+    : m_session(std::move(session))
+    , m_peer(std::move(peer))
+    , m_settings(settings)
+    , m_fields("{}")
+{ }
+
+void LeaseKeeper::setFields(std::string_view json)
+{
+    parseObject(json);
+    m_fields = json;
+}
+
+std::optional<Transaction> LeaseKeeper::nextRenewal(Instant now)
+{
+    if (m_fenced || m_inFlight || m_needsReadBack)
+        return {};
+    if (!m_renewal) {
+        if (m_provedAt && now - *m_provedAt < m_settings.renewEvery)
+            return {};
+        ++m_beat;
+        const std::string key = entryKey(m_session);
+        m_renewal = Transaction{{{key, m_rowVersion}}, {{key, entryValue(m_fields, m_beat)}}};
+        m_renewalFirstSent = now;
+    }
+    m_inFlight = true;
+    return m_renewal;
+}
+
+void LeaseKeeper::renewed(const CommitResult &result, Instant)
+{
+    m_inFlight = false;
+    if (result.outcome == CommitOutcome::Committed)
+        confirmRenewal(result.version);
+    else if (result.outcome == CommitOutcome::Conflict)
+        m_needsReadBack = true;
+}
+
+void LeaseKeeper::readBack(const Row &ownRow, Instant)
+{
+    m_needsReadBack = false;
+    if (ownRow.version != 0 && beatOf(ownRow) == m_beat)
+        confirmRenewal(ownRow.version);
+    else
+        m_fenced = true;
+}
+
+void LeaseKeeper::confirmRenewal(std::uint64_t version)
+{
+    m_rowVersion = version;
+    m_provedAt = m_renewalFirstSent;
+    m_renewal.reset();
+}
+
+bool LeaseKeeper::mayAct(Instant now) const
+{
+    return !m_fenced && m_provedAt && now - *m_provedAt < m_settings.term - m_settings.margin;
+}
+
+void LeaseKeeper::observe(std::span<const Row> entries, std::span<const Row> shards, Instant now)
+{
+    const Millis longestGap = m_settings.renewEvery * 2;
+    const bool anew = !m_lastObserved || now - *m_lastObserved > longestGap;
+    m_lastObserved = now;
+
+    std::map<std::string, Watched> seen;
+    for (const Row &row : entries) {
+        const std::string session = row.key.substr(entryPrefix.size());
+        const auto known = m_entries.find(session);
+        const bool still = known != m_entries.end() && known->second.version == row.version;
+        seen[session] = {row.version, still && !anew ? known->second.since : now};
+    }
+    m_entries = std::move(seen);
+
+    m_shardRows.clear();
+    for (const Row &row : shards) {
+        const int shard = shardOfKey(row.key);
+        if (shard >= 0 && shard < m_settings.shards)
+            m_shardRows[shard] = {shard, parseShardRow(row), row.version};
+    }
+}
+
+std::vector<Transaction> LeaseKeeper::expiries(Instant now) const
+{
+    std::vector<Transaction> all;
+    for (const auto &[session, watched] : m_entries) {
+        if (session == m_session || now - watched.since < m_settings.term + m_settings.margin)
+            continue;
+        const std::string key = entryKey(session);
+        all.push_back({{{key, watched.version}}, {{key, std::nullopt}}});
+    }
+    return all;
+}
+
+bool LeaseKeeper::isFree(const OwnedShard &seen) const
+{
+    if (m_owned.contains(seen.shard) || m_openClaims.contains(seen.shard))
+        return false;
+    const std::string &owner = seen.row.owner;
+    return owner.empty() || owner == m_session || !m_entries.contains(owner);
+}
+
+std::vector<ShardClaim> LeaseKeeper::claims(Instant now)
+{
+    std::vector<ShardClaim> all;
+    if (!mayAct(now) || !m_claiming || !m_lastObserved)
+        return all;
+    const auto wanted = static_cast<std::size_t>(fairShare());
+    const std::size_t first = startingPoint(m_session, m_settings.shards);
+    for (int n = 0; n < m_settings.shards; ++n) {
+        if (m_owned.size() + m_openClaims.size() >= wanted)
+            break;
+        const int shard = (static_cast<int>(first) + n) % m_settings.shards;
+        const auto it = m_shardRows.find(shard);
+        const OwnedShard seen = it == m_shardRows.end() ? OwnedShard{shard, {}, 0} : it->second;
+        if (isFree(seen))
+            all.push_back(claimFor(seen));
+    }
+    return all;
+}
+
+ShardClaim LeaseKeeper::claimFor(const OwnedShard &seen)
+{
+    ShardClaim claim{seen, {}};
+    claim.taken.version = 0;
+    claim.taken.row.owner = m_session;
+    claim.taken.row.peer = m_peer;
+    claim.taken.row.epoch = seen.row.epoch + 1;
+    claim.taken.row.commit = m_session + ":claim:" + std::to_string(++m_claims);
+    const std::string &owner = seen.row.owner;
+    Transaction &t = claim.transaction;
+    t.conditions.push_back({shardKey(seen.shard), seen.version});
+    if (!owner.empty() && owner != m_session)
+        t.conditions.push_back({entryKey(owner), 0});
+    t.writes.push_back({shardKey(seen.shard), toValue(claim.taken.row)});
+    m_openClaims.insert(seen.shard);
+    return claim;
+}
+
+std::optional<OwnedShard> LeaseKeeper::claimed(const ShardClaim &claim, const CommitResult &result)
+{
+    m_openClaims.erase(claim.taken.shard);
+    if (result.outcome != CommitOutcome::Committed)
+        return {};
+    OwnedShard owned = claim.taken;
+    owned.version = result.version;
+    m_owned[owned.shard] = owned.row.epoch;
+    return owned;
+}
+
+std::optional<OwnedShard> LeaseKeeper::claimReadBack(const ShardClaim &claim, const Row &shardRow)
+{
+    if (parseShardRow(shardRow).commit != claim.taken.row.commit)
+        return {};
+    return claimed(claim, {CommitOutcome::Committed, shardRow.version});
+}
+
+std::vector<int> LeaseKeeper::shardsToRelease(Instant now) const
+{
+    std::vector<int> all;
+    const auto share = static_cast<std::size_t>(fairShare());
+    if (!mayAct(now) || m_owned.size() <= share || !someoneIsShort())
+        return all;
+    for (auto it = m_owned.rbegin(); m_owned.size() - all.size() > share; ++it)
+        all.push_back(it->first);
+    return all;
+}
+
+bool LeaseKeeper::someoneIsShort() const
+{
+    std::map<std::string, int> counts;
+    for (const auto &[shard, seen] : m_shardRows)
+        ++counts[seen.row.owner];
+    std::size_t rank = 0;
+    for (const auto &[session, watched] : m_entries) {
+        const int share = fairShareOf(rank++);
+        if (session != m_session && counts[session] < share)
+            return true;
+    }
+    return false;
+}
+
+Transaction LeaseKeeper::farewell() const
+{
+    const std::string key = entryKey(m_session);
+    return {{{key, m_rowVersion}}, {{key, std::nullopt}}};
+}
+
+std::vector<int> LeaseKeeper::owned() const
+{
+    std::vector<int> all;
+    for (const auto &[shard, epoch] : m_owned)
+        all.push_back(shard);
+    return all;
+}
+
+int LeaseKeeper::fairShare() const
+{
+    std::set<std::string> sessions{m_session};
+    for (const auto &[session, watched] : m_entries)
+        sessions.insert(session);
+    const auto rank = std::distance(sessions.begin(), sessions.find(m_session));
+    const int live = static_cast<int>(sessions.size());
+    return m_settings.shards / live + (rank < m_settings.shards % live ? 1 : 0);
+}
+
+int LeaseKeeper::fairShareOf(std::size_t rank) const
+{
+    const int live = static_cast<int>(m_entries.size());
+    return m_settings.shards / live + (static_cast<int>(rank) < m_settings.shards % live ? 1 : 0);
+}
+
+} // namespace savorywick
--- /dev/null
+++ b/src/lib/shardrow.cpp
@@ -0,0 +1,79 @@
+#include "savorywick/shardrow.h"
+
+#include "savorywick/errors.h"
+
+#include <charconv>
+#include <cstdio>
+#include <json/json.h>
+#include <memory>
+
+namespace savorywick {
+
+namespace {
+
+constexpr std::string_view shardPrefix = "shard/";
+
+} // namespace
+
+std::string shardKey(int shard)
+{
+    char buf[24];
+    std::snprintf(buf, sizeof buf, "shard/%04d", shard);
+    return buf;
+}
+
+int shardOfKey(const std::string &key)
+{
+    if (!key.starts_with(shardPrefix))
+        return -1;
+    int n = -1;
+    const char *end = key.data() + key.size();
+    const auto parsed = std::from_chars(key.data() + shardPrefix.size(), end, n);
+    return parsed.ec == std::errc() && parsed.ptr == end ? n : -1;
+}
+
+std::string entryKey(const std::string &session)
+{
+    return "entry/" + session;
+}
+
+ShardRow parseShardRow(const Row &row)
+{
+    if (row.version == 0)
+        return {};
+    Json::Value json;
+    const Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    const char *begin = row.value.data();
+    if (!reader->parse(begin, begin + row.value.size(), &json, nullptr) || !json.isObject())
+        throw Error(ErrorKind::InvalidInput, "row '" + row.key + "' holds no shard",
+                    "restore the row, or delete it if the shard was never used");
+    ShardRow r;
+    r.owner = json["owner"].asString();
+    r.peer = json["peer"].asString();
+    r.epoch = json["epoch"].asUInt64();
+    r.head = json["head"].asUInt64();
+    r.snapshot = json["snapshot"].asUInt64();
+    r.first = json.get("first", 1).asUInt64();
+    r.object = json["object"].asString();
+    r.commit = json["commit"].asString();
+    return r;
+}
+
+std::string toValue(const ShardRow &row)
+{
+    Json::Value json;
+    json["owner"] = row.owner;
+    json["peer"] = row.peer;
+    json["epoch"] = Json::UInt64(row.epoch);
+    json["head"] = Json::UInt64(row.head);
+    json["snapshot"] = Json::UInt64(row.snapshot);
+    json["first"] = Json::UInt64(row.first);
+    json["object"] = row.object;
+    json["commit"] = row.commit;
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, json);
+}
+
+} // namespace savorywick
