--- /dev/null
+++ b/src/lib/jobjson.cpp
@@ -0,0 +1,134 @@
+#include "jobjson.h"
+
+#include "savorywick/errors.h"
+
+#include <memory>
+
+namespace savorywick::internal {
+
+namespace {
+
+Json::Value toJson(const TaskFailure &failure)
+{
+    Json::Value json;
+    json["worker"] = failure.worker;
+    json["cause"] = failure.cause;
+    return json;
+}
+
+} // namespace
+
+void setText(Json::Value &json, const char *name, const std::string &text)
+{
+    if (!text.empty())
+        json[name] = text;
+}
+
+void setNumber(Json::Value &json, const char *name, std::int64_t n)
+{
+    if (n != 0)
+        json[name] = Json::Int64(n);
+}
+
+std::string toLine(const Json::Value &json)
+{
+    static const Json::StreamWriterBuilder builder = [] {
+        Json::StreamWriterBuilder b;
+        b["indentation"] = "";
+        b["emitUTF8"] = true;
+        return b;
+    }();
+    return Json::writeString(builder, json);
+}
+
+Json::Value fromText(const std::string &text)
+{
+    static const Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    Json::Value json;
+    const char *begin = text.data();
+    if (!reader->parse(begin, begin + text.size(), &json, nullptr) || !json.isObject())
+        throw Error(ErrorKind::InvalidInput, "a journal record or snapshot is no JSON object",
+                    "restore the shard's rows and objects from a backup");
+    return json;
+}
+
+Json::Value toJson(const JobSpec &spec)
+{
+    Json::Value json;
+    setText(json, "id", spec.id);
+    setText(json, "service", spec.service);
+    setText(json, "class", spec.runClass);
+    setText(json, "team", spec.team);
+    setText(json, "key", spec.key);
+    setText(json, "hash", spec.bodyHash);
+    setNumber(json, "cores", spec.demand.cores);
+    setNumber(json, "memory", spec.demand.memoryMb);
+    setNumber(json, "accelerators", spec.demand.accelerators);
+    setNumber(json, "expected", spec.expected.count());
+    setNumber(json, "priority", spec.priority);
+    setNumber(json, "ckpt", spec.checkpointable ? 1 : 0);
+    setText(json, "payload", spec.payload);
+    return json;
+}
+
+JobSpec specOf(const Json::Value &json)
+{
+    JobSpec spec;
+    spec.id = json["id"].asString();
+    spec.service = json["service"].asString();
+    spec.runClass = json["class"].asString();
+    spec.team = json["team"].asString();
+    spec.key = json["key"].asString();
+    spec.bodyHash = json["hash"].asString();
+    spec.demand.cores = json["cores"].asInt();
+    spec.demand.memoryMb = json["memory"].asInt();
+    spec.demand.accelerators = json["accelerators"].asInt();
+    spec.expected = Millis{json["expected"].asInt64()};
+    spec.priority = json["priority"].asInt();
+    spec.checkpointable = json["ckpt"].asInt() != 0;
+    spec.payload = json["payload"].asString();
+    return spec;
+}
+
+Json::Value toJson(const Job &job)
+{
+    Json::Value json;
+    json["spec"] = toJson(job.spec);
+    setNumber(json, "watcher", job.watcher ? 1 : 0);
+    setText(json, "until", job.untilRun);
+    setNumber(json, "after", job.after.count());
+    json["state"] = static_cast<int>(job.state);
+    setNumber(json, "n", job.attempt);
+    setText(json, "worker", job.worker);
+    setText(json, "inc", job.incarnation);
+    setText(json, "ckpt", job.checkpoint);
+    setText(json, "result", job.result);
+    for (const TaskFailure &failure : job.failures)
+        json["failures"].append(toJson(failure));
+    setNumber(json, "submitted", job.submittedAt.count());
+    setNumber(json, "changed", job.changedAt.count());
+    return json;
+}
+
+Job jobOf(const Json::Value &json)
+{
+    Job job;
+    job.spec = specOf(json["spec"]);
+    job.watcher = json["watcher"].asInt() != 0;
+    job.untilRun = json["until"].asString();
+    job.after = Millis{json["after"].asInt64()};
+    job.state = static_cast<JobState>(json["state"].asInt());
+    job.attempt = json["n"].asInt();
+    job.worker = json["worker"].asString();
+    job.incarnation = json["inc"].asString();
+    job.checkpoint = json["ckpt"].asString();
+    job.result = json["result"].asString();
+    for (const Json::Value &it : json["failures"])
+        job.failures.push_back({it["worker"].asString(), it["cause"].asString()});
+    job.submittedAt = Millis{json["submitted"].asInt64()};
+    job.changedAt = Millis{json["changed"].asInt64()};
+    return job;
+}
+
+} // namespace savorywick::internal
--- /dev/null
+++ b/src/lib/workerlease.cpp
@@ -0,0 +1,84 @@
+#include "savorywick/workerlease.h"
+
+namespace savorywick {
+
+const WorkerLeases::Lease *WorkerLeases::find(const std::string &worker) const
+{
+    const auto it = m_leases.find(worker);
+    return it == m_leases.end() ? nullptr : &it->second;
+}
+
+void WorkerLeases::assumeRenewed(const std::string &worker, Instant now)
+{
+    Lease &lease = m_leases[worker];
+    lease.lastSent = now - m_settings.renewEvery;
+    lease.silentSince = now;
+}
+
+bool WorkerLeases::due(const std::string &worker, Instant now) const
+{
+    const Lease *lease = find(worker);
+    if (lease == nullptr || !lease->lastSent)
+        return true;
+    if (lease->inFlight || now - *lease->lastSent < m_settings.renewEvery)
+        return false;
+    return !lease->silentSince || now - *lease->silentSince < m_settings.term;
+}
+
+void WorkerLeases::sent(const std::string &worker, Instant now)
+{
+    Lease &lease = m_leases[worker];
+    lease.lastSent = now;
+    lease.inFlight = true;
+    if (!lease.silentSince)
+        lease.silentSince = now;
+}
+
+bool WorkerLeases::confirmed(const std::string &worker, const std::string &incarnation)
+{
+    const auto it = m_leases.find(worker);
+    if (it == m_leases.end() || !it->second.inFlight)
+        return false;
+    Lease &lease = it->second;
+    lease.inFlight = false;
+    lease.silentSince.reset();
+    lease.provedAt = lease.lastSent;
+    lease.incarnation = incarnation;
+    return true;
+}
+
+void WorkerLeases::failed(const std::string &worker)
+{
+    const auto it = m_leases.find(worker);
+    if (it != m_leases.end())
+        it->second.inFlight = false;
+}
+
+bool WorkerLeases::lapsed(const std::string &worker, Instant now) const
+{
+    const Lease *lease = find(worker);
+    if (lease == nullptr || !lease->silentSince)
+        return false;
+    const Instant last = std::max(*lease->lastSent, *lease->silentSince);
+    return now - last >= m_settings.term * 2 + m_settings.margin;
+}
+
+bool WorkerLeases::usable(const std::string &worker, Instant now) const
+{
+    const Lease *lease = find(worker);
+    return lease != nullptr && lease->provedAt && now - *lease->provedAt < m_settings.term;
+}
+
+std::string WorkerLeases::incarnation(const std::string &worker) const
+{
+    const Lease *lease = find(worker);
+    return lease == nullptr ? std::string() : lease->incarnation;
+}
+
+std::optional<Instant> WorkerLeases::provedAt(const std::string &worker) const
+{
+    const Lease *lease = find(worker);
+    return lease == nullptr ? std::nullopt : lease->provedAt;
+}
+
+} // namespace savorywick
