Tie a worker's incarnation to its lease

Cause: a worker paused past its lease finds, when it wakes, the renewals and the starts that waited in its sockets. With the same incarnation and epoch it would take the renewal and then run an attempt that has been placed elsewhere since.

--- a/include/savorywick/jobbook.h
+++ b/include/savorywick/jobbook.h
@@ -205,7 +205,6 @@
                       Instant now);
 
     void renewLeases(Instant now);
-    void callTombstones(const std::string &worker, Instant now);
     void expireWorker(const std::string &worker, Instant now, Records &records);
     void expireWorkers(Instant now, Records &records);
     void fireWatchers(Instant now, Records &records);
@@ -227,9 +226,6 @@
     std::unordered_map<std::string, Attempt> m_attempts;
     std::set<std::string> m_calls; // Attempts whose step needs a call.
     std::map<std::string, std::set<std::string>> m_byWorker;
-    // Attempts that lapsed on a worker: it must refuse them before it gets a lease again.
-    std::map<std::string, std::map<std::string, int>> m_tombstones;
-    std::map<std::string, Instant> m_tombstonesAt; // When to repeat the stops.
     std::map<std::string, std::set<std::string>, std::less<>> m_awaiting; // Watchers by run.
     internal::DueIndex m_timers; // Watchers that wait for time.
     internal::DueIndex m_done; // Final jobs by the end of their retention.
--- a/include/savorywick/workercalls.h
+++ b/include/savorywick/workercalls.h
@@ -13,6 +13,8 @@
 struct RenewLease
 {
     std::string worker;
+    // The worker grants nothing if it has another one, but tells it. Empty if it is not known yet.
+    std::string incarnation;
     Millis term;
 };
 
@@ -73,7 +75,7 @@
 // A worker's answer to a renewal.
 struct LeaseReport
 {
-    std::string incarnation; // Changes whenever the worker restarts.
+    std::string incarnation; // Changes when the worker restarts and when its lease lapses.
     std::vector<TaskReport> tasks;
     Resources usage; // Of the whole host, lagging.
     Millis urgentP99; // Latency of the urgent requests on this host, lagging.
--- a/include/savorywick/workerlease.h
+++ b/include/savorywick/workerlease.h
@@ -18,9 +18,11 @@
 
 // Tells when a worker's tasks have surely stopped because its lease ran out.
 //
-// A renewal that got no answer may still sit in a paused worker's socket. It takes effect only
-// while the lease before it holds, thus less than a term after it was sent; and it then grants a
-// term. So the lease has surely lapsed two terms and the margin after the last renewal was sent.
+// A worker's incarnation changes when its lease lapses, since its tasks are gone then, and it
+// refuses renewals and starts that name another one. A renewal that got no answer may still sit in
+// a paused worker's socket. It takes effect only while the lease before it holds, thus less than a
+// term after it was sent; and it then grants a term. So the lease has surely lapsed two terms and
+// the margin after the last renewal was sent.
 // A worker that stays silent for a term is sent no more renewals, so that this moment comes.
 // One call a worker is in flight at a time; an answer that comes after a failure is dropped.
 //
@@ -45,7 +47,8 @@
     bool due(const std::string &worker, Instant now) const;
     // Records that a renewal leaves.
     void sent(const std::string &worker, Instant now);
-    // Takes in the answer to the renewal in flight. Returns false if none is.
+    // Takes in the answer to the renewal in flight. Returns false if none is. An incarnation other
+    // than the one that the renewal named says that nothing was granted; the next is due at once.
     bool confirmed(const std::string &worker, const std::string &incarnation);
     // Records that the renewal in flight got no answer.
     void failed(const std::string &worker);
@@ -68,7 +71,7 @@
         std::optional<Instant> lastSent;
         std::optional<Instant> silentSince; // When the first unanswered renewal was sent.
         std::optional<Instant> provedAt;
-        std::string incarnation;
+        std::string incarnation; // As last told, and as named by the renewal in flight.
         bool inFlight = false;
     };
 
--- a/src/lib/jobattempts.cpp
+++ b/src/lib/jobattempts.cpp
@@ -231,14 +231,6 @@
 
 void JobBook::stopReply(const StopTask &stop, bool stopped, Instant now, Records &records)
 {
-    const auto tombstones = m_tombstones.find(stop.worker);
-    if (stopped && tombstones != m_tombstones.end()) {
-        const auto it = tombstones->second.find(stop.job);
-        if (it != tombstones->second.end() && it->second <= stop.attempt)
-            tombstones->second.erase(it);
-        if (tombstones->second.empty())
-            m_tombstones.erase(tombstones);
-    }
     const Job *job = current(stop.job, stop.attempt);
     if (job == nullptr || job->worker != stop.worker || m_attempts.at(stop.job).step != Step::Stop)
         return;
--- a/src/lib/jobworkers.cpp
+++ b/src/lib/jobworkers.cpp
@@ -12,26 +12,12 @@
     for (const std::string &worker : m_ledger.hosts()) {
         if (!m_leases.due(worker, now))
             continue;
-        if (m_tombstones.contains(worker)) {
-            callTombstones(worker, now);
-            continue;
-        }
         m_leases.sent(worker, now);
-        m_effects.emplace_back(RenewLease{worker, m_settings.workers.term});
+        m_effects.emplace_back(
+            RenewLease{worker, m_leases.incarnation(worker), m_settings.workers.term});
     }
 }
 
-void JobBook::callTombstones(const std::string &worker, Instant now)
-{
-    // A start that was lost on the way must not take effect under the next lease.
-    Instant &next = m_tombstonesAt[worker];
-    if (now < next)
-        return;
-    next = now + m_settings.workers.renewEvery;
-    for (const auto &[job, attempt] : m_tombstones.at(worker))
-        m_effects.emplace_back(StopTask{job, attempt, worker});
-}
-
 void JobBook::expireWorkers(Instant now, Records &records)
 {
     for (const std::string &worker : m_ledger.hosts()) {
@@ -48,7 +34,6 @@
         return;
     const std::set<std::string> jobs = it->second;
     for (const std::string &id : jobs) {
-        m_tombstones[worker][id] = find(id)->attempt;
         ++m_counters.lapsed;
         freeAttempt(id, "lease lapsed", now, records);
     }
--- a/src/lib/workerlease.cpp
+++ b/src/lib/workerlease.cpp
@@ -42,7 +42,10 @@
     Lease &lease = it->second;
     lease.inFlight = false;
     lease.silentSince.reset();
-    lease.provedAt = lease.lastSent;
+    const bool granted = lease.incarnation.empty() || lease.incarnation == incarnation;
+    lease.provedAt = granted ? lease.lastSent : std::nullopt;
+    if (!granted)
+        lease.lastSent.reset();
     lease.incarnation = incarnation;
     return true;
 }
