--- a/include/savorywick/shardlease.h
+++ b/include/savorywick/shardlease.h
@@ -124,6 +124,7 @@
     std::uint64_t m_rowVersion = 0;
     std::optional<Transaction> m_renewal; // Sent at least once and not settled.
     Instant m_renewalFirstSent;
+    bool m_renewalMayHaveLanded = false;
     bool m_inFlight = false;
     bool m_needsReadBack = false;
     bool m_fenced = false;
--- a/src/lib/shardlease.cpp
+++ b/src/lib/shardlease.cpp
@@ -69,6 +69,7 @@
         const std::string key = entryKey(m_session);
         m_renewal = Transaction{{{key, m_rowVersion}}, {{key, entryValue(m_fields, m_beat)}}};
         m_renewalFirstSent = now;
+        m_renewalMayHaveLanded = false;
     }
     m_inFlight = true;
     return m_renewal;
@@ -81,6 +82,10 @@
         confirmRenewal(result.version);
     else if (result.outcome == CommitOutcome::Conflict)
         m_needsReadBack = true;
+    else if (result.outcome == CommitOutcome::Unknown)
+        m_renewalMayHaveLanded = true;
+    else if (!m_renewalMayHaveLanded)
+        m_renewal.reset();
 }
 
 void LeaseKeeper::readBack(const Row &ownRow, Instant)
@@ -155,12 +160,12 @@
     const auto wanted = static_cast<std::size_t>(fairShare());
     const std::size_t first = startingPoint(m_session, m_settings.shards);
     for (int n = 0; n < m_settings.shards; ++n) {
-        if (m_owned.size() + m_openClaims.size() >= wanted)
-            break;
         const int shard = (static_cast<int>(first) + n) % m_settings.shards;
         const auto it = m_shardRows.find(shard);
         const OwnedShard seen = it == m_shardRows.end() ? OwnedShard{shard, {}, 0} : it->second;
-        if (isFree(seen))
+        // A shard that names this session is stuck unless it is taken, be it beyond the share.
+        const bool room = m_owned.size() + m_openClaims.size() < wanted;
+        if (isFree(seen) && (room || seen.row.owner == m_session))
             all.push_back(claimFor(seen));
     }
     return all;
--- /dev/null
+++ b/tests/lib/faketable.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "savorywick/errors.h"
+#include "savorywick/platform.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+// An in-memory table with switches for the faults of the real one.
+class FakeTable final : public savorywick::Table
+{
+public:
+    enum class Fault {
+        None,
+        Down, // Nothing takes effect, and the caller is told so.
+        LoseRequest, // Nothing takes effect, and the caller isn't told.
+        LoseReply, // It takes effect, and the caller isn't told.
+        Delay, // It takes effect at deliverDelayed(), if it still can.
+    };
+
+    // Sets what happens to the next commits and reads.
+    void setFault(Fault fault) { m_fault = fault; }
+
+    savorywick::CommitResult commit(const savorywick::Transaction &t) override
+    {
+        using savorywick::CommitOutcome;
+        switch (m_fault) {
+        case Fault::None:
+            return apply(t);
+        case Fault::Down:
+            return {CommitOutcome::Unavailable, 0};
+        case Fault::LoseReply:
+            apply(t);
+            break;
+        case Fault::Delay:
+            m_delayed.push_back(t);
+            break;
+        case Fault::LoseRequest:
+            break;
+        }
+        return {CommitOutcome::Unknown, 0};
+    }
+
+    std::vector<savorywick::Row> read(std::span<const std::string> keys) override
+    {
+        checkUp();
+        std::vector<savorywick::Row> rows;
+        for (const std::string &key : keys)
+            rows.push_back(row(key));
+        return rows;
+    }
+
+    std::vector<savorywick::Row> scan(std::string_view prefix, std::string_view after,
+                                      std::size_t limit) override
+    {
+        checkUp();
+        std::vector<savorywick::Row> rows;
+        for (const auto &[key, row] : m_rows) {
+            if (rows.size() < limit && key.starts_with(prefix) && key > after)
+                rows.push_back(row);
+        }
+        return rows;
+    }
+
+    // Returns a row whatever the fault; version 0 if it is absent.
+    savorywick::Row row(const std::string &key) const
+    {
+        const auto it = m_rows.find(key);
+        return it == m_rows.end() ? savorywick::Row{key, "", 0} : it->second;
+    }
+
+    // Lets the oldest delayed commit arrive, after whatever came meanwhile.
+    void deliverDelayed()
+    {
+        if (m_delayed.empty())
+            return;
+        apply(m_delayed.front());
+        m_delayed.pop_front();
+    }
+
+    std::size_t commits() const { return m_commits; }
+
+private:
+    void checkUp() const
+    {
+        if (m_fault != Fault::None && m_fault != Fault::Delay)
+            throw savorywick::Error(savorywick::ErrorKind::Unavailable, "the table is down",
+                                    "try later");
+    }
+
+    savorywick::CommitResult apply(const savorywick::Transaction &t)
+    {
+        for (const savorywick::Condition &it : t.conditions) {
+            if (row(it.key).version != it.version)
+                return {savorywick::CommitOutcome::Conflict, 0};
+        }
+        ++m_version;
+        ++m_commits;
+        for (const savorywick::Write &it : t.writes) {
+            if (it.value)
+                m_rows[it.key] = {it.key, *it.value, m_version};
+            else
+                m_rows.erase(it.key);
+        }
+        return {savorywick::CommitOutcome::Committed, m_version};
+    }
+
+    std::map<std::string, savorywick::Row> m_rows;
+    std::deque<savorywick::Transaction> m_delayed;
+    std::uint64_t m_version = 0;
+    std::size_t m_commits = 0;
+    Fault m_fault = Fault::None;
+};
