--- a/src/core/httpclient.cpp
+++ b/src/core/httpclient.cpp
@@ -99,6 +99,10 @@
         answer.outcome = HttpOutcome::Broken;
         return answer;
     }
+    if (!call.echo.name.empty() && res.get_header_value(call.echo.name) != call.echo.value) {
+        answer.outcome = HttpOutcome::Crossed;
+        return answer;
+    }
     answer.status = res.status;
     for (auto &it : res.headers)
         answer.headers.push_back({it.first, it.second});
--- a/src/core/httpclient.h
+++ b/src/core/httpclient.h
@@ -24,6 +24,8 @@
     std::string contentType = "application/json";
     Millis timeout{2'000}; // For the whole call.
     std::size_t maxAnswerBytes = 64U << 20U;
+    // If named, the answer must carry this header with this value; otherwise it is another call's.
+    HttpHeader echo;
 };
 
 enum class HttpOutcome {
@@ -31,6 +33,7 @@
     NotSent, // No connection could be made; the peer has surely not seen the call.
     Broken, // The connection failed after the call may have been sent, or the answer was cut short.
     TimedOut, // No whole answer within the time-out; the peer may have run the call.
+    Crossed, // The answer lacks the echo that was asked for; the peer may have run the call.
 };
 
 struct HttpAnswer
--- /dev/null
+++ b/src/platform/httpmembership.cpp
@@ -0,0 +1,57 @@
+#include "platform/httpmembership.h"
+
+#include "platform/json.h"
+#include "savorywick/errors.h"
+
+namespace savorywick {
+
+namespace {
+
+HostRole roleFrom(const std::string &text)
+{
+    if (text == "worker")
+        return HostRole::Worker;
+    return text == "entry" ? HostRole::Entry : HostRole::Upstream;
+}
+
+HostInfo hostFrom(const Json::Value &value)
+{
+    HostInfo host;
+    host.id = value["id"].asString();
+    host.role = roleFrom(value["role"].asString());
+    host.state = value["state"].asString() == "leaving" ? HostState::Leaving : HostState::Live;
+    host.address = value["address"].asString();
+    host.availabilityZone = value["availabilityZone"].asString();
+    host.region = value["region"].asString();
+    host.rack = value["rack"].asString();
+    host.service = value["service"].asString();
+    host.slots = value["slots"].asInt();
+    host.connections = value["connections"].asInt();
+    host.cores = value["cores"].asInt();
+    host.memoryMb = value["memoryMb"].asInt();
+    host.accelerators = value["accelerators"].asInt();
+    return host;
+}
+
+} // namespace
+
+HttpMembership::HttpMembership(HttpClient &client, std::string address, Millis timeout)
+    : m_client(client)
+    , m_address(std::move(address))
+    , m_timeout(timeout)
+{ }
+
+std::vector<HostInfo> HttpMembership::list()
+{
+    const HttpAnswer answer =
+        m_client.exchange({.address = m_address, .path = "/membership", .timeout = m_timeout});
+    if (answer.outcome != HttpOutcome::Answered || answer.status != 200)
+        throw Error(ErrorKind::Unavailable, "the membership list does not answer",
+                    "go on with the last list and try again");
+    std::vector<HostInfo> hosts;
+    for (const Json::Value &it : platform::fromText(answer.body)["hosts"])
+        hosts.push_back(hostFrom(it));
+    return hosts;
+}
+
+} // namespace savorywick
