--- /dev/null
+++ b/src/entry/topology.cpp
@@ -0,0 +1,107 @@
+#include "entry/topology.h"
+
+#include "platform/json.h"
+#include "savorywick/errors.h"
+
+namespace savorywick {
+
+namespace {
+
+constexpr std::string_view entryPrefix = "entry/";
+
+} // namespace
+
+void Topology::setHosts(std::vector<HostInfo> hosts)
+{
+    auto fresh = std::make_shared<std::vector<HostInfo>>(std::move(hosts));
+    const std::lock_guard lock(m_mutex);
+    for (const HostInfo &it : *fresh)
+        m_addresses[it.id] = it.address;
+    m_hosts = std::move(fresh);
+}
+
+void Topology::setEntries(std::vector<PeerEntry> entries)
+{
+    auto fresh = std::make_shared<std::vector<PeerEntry>>(std::move(entries));
+    const std::lock_guard lock(m_mutex);
+    m_entries = std::move(fresh);
+}
+
+void Topology::setOwners(const std::vector<Row> &shardRows)
+{
+    std::map<int, ShardOwner> owners;
+    for (const Row &it : shardRows) {
+        const ShardRow row = parseShardRow(it);
+        if (!row.owner.empty())
+            owners[shardOfKey(it.key)] = {row.owner, row.peer};
+    }
+    const std::lock_guard lock(m_mutex);
+    m_owners = std::move(owners);
+}
+
+void Topology::setOwner(int shard, ShardOwner owner)
+{
+    const std::lock_guard lock(m_mutex);
+    m_owners[shard] = std::move(owner);
+}
+
+Topology::Hosts Topology::hosts() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_hosts;
+}
+
+Topology::Entries Topology::entries() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_entries;
+}
+
+std::optional<ShardOwner> Topology::owner(int shard) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_owners.find(shard);
+    if (it == m_owners.end())
+        return std::nullopt;
+    return it->second;
+}
+
+std::string Topology::addressOf(const std::string &host) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_addresses.find(host);
+    return it == m_addresses.end() ? std::string() : it->second;
+}
+
+PeerEntry parseEntryRow(const Row &row)
+{
+    const Json::Value value = platform::fromText(row.value);
+    if (!value.isObject() || row.key.size() <= entryPrefix.size())
+        throw Error(ErrorKind::InvalidInput, "row '" + row.key + "' is no entry's row",
+                    "remove the row from the table; entries write theirs anew");
+    PeerEntry entry;
+    entry.session = row.key.substr(entryPrefix.size());
+    entry.name = value["name"].asString();
+    entry.callers = value["callers"].asString();
+    entry.peers = value["peers"].asString();
+    entry.availabilityZone = value["zone"].asString();
+    entry.region = value["region"].asString();
+    entry.documentsSeen = value["documentsSeen"].asUInt64();
+    entry.draining = value["draining"].asBool();
+    return entry;
+}
+
+std::string toFields(const PeerEntry &entry)
+{
+    Json::Value value;
+    value["name"] = entry.name;
+    value["callers"] = entry.callers;
+    value["peers"] = entry.peers;
+    value["zone"] = entry.availabilityZone;
+    value["region"] = entry.region;
+    value["documentsSeen"] = Json::UInt64(entry.documentsSeen);
+    value["draining"] = entry.draining;
+    return platform::toText(value);
+}
+
+} // namespace savorywick
