Add the router and the slot shares of urgent requests

Change: Router compares two random instances of the nearest tier with a free slot by latency, load and failures; what fails is suspended and probed with one request. SlotShares works out one owner for each slot by rendezvous hashing over the live entries; a gained slot is used only after a handover time, a lost one is given up at once, and a list that is too old is not used at all.

Ruled out so far only by reasoning: capped or balanced assignments, in which a third entry's join moves a slot between two others; with rendezvous hashing a slot moves only to one that joins or from one that leaves.

Checked: builds and lints; no tests yet.

--- /dev/null
+++ b/src/lib/router.cpp
@@ -0,0 +1,276 @@
+#include "savorywick/router.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace savorywick {
+
+namespace {
+
+constexpr double latencyWeight = 0.2; // Of a new sample against all before it.
+constexpr double typicalLatencyWeight = 0.01;
+constexpr double failureWeight = 0.2;
+constexpr double connectFailureWeight = 0.4;
+constexpr double failureCost = 10; // How much a failing instance costs more than a sound one.
+constexpr double failureShareAfterProbe = 0.25;
+constexpr int drawsPerChoice = 8; // Random draws before a choice falls back to a scan.
+
+bool contains(std::span<const std::string> ids, const std::string &id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+} // namespace
+
+Router::Router(RouterSettings settings, std::uint64_t seed)
+    : m_settings(std::move(settings))
+    , m_random(seed)
+{ }
+
+void Router::setInstances(std::span<const InstanceInfo> instances, Instant now)
+{
+    runWakes(now);
+    for (auto &[id, instance] : m_instances) {
+        leaveFreeList(instance); // Its tier may change.
+        instance.listed = false;
+    }
+    for (const InstanceInfo &info : instances) {
+        Instance &instance = m_instances[info.id];
+        instance.info = info;
+        instance.tier = tierOf(info);
+        instance.listed = true;
+    }
+    for (auto it = m_instances.begin(); it != m_instances.end();) {
+        Instance &instance = (it++)->second; // Forgetting erases it.
+        refresh(instance);
+        forgetIfDone(instance.info.id);
+    }
+}
+
+std::optional<std::string> Router::pick(std::span<const std::string> excluded, Instant now)
+{
+    runWakes(now);
+    for (const auto &candidates : m_free) {
+        if (Instance *instance = choose(candidates, excluded, now)) {
+            ++instance->inFlight;
+            --m_freeSlots;
+            refresh(*instance);
+            return instance->info.id;
+        }
+    }
+    return std::nullopt;
+}
+
+void Router::finished(std::string_view id, AttemptOutcome outcome, Millis latency, Instant now)
+{
+    runWakes(now);
+    const auto it = m_instances.find(id);
+    if (it == m_instances.end() || it->second.inFlight == 0)
+        return;
+    Instance &instance = it->second;
+    leaveFreeList(instance);
+    --instance.inFlight;
+    if (outcome == AttemptOutcome::TimedOut) {
+        ++instance.held;
+        m_wakes.push({now + m_settings.slotHoldAfterTimeout, it->first, true});
+    }
+    if (outcome == AttemptOutcome::Answered || outcome == AttemptOutcome::TimedOut)
+        learnLatency(instance, latency, now);
+    if (outcome == AttemptOutcome::Answered)
+        learnSuccess(instance);
+    else
+        learnFailure(instance, outcome, now);
+    refresh(instance);
+    forgetIfDone(it->first);
+}
+
+int Router::inFlight(std::string_view id) const
+{
+    const auto it = m_instances.find(id);
+    return it == m_instances.end() ? 0 : it->second.inFlight + it->second.held;
+}
+
+int Router::freeSlots(Instant now)
+{
+    runWakes(now);
+    return m_freeSlots;
+}
+
+int Router::suspendedInstances(Instant now)
+{
+    runWakes(now);
+    return m_suspended;
+}
+
+void Router::runWakes(Instant now)
+{
+    while (!m_wakes.empty() && m_wakes.top().at <= now) {
+        const Wake wake = m_wakes.top();
+        m_wakes.pop();
+        const auto it = m_instances.find(wake.id);
+        if (it == m_instances.end())
+            continue;
+        Instance &instance = it->second;
+        if (wake.releasesSlot) {
+            leaveFreeList(instance);
+            --instance.held;
+        } else if (instance.suspended && instance.suspendedUntil <= now) {
+            instance.suspended = false;
+            --m_suspended;
+        }
+        refresh(instance);
+        forgetIfDone(wake.id);
+    }
+}
+
+Router::Tier Router::tierOf(const InstanceInfo &info) const
+{
+    if (info.region != m_settings.region)
+        return Tier::Elsewhere;
+    return info.availabilityZone == m_settings.availabilityZone ? Tier::SameZone : Tier::SameRegion;
+}
+
+int Router::spareSlots(const Instance &instance)
+{
+    if (!instance.listed || instance.info.leaving || instance.suspended)
+        return 0;
+    const int limit = instance.probing ? std::min(1, instance.info.slots) : instance.info.slots;
+    return std::max(0, limit - instance.inFlight - instance.held);
+}
+
+// Puts the instance into its tier's free list if and only if it has a spare slot.
+void Router::refresh(Instance &instance)
+{
+    const int spare = spareSlots(instance);
+    if (spare == 0) {
+        leaveFreeList(instance);
+        return;
+    }
+    if (instance.freeIndex != notFree)
+        return;
+    auto &free = m_free[static_cast<std::size_t>(instance.tier)];
+    instance.freeIndex = free.size();
+    free.push_back(&instance);
+    m_freeSlots += spare;
+}
+
+// Must be called before anything changes what spareSlots() returns, but for pick().
+void Router::leaveFreeList(Instance &instance)
+{
+    if (instance.freeIndex == notFree)
+        return;
+    auto &free = m_free[static_cast<std::size_t>(instance.tier)];
+    Instance *last = free.back();
+    free[instance.freeIndex] = last;
+    last->freeIndex = instance.freeIndex;
+    free.pop_back();
+    instance.freeIndex = notFree;
+    m_freeSlots -= spareSlots(instance);
+}
+
+void Router::forgetIfDone(const std::string &id)
+{
+    const auto it = m_instances.find(id);
+    const Instance &instance = it->second;
+    if (instance.listed || instance.inFlight + instance.held > 0)
+        return;
+    if (instance.suspended)
+        --m_suspended;
+    m_instances.erase(it);
+}
+
+double Router::cost(const Instance &instance, Instant now) const
+{
+    const double age = static_cast<double>((now - instance.latencyAt).count());
+    const double halfLife = static_cast<double>(m_settings.latencyHalfLife.count());
+    const double memory = instance.sampled ? std::exp2(-age / halfLife) : 0;
+    const double latency = m_typicalLatencyMs + (instance.latencyMs - m_typicalLatencyMs) * memory;
+    const double load = static_cast<double>(instance.inFlight + instance.held + 1)
+        / static_cast<double>(std::max(1, instance.info.slots));
+    return (latency + 1) * load * (1 + failureCost * instance.failureShare);
+}
+
+Router::Instance *Router::choose(const std::vector<Instance *> &candidates,
+                                 std::span<const std::string> excluded, Instant now)
+{
+    const std::size_t choices = static_cast<std::size_t>(std::max(1, m_settings.choices));
+    if (candidates.size() <= choices + excluded.size())
+        return scan(candidates, excluded, now);
+    std::uniform_int_distribution<std::size_t> any(0, candidates.size() - 1);
+    Instance *best = nullptr;
+    double bestCost = 0;
+    std::size_t compared = 0;
+    for (std::size_t n = 0; n < choices * drawsPerChoice && compared < choices; ++n) {
+        Instance *drawn = candidates[any(m_random)];
+        if (drawn == best || contains(excluded, drawn->info.id))
+            continue;
+        ++compared;
+        const double drawnCost = cost(*drawn, now);
+        if (!best || drawnCost < bestCost) {
+            best = drawn;
+            bestCost = drawnCost;
+        }
+    }
+    return best ? best : scan(candidates, excluded, now);
+}
+
+Router::Instance *Router::scan(const std::vector<Instance *> &candidates,
+                               std::span<const std::string> excluded, Instant now) const
+{
+    Instance *best = nullptr;
+    for (Instance *it : candidates) {
+        if (contains(excluded, it->info.id))
+            continue;
+        if (!best || cost(*it, now) < cost(*best, now))
+            best = it;
+    }
+    return best;
+}
+
+void Router::learnLatency(Instance &instance, Millis latency, Instant now)
+{
+    const double sample = static_cast<double>(latency.count());
+    const double before = instance.sampled ? instance.latencyMs : sample;
+    instance.latencyMs = before + latencyWeight * (sample - before);
+    instance.latencyAt = now;
+    instance.sampled = true;
+    m_typicalLatencyMs += typicalLatencyWeight * (sample - m_typicalLatencyMs);
+}
+
+void Router::learnSuccess(Instance &instance)
+{
+    instance.failureShare *= 1 - failureWeight;
+    instance.suspensionsInRow = 0;
+    if (!instance.probing)
+        return;
+    instance.probing = false;
+    instance.failureShare = std::min(instance.failureShare, failureShareAfterProbe);
+}
+
+void Router::learnFailure(Instance &instance, AttemptOutcome outcome, Instant now)
+{
+    const bool unreachable = outcome == AttemptOutcome::ConnectFailed;
+    const double weight = unreachable ? connectFailureWeight : failureWeight;
+    instance.failureShare += weight * (1 - instance.failureShare);
+    if (instance.probing || instance.failureShare > m_settings.suspendAboveFailureShare)
+        suspend(instance, now);
+}
+
+void Router::suspend(Instance &instance, Instant now)
+{
+    const double most = m_settings.largestSuspendedShare * static_cast<double>(m_instances.size());
+    if (instance.suspended || m_suspended + 1 > most)
+        return;
+    Millis span = m_settings.firstSuspension;
+    for (int n = 0; n < instance.suspensionsInRow && span < m_settings.longestSuspension; ++n)
+        span = span * 2;
+    span = std::min(span, m_settings.longestSuspension);
+    ++instance.suspensionsInRow;
+    instance.suspended = true;
+    instance.probing = true;
+    instance.suspendedUntil = now + span;
+    ++m_suspended;
+    m_wakes.push({instance.suspendedUntil, instance.info.id, false});
+}
+
+} // namespace savorywick
--- /dev/null
+++ b/src/lib/slotshares.cpp
@@ -0,0 +1,219 @@
+#include "savorywick/slotshares.h"
+
+#include <algorithm>
+
+namespace savorywick {
+
+namespace {
+
+constexpr Millis peerWordLifetime{1'000}; // What a peer said of its free slots goes stale.
+
+// 64-bit FNV-1a; must stay the same in all versions that run side by side.
+std::uint64_t hashOf(std::string_view text)
+{
+    std::uint64_t hash = 0xcbf29ce484222325U;
+    for (const char c : text) {
+        hash ^= static_cast<unsigned char>(c);
+        hash *= 0x100000001b3U;
+    }
+    return hash;
+}
+
+// The finalizer of SplitMix64: spreads every bit of `n` over the result.
+std::uint64_t mix(std::uint64_t n)
+{
+    n += 0x9e3779b97f4a7c15U;
+    n = (n ^ (n >> 30U)) * 0xbf58476d1ce4e5b9U;
+    n = (n ^ (n >> 27U)) * 0x94d049bb133111ebU;
+    return n ^ (n >> 31U);
+}
+
+int nearness(const InstanceInfo &instance, const EntryInfo &entry, ShareLocality locality)
+{
+    if (locality == ShareLocality::Anywhere || instance.region != entry.region)
+        return 0;
+    if (locality == ShareLocality::SameRegion)
+        return 1;
+    return instance.availabilityZone == entry.availabilityZone ? 2 : 1;
+}
+
+} // namespace
+
+std::optional<std::size_t> slotOwner(const InstanceInfo &instance, int slot,
+                                     std::span<const EntryInfo> entries, ShareLocality locality)
+{
+    const std::uint64_t slotHash = mix(hashOf(instance.id) + static_cast<std::uint64_t>(slot));
+    std::optional<std::size_t> best;
+    int bestNearness = -1;
+    std::uint64_t bestWeight = 0;
+    for (std::size_t n = 0; n < entries.size(); ++n) {
+        const EntryInfo &entry = entries[n];
+        const int near = nearness(instance, entry, locality);
+        const std::uint64_t weight = mix(slotHash ^ hashOf(entry.id));
+        const bool tied = best && near == bestNearness && weight == bestWeight;
+        const bool better = near > bestNearness || (near == bestNearness && weight > bestWeight)
+            || (tied && entry.id < entries[*best].id);
+        if (!best || better) {
+            best = n;
+            bestNearness = near;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+SlotShares::SlotShares(SlotSharesSettings settings)
+    : m_settings(std::move(settings))
+{ }
+
+// A former owner may act on a list that is `longestListAge` old, and so may we; then its last
+// attempt must end.
+Millis SlotShares::handover() const
+{
+    return m_settings.longestListAge * 2 + m_settings.longestAttempt + Millis{1};
+}
+
+void SlotShares::update(std::span<const EntryInfo> entries, std::span<const InstanceInfo> instances,
+                        Instant takenAt, Instant now)
+{
+    if (m_listTakenAt && takenAt < *m_listTakenAt)
+        return; // Overtaken by a newer list.
+    // Whoever did not trust its list for a while may have missed that its slots had other owners.
+    const bool keepsOwnership = trusted(now);
+    std::unordered_map<std::string_view, const Share *> before;
+    for (const Share &share : m_shares)
+        before.emplace(share.info.id, &share);
+
+    std::vector<Share> shares;
+    int slots = 0;
+    for (const InstanceInfo &info : instances) {
+        const auto it = before.find(info.id);
+        const Share *old = keepsOwnership && it != before.end() ? it->second : nullptr;
+        shares.push_back({info, ownership(info, entries, old, now)});
+        slots += info.slots;
+    }
+    m_shares = std::move(shares);
+    m_slotsPerEntry = entries.empty() ? 0 : slots / static_cast<int>(entries.size());
+    m_listTakenAt = takenAt;
+    updatePeers(entries);
+}
+
+std::vector<std::optional<Instant>> SlotShares::ownership(const InstanceInfo &info,
+                                                          std::span<const EntryInfo> entries,
+                                                          const Share *before, Instant now) const
+{
+    std::vector<std::optional<Instant>> result(static_cast<std::size_t>(std::max(0, info.slots)));
+    for (std::size_t slot = 0; slot < result.size(); ++slot) {
+        const auto owner = slotOwner(info, static_cast<int>(slot), entries, m_settings.locality);
+        if (!owner || entries[*owner].id != m_settings.self)
+            continue;
+        const bool hadIt = before && slot < before->ownedSince.size() && before->ownedSince[slot];
+        result[slot] = hadIt ? before->ownedSince[slot] : now;
+    }
+    return result;
+}
+
+void SlotShares::updatePeers(std::span<const EntryInfo> entries)
+{
+    std::unordered_map<std::string, Peer> before;
+    for (Peer &peer : m_peers)
+        before.emplace(peer.info.id, std::move(peer));
+    m_peers.clear();
+    for (const EntryInfo &entry : entries) {
+        if (entry.id == m_settings.self)
+            continue;
+        Peer &peer = before[entry.id];
+        peer.info = entry;
+        m_peers.push_back(peer);
+    }
+}
+
+bool SlotShares::trusted(Instant now) const
+{
+    return m_listTakenAt && now - *m_listTakenAt <= m_settings.longestListAge;
+}
+
+int SlotShares::usableOf(const Share &share, Instant now) const
+{
+    return static_cast<int>(std::count_if(
+        share.ownedSince.begin(), share.ownedSince.end(),
+        [&](const std::optional<Instant> &since) { return since && now - *since >= handover(); }));
+}
+
+std::vector<InstanceInfo> SlotShares::usable(Instant now) const
+{
+    std::vector<InstanceInfo> result;
+    if (!trusted(now))
+        return result;
+    for (const Share &share : m_shares) {
+        const int slots = usableOf(share, now);
+        if (slots == 0)
+            continue;
+        result.push_back(share.info);
+        result.back().slots = slots;
+    }
+    return result;
+}
+
+int SlotShares::usableSlots(Instant now) const
+{
+    if (!trusted(now))
+        return 0;
+    int slots = 0;
+    for (const Share &share : m_shares)
+        slots += usableOf(share, now);
+    return slots;
+}
+
+std::optional<Instant> SlotShares::nextChange(Instant now) const
+{
+    if (!trusted(now))
+        return std::nullopt;
+    Instant next = *m_listTakenAt + m_settings.longestListAge + Millis{1};
+    for (const Share &share : m_shares) {
+        for (const auto &since : share.ownedSince) {
+            if (since && *since + handover() > now)
+                next = std::min(next, *since + handover());
+        }
+    }
+    return next;
+}
+
+std::optional<std::string> SlotShares::peerWithRoom(std::span<const std::string> excluded,
+                                                    std::uint64_t draw, Instant now)
+{
+    std::vector<Peer *> candidates;
+    for (Peer &peer : m_peers) {
+        const bool out =
+            std::find(excluded.begin(), excluded.end(), peer.info.id) != excluded.end();
+        if (!out && expectedRoom(peer, now) > 0)
+            candidates.push_back(&peer);
+    }
+    if (candidates.empty())
+        return std::nullopt;
+    Peer *first = candidates[draw % candidates.size()];
+    Peer *second = candidates[mix(draw) % candidates.size()];
+    Peer *best = expectedRoom(*second, now) > expectedRoom(*first, now) ? second : first;
+    if (best->known)
+        --best->freeSlots; // Ours is on its way there.
+    return best->info.id;
+}
+
+void SlotShares::notePeer(std::string_view entry, int freeSlots, Instant now)
+{
+    for (Peer &peer : m_peers) {
+        if (peer.info.id != entry)
+            continue;
+        peer.freeSlots = freeSlots;
+        peer.known = true;
+        peer.heardAt = now;
+    }
+}
+
+int SlotShares::expectedRoom(const Peer &peer, Instant now) const
+{
+    const bool fresh = peer.known && now - peer.heardAt <= peerWordLifetime;
+    return fresh ? peer.freeSlots : m_slotsPerEntry;
+}
+
+} // namespace savorywick
