--- /dev/null
+++ b/src/entry/shardmessages.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "entry/shardengine.h"
+
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace savorywick {
+
+// What request threads and pollers ask of a shard's owner. Each with a slot is answered through it.
+
+struct OpenClaim
+{
+    ClaimRequest request;
+    ReplySlotPtr<ClaimReply> slot;
+};
+
+enum class ClaimEnd {
+    Finished, // The answer is known.
+    Released, // The request surely did not run.
+    Unknown, // It may have run.
+};
+
+struct CloseClaim
+{
+    ClaimKey key;
+    ClaimEnd end = ClaimEnd::Unknown;
+    ClaimAnswer answer;
+};
+
+struct SubmitRun
+{
+    JobSpec spec;
+    ReplySlotPtr<SubmitReply> slot;
+};
+
+struct SubmitWatcher
+{
+    WatcherSpec spec;
+    ReplySlotPtr<SubmitReply> slot;
+};
+
+struct CancelJob
+{
+    std::string id;
+    ReplySlotPtr<JobReply> slot;
+};
+
+struct QueryJob
+{
+    std::string id;
+    ReplySlotPtr<JobReply> slot;
+};
+
+struct AskReport
+{
+    ReplySlotPtr<ShardReport> slot;
+};
+
+struct WorkersChanged
+{
+    std::vector<HostInfo> workers; // The shard's slice.
+};
+
+struct ReleaseShard
+{
+};
+
+using ShardMessage = std::variant<OpenClaim, CloseClaim, SubmitRun, SubmitWatcher, CancelJob,
+                                  QueryJob, AskReport, WorkersChanged, ReleaseShard>;
+
+} // namespace savorywick
