--- /dev/null
+++ b/standins/json.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <json/reader.h>
+#include <json/writer.h>
+
+#include <memory>
+#include <stdexcept>
+#include <string>
+
+namespace savorywick::standin {
+
+// Returns the object in `text`. Throws std::invalid_argument if it holds none.
+inline Json::Value parseObject(const std::string &text)
+{
+    const std::unique_ptr<Json::CharReader> reader{Json::CharReaderBuilder{}.newCharReader()};
+    Json::Value value;
+    const bool ok = reader->parse(text.data(), text.data() + text.size(), &value, nullptr);
+    if (!ok || !value.isObject())
+        throw std::invalid_argument("the body must be a JSON object");
+    return value;
+}
+
+// Returns `value` on one line.
+inline std::string toText(const Json::Value &value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    builder["emitUTF8"] = true;
+    return Json::writeString(builder, value);
+}
+
+} // namespace savorywick::standin
