--- a/include/savorywick/hostledger.h
+++ b/include/savorywick/hostledger.h
@@ -63,6 +63,10 @@
     // limit holds until it is set again; a negative one counts as 0. Unknown hosts are ignored.
     void setAllowance(std::string_view host, int cores);
 
+    // Opens or closes a worker for further bookings, such as for a quarantine. Workers are open at
+    // first. Unknown hosts are ignored.
+    void setOpen(std::string_view host, bool open);
+
     // Books `need` for `task` and returns true, or returns false and changes nothing if it does not
     // fit, the host accepts no work, or `task` is booked there already with another size.
     bool book(std::string_view host, std::string_view task, const Resources &need);
@@ -83,7 +87,7 @@
     Resources bookedFor(std::string_view host, std::string_view task) const;
     // Returns what the list last said that the host has; nothing for unknown hosts.
     Resources capacity(std::string_view host) const;
-    // Returns true if and only if the host is listed, live and known.
+    // Returns true if and only if the host is listed, live and open.
     bool accepts(std::string_view host) const;
     // Returns the tasks booked on `host`, sorted.
     std::vector<std::string> tasks(std::string_view host) const;
@@ -97,7 +101,9 @@
     enum class Order { TightestFirst, RoomiestFirst };
     // Calls `visit` for hosts that can hold `need` now, at most `perSize` of those with equal free
     // cores and accelerators, until it returns false. Every size with a fitting host is visited.
-    // The cost grows with the number of sizes visited and the logarithm of the number of hosts.
+    // Hosts with fewer accelerators come first in both orders, so that work without need of them
+    // leaves them free. The cost grows with the number of sizes visited and the logarithm of the
+    // number of hosts.
     void visitFitting(const Resources &need, Order order, std::size_t perSize,
                       const std::function<bool(const HostView &)> &visit) const;
 
@@ -125,6 +131,9 @@
     Host *find(std::string_view host) const;
     void index(Host &host);
     void unindex(const Host &host);
+    bool visitSize(const FreeSize &size, const std::set<FreeEntry> &entries, const Resources &need,
+                   Order order, std::size_t perSize,
+                   const std::function<bool(const HostView &)> &visit) const;
     void countShape(const Host &host, int delta);
     void forgetIfDone(Hosts::iterator it);
 
--- a/src/lib/hostledger.cpp
+++ b/src/lib/hostledger.cpp
@@ -12,6 +12,7 @@
     std::size_t serial = 0;
     bool listed = true;
     bool leaving = false;
+    bool open = true;
     bool indexed = false;
     Resources capacity;
     Resources booked;
@@ -19,7 +20,9 @@
     int allowance = std::numeric_limits<int>::max();
     std::map<std::string, Resources, std::less<>> bookings;
 
-    bool acceptsWork() const { return listed && !leaving; }
+    // Whether it counts for what could ever run, however full or closed it is at present.
+    bool isLive() const { return listed && !leaving; }
+    bool acceptsWork() const { return isLive() && open; }
 
     Resources free() const
     {
@@ -95,7 +98,7 @@
 
 void HostLedger::countShape(const Host &host, int delta)
 {
-    if (!host.acceptsWork())
+    if (!host.isLive())
         return;
     const auto it = m_shapes.try_emplace(host.capacity, 0).first;
     it->second += delta;
@@ -148,6 +151,14 @@
     }
 }
 
+void HostLedger::setOpen(std::string_view host, bool open)
+{
+    if (Host *h = find(host)) {
+        h->open = open;
+        index(*h);
+    }
+}
+
 bool HostLedger::book(std::string_view host, std::string_view task, const Resources &need)
 {
     Host *h = find(host);
@@ -190,7 +201,7 @@
         return false;
     const Resources after = h->booked - it->second + need;
     const bool shrinks = need.fitsIn(it->second);
-    if (!shrinks && !(h->acceptsWork() && after.fitsIn(h->capacity)))
+    if (!shrinks && !(h->isLive() && after.fitsIn(h->capacity)))
         return false;
     it->second = need;
     h->booked = after;
@@ -287,44 +298,52 @@
     return {FitVerdict::TooLarge, describeShortage(need, largest)};
 }
 
-void HostLedger::visitFitting(const Resources &need, Order order, std::size_t perSize,
-                              const std::function<bool(const HostView &)> &visit) const
+// Offers the hosts of one size; returns false if the visitor has had enough.
+bool HostLedger::visitSize(const FreeSize &size, const std::set<FreeEntry> &entries,
+                           const Resources &need, Order order, std::size_t perSize,
+                           const std::function<bool(const HostView &)> &visit) const
 {
-    // Visits one size; returns false if the visitor has had enough.
-    const auto visitSize = [&](const FreeSize &size, const std::set<FreeEntry> &entries) {
-        if (size.cores < need.cores || size.accelerators < need.accelerators)
-            return true;
-        std::size_t n = 0;
-        const auto offer = [&](const FreeEntry &entry) {
-            const Host &h = *entry.host;
-            return visit({h.id, h.rack, h.capacity, h.indexedFree});
-        };
-        const auto first = entries.lower_bound({need.memoryMb, 0, nullptr});
-        if (order == Order::TightestFirst) {
-            for (auto it = first; it != entries.end() && n < perSize; ++it, ++n) {
-                if (!offer(*it))
-                    return false;
-            }
-            return true;
-        }
-        for (auto it = entries.end(); it != first && n < perSize; ++n) {
-            --it;
-            if (!offer(*it))
-                return false;
-        }
+    if (size.cores < need.cores)
         return true;
+    const auto offer = [&visit](const FreeEntry &entry) {
+        const Host &h = *entry.host;
+        return visit({h.id, h.rack, h.capacity, h.indexedFree});
     };
+    const auto first = entries.lower_bound({need.memoryMb, 0, nullptr});
+    std::size_t n = 0;
     if (order == Order::TightestFirst) {
-        for (auto it = m_free.lower_bound({need.accelerators, need.cores}); it != m_free.end();
-             ++it) {
-            if (!visitSize(it->first, it->second))
-                return;
+        for (auto it = first; it != entries.end() && n < perSize; ++it, ++n) {
+            if (!offer(*it))
+                return false;
         }
-        return;
+        return true;
     }
-    for (auto it = m_free.rbegin(); it != m_free.rend(); ++it) {
-        if (it->first.accelerators < need.accelerators || !visitSize(it->first, it->second))
-            return;
+    for (auto it = entries.end(); it != first && n < perSize; ++n) {
+        if (!offer(*--it))
+            return false;
+    }
+    return true;
+}
+
+void HostLedger::visitFitting(const Resources &need, Order order, std::size_t perSize,
+                              const std::function<bool(const HostView &)> &visit) const
+{
+    auto begin = m_free.lower_bound({need.accelerators, 0});
+    while (begin != m_free.end()) {
+        const auto end = m_free.lower_bound({begin->first.accelerators + 1, 0});
+        if (order == Order::TightestFirst) {
+            for (auto it = begin; it != end; ++it) {
+                if (!visitSize(it->first, it->second, need, order, perSize, visit))
+                    return;
+            }
+        } else {
+            for (auto it = end; it != begin && std::prev(it)->first.cores >= need.cores;) {
+                --it;
+                if (!visitSize(it->first, it->second, need, order, perSize, visit))
+                    return;
+            }
+        }
+        begin = end;
     }
 }
 
--- /dev/null
+++ b/src/lib/quarantine.cpp
@@ -0,0 +1,194 @@
+#include "savorywick/quarantine.h"
+
+#include <algorithm>
+
+namespace savorywick {
+
+Quarantine::Quarantine(const QuarantineOptions &options)
+    : m_options(options)
+{ }
+
+void Quarantine::addWorker(std::string_view worker)
+{
+    if (!m_workers.contains(worker))
+        m_workers.emplace(std::string(worker), Worker{});
+}
+
+void Quarantine::removeWorker(std::string_view worker)
+{
+    const auto it = m_workers.find(worker);
+    if (it == m_workers.end())
+        return;
+    m_quarantinedCount -= it->second.quarantined ? 1 : 0;
+    m_workers.erase(it);
+}
+
+bool Quarantine::isTrusted(const Worker &worker, std::string_view job, Instant now) const
+{
+    return !worker.quarantined && worker.hasSucceeded && worker.lastJob != job
+        && now - worker.lastSuccess <= m_options.window;
+}
+
+bool Quarantine::shouldGiveUp(const Job &job, std::string_view id, Instant now) const
+{
+    int trusted = 0;
+    int counted = 0;
+    for (const auto &[name, failure] : job.byWorker) {
+        const auto it = m_workers.find(name);
+        const bool blamed = it != m_workers.end() && it->second.quarantined;
+        counted += blamed ? 0 : 1;
+        trusted += it != m_workers.end() && isTrusted(it->second, id, now) ? 1 : 0;
+    }
+    return trusted >= m_options.jobWorkers || counted >= 2 * m_options.jobWorkers;
+}
+
+bool Quarantine::shouldQuarantine(Worker &worker, Instant now) const
+{
+    if (worker.quarantined)
+        return false;
+    std::erase_if(worker.failedJobs,
+                  [&](const auto &entry) { return now - entry.second > m_options.window; });
+    if (static_cast<int>(worker.failedJobs.size()) < m_options.workerJobs)
+        return false;
+    const auto known = static_cast<int>(m_workers.size());
+    const int most = std::max(known * m_options.maxQuarantinedPercent / 100, 1);
+    return m_quarantinedCount < most;
+}
+
+void Quarantine::beginQuarantine(Worker &worker, Instant now)
+{
+    worker.quarantined = true;
+    worker.probing = false;
+    worker.backOff = m_options.firstProbeAfter;
+    worker.probeAt = now + worker.backOff;
+    worker.failedJobs.clear();
+    ++m_quarantinedCount;
+}
+
+// A job at fault is no evidence against the workers that it failed on.
+void Quarantine::withdrawJob(std::string_view job)
+{
+    const auto it = m_jobs.find(job);
+    for (const auto &[name, failure] : it->second.byWorker) {
+        const auto worker = m_workers.find(name);
+        if (worker == m_workers.end())
+            continue;
+        const auto entry = worker->second.failedJobs.find(job);
+        if (entry != worker->second.failedJobs.end())
+            worker->second.failedJobs.erase(entry);
+    }
+}
+
+FailureVerdict Quarantine::failed(std::string_view job, std::string_view worker,
+                                  std::string_view cause, Instant now)
+{
+    addWorker(worker);
+    Worker &w = m_workers.find(worker)->second;
+    Job &j = m_jobs[std::string(job)];
+    FailureVerdict verdict;
+    if (w.quarantined) {
+        if (w.probing) {
+            w.probing = false;
+            w.backOff = std::min(w.backOff * 2, m_options.longestProbeAfter);
+            w.probeAt = now + w.backOff;
+        }
+        return verdict;
+    }
+    j.byWorker.insert_or_assign(std::string(worker),
+                                FailureCause{std::string(worker), std::string(cause), now});
+    if (j.givenUp)
+        return verdict;
+    if (shouldGiveUp(j, job, now)) {
+        j.givenUp = true;
+        withdrawJob(job);
+        verdict.giveUpJob = true;
+        return verdict;
+    }
+    // More entries than the limit add nothing, so that memory stays bounded.
+    if (static_cast<int>(w.failedJobs.size()) < 2 * m_options.workerJobs)
+        w.failedJobs.insert_or_assign(std::string(job), now);
+    if (shouldQuarantine(w, now)) {
+        beginQuarantine(w, now);
+        verdict.quarantineWorker = true;
+    }
+    return verdict;
+}
+
+bool Quarantine::succeeded(std::string_view job, std::string_view worker, Instant now)
+{
+    addWorker(worker);
+    Worker &w = m_workers.find(worker)->second;
+    w.hasSucceeded = true;
+    w.lastSuccess = now;
+    w.lastJob = job;
+    w.failedJobs.clear();
+    if (!w.quarantined)
+        return false;
+    w.quarantined = false;
+    w.probing = false;
+    --m_quarantinedCount;
+    return true;
+}
+
+void Quarantine::forgetJob(std::string_view job)
+{
+    const auto it = m_jobs.find(job);
+    if (it != m_jobs.end())
+        m_jobs.erase(it);
+}
+
+WorkerStanding Quarantine::standing(std::string_view worker, Instant now) const
+{
+    const auto it = m_workers.find(worker);
+    if (it == m_workers.end() || !it->second.quarantined)
+        return WorkerStanding::Open;
+    if (now >= it->second.probeAt)
+        return WorkerStanding::ProbeDue;
+    return it->second.probing ? WorkerStanding::Probing : WorkerStanding::Quarantined;
+}
+
+bool Quarantine::beginProbe(std::string_view worker, Instant now)
+{
+    if (standing(worker, now) != WorkerStanding::ProbeDue)
+        return false;
+    Worker &w = m_workers.find(worker)->second;
+    w.probing = true;
+    w.probeAt = now + m_options.probeTimeout;
+    return true;
+}
+
+std::vector<FailureCause> Quarantine::causes(std::string_view job) const
+{
+    std::vector<FailureCause> found;
+    const auto it = m_jobs.find(job);
+    if (it == m_jobs.end())
+        return found;
+    for (const auto &[name, failure] : it->second.byWorker)
+        found.push_back(failure);
+    std::stable_sort(found.begin(), found.end(),
+                     [](const auto &a, const auto &b) { return a.at < b.at; });
+    return found;
+}
+
+std::vector<std::string> Quarantine::workersFailed(std::string_view job) const
+{
+    std::vector<std::string> names;
+    const auto it = m_jobs.find(job);
+    if (it == m_jobs.end())
+        return names;
+    for (const auto &[name, failure] : it->second.byWorker)
+        names.push_back(name);
+    return names;
+}
+
+std::vector<std::string> Quarantine::quarantined() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, worker] : m_workers) {
+        if (worker.quarantined)
+            names.push_back(name);
+    }
+    return names;
+}
+
+} // namespace savorywick
