Add the interference controller with learned pair slowdowns

A worker's measurement is judged against the p99 that urgent work has at that load without batch work, learned from all workers of the service. Known harmful pairs are throttled first, what they do not explain costs allowance, and evictions have a budget per start.

--- a/include/savorywick/placement.h
+++ b/include/savorywick/placement.h
@@ -20,7 +20,8 @@
         avoid; // Hosts that must not be chosen, such as those it failed on.
 };
 
-// What it costs to put a task on a host beyond the room that it takes. 0 is free; larger is worse.
+// What it costs to put a task on a host beyond the room that it takes. 0 is free; larger is
+// worse; an infinite cost forbids the host.
 class HostCost
 {
 public:
--- /dev/null
+++ b/src/lib/interference.cpp
@@ -0,0 +1,235 @@
+#include "savorywick/interference.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace savorywick {
+
+namespace {
+
+// A pair that slows urgent work down by less than this on a full host counts as harmless.
+constexpr double harmlessSlowdown = 0.02;
+constexpr int throttleStepPercent = 25;
+// The part of the measured excess that the known pairs must explain to be acted on alone.
+constexpr double explainedPart = 0.5;
+
+double shareOf(const BatchTask &task, int percent, int capacity)
+{
+    return capacity > 0 ? task.cores * (percent / 100.0) / capacity : 0;
+}
+
+std::vector<ClassShare> sharesOf(std::span<const BatchTask> tasks, int capacity)
+{
+    std::map<std::string, double, std::less<>> sums;
+    for (const BatchTask &it : tasks)
+        sums[it.runClass] += shareOf(it, it.throttlePercent, capacity);
+    std::vector<ClassShare> shares;
+    shares.reserve(sums.size());
+    for (const auto &[runClass, share] : sums)
+        shares.push_back({runClass, share});
+    return shares;
+}
+
+double batchCores(std::span<const BatchTask> tasks)
+{
+    double sum = 0;
+    for (const BatchTask &it : tasks)
+        sum += it.cores;
+    return sum;
+}
+
+} // namespace
+
+InterferenceController::InterferenceController(const InterferenceOptions &options)
+    : m_options(options)
+    , m_evictionBudget(options.evictionBurst)
+{ }
+
+void InterferenceController::setWorker(std::string_view worker, int cores)
+{
+    const auto [it, added] = m_workers.try_emplace(std::string(worker));
+    Worker &w = it->second;
+    w.cores = std::max(cores, 0);
+    w.allowance = added ? w.cores : std::min(w.allowance, static_cast<double>(w.cores));
+}
+
+void InterferenceController::removeWorker(std::string_view worker)
+{
+    const auto it = m_workers.find(worker);
+    if (it != m_workers.end())
+        m_workers.erase(it);
+}
+
+void InterferenceController::noteStart(std::string_view worker, std::string_view runClass,
+                                       int cores)
+{
+    m_evictionBudget =
+        std::min(m_evictionBudget + m_options.evictionsPerStart, m_options.evictionBurst);
+    const auto it = m_workers.find(worker);
+    if (it != m_workers.end() && it->second.cores > 0)
+        it->second.shares.push_back(
+            {std::string(runClass), static_cast<double>(cores) / it->second.cores});
+}
+
+InterferenceDecision InterferenceController::observe(std::string_view worker,
+                                                     const WorkerSample &sample, Instant now)
+{
+    const auto it = m_workers.find(worker);
+    if (it == m_workers.end() || it->second.cores == 0)
+        return {};
+    Worker &w = it->second;
+    w.service = sample.service;
+    w.shares = sharesOf(sample.tasks, w.cores);
+    const double excess = m_slowdowns.learn(sample.service, sample.urgentLoad / w.cores,
+                                            sample.urgentP99Ms, w.shares);
+    InterferenceDecision decision;
+    const bool shown = !w.hasChanged || sample.takenAt - w.changedAt >= m_options.lag;
+    const double before = w.allowance;
+    if (shown) {
+        const bool overTarget = sample.targetMs > 0 && sample.urgentP99Ms > sample.targetMs
+            && excess > m_options.relaxBelow;
+        if (excess > m_options.excessLimit || overTarget)
+            hurt(w, sample, decision);
+        else if (excess < m_options.relaxBelow)
+            relax(w, sample, decision);
+    }
+    if (w.allowance != before || !decision.throttles.empty() || !decision.evictions.empty()) {
+        w.hasChanged = true;
+        w.changedAt = now;
+    }
+    decision.allowance = static_cast<int>(w.allowance);
+    return decision;
+}
+
+// Throttles what the known pairs blame; only what they do not explain costs allowance.
+void InterferenceController::hurt(Worker &worker, const WorkerSample &sample,
+                                  InterferenceDecision &decision)
+{
+    const double batchFree =
+        m_slowdowns.batchFreeP99Ms(sample.service, sample.urgentLoad / worker.cores);
+    const double excess = batchFree > 0 ? sample.urgentP99Ms / batchFree - 1 : 0;
+    const bool explained =
+        m_slowdowns.expected(sample.service, worker.shares) >= explainedPart * excess;
+    const bool throttled = throttle(worker, sample, decision);
+    if (!explained) {
+        const double used = std::min(worker.allowance, batchCores(sample.tasks));
+        worker.allowance = used * m_options.stepDown;
+    }
+    ++worker.throttledSteps;
+    if (!throttled && worker.throttledSteps >= m_options.throttleSteps)
+        evict(worker, sample, decision);
+}
+
+// Slows the tasks down that hurt most for each core, until the rest is expected to be bearable.
+// Returns false if there was nothing left to slow down.
+bool InterferenceController::throttle(const Worker &worker, const WorkerSample &sample,
+                                      InterferenceDecision &decision) const
+{
+    std::vector<const BatchTask *> tasks;
+    for (const BatchTask &it : sample.tasks) {
+        if (it.throttlePercent > m_options.leastThrottlePercent)
+            tasks.push_back(&it);
+    }
+    const auto slowdown = [&](const BatchTask *task) {
+        return m_slowdowns.slowdown(sample.service, task->runClass);
+    };
+    std::stable_sort(tasks.begin(), tasks.end(), [&](const BatchTask *a, const BatchTask *b) {
+        return slowdown(a) > slowdown(b);
+    });
+    double expected = m_slowdowns.expected(sample.service, worker.shares);
+    bool throttled = false;
+    for (const BatchTask *task : tasks) {
+        if (expected <= m_options.relaxBelow || slowdown(task) < harmlessSlowdown)
+            break;
+        const int percent = m_options.leastThrottlePercent;
+        expected -= slowdown(task) * shareOf(*task, task->throttlePercent - percent, worker.cores);
+        decision.throttles.push_back({task->id, percent});
+        throttled = true;
+    }
+    return throttled;
+}
+
+// Evicts the task that wastes least work for the slowdown that it takes away.
+void InterferenceController::evict(const Worker &worker, const WorkerSample &sample,
+                                   InterferenceDecision &decision)
+{
+    if (m_evictionBudget < 1)
+        return;
+    const BatchTask *best = nullptr;
+    double bestWaste = std::numeric_limits<double>::infinity();
+    for (const BatchTask &it : sample.tasks) {
+        const double relief = m_slowdowns.slowdown(sample.service, it.runClass)
+            * shareOf(it, it.throttlePercent, worker.cores);
+        const double waste = (1 + it.wastedIfEvicted) / relief;
+        if (relief > 0 && waste < bestWaste) {
+            best = &it;
+            bestWaste = waste;
+        }
+    }
+    if (!best)
+        return;
+    m_evictionBudget -= 1;
+    decision.evictions.push_back(best->id);
+}
+
+// Gives throttled tasks their speed back, the least harmful first, and then allowance.
+void InterferenceController::relax(Worker &worker, const WorkerSample &sample,
+                                   InterferenceDecision &decision)
+{
+    worker.throttledSteps = 0;
+    const BatchTask *least = nullptr;
+    double leastSlowdown = 0;
+    for (const BatchTask &it : sample.tasks) {
+        const double slowdown = m_slowdowns.slowdown(sample.service, it.runClass);
+        if (it.throttlePercent < 100 && (!least || slowdown < leastSlowdown)) {
+            least = &it;
+            leastSlowdown = slowdown;
+        }
+    }
+    if (least) {
+        const int percent = std::min(100, least->throttlePercent + throttleStepPercent);
+        const double after = m_slowdowns.expected(sample.service, worker.shares)
+            + leastSlowdown * shareOf(*least, percent - least->throttlePercent, worker.cores);
+        if (after < m_options.excessLimit) {
+            decision.throttles.push_back({least->id, percent});
+            return;
+        }
+    }
+    worker.allowance = std::min(worker.allowance + m_options.stepUp * worker.cores,
+                                static_cast<double>(worker.cores));
+}
+
+int InterferenceController::allowance(std::string_view worker) const
+{
+    const auto it = m_workers.find(worker);
+    return it == m_workers.end() ? 0 : static_cast<int>(it->second.allowance);
+}
+
+double InterferenceController::expectedExcess(std::string_view worker, std::string_view runClass,
+                                              int cores) const
+{
+    const auto it = m_workers.find(worker);
+    if (it == m_workers.end() || it->second.cores == 0)
+        return 0;
+    const Worker &w = it->second;
+    return m_slowdowns.expected(w.service, w.shares)
+        + m_slowdowns.slowdown(w.service, runClass) * cores / w.cores;
+}
+
+double InterferenceController::cost(const HostView &host, const PlacementRequest &request) const
+{
+    const auto it = m_workers.find(host.id);
+    if (it == m_workers.end() || it->second.cores == 0)
+        return 0;
+    const Worker &w = it->second;
+    const double added =
+        m_slowdowns.slowdown(w.service, request.runClass) * request.need.cores / w.cores;
+    const double after = m_slowdowns.expected(w.service, w.shares) + added;
+    const bool harmless = added < harmlessSlowdown * request.need.cores / w.cores;
+    if (!harmless && after > m_options.excessLimit)
+        return std::numeric_limits<double>::infinity();
+    return added;
+}
+
+} // namespace savorywick
--- /dev/null
+++ b/src/lib/pairslowdown.cpp
@@ -0,0 +1,103 @@
+#include "savorywick/pairslowdown.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace savorywick {
+
+namespace {
+
+constexpr int loadSteps = 10;
+constexpr double learningRate = 0.15;
+constexpr double batchFreeRate = 0.05;
+constexpr double largestExcess = 10.0;
+
+// Where a load lies between two steps.
+struct Knot
+{
+    int step = 0;
+    double upperPart = 0;
+};
+
+Knot knotOf(double load)
+{
+    const double at = std::clamp(load, 0.0, 1.0) * loadSteps;
+    const int step = std::min(static_cast<int>(at), loadSteps - 1);
+    return {step, at - step};
+}
+
+// Returns the value of the nearest known step; `known` must not be empty.
+double nearest(const std::map<int, double> &known, int step)
+{
+    const auto above = known.lower_bound(step);
+    if (above == known.end())
+        return known.rbegin()->second;
+    if (above->first == step || above == known.begin())
+        return above->second;
+    const auto below = std::prev(above);
+    return step - below->first <= above->first - step ? below->second : above->second;
+}
+
+double interpolate(const std::map<int, double> &known, const Knot &knot)
+{
+    const double lower = nearest(known, knot.step);
+    const double upper = nearest(known, knot.step + 1);
+    return lower + (upper - lower) * knot.upperPart;
+}
+
+} // namespace
+
+double PairSlowdown::learn(std::string_view service, double load, double p99Ms,
+                           std::span<const ClassShare> shares)
+{
+    if (!(p99Ms > 0) || !std::isfinite(p99Ms))
+        return 0;
+    Service &s = m_services[std::string(service)];
+    const Knot knot = knotOf(load);
+    const double known = expected(service, shares);
+    for (const int step : {knot.step, knot.step + 1}) {
+        if (!s.batchFree.contains(step))
+            s.batchFree[step] = p99Ms / (1 + known);
+    }
+    const double batchFree = interpolate(s.batchFree, knot);
+    const double excess = std::clamp(p99Ms / batchFree - 1, -0.9, largestExcess);
+    const double error = std::clamp(excess - known, -1.0, 1.0);
+    s.batchFree[knot.step] *= 1 + batchFreeRate * error * (1 - knot.upperPart);
+    s.batchFree[knot.step + 1] *= 1 + batchFreeRate * error * knot.upperPart;
+
+    double power = 0.05;
+    for (const ClassShare &it : shares)
+        power += it.share * it.share;
+    for (const ClassShare &it : shares) {
+        double &w = s.byClass[it.runClass];
+        w = std::clamp(w + learningRate * error * it.share / power, 0.0, largestExcess);
+    }
+    return excess;
+}
+
+double PairSlowdown::expected(std::string_view service, std::span<const ClassShare> shares) const
+{
+    double sum = 0;
+    for (const ClassShare &it : shares)
+        sum += slowdown(service, it.runClass) * it.share;
+    return sum;
+}
+
+double PairSlowdown::slowdown(std::string_view service, std::string_view runClass) const
+{
+    const auto s = m_services.find(service);
+    if (s == m_services.end())
+        return 0;
+    const auto it = s->second.byClass.find(runClass);
+    return it == s->second.byClass.end() ? 0 : it->second;
+}
+
+double PairSlowdown::batchFreeP99Ms(std::string_view service, double load) const
+{
+    const auto s = m_services.find(service);
+    if (s == m_services.end() || s->second.batchFree.empty())
+        return 0;
+    return interpolate(s->second.batchFree, knotOf(load));
+}
+
+} // namespace savorywick
--- a/src/lib/placement.cpp
+++ b/src/lib/placement.cpp
@@ -1,6 +1,7 @@
 #include "savorywick/placement.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace savorywick {
 
@@ -25,6 +26,8 @@
             != m_request.avoid.end())
             return true;
         const double cost = m_cost ? m_cost->cost(host, m_request) : 0;
+        if (std::isinf(cost))
+            return --m_left > 0;
         if (!m_best || cost < m_bestCost) {
             m_best = host.id;
             m_bestCost = cost;
