--- /dev/null
+++ b/tests/lib/quarantine_test.cpp
@@ -0,0 +1,160 @@
+#include "savorywick/quarantine.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+using namespace savorywick;
+
+namespace {
+
+const QuarantineOptions options{.jobWorkers = 3, .workerJobs = 3, .maxQuarantinedPercent = 30};
+
+std::string workerName(int n)
+{
+    return "w" + std::to_string(n);
+}
+
+std::string jobName(int n)
+{
+    return "j" + std::to_string(n);
+}
+
+} // namespace
+
+TEST_CASE("a bad job never quarantines a worker")
+{
+    CHECK(rc::check("however often it fails and wherever", [] {
+        Quarantine quarantine(options);
+        const int steps = *rc::gen::inRange(0, 60);
+        for (int i = 0; i < steps; ++i) {
+            const std::string worker = workerName(*rc::gen::inRange(0, 8));
+            RC_ASSERT(!quarantine.failed("bad", worker, "exit 1", Instant{i}).quarantineWorker);
+        }
+        RC_ASSERT(quarantine.quarantined().empty());
+    }));
+}
+
+TEST_CASE("a bad worker never gets a job given up")
+{
+    CHECK(rc::check("while the other workers end what they start", [] {
+        Quarantine quarantine(options);
+        for (int i = 0; i < 10; ++i)
+            quarantine.succeeded("earlier", workerName(i), Instant{0});
+        const int steps = *rc::gen::inRange(0, 100);
+        for (int i = 0; i < steps; ++i) {
+            const std::string job = jobName(*rc::gen::inRange(0, 20));
+            const int n = *rc::gen::inRange(0, 10);
+            const bool bad = n < 2;
+            if (bad)
+                RC_ASSERT(!quarantine.failed(job, workerName(n), "exit 1", Instant{i}).giveUpJob);
+            else
+                quarantine.succeeded(job, workerName(n), Instant{i});
+        }
+    }));
+}
+
+TEST_CASE("bad jobs and bad workers together are told apart")
+{
+    CHECK(rc::check("good jobs are kept and good workers are open in the end", [] {
+        Quarantine quarantine(options);
+        constexpr int workers = 20;
+        for (int i = 0; i < workers; ++i)
+            quarantine.succeeded("earlier", workerName(i), Instant{0});
+        std::set<std::string> givenUp;
+        for (int i = 1; i < 600; ++i) {
+            const int j = *rc::gen::inRange(0, 30);
+            const int w = *rc::gen::inRange(0, workers);
+            const bool badJob = j < 4;
+            const bool badWorker = w < 2;
+            if (givenUp.contains(jobName(j))
+                || quarantine.standing(workerName(w), Instant{i}) != WorkerStanding::Open)
+                continue;
+            if (!badJob && !badWorker) {
+                quarantine.succeeded(jobName(j), workerName(w), Instant{i});
+                continue;
+            }
+            if (quarantine.failed(jobName(j), workerName(w), "exit 1", Instant{i}).giveUpJob) {
+                RC_ASSERT(badJob);
+                givenUp.insert(jobName(j));
+            }
+        }
+        for (const std::string &it : quarantine.quarantined())
+            RC_ASSERT(it == workerName(0) || it == workerName(1));
+    }));
+}
+
+TEST_CASE("a job is given up after distinct trusted workers with its causes")
+{
+    Quarantine quarantine(options);
+    for (int i = 0; i < 3; ++i)
+        quarantine.succeeded("earlier", workerName(i), Instant{0});
+    CHECK_FALSE(quarantine.failed("bad", "w0", "exit 1", Instant{1}).giveUpJob);
+    CHECK_FALSE(quarantine.failed("bad", "w0", "exit 1", Instant{2}).giveUpJob);
+    CHECK_FALSE(quarantine.failed("bad", "w1", "no file", Instant{3}).giveUpJob);
+    CHECK(quarantine.failed("bad", "w2", "exit 2", Instant{4}).giveUpJob);
+    const auto causes = quarantine.causes("bad");
+    REQUIRE(causes.size() == 3);
+    CHECK(causes[1].worker == "w1");
+    CHECK(causes[1].cause == "no file");
+    CHECK(quarantine.workersFailed("bad") == std::vector<std::string>{"w0", "w1", "w2"});
+    quarantine.forgetJob("bad");
+    CHECK(quarantine.causes("bad").empty());
+}
+
+TEST_CASE("without any trusted worker a job is given up after twice as many")
+{
+    Quarantine quarantine(options);
+    for (int i = 0; i < 5; ++i)
+        CHECK_FALSE(quarantine.failed("bad", workerName(i), "exit 1", Instant{i}).giveUpJob);
+    CHECK(quarantine.failed("bad", "w5", "exit 1", Instant{6}).giveUpJob);
+}
+
+TEST_CASE("a worker is probed with back-off and released on success")
+{
+    Quarantine quarantine(options);
+    for (int i = 0; i < 3; ++i)
+        quarantine.failed(jobName(i), "w", "exit 1", Instant{i});
+    REQUIRE(quarantine.quarantined() == std::vector<std::string>{"w"});
+    CHECK(quarantine.standing("w", Instant{30'001}) == WorkerStanding::Quarantined);
+    CHECK_FALSE(quarantine.beginProbe("w", Instant{30'001}));
+    REQUIRE(quarantine.beginProbe("w", Instant{30'002}));
+    CHECK(quarantine.standing("w", Instant{30'003}) == WorkerStanding::Probing);
+    CHECK_FALSE(quarantine.beginProbe("w", Instant{30'003}));
+    quarantine.failed("j9", "w", "exit 1", Instant{31'000});
+    CHECK(quarantine.standing("w", Instant{90'999}) == WorkerStanding::Quarantined);
+    REQUIRE(quarantine.beginProbe("w", Instant{91'000}));
+    CHECK(quarantine.succeeded("j9", "w", Instant{92'000}));
+    CHECK(quarantine.standing("w", Instant{92'000}) == WorkerStanding::Open);
+}
+
+TEST_CASE("a probe without a result is tried again")
+{
+    Quarantine quarantine(options);
+    for (int i = 0; i < 3; ++i)
+        quarantine.failed(jobName(i), "w", "exit 1", Instant{0});
+    REQUIRE(quarantine.beginProbe("w", Instant{30'000}));
+    CHECK(quarantine.standing("w", Instant{629'999}) == WorkerStanding::Probing);
+    CHECK(quarantine.beginProbe("w", Instant{630'000}));
+}
+
+TEST_CASE("failures spread over more than the window do not quarantine")
+{
+    Quarantine quarantine(options);
+    for (int i = 0; i < 10; ++i)
+        CHECK_FALSE(
+            quarantine.failed(jobName(i), "w", "exit 1", Instant{i * 500'000LL}).quarantineWorker);
+}
+
+TEST_CASE("a wave of bad jobs closes no more than the stated share of workers")
+{
+    Quarantine quarantine(options);
+    for (int i = 0; i < 10; ++i)
+        quarantine.addWorker(workerName(i));
+    for (int i = 0; i < 1'000; ++i)
+        quarantine.failed(jobName(i), workerName(i % 10), "exit 1", Instant{i});
+    CHECK(quarantine.quarantined().size() == 3);
+    quarantine.removeWorker(quarantine.quarantined().front());
+    CHECK(quarantine.quarantined().size() == 2);
+}
