Add strict reading of JSON, the settings, logs and metrics

Cause: an entry learns all from one settings file, and a wrong one must say every fault at once with its path and what to write instead. The daemon's packages need logs and counters to build on. Ruled out: a reader in src/core, since the pure library reads service documents too (one coply, behind include/savorywick/internal); Boost's extended_p_square_quantile, whose 1.74 header does not compile under -Wmaybe-uninitialized: the plain extended_p_square gives the same markers. Change: FaultList, ObjectReader and parseObject over jsoncpp (duplicate keys, trailing text and deep nesting refused, comments allowed); typed Settings with every number in one table; JSON lines by Boost.Log; counters a reason and latency quantiles by Boost.Accumulators. Conclusion: 20 kinds of bad settings each give the exact path and remedy.

--- /dev/null
+++ b/src/lib/objectreader.cpp
@@ -0,0 +1,316 @@
+#include "savorywick/internal/objectreader.h"
+
+#include <json/json.h>
+
+#include <algorithm>
+#include <numeric>
+#include <sstream>
+
+namespace savorywick::internal {
+
+namespace {
+
+constexpr int maxNesting = 32;
+constexpr std::size_t maxShownBytes = 40;
+
+const Json::Value &emptyObject()
+{
+    static const Json::Value value(Json::objectValue);
+    return value;
+}
+
+// Returns a short description of what stands in the document, for a fault's text.
+std::string describe(const Json::Value &value)
+{
+    if (value.isNull())
+        return "null";
+    if (value.isObject())
+        return "an object";
+    if (value.isArray())
+        return "a list";
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    std::string buf = Json::writeString(builder, value);
+    if (buf.size() > maxShownBytes)
+        buf = buf.substr(0, maxShownBytes) + "...";
+    return buf;
+}
+
+std::string rangeText(Range range)
+{
+    return "write a whole number from " + std::to_string(range.min) + " to "
+        + std::to_string(range.max);
+}
+
+// Returns the number of single-character edits between two words.
+std::size_t editDistance(std::string_view a, std::string_view b)
+{
+    std::vector<std::size_t> row(b.size() + 1);
+    std::iota(row.begin(), row.end(), std::size_t{0});
+    for (std::size_t i = 1; i <= a.size(); ++i) {
+        std::size_t diagonal = row[0];
+        row[0] = i;
+        for (std::size_t j = 1; j <= b.size(); ++j) {
+            const std::size_t substituted = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
+            diagonal = row[j];
+            row[j] = std::min({row[j] + 1, row[j - 1] + 1, substituted});
+        }
+    }
+    return row[b.size()];
+}
+
+Json::CharReaderBuilder strictBuilder()
+{
+    Json::CharReaderBuilder builder;
+    Json::CharReaderBuilder::strictMode(&builder.settings_);
+    builder["allowComments"] = true;
+    builder["collectComments"] = false;
+    builder["stackLimit"] = maxNesting;
+    return builder;
+}
+
+std::string remedyOfSyntax(std::string_view message)
+{
+    if (message.starts_with("Duplicate key"))
+        return "keep one of the two";
+    if (message.starts_with("Extra non-whitespace"))
+        return "remove what follows the closing brace";
+    return "write JSON; comments are allowed, trailing commas are not";
+}
+
+// Adds a fault for the first error of the library's text, "* Line 3, Column 5" and then its
+// message. Later ones come of the reader having lost its place.
+void addSyntaxFault(const std::string &errors, FaultList &faults)
+{
+    std::istringstream stream(errors);
+    std::string position;
+    std::string message;
+    std::getline(stream, position);
+    std::getline(stream, message);
+    for (const char *it : {"* Line", "Column"}) {
+        const auto at = position.find(it);
+        if (at != std::string::npos)
+            position.replace(at, 6, it[0] == '*' ? "line" : "column");
+    }
+    message.erase(0, message.find_first_not_of(' '));
+    faults.add(position, message, remedyOfSyntax(message));
+}
+
+} // namespace
+
+void JsonDeleter::operator()(Json::Value *value) const
+{
+    delete value;
+}
+
+JsonPointer parseObject(std::string_view text, FaultList &faults)
+{
+    JsonPointer root(new Json::Value);
+    const std::unique_ptr<Json::CharReader> reader(strictBuilder().newCharReader());
+    try {
+        std::string errors;
+        const char *begin = text.data();
+        const bool parsed = reader->parse(begin, begin + text.size(), root.get(), &errors);
+        if (parsed && root->isObject())
+            return root;
+        if (parsed)
+            faults.add("", "this is no JSON object", "write one object in braces");
+        else
+            addSyntaxFault(errors, faults);
+    } catch (const Json::Exception &) {
+        faults.add("", "this nests deeper than " + std::to_string(maxNesting) + " levels",
+                   "write JSON that nests less deeply");
+    }
+    return nullptr;
+}
+
+ObjectReader::ObjectReader(const Json::Value &value, std::string path, FaultList &faults)
+    : m_value(value.isObject() ? &value : nullptr)
+    , m_path(std::move(path))
+    , m_faults(&faults)
+{
+    if (!m_value)
+        m_faults->add(m_path, describe(value) + " stands where an object is needed",
+                      "write an object in braces");
+}
+
+bool ObjectReader::has(std::string_view key)
+{
+    return find(key) != nullptr;
+}
+
+const Json::Value *ObjectReader::find(std::string_view key)
+{
+    m_known.emplace(key);
+    return m_value ? m_value->find(key.data(), key.data() + key.size()) : nullptr;
+}
+
+void ObjectReader::faultAbsent(std::string_view key, std::string_view remedy)
+{
+    if (m_value && !has(key))
+        fault(key, "this is missing", remedy);
+}
+
+std::optional<std::string> ObjectReader::textOf(std::string_view key)
+{
+    const Json::Value *value = find(key);
+    if (!value)
+        return std::nullopt;
+    if (value->isString() && !value->asString().empty())
+        return value->asString();
+    fault(key, describe(*value) + " is no text", "write a string of at least one character");
+    return std::nullopt;
+}
+
+std::string ObjectReader::text(std::string_view key)
+{
+    faultAbsent(key, "write a string of at least one character");
+    return textOf(key).value_or("");
+}
+
+std::string ObjectReader::text(std::string_view key, std::string_view fallback)
+{
+    return textOf(key).value_or(std::string(fallback));
+}
+
+std::string ObjectReader::secret(std::string_view key)
+{
+    constexpr std::string_view remedy = "write a string of at least one character";
+    faultAbsent(key, remedy);
+    const Json::Value *value = find(key);
+    if (!value)
+        return "";
+    if (value->isString() && !value->asString().empty())
+        return value->asString();
+    fault(key, "this is no text", remedy);
+    return "";
+}
+
+std::size_t ObjectReader::choice(std::string_view key, std::span<const std::string_view> choices,
+                                 std::size_t fallback)
+{
+    const Json::Value *value = find(key);
+    if (!value)
+        return fallback;
+    std::string remedy = "write one of";
+    for (std::size_t i = 0; i < choices.size(); ++i) {
+        if (value->isString() && value->asString() == choices[i])
+            return i;
+        remedy.append(i == 0 ? " \"" : ", \"").append(choices[i]).append("\"");
+    }
+    fault(key, describe(*value) + " is unknown here", remedy);
+    return fallback;
+}
+
+std::optional<std::int64_t> ObjectReader::integerOf(std::string_view key, Range range)
+{
+    const Json::Value *value = find(key);
+    if (!value)
+        return std::nullopt;
+    const bool whole = value->type() == Json::intValue || value->type() == Json::uintValue;
+    if (!whole) {
+        fault(key, describe(*value) + " is no whole number", rangeText(range));
+        return std::nullopt;
+    }
+    if (!value->isInt64() || value->asInt64() < range.min || value->asInt64() > range.max) {
+        fault(key, describe(*value) + " is out of range", rangeText(range));
+        return std::nullopt;
+    }
+    return value->asInt64();
+}
+
+std::int64_t ObjectReader::integer(std::string_view key, Range range)
+{
+    faultAbsent(key, rangeText(range));
+    return integerOf(key, range).value_or(range.min);
+}
+
+std::int64_t ObjectReader::integer(std::string_view key, Range range, std::int64_t fallback)
+{
+    return integerOf(key, range).value_or(fallback);
+}
+
+std::optional<bool> ObjectReader::flagOf(std::string_view key)
+{
+    const Json::Value *value = find(key);
+    if (!value)
+        return std::nullopt;
+    if (value->isBool())
+        return value->asBool();
+    fault(key, describe(*value) + " is neither true nor false", "write true or false");
+    return std::nullopt;
+}
+
+bool ObjectReader::flag(std::string_view key)
+{
+    faultAbsent(key, "write true or false");
+    return flagOf(key).value_or(false);
+}
+
+bool ObjectReader::flag(std::string_view key, bool fallback)
+{
+    return flagOf(key).value_or(fallback);
+}
+
+ObjectReader ObjectReader::object(std::string_view key)
+{
+    faultAbsent(key, "write an object in braces");
+    const bool present = has(key);
+    ObjectReader child = optionalObject(key);
+    if (!present)
+        child.m_value = nullptr; // The one fault is enough; its members are not missed again.
+    return child;
+}
+
+ObjectReader ObjectReader::optionalObject(std::string_view key)
+{
+    const Json::Value *value = find(key);
+    return {value ? *value : emptyObject(), pathOf(key), *m_faults};
+}
+
+std::vector<std::string> ObjectReader::keys()
+{
+    if (!m_value)
+        return {};
+    std::vector<std::string> names = m_value->getMemberNames();
+    m_known.insert(names.begin(), names.end());
+    return names;
+}
+
+void ObjectReader::fault(std::string_view key, std::string_view found, std::string_view remedy)
+{
+    m_faults->add(pathOf(key), found, remedy);
+}
+
+std::string ObjectReader::pathOf(std::string_view key) const
+{
+    if (key.empty() || m_path.empty())
+        return m_path + std::string(key);
+    return m_path + "." + std::string(key);
+}
+
+void ObjectReader::refuseUnknownKeys()
+{
+    if (!m_value)
+        return;
+    for (const std::string &it : m_value->getMemberNames()) {
+        if (m_known.contains(it))
+            continue;
+        const std::string nearest = nearestKnown(it);
+        const std::string remedy = nearest.empty()
+            ? std::string("remove it; no key is allowed here")
+            : "write \"" + nearest + "\", the nearest known key, or remove it";
+        fault(it, "this key is unknown", remedy);
+    }
+}
+
+std::string ObjectReader::nearestKnown(std::string_view key) const
+{
+    const auto nearer = [key](const std::string &a, const std::string &b) {
+        return editDistance(key, a) < editDistance(key, b);
+    };
+    const auto it = std::min_element(m_known.begin(), m_known.end(), nearer);
+    return it == m_known.end() ? std::string() : *it;
+}
+
+} // namespace savorywick::internal
--- /dev/null
+++ b/tests/core/settings_test.cpp
@@ -0,0 +1,204 @@
+#include "core/settings.h"
+
+#include "savorywick/errors.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <functional>
+
+using namespace savorywick;
+
+namespace {
+
+const std::string goodSettings = R"({
+    // A comment.
+    "id": "entry-a", "availabilityZone": "hobart", "region": "south-tas",
+    "callersListen": "127.0.0.1:0", "peersListen": "127.0.0.1:0",
+    "platform": {"table": "127.0.0.1:7101", "objects": "127.0.0.1:7102",
+                 "membership": "127.0.0.1:7103"},
+    "limits": {"queueRequests": 100},
+    "teamKeys": {"placements": "0123456789abcdef"}
+})";
+
+// Returns the good settings with the first `from` replaced by `to`.
+std::string changed(const std::string &from, const std::string &to)
+{
+    std::string text = goodSettings;
+    const auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+FaultList faultsOf(const std::string &text)
+{
+    FaultList faults;
+    const auto settings = parseSettings(text, faults);
+    CHECK(settings.has_value() == faults.empty());
+    return faults;
+}
+
+struct BadSettings
+{
+    const char *from;
+    const char *to;
+    Fault expected;
+};
+
+const BadSettings badSettings[] = {
+    {"\"id\"", "\"ids\"", {"id", "this is missing", "write a string of at least one character"}},
+    {"\"entry-a\"", "7", {"id", "7 is no text", "write a string of at least one character"}},
+    {"entry-a",
+     "a/b",
+     {"id", "\"a/b\" holds other characters than a name may",
+      "write letters, digits, hyphens and full stops only"}},
+    {"127.0.0.1:0",
+     "localhost:80",
+     {"callersListen", "\"localhost:80\" is no IP number and port",
+      "write it as in \"127.0.0.1:8080\"; names are not looked up"}},
+    {"127.0.0.1:0",
+     "127.0.0.1:65536",
+     {"callersListen", "\"127.0.0.1:65536\" is no IP number and port",
+      "write it as in \"127.0.0.1:8080\"; names are not looked up"}},
+    {"127.0.0.1:7101",
+     "127.0.0.1:0",
+     {"platform.table", "port 0 can't be called", "write the port that the service answers on"}},
+    {"\"queueRequests\": 100",
+     "\"queueRequest\": 100",
+     {"limits.queueRequest", "this key is unknown",
+      "write \"queueRequests\", the nearest known key, or remove it"}},
+    {"100",
+     "0",
+     {"limits.queueRequests", "0 is out of range", "write a whole number from 1 to 1000000"}},
+    {"100",
+     "99999999999999999999",
+     {"limits.queueRequests", "1e+20 is no whole number",
+      "write a whole number from 1 to 1000000"}},
+    {"100",
+     "1.5",
+     {"limits.queueRequests", "1.5 is no whole number", "write a whole number from 1 to 1000000"}},
+    {"100",
+     "\"100\"",
+     {"limits.queueRequests", "\"100\" is no whole number",
+      "write a whole number from 1 to 1000000"}},
+    {"{\"queueRequests\": 100}",
+     "[]",
+     {"limits", "a list stands where an object is needed", "write an object in braces"}},
+    {"0123456789abcdef",
+     "short",
+     {"teamKeys.placements", "this key is shorter than 16 characters",
+      "write a random key of at least 16 characters"}},
+    {"\"limits\"",
+     "\"logLevel\": \"loud\", \"limits\"",
+     {"logLevel", "\"loud\" is unknown here",
+      R"(write one of "debug", "info", "warning", "error")"}},
+    {"\"limits\"",
+     "\"shutdownBoundMs\": 20000, \"limits\"",
+     {"limits.requestDeadlineMs", "30000 is above shutdownBoundMs, 20000",
+      "write at most 20000, or raise shutdownBoundMs"}},
+    {"\"limits\"",
+     "\"leases\": {\"entryRenewalMs\": 5000}, \"limits\"",
+     {"leases.entryRenewalMs", "2 times 5000 is above leases.entryTermMs, 9000",
+      "write at most 4500, or raise leases.entryTermMs"}},
+    {"\"queueRequests\": 100",
+     "\"bodyBytes\": 2048, \"queueBytes\": 1024",
+     {"limits.queueBytes", "1024 holds no body of limits.bodyBytes, 2048", "write at least 2048"}},
+    {"127.0.0.1:0\", \"peersListen\": \"127.0.0.1:0",
+     "127.0.0.1:80\", \"peersListen\": \"127.0.0.1:80",
+     {"peersListen", "\"127.0.0.1:80\" is callersListen as well", "write another port"}},
+    {"\"region\"",
+     "\"id\": \"b\", \"region\"",
+     {"line 3, column 52", "Duplicate key: 'id'", "keep one of the two"}},
+    {"\"limits\"",
+     "\"limits\" \"x\"",
+     {"line 7, column 14", "Missing ':' after object member name",
+      "write JSON; comments are allowed, trailing commas are not"}},
+};
+
+} // namespace
+
+TEST_CASE("Settings take comments and fill in defaults")
+{
+    FaultList faults;
+    const auto settings = parseSettings(goodSettings, faults);
+    INFO(faults.text("good"));
+    REQUIRE(settings.has_value());
+    CHECK(settings->id == "entry-a");
+    CHECK(settings->callersListen == "127.0.0.1:0");
+    CHECK(settings->platform.membership == "127.0.0.1:7103");
+    CHECK(settings->limits.queueRequests == 100);
+    CHECK(settings->limits.bodyBytes == Settings{}.limits.bodyBytes);
+    CHECK(settings->polls.membership == Millis{1'000});
+}
+
+TEST_CASE("Each bad setting names its path and what was found and the remedy")
+{
+    for (const BadSettings &it : badSettings) {
+        const FaultList faults = faultsOf(changed(it.from, it.to));
+        INFO("changed ", std::string(it.from), " to ", std::string(it.to), "; faults:\n",
+             faults.text("bad.json"));
+        REQUIRE_FALSE(faults.empty());
+        const auto list = faults.list();
+        const bool named = std::find(list.begin(), list.end(), it.expected) != list.end();
+        CHECK_MESSAGE(named, "expected: ", it.expected.path, ": ", it.expected.found, "; ",
+                      it.expected.remedy);
+    }
+}
+
+TEST_CASE("Settings report all faults at once")
+{
+    const FaultList faults = faultsOf(R"({"id": 1, "regoin": "x", "limits": {"bodyBytes": -1}})");
+    INFO(faults.text("bad.json"));
+    // The wrong id; five missing members; the limit; the unknown key.
+    CHECK(faults.list().size() == 8);
+}
+
+TEST_CASE("Settings refuse what is no single JSON object")
+{
+    for (const char *text : {"", "[]", "7", "{} {}", "{", "{\"a\":}", "\xff\xfe", "{} x"}) {
+        INFO("text: ", std::string(text));
+        CHECK_FALSE(faultsOf(text).empty());
+    }
+    std::string deep;
+    for (int i = 0; i < 5'000; ++i)
+        deep += "{\"a\":";
+    CHECK(faultsOf(deep).list().front().found == "this nests deeper than 32 levels");
+}
+
+TEST_CASE("A team's key is never shown in a fault")
+{
+    const std::string text = changed("\"0123456789abcdef\"", "[\"hidden-secret\"]");
+    CHECK(faultsOf(text).text("bad.json").find("hidden") == std::string::npos);
+    CHECK(faultsOf(changed("0123456789abcdef", "brief")).text("f").find("brief")
+          == std::string::npos);
+}
+
+TEST_CASE("isTeamKey accepts a team's own whole key only")
+{
+    FaultList faults;
+    const auto settings = parseSettings(goodSettings, faults);
+    REQUIRE(settings.has_value());
+    CHECK(isTeamKey(*settings, "placements", "0123456789abcdef"));
+    for (const char *key :
+         {"", "0", "0123456789abcdeX", "0123456789abcdef0", "0123456789abcdef0123456789abcdef"})
+        CHECK_FALSE(isTeamKey(*settings, "placements", key));
+    CHECK_FALSE(isTeamKey(*settings, "others", "0123456789abcdef"));
+    CHECK_FALSE(isTeamKey(*settings, "others", ""));
+}
+
+TEST_CASE("loadSettings throws every fault with the file's name")
+{
+    const std::string path = "settings_test_bad.json";
+    std::ofstream(path) << R"({"id": "a"})";
+    try {
+        loadSettings(path);
+        FAIL("loadSettings took a file without a zone");
+    } catch (const Error &e) {
+        CHECK((e.kind() == ErrorKind::InvalidInput));
+        CHECK(e.fault().find(path + ": availabilityZone: this is missing") != std::string::npos);
+        CHECK(e.fault().find(path + ": platform: this is missing") != std::string::npos);
+    }
+    std::remove(path.c_str());
+    CHECK_THROWS_AS(loadSettings("no/such/file.json"), Error);
+}
