--- a/include/savorywick/shardlease.h
+++ b/include/savorywick/shardlease.h
@@ -69,6 +69,8 @@
     // Returns true if and only if the process may act as owner: its latest confirmed renewal was
     // sent less than the term without the margin ago. False for ever once fenced.
     bool mayAct(Instant now) const;
+    // Returns the first instant at which mayAct() is false unless a renewal is confirmed before.
+    Instant actsUntil() const;
     // Returns true if and only if the session was expired by another process.
     bool fenced() const { return m_fenced; }
 
--- a/src/caller/problem.cpp
+++ b/src/caller/problem.cpp
@@ -48,12 +48,19 @@
     if (status == 414)
         return {414, "path-too-long", "the path is too long", "use a path of docs/PROTOCOLS.md"};
     if (status == 503)
-        return {503, "too-many-connections", "this entry serves as many connections as it may",
-                "come back a little later, or over fewer connections", RunStatus::NotRun,
+        return {503,
+                "too-many-connections",
+                "this entry serves as many connections as it may",
+                "come back a little later, or over fewer connections",
+                RunStatus::NotRun,
                 Millis{1'000}};
     if (status >= 500)
-        return {status, "internal-error", "the entry failed while it worked on the request",
-                "repeat it with the same Idempotency-Key", RunStatus::Unknown, Millis{1'000}};
+        return {status,
+                "internal-error",
+                "the entry failed while it worked on the request",
+                "repeat it with the same Idempotency-Key",
+                RunStatus::Unknown,
+                Millis{1'000}};
     return {400, "malformed-request", "the request is not well-formed HTTP, or came too slowly",
             "send a complete HTTP/1.1 request without pauses"};
 }
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -61,7 +61,7 @@
 std::vector<NumberField> leaseFields()
 {
     const auto part = &Settings::leases;
-    using Leases = LeaseSettings;
+    using Leases = LeaseTimes;
     return {
         field("leases", "entryTermMs", {1'000, 120'000}, part, &Leases::entryTerm),
         field("leases", "entryRenewalMs", {100, 60'000}, part, &Leases::entryRenewal),
@@ -236,7 +236,7 @@
 
 void checkContradictions(const Settings &settings, FaultList &faults)
 {
-    const LeaseSettings &leases = settings.leases;
+    const LeaseTimes &leases = settings.leases;
     const LimitSettings &limits = settings.limits;
     const std::array<Bound, 6> bounds{{
         {"leases.entryRenewalMs", leases.entryRenewal, 2, "leases.entryTermMs", leases.entryTerm},
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -23,7 +23,7 @@
 
 // The leases of entries and workers. Terms are what the holder may rely on; margins are added by
 // whoever waits for a lease to lapse.
-struct LeaseSettings
+struct LeaseTimes
 {
     Millis entryTerm{9'000};
     Millis entryRenewal{3'000};
@@ -89,7 +89,7 @@
     std::string peersListen; // "IP:PORT"; port 0 lets the system choose.
     PlatformAddresses platform;
     int shardCount = 64; // Must be the same in every entry that shares a table.
-    LeaseSettings leases;
+    LeaseTimes leases;
     PollSettings polls;
     LimitSettings limits;
     Millis shutdownBound{45'000};
--- /dev/null
+++ b/src/entry/documentservice.cpp
@@ -0,0 +1,217 @@
+#include "entry/documentservice.h"
+
+#include "core/log.h"
+#include "platform/json.h"
+#include "savorywick/errors.h"
+
+#include <thread>
+
+namespace savorywick {
+
+namespace {
+
+constexpr std::size_t rowsPerScan = 500;
+
+std::string pushParameters(const DocumentRevision &revision)
+{
+    Json::Value parameters;
+    parameters["service"] = revision.service;
+    parameters["revision"] = Json::UInt64(revision.revision);
+    return platform::toText(parameters);
+}
+
+} // namespace
+
+DocumentService::DocumentService(DocumentServiceSettings settings, const Clock &clock, Table &table,
+                                 PeerClient &peers, const Topology &topology)
+    : m_settings(std::move(settings))
+    , m_clock(clock)
+    , m_table(table)
+    , m_peers(peers)
+    , m_topology(topology)
+    , m_guard(m_settings.freezeBound, clock.now())
+{ }
+
+bool DocumentService::poll()
+{
+    const Instant start = m_clock.now();
+    try {
+        const std::vector<std::string> indexKey{std::string(documentIndexKey)};
+        const Row index = m_table.read(indexKey).front();
+        PollDecision decision;
+        {
+            const std::lock_guard lock(m_mutex);
+            decision = m_documents.onIndex(index);
+        }
+        std::vector<Row> rows;
+        if (decision.action == PollAction::ReadRows)
+            rows = m_table.read(decision.keys);
+        if (decision.action == PollAction::ScanAll) {
+            for (std::vector<Row> part;;) {
+                const std::string after = part.empty() ? std::string() : part.back().key;
+                part = m_table.scan(documentPrefix, after, rowsPerScan);
+                rows.insert(rows.end(), part.begin(), part.end());
+                if (part.size() < rowsPerScan)
+                    break;
+            }
+        }
+        for (const Row &it : rows)
+            applyRow(it);
+        const std::lock_guard lock(m_mutex);
+        const bool caughtUp =
+            decision.action == PollAction::Nothing || m_documents.caughtUp(decision);
+        if (caughtUp)
+            m_guard.confirmed(start);
+        return caughtUp;
+    } catch (const Error &error) {
+        logDebug("document-poll-failed", {{"why", error.what()}});
+        return false;
+    }
+}
+
+void DocumentService::tick()
+{
+    const std::lock_guard lock(m_mutex);
+    m_guard.tick(m_clock.now());
+}
+
+bool DocumentService::mustReread() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_guard.mustReread(m_clock.now());
+}
+
+std::uint64_t DocumentService::onPush(const DocumentRevision &pushed)
+{
+    bool wanted = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        wanted = m_documents.wants(pushed);
+    }
+    if (wanted) {
+        try {
+            const std::vector<std::string> keys{documentKey(pushed.service)};
+            applyRow(m_table.read(keys).front());
+        } catch (const Error &error) {
+            logWarning("pushed-document-not-read",
+                       {{"service", pushed.service}, {"why", error.what()}});
+        }
+    }
+    const std::lock_guard lock(m_mutex);
+    return m_documents.revision(pushed.service);
+}
+
+std::shared_ptr<const DocumentInForce> DocumentService::find(std::string_view service) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_documents.find(service);
+}
+
+std::vector<std::string> DocumentService::services() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_documents.services();
+}
+
+std::uint64_t DocumentService::sequence() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_documents.sequence();
+}
+
+bool DocumentService::isComplete() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_documents.isComplete();
+}
+
+std::vector<std::string> DocumentService::invalidServices() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_documents.invalidServices();
+}
+
+EditReport DocumentService::edit(const EditRequest &request)
+{
+    DocumentEdit edit(request);
+    while (!edit.result()) {
+        try {
+            if (const auto transaction = edit.onRows(m_table.read(edit.keys())))
+                edit.onCommit(m_table.commit(*transaction).outcome);
+        } catch (const Error &) {
+            edit.onReadFailed();
+        }
+    }
+    EditReport report{*edit.result(), {}};
+    if (report.result.outcome != EditOutcome::Applied)
+        return report;
+    const StoredDocument &stored = report.result.stored;
+    onPush({stored.service, stored.revision});
+    report.acceptance = accept(stored, askEntries({stored.service, stored.revision}));
+    logInfo("document-edited",
+            {{"service", stored.service},
+             {"revision", stored.revision},
+             {"accepted", report.acceptance.accepted}});
+    return report;
+}
+
+StoredDocument DocumentService::load(const std::string &service, std::uint64_t revision)
+{
+    const std::vector<std::string> keys{revision == 0 ? documentKey(service)
+                                                      : historyKey(service, revision)};
+    return parseDocumentRow(m_table.read(keys).front());
+}
+
+DocumentStatus DocumentService::status(const std::string &service)
+{
+    DocumentStatus status;
+    status.stored = load(service, 0);
+    status.entries = askEntries({service, status.stored.revision});
+    status.acceptance = accept(status.stored, status.entries);
+    return status;
+}
+
+std::vector<EntryDocuments> DocumentService::askEntries(const DocumentRevision &revision)
+{
+    const auto entries = m_topology.entries();
+    std::vector<EntryDocuments> said(entries->size());
+    const std::string parameters = pushParameters(revision);
+    std::vector<std::thread> threads;
+    for (std::size_t i = 0; i < entries->size(); ++i) {
+        const PeerEntry &peer = (*entries)[i];
+        said[i].entry = peer.name;
+        said[i].sequence = peer.documentsSeen;
+        if (peer.name == m_settings.entry) {
+            said[i].sequence = sequence();
+            said[i].revision = onPush(revision);
+            continue;
+        }
+        threads.emplace_back([&, i, address = peer.peers] {
+            const PeerReply reply =
+                m_peers.call(address, "documentChanged", parameters, m_settings.peerTimeout);
+            if (reply.outcome == PeerOutcome::Answered)
+                said[i].revision = platform::fromText(reply.result)["inForce"].asUInt64();
+        });
+    }
+    for (std::thread &it : threads)
+        it.join();
+    return said;
+}
+
+Acceptance DocumentService::accept(const StoredDocument &stored,
+                                   const std::vector<EntryDocuments> &said) const
+{
+    std::vector<std::string> listed;
+    for (const PeerEntry &it : *m_topology.entries())
+        listed.push_back(it.name);
+    return acceptanceOf(stored, listed, said);
+}
+
+void DocumentService::applyRow(const Row &row)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_documents.apply(row) == ApplyResult::Invalid)
+        logError("document-invalid", {{"row", row.key}});
+}
+
+} // namespace savorywick
--- a/src/lib/shardlease.cpp
+++ b/src/lib/shardlease.cpp
@@ -101,7 +101,14 @@
 
 bool LeaseKeeper::mayAct(Instant now) const
 {
-    return !m_fenced && m_provedAt && now - *m_provedAt < m_settings.term - m_settings.margin;
+    return now < actsUntil();
+}
+
+Instant LeaseKeeper::actsUntil() const
+{
+    if (m_fenced || !m_provedAt)
+        return Instant{};
+    return *m_provedAt + (m_settings.term - m_settings.margin);
 }
 
 void LeaseKeeper::observe(std::span<const Row> entries, std::span<const Row> shards, Instant now)
