--- /dev/null
+++ b/src/entry/leaseloop.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "entry/shardhost.h"
+#include "entry/topology.h"
+#include "peer/peerclient.h"
+#include "savorywick/shardlease.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace savorywick {
+
+struct LeaseLoopSettings
+{
+    LeaseSettings lease;
+    Millis observeEvery{1'000};
+    Millis peerTimeout{500};
+};
+
+// Keeps this entry's session and its shards: renews, watches the others, takes and releases.
+//
+// step() is called by one thread and blocks on the store; everything else is thread-safe.
+class LeaseLoop
+{
+public:
+    struct Listeners
+    {
+        std::function<std::uint64_t()> documentsSeen; // Published in the entry's row.
+        std::function<void(const std::string &session)> sessionChanged;
+    };
+
+    // All references must outlive this object. `self` has no session yet.
+    LeaseLoop(const LeaseLoopSettings &settings, const Clock &clock, Table &table,
+              PeerClient &peers, Topology &topology, ShardHost &host, PeerEntry self,
+              Listeners listeners);
+
+    // Does what is due now. Call it several times in each renewal period.
+    void step();
+    // Notes that a shard was lost or released.
+    void shardOver(int shard);
+
+    // Takes no more shards and releases those that are owned, from the next step() on.
+    void drain();
+    // Ends the session, if drained. Returns true if and only if no shard is owned any more.
+    bool farewell();
+
+    std::string session() const;
+    // Returns when the list of entries and this entry's right to be on it were last known good.
+    Instant listTakenAt() const { return Instant{m_listTakenAt}; }
+    bool storeUp() const { return m_storeUp; }
+    int fairShare() const { return m_fairShare; }
+
+private:
+    void newSession();
+    void renew();
+    void observe();
+    void takeShards();
+    void openIfOwned(const ShardClaim &claim);
+    void takeOverNotes();
+    bool peersAgreeStoreIsDown();
+
+    const LeaseLoopSettings m_settings;
+    const Clock &m_clock;
+    Table &m_table;
+    PeerClient &m_peers;
+    Topology &m_topology;
+    ShardHost &m_host;
+    PeerEntry m_self;
+    const Listeners m_listeners;
+
+    std::unique_ptr<LeaseKeeper> m_keeper;
+    Instant m_lastObserved;
+    bool m_observed = false;
+    std::atomic<std::int64_t> m_listTakenAt{0};
+    std::atomic<bool> m_storeUp{false};
+    std::atomic<bool> m_draining{false};
+    std::atomic<int> m_fairShare{0};
+
+    mutable std::mutex m_mutex; // For the members below.
+    std::string m_session;
+    std::vector<int> m_over;
+};
+
+} // namespace savorywick
--- /dev/null
+++ b/src/entry/runservice.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "entry/callercontext.h"
+#include "entry/documentservice.h"
+#include "entry/forwarder.h"
+#include "entry/shardhost.h"
+
+#include <optional>
+#include <string>
+
+namespace savorywick {
+
+struct RunServiceSettings
+{
+    int shards = 16;
+    Millis replyLimit{5'000}; // A caller waits so long for a durable answer.
+};
+
+// Accepts, shows and cancels long runs and watchers, here or through the owner of their shard.
+//
+// Thread-safe; calls block until the answer is durable or the limit is over.
+class RunService
+{
+public:
+    // All references must outlive this object.
+    RunService(RunServiceSettings settings, DocumentService &documents, ShardHost &shards,
+               const Topology &topology, Forwarder &forwarder);
+
+    HttpResponse submitRun(const CallerRequest &request);
+    HttpResponse submitWatcher(const CallerRequest &request);
+    HttpResponse show(const CallerRequest &request, bool watcher);
+    HttpResponse cancel(const CallerRequest &request, bool watcher);
+
+private:
+    HttpResponse forward(const CallerRequest &request, int shard);
+    HttpResponse await(const ReplySlotPtr<SubmitReply> &slot) const;
+    HttpResponse await(const ReplySlotPtr<JobReply> &slot, bool watcher) const;
+
+    const RunServiceSettings m_settings;
+    DocumentService &m_documents;
+    ShardHost &m_shards;
+    const Topology &m_topology;
+    Forwarder &m_forwarder;
+};
+
+} // namespace savorywick
--- a/src/entry/urgentdispatcher.cpp
+++ b/src/entry/urgentdispatcher.cpp
@@ -183,6 +183,7 @@
 
 void UrgentDispatcher::refresh(Instant takenAt)
 {
+    const std::lock_guard lock(m_mutex);
     std::vector<EntryInfo> entries;
     for (const PeerEntry &it : *m_topology.entries()) {
         if (!it.draining || it.session == m_settings.session)
@@ -194,7 +195,6 @@
             instances.push_back({it.id, it.availabilityZone, it.region, it.rack, it.slots,
                                  it.state == HostState::Leaving});
     }
-    const std::lock_guard lock(m_mutex);
     const Instant now = m_clock.now();
     m_shares.update(entries, instances, takenAt, now);
     m_router.setInstances(m_shares.usable(now), now);
@@ -231,6 +231,14 @@
     }
 }
 
+void UrgentDispatcher::setSession(const std::string &session)
+{
+    const std::lock_guard lock(m_mutex);
+    m_settings.session = session;
+    m_settings.shares.self = session;
+    m_shares = SlotShares(m_settings.shares);
+}
+
 void UrgentDispatcher::setTeams(std::span<const TeamLimits> teams)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/entry/urgentdispatcher.h
+++ b/src/entry/urgentdispatcher.h
@@ -80,6 +80,8 @@
     void refresh(Instant takenAt);
     // Gives up what can't make its deadline and starts what has a slot. Call every few ms.
     void tick();
+    // Begins a new session of this entry: its slots are gained anew.
+    void setSession(const std::string &session);
     void setTeams(std::span<const TeamLimits> teams);
     // Notes what a peer said of its free slots.
     void notePeer(const std::string &session, int freeSlots);
@@ -104,7 +106,7 @@
     void dispatchQueued(Instant now);
     UrgentReply refused(RefusalReason reason, Millis retryAfter);
 
-    const UrgentSettings m_settings;
+    UrgentSettings m_settings;
     const Clock &m_clock;
     UpstreamClient &m_upstreams;
     const Topology &m_topology;
