--- a/include/savorywick/router.h
+++ b/include/savorywick/router.h
@@ -125,6 +125,7 @@
     void leaveFreeList(Instance &instance);
     void forgetIfDone(const std::string &id);
     static int spareSlots(const Instance &instance);
+    double latencyOf(const Instance &instance, Instant now) const;
     double cost(const Instance &instance, Instant now) const;
     Instance *choose(const std::vector<Instance *> &candidates,
                      std::span<const std::string> excluded, Instant now);
--- a/src/lib/router.cpp
+++ b/src/lib/router.cpp
@@ -13,6 +13,7 @@
 constexpr double connectFailureWeight = 0.4;
 constexpr double failureCost = 10; // How much a failing instance costs more than a sound one.
 constexpr double failureShareAfterProbe = 0.25;
+constexpr double clearlyCheaper = 0.9; // Smaller differences are noise: the first draw wins.
 constexpr int drawsPerChoice = 8; // Random draws before a choice falls back to a scan.
 
 bool contains(std::span<const std::string> ids, const std::string &id)
@@ -179,15 +180,20 @@
     m_instances.erase(it);
 }
 
-double Router::cost(const Instance &instance, Instant now) const
+// Returns what was learned of the instance; it fades into the typical latency as it ages.
+double Router::latencyOf(const Instance &instance, Instant now) const
 {
     const double age = static_cast<double>((now - instance.latencyAt).count());
     const double halfLife = static_cast<double>(m_settings.latencyHalfLife.count());
     const double memory = instance.sampled ? std::exp2(-age / halfLife) : 0;
-    const double latency = m_typicalLatencyMs + (instance.latencyMs - m_typicalLatencyMs) * memory;
+    return m_typicalLatencyMs + (instance.latencyMs - m_typicalLatencyMs) * memory;
+}
+
+double Router::cost(const Instance &instance, Instant now) const
+{
     const double load = static_cast<double>(instance.inFlight + instance.held + 1)
         / static_cast<double>(std::max(1, instance.info.slots));
-    return (latency + 1) * load * (1 + failureCost * instance.failureShare);
+    return (latencyOf(instance, now) + 1) * load * (1 + failureCost * instance.failureShare);
 }
 
 Router::Instance *Router::choose(const std::vector<Instance *> &candidates,
@@ -206,7 +212,7 @@
             continue;
         ++compared;
         const double drawnCost = cost(*drawn, now);
-        if (!best || drawnCost < bestCost) {
+        if (!best || drawnCost < bestCost * clearlyCheaper) {
             best = drawn;
             bestCost = drawnCost;
         }
@@ -230,7 +236,7 @@
 void Router::learnLatency(Instance &instance, Millis latency, Instant now)
 {
     const double sample = static_cast<double>(latency.count());
-    const double before = instance.sampled ? instance.latencyMs : sample;
+    const double before = instance.sampled ? latencyOf(instance, now) : sample;
     instance.latencyMs = before + latencyWeight * (sample - before);
     instance.latencyAt = now;
     instance.sampled = true;
