Prove that all entries together stay within an instance's slots

Change: a model of entries that join, leave, are cut off and come back, with clocks that differ by 1 % in rate, lists that lag, and every entry filling every slot it may use with attempts of the longest length. The handover is now the list's age and the longest attempt, with 2 % for the clocks' rates (it was twice the age): pairs of entries need no more, since a slot moves only to one that joins or from one that leaves.

--- a/include/savorywick/slotshares.h
+++ b/include/savorywick/slotshares.h
@@ -47,7 +47,9 @@
 // lost is given up at once. One that is gained is used only after handover(): by then its former
 // owner has seen a list without it or has stopped trusting its old one, and its last attempt there
 // is over. So all entries together never use more slots than an instance has, however much their
-// lists lag within `longestListAge`.
+// lists lag within `longestListAge`, as long as these rules are kept: others drop an entry that no
+// longer renews its row after more than `longestListAge`, not sooner; an entry that shuts down
+// takes no more slots before it removes its row; no attempt lasts longer than `longestAttempt`.
 //
 // Not thread-safe.
 //
--- a/src/lib/slotshares.cpp
+++ b/src/lib/slotshares.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::int64_t percent = 100;
+constexpr std::int64_t clockRateMarginPercent = 2; // Between the clocks of two processes.
 constexpr Millis peerWordLifetime{1'000}; // What a peer said of its free slots goes stale.
 
 // 64-bit FNV-1a; must stay the same in all versions that run side by side.
@@ -66,11 +68,11 @@
     : m_settings(std::move(settings))
 { }
 
-// A former owner may act on a list that is `longestListAge` old, and so may we; then its last
-// attempt must end.
+// A former owner may act on a list that is `longestListAge` old; then its last attempt must end.
 Millis SlotShares::handover() const
 {
-    return m_settings.longestListAge * 2 + m_settings.longestAttempt + Millis{1};
+    const Millis span = m_settings.longestListAge + m_settings.longestAttempt;
+    return span * (percent + clockRateMarginPercent) / percent + Millis{1};
 }
 
 void SlotShares::update(std::span<const EntryInfo> entries, std::span<const InstanceInfo> instances,
--- /dev/null
+++ b/tests/lib/slotshares_test.cpp
@@ -0,0 +1,270 @@
+#include "savorywick/slotshares.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+
+using namespace savorywick;
+
+namespace {
+
+constexpr int slotsPerInstance = 8;
+constexpr Millis listAge{300};
+constexpr Millis attemptTime{200};
+constexpr Millis deathTerm{320}; // Longer than the list's age by more than the clocks' rates.
+
+std::vector<InstanceInfo> instancesOf(int count)
+{
+    std::vector<InstanceInfo> result;
+    for (int n = 0; n < count; ++n) {
+        const std::string region = n % 3 == 0 ? "east" : "west";
+        result.push_back({"i" + std::to_string(n), region + "-a", region, "r1", slotsPerInstance});
+    }
+    return result;
+}
+
+// One entry process of the model: its clock, its row, and the attempts that it has in flight.
+struct ModelEntry
+{
+    EntryInfo info;
+    SlotShares shares;
+    std::int64_t clockPermille; // Rate of its clock against the model's.
+    bool cut = false; // Reaches neither the table nor is it told anything.
+    bool gone = false;
+    Instant renewedAt;
+    std::map<std::string, std::vector<Instant>> attemptEnds; // By instance, on the model's clock.
+
+    Instant local(Instant t) const { return Instant{t.count() * clockPermille / 1'000}; }
+};
+
+// All entries over one table of rows, in virtual time; each fills every slot that it may use.
+class Model
+{
+public:
+    explicit Model(int instances)
+        : m_instances(instancesOf(instances))
+    { }
+
+    void join()
+    {
+        const std::string id = "e" + std::to_string(m_entries.size());
+        const std::string region = m_entries.size() % 2 == 0 ? "east" : "west";
+        m_entries.push_back({{id, region + "-a", region},
+                             SlotShares({id, ShareLocality::SameRegion, listAge, attemptTime}),
+                             995 + static_cast<std::int64_t>(m_entries.size() * 7 % 11)});
+        m_entries.back().renewedAt = m_now;
+    }
+
+    void leave(std::size_t n)
+    {
+        with(n, [](ModelEntry &it) { it.gone = true; });
+    }
+    void toggleCut(std::size_t n)
+    {
+        with(n, [](ModelEntry &it) { it.cut = !it.cut; });
+    }
+
+    // Renews the entry's row and reads the list, which takes effect here after `delay`.
+    void poll(std::size_t n, Millis delay)
+    {
+        with(n, [&](ModelEntry &it) {
+            if (it.cut)
+                return;
+            it.renewedAt = m_now;
+            const Instant takenAt = it.local(m_now);
+            const auto list = listed();
+            pass(delay);
+            it.shares.update(list, m_instances, takenAt, it.local(m_now));
+        });
+    }
+
+    void pass(Millis span)
+    {
+        const Instant end = m_now + span;
+        while (m_now < end) {
+            m_now = std::min(end, m_now + Millis{10});
+            for (ModelEntry &it : m_entries)
+                fill(it);
+            checkSlots();
+        }
+    }
+
+    int inUse() const
+    {
+        int used = 0;
+        for (const InstanceInfo &instance : m_instances)
+            used += usedAt(instance.id);
+        return used;
+    }
+
+    std::size_t size() const { return m_entries.size(); }
+
+private:
+    template<typename Action>
+    void with(std::size_t n, Action action)
+    {
+        if (!m_entries.empty() && !m_entries[n % m_entries.size()].gone)
+            action(m_entries[n % m_entries.size()]);
+    }
+
+    std::vector<EntryInfo> listed() const
+    {
+        std::vector<EntryInfo> result;
+        for (const ModelEntry &it : m_entries) {
+            if (!it.gone && m_now - it.renewedAt < deathTerm)
+                result.push_back(it.info);
+        }
+        return result;
+    }
+
+    void fill(ModelEntry &entry) const
+    {
+        for (auto &[instance, ends] : entry.attemptEnds)
+            std::erase_if(ends, [&](Instant end) { return end <= m_now; });
+        if (entry.gone)
+            return;
+        for (const InstanceInfo &share : entry.shares.usable(entry.local(m_now))) {
+            auto &ends = entry.attemptEnds[share.id];
+            while (static_cast<int>(ends.size()) < share.slots)
+                ends.push_back(m_now + attemptTime);
+        }
+    }
+
+    int usedAt(const std::string &instance) const
+    {
+        return std::accumulate(
+            m_entries.begin(), m_entries.end(), 0, [&](int sum, const ModelEntry &it) {
+                const auto found = it.attemptEnds.find(instance);
+                return found == it.attemptEnds.end() ? sum
+                                                     : sum + static_cast<int>(found->second.size());
+            });
+    }
+
+    void checkSlots() const
+    {
+        for (const InstanceInfo &instance : m_instances)
+            RC_ASSERT(usedAt(instance.id) <= slotsPerInstance);
+    }
+
+    std::vector<InstanceInfo> m_instances;
+    std::vector<ModelEntry> m_entries;
+    Instant m_now{10'000};
+};
+
+void runEvent(Model &model)
+{
+    const auto n = *rc::gen::inRange<std::size_t>(0, 8);
+    const auto kind = *rc::gen::weightedElement<int>({{8, 0}, {2, 1}, {1, 2}, {2, 3}, {3, 4}});
+    switch (kind) {
+    case 0:
+        model.poll(n, Millis{*rc::gen::inRange(0, 120)});
+        break;
+    case 1:
+        if (model.size() < 8)
+            model.join();
+        break;
+    case 2:
+        model.leave(n);
+        break;
+    case 3:
+        model.toggleCut(n);
+        break;
+    default:
+        model.pass(Millis{*rc::gen::inRange(0, 400)});
+    }
+}
+
+} // namespace
+
+TEST_CASE("All entries together never use more slots than an instance has")
+{
+    CHECK(rc::check("under joins, departures, cuts, lagging lists and unequal clocks", [] {
+        Model model(3);
+        const int events = *rc::gen::inRange(0, 250);
+        for (int n = 0; n < events; ++n)
+            runEvent(model);
+    }));
+}
+
+TEST_CASE("Every slot is in use once the entries have settled")
+{
+    Model model(10);
+    for (int n = 0; n < 5; ++n)
+        model.join();
+    for (int round = 0; round < 20; ++round) {
+        for (std::size_t n = 0; n < model.size(); ++n)
+            model.poll(n, Millis{10});
+    }
+    CHECK(model.inUse() == 10 * slotsPerInstance);
+}
+
+TEST_CASE("A slot moves only to an entry that joins or from one that leaves")
+{
+    CHECK(rc::check("whatever the order of the list", [] {
+        const auto ids = *rc::gen::unique<std::vector<int>>(rc::gen::inRange(0, 500));
+        RC_PRE(ids.size() >= 2);
+        std::vector<EntryInfo> all;
+        all.reserve(ids.size());
+        for (const int id : ids)
+            all.push_back({"e" + std::to_string(id), "west-a", "west"});
+        std::vector<EntryInfo> fewer(all.rbegin(), all.rend() - 1); // Without the first.
+        for (const InstanceInfo &instance : instancesOf(5)) {
+            for (int slot = 0; slot < slotsPerInstance; ++slot) {
+                const auto with = slotOwner(instance, slot, all, ShareLocality::SameRegion);
+                const auto without = slotOwner(instance, slot, fewer, ShareLocality::SameRegion);
+                RC_ASSERT(*with == 0 || all[*with].id == fewer[*without].id);
+            }
+        }
+    }));
+}
+
+TEST_CASE("Slots go to entries of the instance's region while it has any")
+{
+    const std::vector<EntryInfo> entries{{"a", "west-a", "west"}, {"b", "east-a", "east"}};
+    for (const InstanceInfo &instance : instancesOf(6)) {
+        for (int slot = 0; slot < slotsPerInstance; ++slot) {
+            const auto owner = slotOwner(instance, slot, entries, ShareLocality::SameRegion);
+            CHECK(entries[*owner].region == instance.region);
+        }
+    }
+}
+
+TEST_CASE("A list that is too old allows no slot and a new one starts the handover anew")
+{
+    SlotShares shares({"a", ShareLocality::Anywhere, listAge, attemptTime});
+    const std::vector<EntryInfo> entries{{"a", "west-a", "west"}};
+    const auto instances = instancesOf(2);
+    Instant now{0};
+    const Instant usableAt = now + shares.handover();
+    for (; now < usableAt; now = now + Millis{100}) {
+        shares.update(entries, instances, now, now);
+        CHECK(shares.usableSlots(now) == 0);
+    }
+    shares.update(entries, instances, now, now);
+    CHECK(shares.usableSlots(now) == 2 * slotsPerInstance);
+    CHECK(*shares.nextChange(now) == now + listAge + Millis{1});
+    now = now + listAge + Millis{1};
+    CHECK(shares.usableSlots(now) == 0);
+    shares.update(entries, instances, now, now);
+    CHECK(shares.usableSlots(now) == 0);
+    CHECK(*shares.nextChange(now) == now + listAge + Millis{1});
+}
+
+TEST_CASE("A peer is named to forward to only while it may have room")
+{
+    SlotShares shares({"a", ShareLocality::Anywhere, listAge, attemptTime});
+    const std::vector<EntryInfo> entries{{"a", "z", "r"}, {"b", "z", "r"}, {"c", "z", "r"}};
+    const Instant now{0};
+    shares.update(entries, instancesOf(3), now, now);
+    const std::vector<std::string> notC{"c"};
+    CHECK(shares.peerWithRoom(notC, 7, now) == "b"); // Not heard of yet: it may have room.
+    shares.notePeer("b", 1, now);
+    CHECK(shares.peerWithRoom(notC, 7, now) == "b");
+    CHECK(shares.peerWithRoom(notC, 7, now) == std::nullopt); // That one has taken its last.
+    shares.notePeer("c", 0, now);
+    CHECK(shares.peerWithRoom({}, 7, now) == std::nullopt);
+    CHECK(shares.peerWithRoom({}, 7, now + Millis{2'000}).has_value()); // The word has gone stale.
+}
