--- a/src/lib/claimcodec.cpp
+++ b/src/lib/claimcodec.cpp
@@ -177,6 +177,33 @@
     return claim;
 }
 
+ClaimRecord recordIn(const Json::Value &value)
+{
+    ClaimRecord record;
+    record.kind = kindNamed(value["claim"].asString());
+    record.time = timeIn(value, "at");
+    if (record.kind == ClaimRecordKind::Time)
+        return record;
+    record.request.service = toBytes(value["service"]);
+    record.request.key = toBytes(value["key"]);
+    if (record.kind == ClaimRecordKind::Open) {
+        record.request.bodyHash = toBytes(value["hash"]);
+        record.request.requestId = toBytes(value["request"]);
+    }
+    if (record.kind == ClaimRecordKind::Finish)
+        record.answer = answerIn(value);
+    return record;
+}
+
+ClaimSnapshot snapshotIn(const Json::Value &value)
+{
+    ClaimSnapshot snapshot;
+    snapshot.time = timeIn(value, "at");
+    for (const Json::Value &it : value["claims"])
+        snapshot.claims[{toBytes(it["service"]), toBytes(it["key"])}] = claimIn(it);
+    return snapshot;
+}
+
 } // namespace
 
 std::string writeClaimRecord(const ClaimRecord &record)
@@ -199,25 +226,6 @@
     return write(value);
 }
 
-ClaimRecord parseClaimRecord(std::string_view text)
-{
-    const Json::Value value = parse(text);
-    ClaimRecord record;
-    record.kind = kindNamed(value["claim"].asString());
-    record.time = timeIn(value, "at");
-    if (record.kind == ClaimRecordKind::Time)
-        return record;
-    record.request.service = toBytes(value["service"]);
-    record.request.key = toBytes(value["key"]);
-    if (record.kind == ClaimRecordKind::Open) {
-        record.request.bodyHash = toBytes(value["hash"]);
-        record.request.requestId = toBytes(value["request"]);
-    }
-    if (record.kind == ClaimRecordKind::Finish)
-        record.answer = answerIn(value);
-    return record;
-}
-
 std::string writeClaimSnapshot(const ClaimSnapshot &snapshot)
 {
     Json::Value value;
@@ -228,14 +236,22 @@
     return write(value);
 }
 
+ClaimRecord parseClaimRecord(std::string_view text)
+{
+    try {
+        return recordIn(parse(text));
+    } catch (const Json::Exception &e) { // A member of another type than it should have.
+        fail(e.what());
+    }
+}
+
 ClaimSnapshot parseClaimSnapshot(std::string_view text)
 {
-    const Json::Value value = parse(text);
-    ClaimSnapshot snapshot;
-    snapshot.time = timeIn(value, "at");
-    for (const Json::Value &it : value["claims"])
-        snapshot.claims[{toBytes(it["service"]), toBytes(it["key"])}] = claimIn(it);
-    return snapshot;
+    try {
+        return snapshotIn(parse(text));
+    } catch (const Json::Exception &e) {
+        fail(e.what());
+    }
 }
 
 } // namespace savorywick
