Release workers that were quarantined for jobs found at fault

Ruled out: a larger workerJobs, which only moves the number. Change: the evidence stays with the quarantined worker and is withdrawn with the job; a job that failed on another trusted worker before no longer counts against a worker. The property's end phase now also gives every bad job up, which it had left to chance; the check itself is unchanged.

--- a/include/savorywick/quarantine.h
+++ b/include/savorywick/quarantine.h
@@ -32,6 +32,7 @@
 {
     bool giveUpJob = false;
     bool quarantineWorker = false;
+    std::vector<std::string> releasedWorkers; // Freed from quarantine, as the job was at fault.
 };
 
 enum class WorkerStanding {
@@ -46,9 +47,10 @@
 // A job is given up once it failed on `jobWorkers` distinct trusted workers, or on twice as many of
 // any kind. A worker is trusted if it has finished another job within the window and is not
 // quarantined. A worker is quarantined once `workerJobs` distinct jobs failed on it within the
-// window without a success in between. Whoever is found at fault is no evidence against the other:
-// failures on a quarantined worker no longer count against jobs, and failures of a job that is
-// given up no longer count against workers. Not thread-safe.
+// window without a success in between; a job that failed on another trusted worker before does not
+// count. Whoever is found at fault is no evidence against the other: failures on a quarantined
+// worker no longer count against jobs, and failures of a job that is given up no longer count
+// against workers, which releases those that were quarantined for them. Not thread-safe.
 //
 // Example:
 //   const FailureVerdict verdict = quarantine.failed("run-12", "worker-7", "exit 3", now);
@@ -90,7 +92,7 @@
     };
     struct Worker
     {
-        std::map<std::string, Instant, std::less<>> failedJobs; // Since the last success.
+        std::map<std::string, Instant, std::less<>> failedJobs; // Since the last success; evidence.
         bool hasSucceeded = false;
         Instant lastSuccess;
         std::string lastJob; // The job of the last success.
@@ -104,7 +106,9 @@
     bool shouldGiveUp(const Job &job, std::string_view id, Instant now) const;
     bool shouldQuarantine(Worker &worker, Instant now) const;
     void beginQuarantine(Worker &worker, Instant now);
-    void withdrawJob(std::string_view job);
+    bool isSuspect(const Job &job, std::string_view id, std::string_view worker, Instant now) const;
+    void release(Worker &worker);
+    std::vector<std::string> withdrawJob(std::string_view job);
 
     QuarantineOptions m_options;
     std::map<std::string, Job, std::less<>> m_jobs;
--- a/src/lib/quarantine.cpp
+++ b/src/lib/quarantine.cpp
@@ -61,22 +61,47 @@
     worker.probing = false;
     worker.backOff = m_options.firstProbeAfter;
     worker.probeAt = now + worker.backOff;
-    worker.failedJobs.clear();
     ++m_quarantinedCount;
 }
 
-// A job at fault is no evidence against the workers that it failed on.
-void Quarantine::withdrawJob(std::string_view job)
+void Quarantine::release(Worker &worker)
 {
-    const auto it = m_jobs.find(job);
-    for (const auto &[name, failure] : it->second.byWorker) {
-        const auto worker = m_workers.find(name);
-        if (worker == m_workers.end())
+    worker.quarantined = false;
+    worker.probing = false;
+    worker.failedJobs.clear();
+    --m_quarantinedCount;
+}
+
+// A job that failed on another trusted worker is likely to be at fault itself.
+bool Quarantine::isSuspect(const Job &job, std::string_view id, std::string_view worker,
+                           Instant now) const
+{
+    return std::any_of(job.byWorker.begin(), job.byWorker.end(), [&](const auto &entry) {
+        const auto it = m_workers.find(entry.first);
+        return entry.first != worker && it != m_workers.end() && isTrusted(it->second, id, now);
+    });
+}
+
+// A job at fault is no evidence against the workers that it failed on. Returns those released.
+std::vector<std::string> Quarantine::withdrawJob(std::string_view job)
+{
+    std::vector<std::string> released;
+    for (const auto &[name, failure] : m_jobs.find(job)->second.byWorker) {
+        const auto it = m_workers.find(name);
+        if (it == m_workers.end())
             continue;
-        const auto entry = worker->second.failedJobs.find(job);
-        if (entry != worker->second.failedJobs.end())
-            worker->second.failedJobs.erase(entry);
+        Worker &worker = it->second;
+        const auto entry = worker.failedJobs.find(job);
+        if (entry == worker.failedJobs.end())
+            continue;
+        worker.failedJobs.erase(entry);
+        const bool proved = static_cast<int>(worker.failedJobs.size()) >= m_options.workerJobs;
+        if (!worker.quarantined || proved)
+            continue;
+        release(worker);
+        released.push_back(name);
     }
+    return released;
 }
 
 FailureVerdict Quarantine::failed(std::string_view job, std::string_view worker,
@@ -100,12 +125,13 @@
         return verdict;
     if (shouldGiveUp(j, job, now)) {
         j.givenUp = true;
-        withdrawJob(job);
         verdict.giveUpJob = true;
+        verdict.releasedWorkers = withdrawJob(job);
         return verdict;
     }
     // More entries than the limit add nothing, so that memory stays bounded.
-    if (static_cast<int>(w.failedJobs.size()) < 2 * m_options.workerJobs)
+    const bool full = static_cast<int>(w.failedJobs.size()) >= 2 * m_options.workerJobs;
+    if (!full && !isSuspect(j, job, worker, now))
         w.failedJobs.insert_or_assign(std::string(job), now);
     if (shouldQuarantine(w, now)) {
         beginQuarantine(w, now);
@@ -124,9 +150,7 @@
     w.failedJobs.clear();
     if (!w.quarantined)
         return false;
-    w.quarantined = false;
-    w.probing = false;
-    --m_quarantinedCount;
+    release(w);
     return true;
 }
 
--- a/tests/lib/quarantine_test.cpp
+++ b/tests/lib/quarantine_test.cpp
@@ -57,7 +57,7 @@
 
 TEST_CASE("bad jobs and bad workers together are told apart")
 {
-    CHECK(rc::check("good jobs are kept and good workers are open in the end", [] {
+    CHECK(rc::check("good jobs are kept and good workers are open once bad jobs are given up", [] {
         Quarantine quarantine(options);
         constexpr int workers = 20;
         for (int i = 0; i < workers; ++i)
@@ -80,6 +80,13 @@
                 givenUp.insert(jobName(j));
             }
         }
+        for (int j = 0; j < 4; ++j) {
+            for (int w = 2; w < workers && !givenUp.contains(jobName(j)); ++w) {
+                if (quarantine.failed(jobName(j), workerName(w), "exit 1", Instant{600}).giveUpJob)
+                    givenUp.insert(jobName(j));
+            }
+            RC_ASSERT(givenUp.contains(jobName(j)));
+        }
         for (const std::string &it : quarantine.quarantined())
             RC_ASSERT(it == workerName(0) || it == workerName(1));
     }));
