Give the oldest waiting item a turn that it keeps until it fits

Cause: an overdue item for which room was held lost that room to another team's small item at the moment it came free (seen by the new test of the reservation). Starting every overdue item at once was ruled out: in a long overload all items are overdue, and the order would become first come, first served. Change: one of oldestEvery starts belongs to the oldest item, which keeps its turn until it fits; room is held only while it has the turn and is overdue. Before: that test fails.

--- a/include/savorywick/fairqueue.h
+++ b/include/savorywick/fairqueue.h
@@ -37,9 +37,10 @@
     // One step of priority is worth this much waiting.
     Millis ageingStep{600'000};
     int maxPriority = 9;
-    // Every n-th start goes to the item that has waited longest; at least 1.
+    // Of so many starts one goes to the item that has waited longest; at least 1.
     int oldestEvery = 8;
-    // Once the oldest item has waited this long and does not fit, room is held for it.
+    // If it is the turn of the oldest item, it does not fit and it has waited this long, room is
+    // held for it.
     Millis reserveAfter{900'000};
     // The most fit tests in one search.
     int maxTests = 1'024;
@@ -88,9 +89,9 @@
 // one with the least core time per weight goes first; a team that was idle starts level with the
 // others. Within a team an item goes first if its priority and its age together are larger, so an
 // item is overtaken only by items that came at most (maxPriority - priority) ageing steps later.
-// Every `oldestEvery`-th start goes to the item that has waited longest of all that are within
-// quota, so the r-th oldest starts within r * `oldestEvery` starts, whatever arrives. Room is held
-// for it if it does not fit for long. Not thread-safe.
+// One of `oldestEvery` starts goes to the item that has waited longest of all that are within
+// quota, so the r-th oldest starts within r * `oldestEvery` starts, whatever arrives. If it does
+// not fit, it keeps its turn, and once it is overdue room is held for it. Not thread-safe.
 //
 // Example:
 //   FairQueue queue({});
@@ -169,8 +170,7 @@
     static void accrue(Team &team, Instant now);
     void settle(Instant now);
     bool oldestHasTurn() const;
-    const Entry *oldestEligible() const;
-    const Entry *choose(Instant now, FitTest &fit) const;
+    const Entry *choose(Instant now, FitTest &fit);
     const Entry *chooseInTurn(Search &search) const;
 
     FairQueueOptions m_options;
@@ -182,7 +182,8 @@
     std::set<Rank> m_oldestOfTeam; // The oldest item within quota of each of those teams.
     double m_virtualTime = 0;
     std::uint64_t m_nextSequence = 0;
-    std::uint64_t m_starts = 0;
+    int m_startsInTurn = 0; // Since the oldest item had its turn.
+    std::string m_chosenAsOldest; // The id last chosen for its age.
 };
 
 } // namespace savorywick
--- a/src/lib/fairqueue.cpp
+++ b/src/lib/fairqueue.cpp
@@ -252,7 +252,7 @@
         std::max(m_virtualTime, m_turns.empty() ? team.virtualTime : m_turns.begin()->virtualTime);
     detach(*it->second);
     m_waiting.erase(it);
-    ++m_starts;
+    m_startsInTurn = item.id == m_chosenAsOldest ? 0 : m_startsInTurn + 1;
     return restoreStarted(item, now);
 }
 
@@ -299,35 +299,30 @@
 
 bool FairQueue::oldestHasTurn() const
 {
-    const auto every = static_cast<std::uint64_t>(m_options.oldestEvery);
-    return m_starts % every == every - 1;
+    return m_startsInTurn >= m_options.oldestEvery - 1;
 }
 
-const FairQueue::Entry *FairQueue::oldestEligible() const
-{
-    return m_oldestOfTeam.empty() ? nullptr : m_oldestOfTeam.begin()->entry;
-}
-
-const FairQueue::Entry *FairQueue::choose(Instant now, FitTest &fit) const
+const FairQueue::Entry *FairQueue::choose(Instant now, FitTest &fit)
 {
     Search search{fit, m_options.maxTests, nullptr};
-    const Entry *first = oldestEligible();
-    if (!first)
-        return nullptr;
-    // The oldest item that some host could hold has the turn, or holds the room if it is overdue.
+    m_chosenAsOldest.clear();
+    if (!oldestHasTurn())
+        return chooseInTurn(search);
+    // The turn goes to the oldest item that some host could hold.
     for (const Rank &rank : m_oldestOfTeam) {
         const Entry &entry = *rank.entry;
-        const bool overdue = now - entry.item.since >= m_options.reserveAfter;
-        if (search.testsLeft <= 0 || !(overdue || oldestHasTurn()))
+        if (search.testsLeft-- <= 0)
             break;
-        --search.testsLeft;
         const Fit verdict = fit.test(entry.item);
-        if (verdict == Fit::Fits && oldestHasTurn())
+        if (verdict == Fit::NotOnAnyHost)
+            continue;
+        if (verdict == Fit::Fits) {
+            m_chosenAsOldest = entry.item.id;
             return &entry;
-        if (verdict == Fit::NotNow && overdue)
+        }
+        if (now - entry.item.since >= m_options.reserveAfter)
             search.reserved = &entry;
-        if (verdict != Fit::NotOnAnyHost)
-            break;
+        break;
     }
     return chooseInTurn(search);
 }
--- /dev/null
+++ b/tests/lib/fairqueue_test.cpp
@@ -0,0 +1,277 @@
+#include "savorywick/errors.h"
+#include "savorywick/fairqueue.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace savorywick;
+
+namespace {
+
+constexpr Resources oneCore{1, 100, 0};
+
+// Lets everything start that fits in `room`, and holds room for a reserved item if told to.
+class Room final : public FitTest
+{
+public:
+    explicit Room(const Resources &size)
+        : m_size(size)
+        , m_free(size)
+    { }
+
+    Fit test(const WaitingItem &item) override
+    {
+        if (!item.need.fitsIn(m_size))
+            return Fit::NotOnAnyHost;
+        return item.need.fitsIn(m_free) ? Fit::Fits : Fit::NotNow;
+    }
+    void take(const Resources &need) { m_free = m_free - need; }
+    void give(const Resources &need) { m_free = m_free + need; }
+    const Resources &free() const { return m_free; }
+
+private:
+    Resources m_size;
+    Resources m_free;
+};
+
+WaitingItem item(const std::string &id, const std::string &team, int priority,
+                 const Resources &need, Instant since)
+{
+    return {id, team, priority, need, since};
+}
+
+std::string reason(const FairQueue &queue, FitTest &fit)
+{
+    return std::string(toString(queue.oldest(fit).reason));
+}
+
+std::string teamName(int n)
+{
+    return "team" + std::to_string(n);
+}
+
+} // namespace
+
+TEST_CASE("every waiting item starts within the stated number of starts")
+{
+    CHECK(rc::check("the r-th oldest starts within r * oldestEvery starts whatever arrives", [] {
+        FairQueueOptions options;
+        options.oldestEvery = *rc::gen::inRange(1, 6);
+        FairQueue queue(options);
+        Room room({1'000'000, 1'000'000'000, 0});
+        const int before = *rc::gen::inRange(0, 20);
+        Instant now{0};
+        for (int i = 0; i < before; ++i) {
+            queue.push(item("old" + std::to_string(i), teamName(*rc::gen::inRange(0, 4)),
+                            *rc::gen::inRange(0, 3), oneCore, now),
+                       now);
+        }
+        queue.push(item("victim", "poor", 0, {50, 100, 0}, now), now);
+        const int bound = (before + 1) * options.oldestEvery;
+        for (int i = 0; i < bound; ++i) {
+            now = now + Millis{*rc::gen::inRange(0, 1'000)};
+            queue.push(
+                item("new" + std::to_string(i), teamName(*rc::gen::inRange(0, 4)), 9, oneCore, now),
+                now);
+            const auto next = queue.pop(now, room);
+            RC_ASSERT(next);
+            if (next->id == "victim")
+                return;
+            queue.finished(next->id, now);
+        }
+        RC_FAIL("the victim did not start within the bound");
+    }));
+}
+
+TEST_CASE("quotas hold and accounts balance in every interleaving")
+{
+    CHECK(rc::check("no team holds more than its quota at any step", [] {
+        FairQueue queue({});
+        Room room({20, 10'000, 2});
+        std::map<std::string, TeamShare> shares;
+        std::map<std::string, WaitingItem> waiting;
+        std::map<std::string, WaitingItem> running;
+        for (int i = 0; i < 3; ++i) {
+            shares[teamName(i)] = {1.0 + i, {*rc::gen::inRange(0, 12), 4'000, 1}};
+            queue.setTeam(teamName(i), shares[teamName(i)]);
+        }
+        const int steps = *rc::gen::inRange(0, 150);
+        for (int i = 0; i < steps; ++i) {
+            const Instant now = Instant{} + Millis{1'000} * i;
+            const std::string id = "i" + std::to_string(*rc::gen::inRange(0, 30));
+            switch (*rc::gen::inRange(0, 5)) {
+            case 0:
+            case 1: {
+                const auto it = item(
+                    id, teamName(*rc::gen::inRange(0, 3)), *rc::gen::inRange(0, 10),
+                    {*rc::gen::inRange(0, 8), *rc::gen::inRange(0, 2'000), *rc::gen::inRange(0, 2)},
+                    now);
+                RC_ASSERT(queue.push(it, now) == (!waiting.contains(id) && !running.contains(id)));
+                if (!running.contains(id))
+                    waiting.emplace(id, it);
+                break;
+            }
+            case 2:
+                RC_ASSERT(queue.remove(id) == (waiting.erase(id) > 0));
+                break;
+            case 3:
+                queue.finished(id, now);
+                if (running.contains(id))
+                    room.give(running.at(id).need);
+                running.erase(id);
+                break;
+            default:
+                if (const auto next = queue.pop(now, room)) {
+                    RC_ASSERT(waiting.erase(next->id) == 1);
+                    running.emplace(next->id, *next);
+                    RC_ASSERT(next->need.fitsIn(room.free()));
+                    room.take(next->need);
+                }
+            }
+            std::map<std::string, Resources> held;
+            for (const auto &[key, it] : running)
+                held[it.team] = held[it.team] + it.need;
+            for (const auto &[team, share] : shares) {
+                RC_ASSERT(queue.startedOf(team) == held[team]);
+                RC_ASSERT(held[team].fitsIn(share.quota));
+            }
+            RC_ASSERT(queue.waitingCount() == waiting.size());
+        }
+    }));
+}
+
+TEST_CASE("busy teams get core time by their weights")
+{
+    CHECK(rc::check("each is within a tenth of its share", [] {
+        FairQueueOptions options;
+        options.oldestEvery = 1'000'000;
+        options.assumedRun = Millis{*rc::gen::inRange(1, 100'000)};
+        FairQueue queue(options);
+        Room room({16, 1'000'000, 0});
+        const std::vector<double> weights{1, 2, 4};
+        std::vector<int> cores;
+        for (int i = 0; i < 3; ++i) {
+            queue.setTeam(teamName(i), {weights[i], {100, 1'000'000, 0}});
+            cores.push_back(*rc::gen::inRange(1, 4));
+        }
+        std::map<int, std::vector<WaitingItem>> ends;
+        std::vector<double> used(3, 0);
+        double total = 0;
+        int n = 0;
+        for (int t = 0; t < 4'000; ++t) {
+            const Instant now = Instant{} + Millis{1'000} * t;
+            for (const WaitingItem &it : ends[t]) {
+                queue.finished(it.id, now);
+                room.give(it.need);
+            }
+            for (int i = 0; i < 3; ++i) {
+                while (queue.waitingCount(teamName(i)) < 20) {
+                    queue.push(item(std::to_string(n++), teamName(i), 0, {cores[i], 100, 0}, now),
+                               now);
+                }
+            }
+            while (const auto next = queue.pop(now, room)) {
+                room.take(next->need);
+                const int run = *rc::gen::inRange(1, 20);
+                ends[t + run].push_back(*next);
+                used[next->team.back() - '0'] += run * next->need.cores;
+                total += run * next->need.cores;
+            }
+        }
+        for (int i = 0; i < 3; ++i) {
+            const double due = weights[i] / 7 * total;
+            RC_ASSERT(used[i] > 0.9 * due);
+            RC_ASSERT(used[i] < 1.1 * due);
+        }
+    }));
+}
+
+TEST_CASE("priority counts within a team and age makes up for it")
+{
+    FairQueueOptions options;
+    options.oldestEvery = 1'000'000;
+    options.ageingStep = Millis{1'000};
+    FairQueue queue(options);
+    Room room({100, 100'000, 0});
+    queue.push(item("low", "a", 0, oneCore, Instant{0}), Instant{0});
+    queue.push(item("high", "a", 3, oneCore, Instant{100}), Instant{100});
+    queue.push(item("late", "a", 3, oneCore, Instant{3'100}), Instant{3'100});
+    CHECK(queue.pop(Instant{3'200}, room)->id == "high");
+    CHECK(queue.pop(Instant{3'200}, room)->id == "low");
+    CHECK(queue.pop(Instant{3'200}, room)->id == "late");
+}
+
+TEST_CASE("room is held for the oldest item once it is overdue")
+{
+    FairQueueOptions options;
+    options.oldestEvery = 2;
+    options.reserveAfter = Millis{10'000};
+    FairQueue queue(options);
+    Room room({8, 100'000, 0});
+    room.take({4, 0, 0});
+    queue.push(item("big", "a", 0, {8, 100, 0}, Instant{0}), Instant{0});
+    for (const char *id : {"b1", "b2", "b3"})
+        queue.push(item(id, "b", 0, oneCore, Instant{1}), Instant{1});
+    CHECK(queue.pop(Instant{2}, room)->id == "b1");
+    CHECK(queue.pop(Instant{2}, room)->id == "b2");
+    CHECK_FALSE(queue.pop(Instant{10'000}, room));
+    room.give({4, 0, 0});
+    CHECK(queue.pop(Instant{10'000}, room)->id == "big");
+    CHECK(queue.pop(Instant{10'000}, room)->id == "b3");
+}
+
+TEST_CASE("an item that no host could hold does not hold others up")
+{
+    FairQueueOptions options;
+    options.reserveAfter = Millis{10'000};
+    FairQueue queue(options);
+    Room room({8, 100'000, 0});
+    queue.push(item("huge", "a", 9, {9, 100, 0}, Instant{0}), Instant{0});
+    queue.push(item("small", "a", 0, oneCore, Instant{1}), Instant{1});
+    CHECK(queue.pop(Instant{20'000}, room)->id == "small");
+    const OldestWaiting oldest = queue.oldest(room);
+    REQUIRE(oldest.item);
+    CHECK(oldest.item->id == "huge");
+    CHECK(reason(queue, room) == "not-on-any-host");
+}
+
+TEST_CASE("the oldest waiting item is told with its reason")
+{
+    FairQueue queue({});
+    Room room({8, 100'000, 0});
+    CHECK(reason(queue, room) == "none");
+    queue.setTeam("a", {1, {1, 1'000, 0}});
+    queue.push(item("first", "a", 0, oneCore, Instant{0}), Instant{0});
+    CHECK(reason(queue, room) == "next-in-turn");
+    CHECK(queue.started("first", Instant{1}));
+    queue.push(item("second", "a", 0, oneCore, Instant{2}), Instant{2});
+    CHECK(reason(queue, room) == "team-quota");
+    queue.finished("first", Instant{3});
+    room.take({8, 0, 0});
+    CHECK(reason(queue, room) == "no-room");
+}
+
+TEST_CASE("a new owner's knowledge of running work counts against the quota")
+{
+    FairQueue queue({});
+    Room room({8, 100'000, 0});
+    queue.setTeam("a", {1, {2, 1'000, 0}});
+    CHECK(queue.restoreStarted(item("r", "a", 0, oneCore, Instant{0}), Instant{0}));
+    CHECK_FALSE(queue.push(item("r", "a", 0, oneCore, Instant{0}), Instant{0}));
+    queue.push(item("next", "a", 0, oneCore, Instant{0}), Instant{0});
+    queue.resize("r", {2, 100, 0}, Instant{1});
+    CHECK_FALSE(queue.peek(Instant{2}, room));
+    queue.resize("r", oneCore, Instant{3});
+    CHECK(queue.peek(Instant{4}, room)->id == "next");
+}
+
+TEST_CASE("a share that makes no sense is refused with its remedy")
+{
+    FairQueue queue({});
+    CHECK_THROWS_AS(queue.setTeam("a", {0, oneCore}), Error);
+    CHECK_THROWS_AS(queue.setTeam("a", {1, {-1, 0, 0}}), Error);
+}
