Add service documents, their edits and what is in force, with examples

Cause: each service has one document; of racing edits one must win, a lost reply must not turn into a wrong answer, and no entry may go back to an older revision. Ruled out: an index row that lists every service (its bytes grow with unchanged services); settling a lost reply by the document row alone (a later edit hides ours: the history row of the wanted revision is read too); trusting a poll's sequence without looking at what was read (a replica that lags would let an entry publish a sequence that it does not serve by). Change: ServiceDocument with all faults at once and explainChange(); DocumentEdit, DocumentsInForce, acceptanceOf() and FreezeGuard as pure classes; settings and documents of both deployments; docs/SETTINGS.md, which a test compares with the table of numbers.

--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -238,7 +238,7 @@
 {
     const LeaseSettings &leases = settings.leases;
     const LimitSettings &limits = settings.limits;
-    const std::array<Bound, 6> bounds{{
+    const std::array<Bound, 7> bounds{{
         {"leases.entryRenewalMs", leases.entryRenewal, 2, "leases.entryTermMs", leases.entryTerm},
         {"leases.workerRenewalMs", leases.workerRenewal, 2, "leases.workerTermMs",
          leases.workerTerm},
@@ -248,6 +248,8 @@
          leases.workerTerm},
         {"polls.documentsMs", settings.polls.documents, 1, "polls.freezeBoundMs",
          settings.polls.freezeBound},
+        {"polls.freezeBoundMs", settings.polls.freezeBound, 2, "leases.entryTermMs",
+         leases.entryTerm},
         {"limits.requestDeadlineMs", limits.requestDeadline, 1, "shutdownBoundMs",
          settings.shutdownBound},
     }};
--- /dev/null
+++ b/src/lib/documentstore.cpp
@@ -0,0 +1,212 @@
+#include "savorywick/documentstore.h"
+
+#include "savorywick/errors.h"
+
+#include <json/json.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <memory>
+
+namespace savorywick {
+
+namespace {
+
+// An index that other edits keep changing is tried again this often before the edit gives up.
+constexpr int maxRounds = 64;
+
+enum KeyPosition { DocumentKey, HistoryKey, IndexKey, KeyCount };
+
+std::string compact(const Json::Value &json)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, json);
+}
+
+Json::Value parseRow(const Row &row)
+{
+    Json::Value json;
+    const Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    const char *begin = row.value.data();
+    if (!reader->parse(begin, begin + row.value.size(), &json, nullptr) || !json.isObject())
+        throw Error(ErrorKind::InvalidInput, "row '" + row.key + "' holds no JSON object",
+                    "restore it from its row under history/");
+    return json;
+}
+
+} // namespace
+
+std::string documentKey(std::string_view service)
+{
+    return std::string(documentPrefix) + std::string(service);
+}
+
+std::string historyKey(std::string_view service, std::uint64_t revision)
+{
+    char buf[24];
+    std::snprintf(buf, sizeof buf, "%010llu", static_cast<unsigned long long>(revision));
+    return "history/" + std::string(service) + "/" + buf;
+}
+
+StoredDocument parseDocumentRow(const Row &row)
+{
+    if (row.version == 0)
+        return {};
+    try {
+        const Json::Value json = parseRow(row);
+        StoredDocument d;
+        d.service = json["service"].asString();
+        d.revision = json["revision"].asUInt64();
+        d.sequence = json["sequence"].asUInt64();
+        d.document = json["document"].asString();
+        d.editedBy = json["editedBy"].asString();
+        d.editedAtMs = json["editedAtMs"].asInt64();
+        d.editId = json["editId"].asString();
+        return d;
+    } catch (const Json::Exception &) {
+        throw Error(ErrorKind::InvalidInput, "row '" + row.key + "' holds no document",
+                    "restore it from its row under history/");
+    }
+}
+
+DocumentIndex parseIndexRow(const Row &row)
+{
+    if (row.version == 0)
+        return {};
+    try {
+        const Json::Value json = parseRow(row);
+        DocumentIndex index;
+        index.sequence = json["sequence"].asUInt64();
+        for (const Json::Value &it : json["recent"])
+            index.recent.push_back({it["s"].asString(), it["r"].asUInt64()});
+        return index;
+    } catch (const Json::Exception &) {
+        throw Error(
+            ErrorKind::InvalidInput, "row '" + row.key + "' holds no index of documents",
+            "write {\"sequence\": N, \"recent\": []} with N above every sequence under document/");
+    }
+}
+
+std::string toValue(const StoredDocument &document)
+{
+    Json::Value json;
+    json["service"] = document.service;
+    json["revision"] = Json::UInt64(document.revision);
+    json["sequence"] = Json::UInt64(document.sequence);
+    json["document"] = document.document;
+    json["editedBy"] = document.editedBy;
+    json["editedAtMs"] = Json::Int64(document.editedAtMs);
+    json["editId"] = document.editId;
+    return compact(json);
+}
+
+std::string toValue(const DocumentIndex &index)
+{
+    Json::Value json;
+    json["sequence"] = Json::UInt64(index.sequence);
+    json["recent"] = Json::arrayValue;
+    for (const DocumentRevision &it : index.recent) {
+        Json::Value entry;
+        entry["s"] = it.service;
+        entry["r"] = Json::UInt64(it.revision);
+        json["recent"].append(std::move(entry));
+    }
+    return compact(json);
+}
+
+DocumentEdit::DocumentEdit(EditRequest request)
+    : m_request(std::move(request))
+{
+    m_keys.resize(KeyCount);
+    m_keys[DocumentKey] = documentKey(m_request.service);
+    m_keys[HistoryKey] = historyKey(m_request.service, m_request.baseRevision + 1);
+    m_keys[IndexKey] = documentIndexKey;
+}
+
+std::optional<Transaction> DocumentEdit::onRows(std::span<const Row> rows)
+{
+    const StoredDocument made = parseDocumentRow(rows[HistoryKey]);
+    const StoredDocument present = parseDocumentRow(rows[DocumentKey]);
+    if (made.revision != 0 && made.editId == m_request.editId) {
+        finish(EditOutcome::Applied, made, {});
+        return std::nullopt;
+    }
+    // Another edit made the wanted revision, or the operator read a revision that never was.
+    if (made.revision != 0 || present.revision != m_request.baseRevision) {
+        finish(EditOutcome::Conflict, {}, present);
+        return std::nullopt;
+    }
+    if (++m_rounds > maxRounds) {
+        finish(m_mayHaveLanded ? EditOutcome::Unknown : EditOutcome::NotApplied, {}, present);
+        return std::nullopt;
+    }
+    return transaction(rows[DocumentKey], rows[IndexKey]);
+}
+
+Transaction DocumentEdit::transaction(const Row &document, const Row &index)
+{
+    DocumentIndex next = parseIndexRow(index);
+    ++next.sequence;
+    next.recent.insert(next.recent.begin(), {m_request.service, m_request.baseRevision + 1});
+    if (next.recent.size() > indexedEdits)
+        next.recent.resize(indexedEdits);
+    m_wanted = {m_request.service,  m_request.baseRevision + 1, next.sequence,   m_request.document,
+                m_request.editedBy, m_request.editedAtMs,       m_request.editId};
+    const std::string value = toValue(m_wanted);
+    Transaction t;
+    t.conditions = {{m_keys[DocumentKey], document.version},
+                    {m_keys[HistoryKey], 0},
+                    {m_keys[IndexKey], index.version}};
+    t.writes = {{m_keys[DocumentKey], value},
+                {m_keys[HistoryKey], value},
+                {m_keys[IndexKey], toValue(next)}};
+    return t;
+}
+
+void DocumentEdit::onCommit(CommitOutcome outcome)
+{
+    switch (outcome) {
+    case CommitOutcome::Committed:
+        finish(EditOutcome::Applied, m_wanted, {});
+        break;
+    case CommitOutcome::Conflict:
+        break; // The next read tells whether the document or only the index has moved.
+    case CommitOutcome::Unavailable:
+        finish(m_mayHaveLanded ? EditOutcome::Unknown : EditOutcome::NotApplied, {}, {});
+        break;
+    case CommitOutcome::Unknown:
+        m_mayHaveLanded = true;
+        break;
+    }
+}
+
+void DocumentEdit::onReadFailed()
+{
+    finish(m_mayHaveLanded ? EditOutcome::Unknown : EditOutcome::NotApplied, {}, {});
+}
+
+void DocumentEdit::finish(EditOutcome outcome, StoredDocument stored, StoredDocument present)
+{
+    m_result = EditResult{outcome, std::move(stored), std::move(present)};
+}
+
+Acceptance acceptanceOf(const StoredDocument &stored, std::span<const std::string> listed,
+                        std::span<const EntryDocuments> said)
+{
+    Acceptance acceptance;
+    for (const std::string &it : listed) {
+        const bool inForce = std::any_of(said.begin(), said.end(), [&](const EntryDocuments &e) {
+            return e.entry == it
+                && (e.sequence >= stored.sequence || e.revision >= stored.revision);
+        });
+        if (!inForce)
+            acceptance.pendingOn.push_back(it);
+    }
+    std::sort(acceptance.pendingOn.begin(), acceptance.pendingOn.end());
+    acceptance.accepted = acceptance.pendingOn.empty();
+    return acceptance;
+}
+
+} // namespace savorywick
--- /dev/null
+++ b/src/lib/servicedocument.cpp
@@ -0,0 +1,210 @@
+#include "savorywick/servicedocument.h"
+
+#include "savorywick/internal/objectreader.h"
+
+#include <algorithm>
+#include <cctype>
+#include <limits>
+
+namespace savorywick {
+
+namespace {
+
+using internal::ObjectReader;
+using internal::Range;
+
+constexpr Range deadlineRangeMs{1, 600'000};
+constexpr Range concurrencyRange{1, 100'000};
+constexpr Range expectedRangeMs{0, std::int64_t{365} * 86'400'000};
+constexpr Range priorityRange{0, 9};
+constexpr Range coresRange{0, 100'000};
+constexpr Range memoryRangeMb{0, 100'000'000};
+constexpr Range acceleratorsRange{0, 100'000};
+constexpr Range openWorkRange{0, 10'000'000};
+constexpr Range weightRange{1, 1'000};
+constexpr std::size_t maxNameBytes = 64;
+
+constexpr std::int64_t defaultConcurrency = 1'000;
+constexpr std::int64_t defaultPriority = 5;
+constexpr std::int64_t defaultOpenWork = 1'000;
+
+bool isName(std::string_view name)
+{
+    const auto allowed = [](unsigned char c) { return std::isalnum(c) || c == '-'; };
+    return !name.empty() && name.size() <= maxNameBytes
+        && std::all_of(name.begin(), name.end(), allowed);
+}
+
+void checkName(ObjectReader &reader, std::string_view key, std::string_view name)
+{
+    if (!name.empty() && !isName(name))
+        reader.fault(key, "\"" + std::string(name) + "\" is no name",
+                     "write at most 64 letters, digits and hyphens");
+}
+
+std::string readName(ObjectReader &reader, std::string_view key)
+{
+    std::string name = reader.text(key);
+    checkName(reader, key, name);
+    return name;
+}
+
+Resources readResources(ObjectReader &reader, const Resources &fallback)
+{
+    Resources resources;
+    resources.cores = static_cast<int>(reader.integer("cores", coresRange, fallback.cores));
+    resources.memoryMb =
+        static_cast<int>(reader.integer("memoryMb", memoryRangeMb, fallback.memoryMb));
+    resources.accelerators =
+        static_cast<int>(reader.integer("accelerators", acceleratorsRange, fallback.accelerators));
+    return resources;
+}
+
+RequestClass readRequestClass(ObjectReader &reader)
+{
+    RequestClass c;
+    c.deadlineLimit = Millis{reader.integer("deadlineLimitMs", deadlineRangeMs)};
+    c.repeatable = reader.flag("repeatable");
+    c.concurrency =
+        static_cast<int>(reader.integer("concurrency", concurrencyRange, defaultConcurrency));
+    reader.refuseUnknownKeys();
+    return c;
+}
+
+BatchClass readBatchClass(ObjectReader &reader, BatchKind kind)
+{
+    BatchClass c;
+    const bool mustDemand = kind == BatchKind::Run;
+    ObjectReader demand = mustDemand ? reader.object("demand") : reader.optionalObject("demand");
+    const bool demandsRoom = reader.has("demand");
+    if (demandsRoom && !demand.has("cores") && !demand.has("accelerators"))
+        demand.fault("cores", "this is missing", "write the number of processors that it needs");
+    c.demand = readResources(demand, {});
+    demand.refuseUnknownKeys();
+    c.expected = Millis{mustDemand ? reader.integer("expectedMs", expectedRangeMs)
+                                   : reader.integer("expectedMs", expectedRangeMs, 0)};
+    c.priority = static_cast<int>(reader.integer("priority", priorityRange, defaultPriority));
+    c.checkpointable = reader.flag("checkpointable", false);
+    reader.refuseUnknownKeys();
+    return c;
+}
+
+std::map<std::string, BatchClass, std::less<>>
+readBatchClasses(ObjectReader &root, std::string_view key, BatchKind kind)
+{
+    std::map<std::string, BatchClass, std::less<>> classes;
+    ObjectReader reader = root.optionalObject(key);
+    for (const std::string &it : reader.keys()) {
+        checkName(reader, it, it);
+        ObjectReader item = reader.object(it);
+        classes.emplace(it, readBatchClass(item, kind));
+    }
+    return classes;
+}
+
+void readRequests(ObjectReader &root, ServiceDocument &document)
+{
+    ObjectReader reader = root.optionalObject("requests");
+    for (const std::string &it : reader.keys()) {
+        checkName(reader, it, it);
+        ObjectReader item = reader.object(it);
+        document.requests.emplace(it, readRequestClass(item));
+    }
+}
+
+ServiceQuotas readQuotas(ObjectReader &root)
+{
+    constexpr Resources unlimited{coresRange.max, memoryRangeMb.max, acceleratorsRange.max};
+    ObjectReader reader = root.optionalObject("quotas");
+    ServiceQuotas quotas;
+    quotas.openRuns = static_cast<int>(reader.integer("openRuns", openWorkRange, defaultOpenWork));
+    quotas.openWatchers =
+        static_cast<int>(reader.integer("openWatchers", openWorkRange, defaultOpenWork));
+    quotas.resources = readResources(reader, unlimited);
+    quotas.weight = static_cast<int>(reader.integer("weight", weightRange, 1));
+    reader.refuseUnknownKeys();
+    return quotas;
+}
+
+void checkBatchQuota(std::string_view section, const ServiceDocument::Classes<BatchClass> &classes,
+                     const ServiceQuotas &quotas, FaultList &faults)
+{
+    const Resources &room = quotas.resources;
+    for (const auto &[name, c] : classes) {
+        const std::string path = std::string(section) + "." + name + ".demand";
+        const auto check = [&](std::string_view part, int need, int most) {
+            if (need > most)
+                faults.add(path + "." + std::string(part),
+                           std::to_string(need) + " is above quotas." + std::string(part) + ", "
+                               + std::to_string(most) + ", so that it could never start",
+                           "write at most " + std::to_string(most) + ", or raise the quota");
+        };
+        check("cores", c.demand.cores, room.cores);
+        check("memoryMb", c.demand.memoryMb, room.memoryMb);
+        check("accelerators", c.demand.accelerators, room.accelerators);
+    }
+}
+
+void checkOpenWork(std::string_view section, std::size_t classes, int most, std::string_view quota,
+                   FaultList &faults)
+{
+    if (classes > 0 && most == 0)
+        faults.add("quotas." + std::string(quota),
+                   "0 allows no work of the classes under " + std::string(section),
+                   "write at least 1, or remove " + std::string(section));
+}
+
+void checkContradictions(const ServiceDocument &document, FaultList &faults)
+{
+    if (document.requests.empty() && document.runs.empty() && document.watchers.empty())
+        faults.add("", "this declares no class of work",
+                   "add a class under \"requests\", \"runs\" or \"watchers\"");
+    for (const auto &[name, c] : document.requests) {
+        if (c.deadlineLimit < document.latencyTarget)
+            faults.add("requests." + name + ".deadlineLimitMs",
+                       std::to_string(c.deadlineLimit.count()) + " is below latencyTargetMs, "
+                           + std::to_string(document.latencyTarget.count()),
+                       "write at least " + std::to_string(document.latencyTarget.count())
+                           + ", or lower the target");
+    }
+    checkBatchQuota("runs", document.runs, document.quotas, faults);
+    checkBatchQuota("watchers", document.watchers, document.quotas, faults);
+    checkOpenWork("runs", document.runs.size(), document.quotas.openRuns, "openRuns", faults);
+    checkOpenWork("watchers", document.watchers.size(), document.quotas.openWatchers,
+                  "openWatchers", faults);
+}
+
+ServiceDocument readDocument(ObjectReader &reader)
+{
+    ServiceDocument document;
+    document.service = readName(reader, "service");
+    document.team = readName(reader, "team");
+    readRequests(reader, document);
+    if (!document.requests.empty() || reader.has("upstreamService"))
+        document.upstreamService = readName(reader, "upstreamService");
+    document.latencyTarget = Millis{reader.integer("latencyTargetMs", deadlineRangeMs, 0)};
+    document.runs = readBatchClasses(reader, "runs", BatchKind::Run);
+    document.watchers = readBatchClasses(reader, "watchers", BatchKind::Watcher);
+    document.quotas = readQuotas(reader);
+    reader.refuseUnknownKeys();
+    return document;
+}
+
+} // namespace
+
+ParsedDocument parseServiceDocument(std::string_view text)
+{
+    ParsedDocument parsed;
+    const internal::JsonPointer root = internal::parseObject(text, parsed.faults);
+    if (!root)
+        return parsed;
+    ObjectReader reader(*root, "", parsed.faults);
+    ServiceDocument document = readDocument(reader);
+    if (parsed.faults.empty())
+        checkContradictions(document, parsed.faults);
+    if (parsed.faults.empty())
+        parsed.document = std::move(document);
+    return parsed;
+}
+
+} // namespace savorywick
--- a/tests/core/settings_test.cpp
+++ b/tests/core/settings_test.cpp
@@ -202,3 +202,18 @@
     std::remove(path.c_str());
     CHECK_THROWS_AS(loadSettings("no/such/file.json"), Error);
 }
+
+TEST_CASE("docs/SETTINGS.md has a line with the default and the range of every number")
+{
+    const std::string page = readFile(std::string(SOURCE_DIR) + "/docs/SETTINGS.md");
+    for (const NumberSetting &it : numberSettings()) {
+        std::string line = "| `";
+        if (!it.section.empty())
+            line.append(it.section).append(".");
+        line.append(it.key).append("` | ");
+        line += std::to_string(it.defaultValue) + " | " + std::to_string(it.min) + " | "
+            + std::to_string(it.max) + " | ";
+        CHECK_MESSAGE(page.find(line) != std::string::npos,
+                      "docs/SETTINGS.md lacks a line that starts with: ", line);
+    }
+}
--- /dev/null
+++ b/tests/lib/servicedocument_test.cpp
@@ -0,0 +1,200 @@
+#include "savorywick/servicedocument.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+
+using namespace savorywick;
+
+namespace {
+
+const std::string goodDocument = R"({
+    // A comment.
+    "service": "matching", "team": "placements", "upstreamService": "matching-app",
+    "latencyTargetMs": 300,
+    "requests": {
+        "check": {"deadlineLimitMs": 2000, "repeatable": true},
+        "offer": {"deadlineLimitMs": 5000, "repeatable": false, "concurrency": 20}
+    },
+    "runs": {"allocation": {"demand": {"cores": 8, "memoryMb": 32768}, "expectedMs": 3600000,
+                            "priority": 6, "checkpointable": true}},
+    "watchers": {"roster": {}},
+    "quotas": {"cores": 64}
+})";
+
+std::string changed(const std::string &from, const std::string &to)
+{
+    std::string text = goodDocument;
+    const auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+ServiceDocument parsed(const std::string &text)
+{
+    const ParsedDocument p = parseServiceDocument(text);
+    INFO(p.faults.text("document"));
+    REQUIRE(p.document.has_value());
+    return *p.document;
+}
+
+struct BadDocument
+{
+    std::string from;
+    std::string to;
+    Fault expected;
+};
+
+const std::array badDocuments{
+    BadDocument{"\"team\": \"placements\",",
+                "",
+                {"team", "this is missing", "write a string of at least one character"}},
+    BadDocument{"\"service\": \"matching\"",
+                "\"service\": \"a/b\"",
+                {"service", "\"a/b\" is no name", "write at most 64 letters, digits and hyphens"}},
+    BadDocument{"\"roster\"",
+                "\"ro ster\"",
+                {"watchers.ro ster", "\"ro ster\" is no name",
+                 "write at most 64 letters, digits and hyphens"}},
+    BadDocument{"\"upstreamService\": \"matching-app\",",
+                "",
+                {"upstreamService", "this is missing", "write a string of at least one character"}},
+    BadDocument{", \"repeatable\": true",
+                "",
+                {"requests.check.repeatable", "this is missing", "write true or false"}},
+    BadDocument{
+        "\"repeatable\": true",
+        "\"repeatable\": \"yes\"",
+        {"requests.check.repeatable", "\"yes\" is neither true nor false", "write true or false"}},
+    BadDocument{"\"deadlineLimitMs\": 2000",
+                "\"deadlineMs\": 2000",
+                {"requests.check.deadlineMs", "this key is unknown",
+                 "write \"deadlineLimitMs\", the nearest known key, or remove it"}},
+    BadDocument{"2000",
+                "0",
+                {"requests.check.deadlineLimitMs", "0 is out of range",
+                 "write a whole number from 1 to 600000"}},
+    BadDocument{"2000",
+                "200",
+                {"requests.check.deadlineLimitMs", "200 is below latencyTargetMs, 300",
+                 "write at least 300, or lower the target"}},
+    BadDocument{"\"cores\": 8",
+                "\"cores\": 65",
+                {"runs.allocation.demand.cores",
+                 "65 is above quotas.cores, 64, so that it could never start",
+                 "write at most 64, or raise the quota"}},
+    BadDocument{"\"cores\": 8, ",
+                "",
+                {"runs.allocation.demand.cores", "this is missing",
+                 "write the number of processors that it needs"}},
+    BadDocument{"\"demand\": {\"cores\": 8, \"memoryMb\": 32768}, ",
+                "",
+                {"runs.allocation.demand", "this is missing", "write an object in braces"}},
+    BadDocument{
+        "\"priority\": 6",
+        "\"priority\": 10",
+        {"runs.allocation.priority", "10 is out of range", "write a whole number from 0 to 9"}},
+    BadDocument{"\"quotas\": {",
+                "\"quotas\": {\"openWatchers\": 0, ",
+                {"quotas.openWatchers", "0 allows no work of the classes under watchers",
+                 "write at least 1, or remove watchers"}},
+    BadDocument{"\"quotas\": {\"cores\": 64}",
+                "\"quotas\": 64",
+                {"quotas", "64 stands where an object is needed", "write an object in braces"}},
+};
+
+const DocumentChange *changeAt(const std::vector<DocumentChange> &changes, std::string_view path)
+{
+    const auto it = std::find_if(changes.begin(), changes.end(),
+                                 [path](const DocumentChange &c) { return c.path == path; });
+    return it == changes.end() ? nullptr : &*it;
+}
+
+} // namespace
+
+TEST_CASE("A service document is read with its defaults")
+{
+    const ServiceDocument d = parsed(goodDocument);
+    CHECK(d.service == "matching");
+    CHECK((d.requests.at("check").deadlineLimit == Millis{2'000}));
+    CHECK_FALSE(d.requests.at("offer").repeatable);
+    CHECK(d.requests.at("offer").concurrency == 20);
+    CHECK((d.runs.at("allocation").demand == Resources{8, 32'768, 0}));
+    CHECK(d.runs.at("allocation").checkpointable);
+    CHECK((d.watchers.at("roster").demand == Resources{}));
+    CHECK(d.quotas.resources.cores == 64);
+    CHECK(d.quotas.weight == 1);
+}
+
+TEST_CASE("Each bad document names its path and what was found and the remedy")
+{
+    for (const BadDocument &it : badDocuments) {
+        const ParsedDocument p = parseServiceDocument(changed(it.from, it.to));
+        INFO("changed ", it.from, " to ", it.to, "; faults:\n", p.faults.text("bad.json"));
+        CHECK_FALSE(p.document.has_value());
+        const auto list = p.faults.list();
+        CHECK_MESSAGE(std::find(list.begin(), list.end(), it.expected) != list.end(),
+                      "expected: ", it.expected.path, ": ", it.expected.found, "; ",
+                      it.expected.remedy);
+    }
+}
+
+TEST_CASE("A document without any class of work is refused")
+{
+    const ParsedDocument p = parseServiceDocument(R"({"service": "a", "team": "b"})");
+    REQUIRE(p.faults.list().size() == 1);
+    CHECK(p.faults.list()[0].found == "this declares no class of work");
+}
+
+TEST_CASE("explainChange of equal documents is empty")
+{
+    const ServiceDocument d = parsed(goodDocument);
+    CHECK(explainChange(d, d, {}).empty());
+}
+
+TEST_CASE("explainChange refuses to remove a class with unfinished work only")
+{
+    const ServiceDocument before = parsed(goodDocument);
+    ServiceDocument after = before;
+    after.runs.clear();
+    const std::array live{LiveWork{BatchKind::Run, "allocation", 3},
+                          LiveWork{BatchKind::Watcher, "allocation", 9}};
+    const auto refused = explainChange(before, after, live);
+    REQUIRE(changeAt(refused, "runs.allocation"));
+    CHECK(changeAt(refused, "runs.allocation")->change
+          == "is removed while 3 of it are unfinished");
+    CHECK(anyRefused(refused));
+    CHECK_FALSE(anyRefused(explainChange(before, after, {})));
+    CHECK_FALSE(anyRefused(explainChange(before, after, {live.data() + 1, 1})));
+}
+
+TEST_CASE("explainChange refuses another team or service")
+{
+    const ServiceDocument before = parsed(goodDocument);
+    CHECK(anyRefused(explainChange(before, parsed(changed("placements", "others")), {})));
+    CHECK(anyRefused(explainChange(before, parsed(changed("\"matching\"", "\"other\"")), {})));
+}
+
+TEST_CASE("explainChange tells old and new values and the effect")
+{
+    const ServiceDocument before = parsed(goodDocument);
+    ServiceDocument after = before;
+    after.requests.at("check").repeatable = false;
+    after.requests.erase("offer");
+    after.runs.at("allocation").demand.cores = 16;
+    after.watchers["fresh"] = {};
+    after.quotas.weight = 2;
+    const auto changes = explainChange(before, after, {});
+    REQUIRE(changes.size() == 5);
+    REQUIRE(changeAt(changes, "runs.allocation.demand.cores"));
+    CHECK(changeAt(changes, "runs.allocation.demand.cores")->change == "8 becomes 16");
+    REQUIRE(changeAt(changes, "requests.check.repeatable"));
+    CHECK(changeAt(changes, "requests.check.repeatable")->change == "true becomes false");
+    REQUIRE(changeAt(changes, "requests.offer"));
+    CHECK(changeAt(changes, "requests.offer")->effect
+          == "requests in flight are answered; later ones are refused");
+    CHECK(changeAt(changes, "watchers.fresh"));
+    CHECK(changeAt(changes, "quotas.weight"));
+    CHECK_FALSE(anyRefused(changes));
+}
