--- a/src/core/httpserver.cpp
+++ b/src/core/httpserver.cpp
@@ -208,11 +208,17 @@
     m_impl->draining = true;
 }
 
+void HttpServer::closeListener()
+{
+    drain();
+    m_impl->server.stop();
+}
+
 void HttpServer::stop()
 {
     if (!m_impl->thread.joinable())
         return;
-    m_impl->server.stop();
+    closeListener();
     m_impl->thread.join();
 }
 
--- a/src/core/httpserver.h
+++ b/src/core/httpserver.h
@@ -64,7 +64,11 @@
     // From now on every answer asks the client to close its connection.
     void drain();
 
-    // Accepts no more connections, lets the requests in flight finish, and returns when they have.
+    // Accepts no more connections. Those that are open are closed after their next answer.
+    void closeListener();
+
+    // As closeListener(), then lets the requests in flight finish, and returns when every
+    // connection is closed, idle ones after their time-out.
     void stop();
 
 private:
--- /dev/null
+++ b/src/entry/reportservice.cpp
@@ -0,0 +1,193 @@
+#include "entry/reportservice.h"
+
+#include "platform/json.h"
+
+#include <thread>
+
+namespace savorywick {
+
+namespace {
+
+constexpr Millis shardLimit{500};
+constexpr Millis peerLimit{2'000};
+
+Json::Value toJson(const Resources &resources)
+{
+    Json::Value value;
+    value["cores"] = resources.cores;
+    value["memoryMb"] = resources.memoryMb;
+    value["accelerators"] = resources.accelerators;
+    return value;
+}
+
+Json::Value toJson(const JobCounters &counters)
+{
+    Json::Value value;
+    value["accepted"] = Json::UInt64(counters.accepted);
+    value["repeated"] = Json::UInt64(counters.repeated);
+    value["refused"] = Json::UInt64(counters.refused);
+    value["placed"] = Json::UInt64(counters.placed);
+    value["finished"] = Json::UInt64(counters.finished);
+    value["failedAttempts"] = Json::UInt64(counters.failedAttempts);
+    value["givenUp"] = Json::UInt64(counters.givenUp);
+    value["evictions"] = Json::UInt64(counters.evictions);
+    value["abandonedEvictions"] = Json::UInt64(counters.abandonedEvictions);
+    value["cancelled"] = Json::UInt64(counters.cancelled);
+    value["lapsed"] = Json::UInt64(counters.lapsed);
+    value["vanished"] = Json::UInt64(counters.vanished);
+    value["restarts"] = Json::UInt64(counters.restarts);
+    return value;
+}
+
+Json::Value oldestJson(const ShardReport &report)
+{
+    Json::Value value;
+    value["id"] = report.oldest.item ? report.oldest.item->id : std::string();
+    value["waitedMs"] = Json::Int64(report.oldestWaited.count());
+    value["why"] = std::string(toString(report.oldest.reason));
+    return value;
+}
+
+Json::Value toJson(const ShardReport &report)
+{
+    Json::Value value;
+    value["shard"] = report.shard;
+    value["epoch"] = Json::UInt64(report.epoch);
+    for (const auto &it : report.byState)
+        value["jobs"][std::string(toString(it.first))] = Json::UInt64(it.second);
+    value["counters"] = toJson(report.counters);
+    value["claims"]["open"] = Json::UInt64(report.claims.open);
+    value["claims"]["finished"] = Json::UInt64(report.claims.finished);
+    value["claims"]["unknown"] = Json::UInt64(report.claims.unknown);
+    value["oldest"] = oldestJson(report);
+    value["pendingRecords"] = Json::UInt64(report.pendingRecords);
+    value["storeDown"] = report.storeDown;
+    value["hosts"] = Json::arrayValue;
+    for (const ShardReport::HostUse &it : report.hosts) {
+        Json::Value host;
+        host["host"] = it.host;
+        host["capacity"] = toJson(it.capacity);
+        host["booked"] = toJson(it.booked);
+        value["hosts"].append(std::move(host));
+    }
+    return value;
+}
+
+Json::Value countersJson(const MetricsSnapshot &snapshot)
+{
+    Json::Value list = Json::arrayValue;
+    for (const CounterValue &it : snapshot.counters) {
+        Json::Value value;
+        value["group"] = it.group;
+        value["name"] = it.name;
+        value["count"] = Json::UInt64(it.count);
+        list.append(std::move(value));
+    }
+    return list;
+}
+
+Json::Value latenciesJson(const MetricsSnapshot &snapshot)
+{
+    Json::Value list = Json::arrayValue;
+    for (const LatencyValue &it : snapshot.latencies) {
+        Json::Value value;
+        value["name"] = it.name;
+        value["count"] = Json::UInt64(it.count);
+        value["p50Ms"] = it.p50Ms;
+        value["p99Ms"] = it.p99Ms;
+        value["p999Ms"] = it.p999Ms;
+        value["maxMs"] = it.maxMs;
+        list.append(std::move(value));
+    }
+    return list;
+}
+
+Json::Value documentsJson(const DocumentService &documents)
+{
+    Json::Value list = Json::arrayValue;
+    for (const std::string &it : documents.services()) {
+        const auto document = documents.find(it);
+        Json::Value value;
+        value["service"] = it;
+        value["revision"] = Json::UInt64(document ? document->stored.revision : 0);
+        value["latencyTargetMs"] =
+            Json::Int64(document ? document->document.latencyTarget.count() : 0);
+        list.append(std::move(value));
+    }
+    return list;
+}
+
+Json::Value shardsJson(ShardHost &host)
+{
+    std::vector<ReplySlotPtr<ShardReport>> slots;
+    for (const int it : host.shards()) {
+        slots.push_back(std::make_shared<ReplySlot<ShardReport>>());
+        host.send(it, AskReport{slots.back()});
+    }
+    Json::Value list = Json::arrayValue;
+    for (const auto &it : slots) {
+        if (const auto report = it->await(shardLimit))
+            list.append(toJson(*report));
+    }
+    return list;
+}
+
+} // namespace
+
+ReportService::ReportService(Parts parts)
+    : m_parts(std::move(parts))
+{ }
+
+std::string ReportService::own() const
+{
+    const MetricsSnapshot snapshot = m_parts.metrics->snapshot();
+    Json::Value value;
+    value["entry"] = m_parts.entry;
+    value["session"] = m_parts.leases->session();
+    value["availabilityZone"] = m_parts.availabilityZone;
+    value["region"] = m_parts.region;
+    value["ready"] = m_parts.ready();
+    value["storeUp"] = m_parts.leases->storeUp();
+    value["uptimeMs"] = Json::Int64(m_parts.clock->now().count());
+    value["shardCount"] = m_parts.shards;
+    value["documentsSeen"] = Json::UInt64(m_parts.documents->sequence());
+    value["counters"] = countersJson(snapshot);
+    value["latencies"] = latenciesJson(snapshot);
+    value["documents"] = documentsJson(*m_parts.documents);
+    value["invalidDocuments"] = Json::arrayValue;
+    for (const std::string &it : m_parts.documents->invalidServices())
+        value["invalidDocuments"].append(it);
+    value["shards"] = shardsJson(*m_parts.host);
+    return platform::toText(value);
+}
+
+std::string ReportService::whole() const
+{
+    const auto entries = m_parts.topology->entries();
+    std::vector<Json::Value> reports(entries->size());
+    std::vector<std::thread> threads;
+    for (std::size_t i = 0; i < entries->size(); ++i) {
+        const PeerEntry &peer = (*entries)[i];
+        threads.emplace_back([&, i, peer] {
+            std::string text = peer.session == m_parts.leases->session()
+                ? own()
+                : m_parts.peers->call(peer.peers, "report", "{}", peerLimit).result;
+            reports[i] = platform::fromText(text);
+            if (!reports[i].isObject()) {
+                reports[i] = Json::objectValue;
+                reports[i]["entry"] = peer.name;
+                reports[i]["session"] = peer.session;
+                reports[i]["unreachable"] = true;
+            }
+        });
+    }
+    for (std::thread &it : threads)
+        it.join();
+    Json::Value value;
+    value["entries"] = Json::arrayValue;
+    for (Json::Value &it : reports)
+        value["entries"].append(std::move(it));
+    return platform::toText(value);
+}
+
+} // namespace savorywick
--- a/src/entry/shardengine.cpp
+++ b/src/entry/shardengine.cpp
@@ -151,6 +151,8 @@
     report.counters = m_jobs.counters();
     report.claims = m_claims.counts();
     report.oldest = m_jobs.oldestWaiting(now);
+    if (report.oldest.item)
+        report.oldestWaited = now - report.oldest.item->since;
     report.pendingRecords = m_journal.pending();
     report.storeDown = storeInTrouble(now);
     const HostLedger &ledger = m_jobs.ledger();
--- a/src/entry/shardengine.h
+++ b/src/entry/shardengine.h
@@ -62,6 +62,7 @@
     JobCounters counters;
     ClaimCounts claims;
     OldestWaiting oldest;
+    Millis oldestWaited{0};
     std::size_t pendingRecords = 0;
     bool storeDown = false;
     struct HostUse
