Place by Placement and Quarantine and test the job book

Cause: the job book chose workers and counted failures by stubs of its own, and had no tests.

Ruled out: infinite costs to keep placements off silent workers. A placement looks at a bounded number of hosts, so eight silent ones could hide a good one; they go into the list of hosts to avoid.

Change: the book takes a Placement and a HostCost, feeds Quarantine and probes.

--- a/include/savorywick/jobbook.h
+++ b/include/savorywick/jobbook.h
@@ -6,7 +6,9 @@
 #include "savorywick/internal/dueindex.h"
 #include "savorywick/internal/jobtable.h"
 #include "savorywick/job.h"
+#include "savorywick/placement.h"
 #include "savorywick/platform.h"
+#include "savorywick/quarantine.h"
 #include "savorywick/workercalls.h"
 #include "savorywick/workerlease.h"
 
@@ -31,8 +33,8 @@
     int forgetsPerTick = 256;
     int startTries = 5; // Refusals for want of a lease before an attempt is taken back.
     int checkpointTries = 3; // Before an eviction is given up.
-    std::size_t failedWorkers = 3; // Distinct workers on which a job may fail.
-    std::size_t failedAttempts = 5; // Failed attempts on whatever workers.
+    std::size_t failedAttempts = 10; // Before a job is given up, on whatever workers.
+    QuarantineOptions quarantine;
 };
 
 enum class SubmitOutcome {
@@ -70,6 +72,7 @@
     std::uint64_t lapsed = 0; // Attempts whose worker's lease ran out.
     std::uint64_t vanished = 0; // Attempts that their worker no longer knew.
     std::uint64_t restarts = 0; // Attempts whose worker restarted.
+    std::uint64_t quarantines = 0; // Workers that were found to fail whatever they start.
 };
 
 // The runs and watchers of one shard, and the workers that it has a slice of.
@@ -95,7 +98,10 @@
 public:
     using Records = std::vector<std::string>;
 
-    explicit JobBook(const JobBookSettings &settings);
+    // `placement` and `cost` choose among the workers that are usable; without them the tightest
+    // fit is taken. The book does not own them; they must outlive it.
+    explicit JobBook(const JobBookSettings &settings, const Placement *placement = nullptr,
+                     const HostCost *cost = nullptr);
 
     // Accepts a run once a key. Refuses what no listed worker could hold; accepts it if no worker
     // is known. Throws Error(InvalidInput) if id, service or key is empty.
@@ -159,6 +165,7 @@
     // Returns the run that has waited longest and why.
     OldestWaiting oldestWaiting(Instant now) const;
     const HostLedger &ledger() const { return m_ledger; }
+    const Quarantine &quarantine() const { return m_quarantine; }
     const JobCounters &counters() const { return m_counters; }
 
 private:
@@ -193,7 +200,8 @@
     void call(const std::string &id, Instant now);
     void callFailed(const std::string &id, Instant now);
     void confirmRunning(const std::string &id, Instant now);
-    void giveUpIfHopeless(const Job &job, Instant now, Records &records);
+    bool noteFailure(const Job &job, const TaskFailure &failure, Instant now);
+    void giveUp(const Job &job, Instant now, Records &records);
     void finishAttempt(const Job &job, const std::string &result, Instant now, Records &records);
     void failAttempt(const Job &job, const std::string &cause, Instant now, Records &records);
     void freeAttempt(const std::string &id, const char *proof, Instant now, Records &records);
@@ -211,7 +219,7 @@
     void repeatCalls(Instant now);
     void placeWaiting(Instant now, Records &records);
     void place(const std::string &id, const std::string &worker, Instant now, Records &records);
-    std::string chooseWorker(const WaitingItem &item, Instant now) const;
+    bool takesWork(const std::string &worker, Instant now) const;
     void forgetOld(Instant now, Records &records);
     void markTime(Instant now, Records &records);
 
@@ -220,6 +228,10 @@
     WorkerLeases m_leases;
     HostLedger m_ledger;
     FairQueue m_queue;
+    Quarantine m_quarantine;
+    BestFitPlacement m_tightest;
+    const Placement *m_placement;
+    const HostCost *m_cost;
     JobCounters m_counters;
 
     Instant m_origin; // The instant of the shard's own time 0.
@@ -229,7 +241,9 @@
     std::map<std::string, std::set<std::string>, std::less<>> m_awaiting; // Watchers by run.
     internal::DueIndex m_timers; // Watchers that wait for time.
     internal::DueIndex m_done; // Final jobs by the end of their retention.
-    bool m_mustSettle = false; // A crash may have cut a batch between an end and what follows.
+    // A crash may have cut a batch between an end and what follows.
+    bool m_mustSettle = false;
+    std::vector<std::string> m_hopeless; // Runs that may be given up then.
     std::vector<Effect> m_effects;
 };
 
--- a/src/lib/jobattempts.cpp
+++ b/src/lib/jobattempts.cpp
@@ -2,7 +2,6 @@
 
 #include "savorywick/jobbook.h"
 
-#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -13,22 +12,6 @@
 
 namespace {
 
-constexpr std::size_t hostsPerSize = 64; // Looked at among hosts with equal free sizes.
-
-bool hasFailedOn(const Job &job, const std::string &worker)
-{
-    return std::ranges::any_of(job.failures,
-                               [&](const TaskFailure &it) { return it.worker == worker; });
-}
-
-std::size_t distinctWorkers(const std::vector<TaskFailure> &failures)
-{
-    std::set<std::string> workers;
-    for (const TaskFailure &it : failures)
-        workers.insert(it.worker);
-    return workers.size();
-}
-
 std::string causesOf(const std::vector<TaskFailure> &failures)
 {
     std::string text;
@@ -39,44 +22,19 @@
 
 } // namespace
 
-// Tells the queue what fits on the workers that can be used now.
-class JobBook::BookFit final : public FitTest
-{
-public:
-    BookFit(const JobBook &book, Instant now)
-        : m_book(book)
-        , m_now(now)
-    { }
-
-    Fit test(const WaitingItem &item) override
-    {
-        if (!m_book.chooseWorker(item, m_now).empty())
-            return Fit::Fits;
-        const FitVerdict verdict = m_book.m_ledger.fitsAnyHost(item.need).verdict;
-        return verdict == FitVerdict::TooLarge ? Fit::NotOnAnyHost : Fit::NotNow;
-    }
-
-private:
-    const JobBook &m_book;
-    Instant m_now;
-};
-
-OldestWaiting JobBook::oldestWaiting(Instant now) const
-{
-    BookFit fit(*this, now);
-    return m_queue.oldest(fit);
-}
-
 void JobBook::setWorkers(std::span<const HostInfo> workers, Instant)
 {
     std::set<std::string> listed;
     for (const HostInfo &host : workers) {
         listed.insert(host.id);
         m_ledger.setHost(host);
+        m_quarantine.addWorker(host.id);
     }
     for (const std::string &id : m_ledger.hosts()) {
-        if (!listed.contains(id))
-            m_ledger.removeHost(id);
+        if (listed.contains(id))
+            continue;
+        m_ledger.removeHost(id);
+        m_quarantine.removeWorker(id);
     }
 }
 
@@ -291,6 +249,7 @@
                             Records &records)
 {
     const StopTask acknowledge{job.spec.id, job.attempt, job.worker};
+    m_quarantine.succeeded(job.spec.id, job.worker, now);
     recordFor(RecordKind::End, job.spec.id, result, now, records);
     ++m_counters.finished;
     // Lets the worker forget the attempt.
@@ -309,17 +268,23 @@
     record(std::move(r), now, records);
     ++m_counters.failedAttempts;
     m_effects.emplace_back(acknowledge);
-    giveUpIfHopeless(job, now, records);
+    if (noteFailure(job, job.failures.back(), now))
+        giveUp(job, now, records);
+}
+
+bool JobBook::noteFailure(const Job &job, const TaskFailure &failure, Instant now)
+{
+    const FailureVerdict verdict =
+        m_quarantine.failed(job.spec.id, failure.worker, failure.cause, now);
+    if (verdict.quarantineWorker)
+        ++m_counters.quarantines;
+    return verdict.giveUpJob || job.failures.size() >= m_settings.failedAttempts;
 }
 
-void JobBook::giveUpIfHopeless(const Job &job, Instant now, Records &records)
+void JobBook::giveUp(const Job &job, Instant now, Records &records)
 {
     if (job.state != JobState::Waiting)
         return;
-    const bool hopeless = distinctWorkers(job.failures) >= m_settings.failedWorkers
-        || job.failures.size() >= m_settings.failedAttempts;
-    if (!hopeless)
-        return;
     recordFor(RecordKind::GiveUp, job.spec.id, causesOf(job.failures), now, records);
     ++m_counters.givenUp;
 }
@@ -329,47 +294,4 @@
     recordFor(RecordKind::Free, id, proof, now, records);
 }
 
-void JobBook::placeWaiting(Instant now, Records &records)
-{
-    BookFit fit(*this, now);
-    for (int n = 0; n < m_settings.startsPerTick; ++n) {
-        const auto item = m_queue.pop(now, fit);
-        if (!item)
-            return;
-        place(item->id, chooseWorker(*item, now), now, records);
-    }
-}
-
-void JobBook::place(const std::string &id, const std::string &worker, Instant now, Records &records)
-{
-    const Job &job = *find(id);
-    m_ledger.book(worker, id, job.spec.demand);
-    JobRecord r;
-    r.kind = RecordKind::Place;
-    r.id = id;
-    r.attempt = job.attempt + 1;
-    r.worker = worker;
-    r.incarnation = m_leases.incarnation(worker);
-    record(std::move(r), now, records);
-    ++m_counters.placed;
-    call(id, now);
-}
-
-std::string JobBook::chooseWorker(const WaitingItem &item, Instant now) const
-{
-    const Job &job = *find(item.id);
-    std::string best;
-    std::string secondBest; // One on which the job has failed before.
-    m_ledger.visitFitting(item.need, HostLedger::Order::TightestFirst, hostsPerSize,
-                          [&](const HostView &host) {
-                              if (!m_leases.usable(host.id, now))
-                                  return true;
-                              std::string &found = hasFailedOn(job, host.id) ? secondBest : best;
-                              if (found.empty())
-                                  found = host.id;
-                              return best.empty();
-                          });
-    return best.empty() ? secondBest : best;
-}
-
 } // namespace savorywick
--- a/src/lib/jobbook.cpp
+++ b/src/lib/jobbook.cpp
@@ -55,10 +55,13 @@
     return "unnamed";
 }
 
-JobBook::JobBook(const JobBookSettings &settings)
+JobBook::JobBook(const JobBookSettings &settings, const Placement *placement, const HostCost *cost)
     : m_settings(settings)
     , m_leases(settings.workers)
     , m_queue({})
+    , m_quarantine(settings.quarantine)
+    , m_placement(placement != nullptr ? placement : &m_tightest)
+    , m_cost(cost)
 { }
 
 SubmitResult JobBook::submit(const JobSpec &spec, Instant now, Records &records)
@@ -218,9 +221,10 @@
 void JobBook::enter(const Job &job, Instant now)
 {
     const std::string &id = job.spec.id;
-    if (isFinal(job.state))
+    if (isFinal(job.state)) {
         m_done.add(job.changedAt + m_settings.retention, id);
-    else if (isOnWorker(job.state))
+        m_quarantine.forgetJob(id);
+    } else if (isOnWorker(job.state))
         beginAttempt(job, now);
     else if (job.state == JobState::Waiting)
         m_queue.push(internal::waitingItem(job, instantOf(job.submittedAt)), now);
@@ -241,6 +245,10 @@
     m_mustSettle = true;
     for (const auto &[id, job] : m_table.jobs()) {
         enter(job, now);
+        for (const TaskFailure &failure : job.failures) {
+            if (!isFinal(job.state) && noteFailure(job, failure, now))
+                m_hopeless.push_back(id);
+        }
         if (!isOnWorker(job.state))
             continue;
         m_ledger.restore(job.worker, id, job.spec.demand);
@@ -264,8 +272,8 @@
     }
     for (const std::string &run : ended)
         runEnded(run, find(run)->state, now, records);
-    for (const auto &[id, job] : m_table.jobs())
-        giveUpIfHopeless(job, now, records);
+    for (const std::string &id : std::exchange(m_hopeless, {}))
+        giveUp(*find(id), now, records);
 }
 
 void JobBook::tick(Instant now, Records &records)
--- /dev/null
+++ b/src/lib/jobplacing.cpp
@@ -0,0 +1,100 @@
+// The part of JobBook that gives waiting runs to workers.
+
+#include "savorywick/jobbook.h"
+
+namespace savorywick {
+
+using internal::JobRecord;
+using internal::RecordKind;
+
+// Tells the queue what fits on the workers that can be used now.
+class JobBook::BookFit final : public FitTest
+{
+public:
+    BookFit(const JobBook &book, Instant now)
+        : m_book(book)
+    {
+        for (const std::string &host : book.m_ledger.hosts()) {
+            if (!book.takesWork(host, now))
+                m_unusable.push_back(host);
+        }
+    }
+
+    Fit test(const WaitingItem &item) override
+    {
+        if (choose(item))
+            return Fit::Fits;
+        const FitVerdict verdict = m_book.m_ledger.fitsAnyHost(item.need).verdict;
+        return verdict == FitVerdict::TooLarge ? Fit::NotOnAnyHost : Fit::NotNow;
+    }
+
+    // Returns the worker for an item, one on which it has not failed if there is any.
+    std::optional<std::string> choose(const WaitingItem &item) const
+    {
+        const Job &job = *m_book.find(item.id);
+        std::vector<std::string> avoid = m_unusable;
+        for (const TaskFailure &failure : job.failures)
+            avoid.push_back(failure.worker);
+        PlacementRequest request{job.spec.service, job.spec.runClass, item.need, avoid};
+        const Placement &placement = *m_book.m_placement;
+        auto worker = placement.choose(request, m_book.m_ledger, m_book.m_cost);
+        if (worker || job.failures.empty())
+            return worker;
+        request.avoid = m_unusable;
+        return placement.choose(request, m_book.m_ledger, m_book.m_cost);
+    }
+
+    // Keeps further items off a worker.
+    void exclude(const std::string &worker) { m_unusable.push_back(worker); }
+
+private:
+    const JobBook &m_book;
+    std::vector<std::string> m_unusable;
+};
+
+bool JobBook::takesWork(const std::string &worker, Instant now) const
+{
+    if (!m_leases.usable(worker, now))
+        return false;
+    const WorkerStanding standing = m_quarantine.standing(worker, now);
+    return standing == WorkerStanding::Open || standing == WorkerStanding::ProbeDue;
+}
+
+OldestWaiting JobBook::oldestWaiting(Instant now) const
+{
+    BookFit fit(*this, now);
+    return m_queue.oldest(fit);
+}
+
+void JobBook::placeWaiting(Instant now, Records &records)
+{
+    if (m_queue.waitingCount() == 0)
+        return;
+    BookFit fit(*this, now);
+    for (int n = 0; n < m_settings.startsPerTick; ++n) {
+        const auto item = m_queue.pop(now, fit);
+        if (!item)
+            return;
+        const std::string worker = fit.choose(*item).value();
+        if (m_quarantine.beginProbe(worker, now))
+            fit.exclude(worker);
+        place(item->id, worker, now, records);
+    }
+}
+
+void JobBook::place(const std::string &id, const std::string &worker, Instant now, Records &records)
+{
+    const Job &job = *find(id);
+    m_ledger.book(worker, id, job.spec.demand);
+    JobRecord r;
+    r.kind = RecordKind::Place;
+    r.id = id;
+    r.attempt = job.attempt + 1;
+    r.worker = worker;
+    r.incarnation = m_leases.incarnation(worker);
+    record(std::move(r), now, records);
+    ++m_counters.placed;
+    call(id, now);
+}
+
+} // namespace savorywick
--- /dev/null
+++ b/tests/lib/fakeworker.h
@@ -0,0 +1,183 @@
+#pragma once
+
+#include "savorywick/platform.h"
+#include "savorywick/workercalls.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+// A worker that obeys its lease on a clock of its own, for tests in virtual time. `real` is the
+// time of the test; the worker only ever looks at its own clock.
+class FakeWorker
+{
+public:
+    struct Task
+    {
+        int attempt = 0;
+        savorywick::TaskState state = savorywick::TaskState::Running;
+        savorywick::Instant startedAt;
+        savorywick::Millis duration;
+        savorywick::Resources demand;
+    };
+
+    FakeWorker(savorywick::HostInfo info, double rate)
+        : m_info(std::move(info))
+        , m_rate(rate)
+    { }
+
+    const savorywick::HostInfo &info() const { return m_info; }
+    const std::map<std::string, Task> &tasks() const { return m_tasks; }
+    std::string incarnation() const { return m_info.id + "." + std::to_string(m_incarnation); }
+    // Makes every task fail once it runs.
+    void setFailAll(bool failAll) { m_failAll = failAll; }
+    bool isLive(const std::string &job) const
+    {
+        const auto it = m_tasks.find(job);
+        return it != m_tasks.end() && it->second.state == savorywick::TaskState::Running;
+    }
+
+    // Lets the tasks go on until `real` and ends the lease in time. Call before everything else.
+    void advance(savorywick::Millis real)
+    {
+        if (m_leaseUntil && local(real) >= *m_leaseUntil)
+            loseAll();
+        for (auto &[id, task] : m_tasks) {
+            if (task.state == savorywick::TaskState::Running
+                && local(real) - task.startedAt >= task.duration)
+                task.state =
+                    m_failAll ? savorywick::TaskState::Failed : savorywick::TaskState::Finished;
+        }
+    }
+
+    void restart()
+    {
+        loseAll();
+        m_refused.clear();
+        m_epoch = 0;
+    }
+
+    std::optional<savorywick::LeaseReport> renew(const savorywick::RenewLease &call,
+                                                 std::uint64_t epoch, savorywick::Millis real)
+    {
+        if (!accepts(epoch))
+            return {};
+        if (call.incarnation.empty() || call.incarnation == incarnation())
+            m_leaseUntil = local(real) + call.term;
+        savorywick::LeaseReport report;
+        report.incarnation = incarnation();
+        for (const auto &[id, task] : m_tasks)
+            report.tasks.push_back({id, task.attempt, task.state, {}, resultOf(id), {}});
+        return report;
+    }
+
+    savorywick::StartReply start(const savorywick::StartTask &call, std::uint64_t epoch,
+                                 savorywick::Millis real)
+    {
+        using savorywick::StartOutcome;
+        if (!accepts(epoch))
+            return {StartOutcome::StaleEpoch, {}};
+        if (call.incarnation != incarnation())
+            return {StartOutcome::WrongIncarnation, {}};
+        if (!m_leaseUntil)
+            return {StartOutcome::NoLease, {}};
+        const auto known = m_tasks.find(call.job);
+        if (known != m_tasks.end() && known->second.attempt == call.attempt)
+            return replyOf(call.job);
+        if (known != m_tasks.end() || m_refused[call.job] >= call.attempt)
+            return {StartOutcome::StaleAttempt, {}};
+        if (!(used() + call.demand).fitsIn({m_info.cores, m_info.memoryMb, m_info.accelerators}))
+            return {StartOutcome::NoRoom, {}};
+        const std::int64_t done = call.checkpoint.empty() ? 0 : std::stoll(call.checkpoint);
+        m_tasks[call.job] = {call.attempt, savorywick::TaskState::Running, local(real),
+                             call.expected - savorywick::Millis{done}, call.demand};
+        if (onStart)
+            onStart(call);
+        return {StartOutcome::Running, {}};
+    }
+
+    bool stop(const savorywick::StopTask &call, std::uint64_t epoch)
+    {
+        if (!accepts(epoch))
+            return false;
+        int &refused = m_refused[call.job];
+        refused = std::max(refused, call.attempt);
+        const auto it = m_tasks.find(call.job);
+        if (it != m_tasks.end() && it->second.attempt <= call.attempt)
+            m_tasks.erase(it);
+        return true;
+    }
+
+    // Returns the progress, from which a later attempt goes on.
+    std::optional<std::string> checkpoint(const savorywick::CheckpointTask &call,
+                                          std::uint64_t epoch, savorywick::Millis real)
+    {
+        if (!accepts(epoch) || !isLive(call.job))
+            return {};
+        const Task &task = m_tasks.at(call.job);
+        return std::to_string((local(real) - task.startedAt).count());
+    }
+
+    // Returns the sum of the demands of what runs.
+    savorywick::Resources used() const
+    {
+        savorywick::Resources sum;
+        for (const auto &[id, task] : m_tasks) {
+            if (task.state == savorywick::TaskState::Running)
+                sum = sum + task.demand;
+        }
+        return sum;
+    }
+
+    // Is called for every attempt that begins to run.
+    std::function<void(const savorywick::StartTask &)> onStart;
+
+private:
+    savorywick::Instant local(savorywick::Millis real) const
+    {
+        const double n = static_cast<double>(real.count()) * m_rate;
+        return savorywick::Instant{7'000'000 + std::llround(n)};
+    }
+
+    static std::string resultOf(const std::string &job) { return "result of " + job; }
+
+    savorywick::StartReply replyOf(const std::string &job) const
+    {
+        using savorywick::StartOutcome;
+        switch (m_tasks.at(job).state) {
+        case savorywick::TaskState::Finished:
+            return {StartOutcome::Finished, resultOf(job)};
+        case savorywick::TaskState::Failed:
+            return {StartOutcome::Failed, resultOf(job)};
+        default:
+            return {StartOutcome::Running, {}};
+        }
+    }
+
+    bool accepts(std::uint64_t epoch)
+    {
+        if (epoch < m_epoch)
+            return false;
+        m_epoch = epoch;
+        return true;
+    }
+
+    void loseAll()
+    {
+        m_tasks.clear();
+        m_leaseUntil.reset();
+        ++m_incarnation;
+    }
+
+    savorywick::HostInfo m_info;
+    double m_rate;
+    bool m_failAll = false;
+    int m_incarnation = 1;
+    std::uint64_t m_epoch = 0;
+    std::optional<savorywick::Instant> m_leaseUntil;
+    std::map<std::string, Task> m_tasks;
+    std::map<std::string, int> m_refused; // Highest attempt that was stopped.
+};
