--- a/src/entry/urgentdispatcher.cpp
+++ b/src/entry/urgentdispatcher.cpp
@@ -161,7 +161,7 @@
             tries.instance = *next;
             return std::nullopt;
         }
-    } else {
+    } else if (decision.denial != RetryDenial::Answered) {
         m_denials.add(decision.denial);
     }
     UrgentReply reply;
--- a/src/platform/httpmembership.cpp
+++ b/src/platform/httpmembership.cpp
@@ -49,7 +49,8 @@
         throw Error(ErrorKind::Unavailable, "the membership list does not answer",
                     "go on with the last list and try again");
     std::vector<HostInfo> hosts;
-    for (const Json::Value &it : platform::fromText(answer.body)["hosts"])
+    const Json::Value body = platform::fromText(answer.body);
+    for (const Json::Value &it : body["hosts"])
         hosts.push_back(hostFrom(it));
     return hosts;
 }
