--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -93,8 +93,11 @@
 // Waits for SIGTERM or SIGINT, `maxSeconds` at most. Both must be blocked.
 void waitForEnd(const sigset_t &signals, int maxSeconds)
 {
-    const timespec limit{maxSeconds, 0};
-    sigtimedwait(&signals, nullptr, &limit);
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds{maxSeconds};
+    const timespec period{1, 0};
+    // A process that wakes from a pause sees an interrupted wait, which is no reason to end.
+    while (sigtimedwait(&signals, nullptr, &period) < 0 && std::chrono::steady_clock::now() < end) {
+    }
 }
 
 // Starts `server`, lists the host if a platform is given, and serves until the end.
--- a/standins/upstream.cpp
+++ b/standins/upstream.cpp
@@ -27,7 +27,7 @@
     Json::Value stats();
 
 private:
-    std::shared_ptr<void> takeSlot(const std::string &requestId);
+    std::shared_ptr<void> takeSlot(const Call &call);
     void releaseSlot();
     Reply answer(const Call &call);
 
@@ -39,11 +39,12 @@
     int m_maxSlotsUsed = 0;
     int m_served = 0;
     std::map<std::string, int> m_runs;
+    std::map<std::string, int> m_runsByBody;
     Reply m_previous;
 };
 
 // Returns a token that frees the slot when it goes, or nothing if every slot is taken.
-std::shared_ptr<void> Upstream::takeSlot(const std::string &requestId)
+std::shared_ptr<void> Upstream::takeSlot(const Call &call)
 {
     const std::lock_guard lock{m_mutex};
     if (m_slotsInUse == m_host.slots) {
@@ -51,7 +52,8 @@
     }
     ++m_slotsInUse;
     m_maxSlotsUsed = std::max(m_maxSlotsUsed, m_slotsInUse);
-    ++m_runs[requestId];
+    ++m_runs[call.requestId];
+    ++m_runsByBody[call.body];
     return {static_cast<void *>(this),
             [self = shared_from_this()](void *) { self->releaseSlot(); }};
 }
@@ -94,7 +96,7 @@
     if (call.connection > m_host.connections) {
         return Reply{.delivery = Delivery::Dropped};
     }
-    auto slot = takeSlot(call.requestId);
+    auto slot = takeSlot(call);
     if (!slot) {
         Json::Value value;
         value["reason"] = "no-slot";
@@ -121,6 +123,9 @@
     value["served"] = m_served;
     value["maxSlotsUsed"] = m_maxSlotsUsed;
     value["runs"] = Json::Value{Json::objectValue};
+    value["runsByBody"] = Json::Value{Json::objectValue};
+    for (const auto &[body, n] : m_runsByBody)
+        value["runsByBody"][body] = n;
     for (const auto &[id, n] : m_runs) {
         value["runs"][id] = n;
     }
