--- a/standins/json.h
+++ b/standins/json.h
@@ -3,12 +3,27 @@
 #include <json/reader.h>
 #include <json/writer.h>
 
+#include <initializer_list>
 #include <memory>
 #include <stdexcept>
 #include <string>
 
 namespace savorywick::standin {
 
+struct Field
+{
+    const char *name;
+    Json::Value value;
+};
+
+inline Json::Value object(std::initializer_list<Field> fields)
+{
+    Json::Value value{Json::objectValue};
+    for (const Field &it : fields)
+        value[it.name] = it.value;
+    return value;
+}
+
 // Returns the object in `text`. Throws std::invalid_argument if it holds none.
 inline Json::Value parseObject(const std::string &text)
 {
