--- /dev/null
+++ b/src/cli/checkcommand.cpp
@@ -0,0 +1,89 @@
+#include "cli/cli.h"
+#include "cli/json.h"
+#include "core/settings.h"
+#include "savorywick/errors.h"
+#include "savorywick/internal/objectreader.h"
+#include "savorywick/servicedocument.h"
+
+#include <ostream>
+
+namespace savorywick {
+
+namespace {
+
+struct CheckedFile
+{
+    std::string file;
+    bool isDocument = false;
+    FaultList faults;
+};
+
+// A service document names its service; settings never do.
+bool looksLikeDocument(const std::string &text)
+{
+    FaultList ignored;
+    const internal::JsonPointer root = internal::parseObject(text, ignored);
+    return root && (root->isMember("service") || root->isMember("requests"));
+}
+
+CheckedFile checkFile(const std::string &file)
+{
+    CheckedFile checked;
+    checked.file = file;
+    try {
+        const std::string text = readFile(file);
+        checked.isDocument = looksLikeDocument(text);
+        if (checked.isDocument)
+            checked.faults = parseServiceDocument(text).faults;
+        else
+            parseSettings(text, checked.faults);
+    } catch (const Error &e) {
+        checked.faults.add("", "this file can't be read", e.remedy());
+    }
+    return checked;
+}
+
+Json::Value toJson(const CheckedFile &checked)
+{
+    Json::Value json;
+    json["file"] = checked.file;
+    json["kind"] = checked.isDocument ? "document" : "settings";
+    json["faults"] = Json::arrayValue;
+    for (const Fault &it : checked.faults.list()) {
+        Json::Value fault;
+        fault["path"] = it.path;
+        fault["found"] = it.found;
+        fault["remedy"] = it.remedy;
+        json["faults"].append(std::move(fault));
+    }
+    return json;
+}
+
+void print(const CheckedFile &checked, Output &output)
+{
+    output.err << checked.faults.text(checked.file);
+    if (checked.faults.empty())
+        output.out << checked.file << ": valid "
+                   << (checked.isDocument ? "service document" : "settings") << "\n";
+}
+
+} // namespace
+
+ExitCode checkFiles(const CheckOptions &options, Output &output)
+{
+    bool valid = true;
+    Json::Value json;
+    for (const std::string &it : options.files) {
+        const CheckedFile checked = checkFile(it);
+        valid = valid && checked.faults.empty();
+        if (output.json)
+            json["files"].append(toJson(checked));
+        else
+            print(checked, output);
+    }
+    if (output.json)
+        output.out << toLine(json) << "\n";
+    return valid ? ExitCode::Ok : ExitCode::InvalidInput;
+}
+
+} // namespace savorywick
