--- /dev/null
+++ b/tests/cli/cli_test.cpp
@@ -0,0 +1,293 @@
+#include "cli/cli.h"
+
+#include "core/httpserver.h"
+#include "operator/report.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <functional>
+#include <mutex>
+#include <sstream>
+
+using namespace savorywick;
+
+namespace {
+
+struct CliResult
+{
+    int code = 0;
+    std::string out;
+    std::string err;
+};
+
+CliResult runLine(const std::vector<std::string> &arguments)
+{
+    std::ostringstream out;
+    std::ostringstream err;
+    const int code = runCli(arguments, out, err);
+    return {code, out.str(), err.str()};
+}
+
+// Stands in for an entry: answers what `answer` says and keeps the last request.
+class FakeEntry
+{
+public:
+    explicit FakeEntry(std::function<HttpResponse(const HttpRequest &)> answer)
+        : m_server(
+            {},
+            [this, answer](const HttpRequest &request) {
+                const std::lock_guard lock(m_mutex);
+                m_last = request;
+                return answer(request);
+            },
+            [](int status) {
+                return HttpResponse{status, {}, ""};
+            })
+        , m_address(m_server.listen("127.0.0.1:0"))
+    { }
+    ~FakeEntry() { m_server.stop(); }
+    FakeEntry(const FakeEntry &) = delete;
+    FakeEntry &operator=(const FakeEntry &) = delete;
+
+    CliResult run(std::vector<std::string> arguments)
+    {
+        arguments.insert(arguments.end(), {"--entry", m_address});
+        return runLine(arguments);
+    }
+
+    HttpRequest last()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_last;
+    }
+
+private:
+    std::mutex m_mutex;
+    HttpRequest m_last;
+    HttpServer m_server;
+    std::string m_address;
+};
+
+HttpResponse problem(int status, const std::string &runStatus)
+{
+    HttpHeaders headers;
+    if (!runStatus.empty())
+        headers.push_back({"X-Run-Status", runStatus});
+    return {status, headers, R"({"title": "some-reason", "detail": "what", "remedy": "do"})"};
+}
+
+// A file that goes away with the test.
+struct TemporaryFile
+{
+    TemporaryFile(std::string name, const std::string &text)
+        : path(std::move(name))
+    {
+        std::ofstream(path) << text;
+    }
+    ~TemporaryFile() { std::remove(path.c_str()); }
+    TemporaryFile(const TemporaryFile &) = delete;
+    TemporaryFile &operator=(const TemporaryFile &) = delete;
+
+    std::string path;
+};
+
+const std::string examples = std::string(SOURCE_DIR) + "/examples/derwent/";
+
+} // namespace
+
+TEST_CASE("Every subcommand has help with an example")
+{
+    const std::vector<std::vector<std::string>> commands{{"entry"},
+                                                         {"check"},
+                                                         {"document"},
+                                                         {"document", "show"},
+                                                         {"document", "apply"},
+                                                         {"report"},
+                                                         {"request"},
+                                                         {"run"},
+                                                         {"watch"},
+                                                         {"document", "status"},
+                                                         {"state"},
+                                                         {"cancel"}};
+    for (auto arguments : commands) {
+        arguments.emplace_back("--help");
+        const CliResult r = runLine(arguments);
+        INFO("command: ", arguments[0], " ", r.out, r.err);
+        CHECK(r.code == 0);
+        CHECK(r.out.find("Example:\n  savorywick " + arguments[0]) != std::string::npos);
+        CHECK(r.err.empty());
+    }
+    CHECK(runLine({"--version"}).out.starts_with("savorywick "));
+}
+
+TEST_CASE("Wrong arguments exit with 2 and say so on standard error only")
+{
+    const std::vector<std::vector<std::string>> lines{
+        {},
+        {"frobnicate"},
+        {"check"},
+        {"report", "--entry", "localhost"},
+        {"run", "matching", "allocation", "--entry", "127.0.0.1:1"},
+        {"request", "matching", "check", "--deadline-ms", "0", "--entry", "127.0.0.1:1"},
+        {"watch", "matching", "roster", "--key", "k", "--entry", "127.0.0.1:1"},
+        {"state", "walk", "id", "--entry", "127.0.0.1:1"},
+        {"entry", "--settings", "no/such/file"},
+    };
+    for (const auto &it : lines) {
+        const CliResult r = runLine(it);
+        INFO("command: ", it.empty() ? std::string() : it[0], "; stdout: ", r.out);
+        CHECK(r.code == 2);
+        CHECK(r.out.empty());
+        CHECK_FALSE(r.err.empty());
+    }
+}
+
+TEST_CASE("check tells the faults of all files and exits with 2")
+{
+    const TemporaryFile bad("cli_test_bad.json", R"({"service": "a", "extra": 1})");
+    const CliResult r = runLine({"check", examples + "entry.json", bad.path, "no/such.json"});
+    CHECK(r.code == 2);
+    CHECK(r.out == examples + "entry.json: valid settings\n");
+    CHECK(r.err.find("cli_test_bad.json: team: this is missing; ") != std::string::npos);
+    CHECK(r.err.find("cli_test_bad.json: extra: this key is unknown; ") != std::string::npos);
+    CHECK(r.err.find("no/such.json: this file can't be read; ") != std::string::npos);
+    const CliResult json = runLine({"check", bad.path, "--json"});
+    CHECK(json.code == 2);
+    CHECK(json.out.find(R"("path":"team")") != std::string::npos);
+    CHECK(runLine({"check", examples + "matching.json"}).code == 0);
+}
+
+TEST_CASE("The exit code tells what is known of the effect")
+{
+    struct Case
+    {
+        int status;
+        std::string runStatus;
+        ExitCode expected;
+    };
+    const std::vector<Case> cases{
+        {200, "run", ExitCode::Ok},          {400, "not-run", ExitCode::InvalidInput},
+        {404, "not-run", ExitCode::Failed},  {409, "not-run", ExitCode::Conflict},
+        {429, "not-run", ExitCode::NotRun},  {503, "not-run", ExitCode::NotRun},
+        {503, "unknown", ExitCode::Unknown}, {504, "unknown", ExitCode::Unknown},
+        {500, "", ExitCode::Failed},
+    };
+    for (const Case &it : cases) {
+        FakeEntry entry([&](const HttpRequest &) { return problem(it.status, it.runStatus); });
+        const CliResult r = entry.run({"request", "matching", "check", "--deadline-ms", "500"});
+        INFO("status ", it.status, " ", it.runStatus, "; stderr: ", r.err);
+        CHECK(r.code == static_cast<int>(it.expected));
+        CHECK(r.err.empty() == (it.expected == ExitCode::Ok));
+    }
+    CHECK(runLine({"report", "--entry", "127.0.0.1:1"}).code == static_cast<int>(ExitCode::NotRun));
+}
+
+TEST_CASE("A request carries its key and deadline and body and prints the answer alone")
+{
+    FakeEntry entry([](const HttpRequest &) { return HttpResponse{200, {}, "the answer"}; });
+    const CliResult r = entry.run({"request", "matching", "offer", "--deadline-ms", "900", "--key",
+                                   "k-1", "--team", "placements", "--body", "hello"});
+    CHECK(r.out == "the answer\n");
+    const HttpRequest sent = entry.last();
+    CHECK(sent.method == "POST");
+    CHECK(sent.path == "/v1/services/matching/requests/offer");
+    CHECK(headerValue(sent.headers, "Idempotency-Key") == "k-1");
+    CHECK(headerValue(sent.headers, "X-Deadline-Ms") == "900");
+    CHECK(headerValue(sent.headers, "X-Team") == "placements");
+    CHECK(sent.body == "hello");
+}
+
+TEST_CASE("run waits for the end and prints the result")
+{
+    int reads = 0;
+    FakeEntry entry([&](const HttpRequest &request) {
+        if (request.method == "POST")
+            return HttpResponse{202, {}, R"({"id": "r1", "state": "waiting"})"};
+        const bool finished = ++reads > 1;
+        return HttpResponse{200,
+                            {},
+                            finished ? R"({"id":"r1","state":"finished","result":"ok"})"
+                                     : R"({"id":"r1","state":"placed"})"};
+    });
+    const CliResult r =
+        entry.run({"run", "matching", "allocation", "--key", "k", "--wait-ms", "60000"});
+    CHECK(r.code == 0);
+    CHECK(r.out == "r1 finished\nresult: ok\n");
+    CHECK(entry.run({"run", "matching", "allocation", "--key", "k"}).out == "r1 waiting\n");
+}
+
+TEST_CASE("watch and cancel speak the protocol")
+{
+    FakeEntry entry([](const HttpRequest &) {
+        return HttpResponse{200, {}, R"({"id": "w1", "state": "cancelled"})"};
+    });
+    entry.run({"watch", "matching", "roster", "--key", "k", "--until-run", "r1"});
+    CHECK(entry.last().body == R"({"until":{"run":"r1"}})");
+    entry.run({"watch", "matching", "roster", "--key", "k", "--until-ms", "500"});
+    CHECK(entry.last().body == R"({"until":{"afterMs":500}})");
+    CHECK(entry.run({"cancel", "watcher", "w1"}).code == 0);
+    CHECK(entry.last().method == "DELETE");
+    CHECK(entry.last().path == "/v1/watchers/w1");
+}
+
+TEST_CASE("A document that is shown can be applied again and names its revision once")
+{
+    FakeEntry entry([](const HttpRequest &) {
+        return HttpResponse{
+            200, {}, R"({"revision":7,"document":"// Revision 6 of a\n{}","editedBy":"t"})"};
+    });
+    CHECK(entry.run({"document", "show", "a"}).out == "// Revision 7 of a, edited by t\n{}\n");
+    entry.run({"document", "show", "a", "--revision", "3"});
+    CHECK(headerValue(entry.last().parameters, "revision") == "3");
+}
+
+TEST_CASE("document apply sends the revision and the key and tells where it is pending")
+{
+    const TemporaryFile key("cli_test_key.txt", "0123456789abcdef\n");
+    FakeEntry entry([](const HttpRequest &) {
+        return HttpResponse{200, {}, R"({"revision":8,"state":"pending","pendingOn":["e2","e3"]})"};
+    });
+    const std::vector<std::string> line{"document",   "apply", examples + "matching.json",
+                                        "--revision", "7",     "--team-key-file",
+                                        key.path};
+    const CliResult r = entry.run(line);
+    CHECK(r.code == 0);
+    CHECK(r.out == "revision 8: pending on e2, e3\n");
+    const HttpRequest sent = entry.last();
+    CHECK(sent.method == "PUT");
+    CHECK(sent.path == "/v1/documents/matching");
+    CHECK(headerValue(sent.headers, "If-Match") == "7");
+    CHECK(headerValue(sent.headers, "X-Team") == "placements");
+    CHECK(headerValue(sent.headers, "X-Team-Key") == "0123456789abcdef");
+    auto waiting = line;
+    waiting.insert(waiting.end(), {"--wait-ms", "1"});
+    CHECK(entry.run(waiting).code == static_cast<int>(ExitCode::Pending));
+}
+
+TEST_CASE("The loser of two edits learns the revision and what changed")
+{
+    const TemporaryFile key("cli_test_key2.txt", "0123456789abcdef");
+    FakeEntry entry([](const HttpRequest &) {
+        return HttpResponse{412,
+                            {{"X-Run-Status", "not-run"}},
+                            R"({"title":"revision-changed","detail":"revision 9 now",)"
+                            R"("remedy":"again","changed":["quotas.cores: 4 becomes 8"]})"};
+    });
+    const CliResult r = entry.run({"document", "apply", examples + "matching.json", "--revision",
+                                   "7", "--team-key-file", key.path});
+    CHECK(r.code == static_cast<int>(ExitCode::Conflict));
+    CHECK(r.out.empty());
+    CHECK(r.err.find("revision-changed: revision 9 now; again\n") != std::string::npos);
+    CHECK(r.err.find("  quotas.cores: 4 becomes 8\n") != std::string::npos);
+}
+
+TEST_CASE("report prints a page or the entry's JSON")
+{
+    Report report;
+    report.entry = "e1";
+    FakeEntry entry([&](const HttpRequest &) { return HttpResponse{200, {}, toJson(report)}; });
+    CHECK(entry.run({"report"}).out == reportPage(report));
+    CHECK(entry.run({"report", "--json"}).out == toJson(report) + "\n");
+}
