--- a/tests/cli/cli_test.cpp
+++ b/tests/cli/cli_test.cpp
@@ -34,7 +34,7 @@
 class FakeEntry
 {
 public:
-    explicit FakeEntry(std::function<HttpResponse(const HttpRequest &)> answer)
+    explicit FakeEntry(const std::function<HttpResponse(const HttpRequest &)> &answer)
         : m_server(
             {},
             [this, answer](const HttpRequest &request) {
