--- a/include/savorywick/slotshares.h
+++ b/include/savorywick/slotshares.h
@@ -80,8 +80,9 @@
     // Returns when usable() changes by itself next: a handover ends or the list becomes too old.
     std::optional<Instant> nextChange(Instant now) const;
 
-    // Returns the peer to forward to when the own slots are full: of two random ones the one with
-    // more free slots as last heard. Nothing if no peer has any, as far as is known; then queue.
+    // Returns the peer to forward to when the own slots are full: of two random ones of this region
+    // the one with more free slots as last heard; one of another region only if none here has any.
+    // Nothing if no peer has any, as far as is known; then queue.
     // `draw` is a random number. A forwarded request must not be forwarded again.
     std::optional<std::string> peerWithRoom(std::span<const std::string> excluded,
                                             std::uint64_t draw, Instant now);
@@ -108,11 +109,14 @@
                                                   const Share *before, Instant now) const;
     int usableOf(const Share &share, Instant now) const;
     bool trusted(Instant now) const;
+    std::vector<Peer *> peersWithRoom(std::span<const std::string> excluded, bool sameRegion,
+                                      Instant now);
     int expectedRoom(const Peer &peer, Instant now) const;
 
     SlotSharesSettings m_settings;
     std::vector<Share> m_shares;
     std::vector<Peer> m_peers;
+    std::string m_region; // This entry's.
     int m_slotsPerEntry = 0; // Of all instances; stands in for a peer that was not heard of.
     std::optional<Instant> m_listTakenAt;
 };
--- a/src/lib/slotshares.cpp
+++ b/src/lib/slotshares.cpp
@@ -122,8 +122,10 @@
         before.emplace(peer.info.id, std::move(peer));
     m_peers.clear();
     for (const EntryInfo &entry : entries) {
-        if (entry.id == m_settings.self)
+        if (entry.id == m_settings.self) {
+            m_region = entry.region;
             continue;
+        }
         Peer &peer = before[entry.id];
         peer.info = entry;
         m_peers.push_back(peer);
@@ -184,13 +186,9 @@
 std::optional<std::string> SlotShares::peerWithRoom(std::span<const std::string> excluded,
                                                     std::uint64_t draw, Instant now)
 {
-    std::vector<Peer *> candidates;
-    for (Peer &peer : m_peers) {
-        const bool out =
-            std::find(excluded.begin(), excluded.end(), peer.info.id) != excluded.end();
-        if (!out && expectedRoom(peer, now) > 0)
-            candidates.push_back(&peer);
-    }
+    std::vector<Peer *> candidates = peersWithRoom(excluded, true, now);
+    if (candidates.empty())
+        candidates = peersWithRoom(excluded, false, now);
     if (candidates.empty())
         return std::nullopt;
     Peer *first = candidates[draw % candidates.size()];
@@ -201,6 +199,20 @@
     return best->info.id;
 }
 
+std::vector<SlotShares::Peer *> SlotShares::peersWithRoom(std::span<const std::string> excluded,
+                                                          bool sameRegion, Instant now)
+{
+    std::vector<Peer *> result;
+    for (Peer &peer : m_peers) {
+        const bool near = peer.info.region == m_region;
+        const bool asked =
+            std::find(excluded.begin(), excluded.end(), peer.info.id) != excluded.end();
+        if (near == sameRegion && !asked && expectedRoom(peer, now) > 0)
+            result.push_back(&peer);
+    }
+    return result;
+}
+
 void SlotShares::notePeer(std::string_view entry, int freeSlots, Instant now)
 {
     for (Peer &peer : m_peers) {
--- a/tests/lib/slotshares_test.cpp
+++ b/tests/lib/slotshares_test.cpp
@@ -268,3 +268,15 @@
     CHECK(shares.peerWithRoom({}, 7, now) == std::nullopt);
     CHECK(shares.peerWithRoom({}, 7, now + Millis{2'000}).has_value()); // The word has gone stale.
 }
+
+TEST_CASE("A peer of another region is named only when none of this region has room")
+{
+    SlotShares shares({"a", ShareLocality::Anywhere, listAge, attemptTime});
+    const std::vector<EntryInfo> entries{{"far", "z", "east"}, {"a", "z", "r"}, {"near", "z", "r"}};
+    const Instant now{0};
+    shares.update(entries, instancesOf(3), now, now);
+    for (std::uint64_t draw = 0; draw < 20; ++draw)
+        CHECK(shares.peerWithRoom({}, draw, now) == "near");
+    shares.notePeer("near", 0, now);
+    CHECK(shares.peerWithRoom({}, 0, now) == "far");
+}
