Measure interference policies on a model of the workers in virtual time

What it blames on no pair costs allowance, and crowded processors are blamed on no pair; that is the next thing to look at.

--- /dev/null
+++ b/bench/interference_bench.cpp
@@ -0,0 +1,197 @@
+// Urgent latency, batch throughput and evictions under several interference policies, on a model of
+// the workers in virtual time with fixed seeds.
+
+#include "benchtable.h"
+#include "fakecluster.h"
+#include "savorywick/interference.h"
+#include "savorywick/placement.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <functional>
+#include <memory>
+
+using namespace savorywick;
+using namespace fakecluster;
+
+namespace {
+
+int indexOf(const std::string &worker)
+{
+    return std::atoi(worker.c_str() + worker.rfind('-') + 1);
+}
+
+PlacementRequest requestFor(const Task &task, const std::string &runClass)
+{
+    return {"batch", runClass, task.declared, {}};
+}
+
+// Places by room and rack alone, under a limit that never changes.
+class StaticPolicy final : public Policy
+{
+public:
+    explicit StaticPolicy(int reservedCores)
+        : m_allowance(workerCores - reservedCores)
+    { }
+
+    std::optional<int> place(const Task &task, const HostLedger &ledger) override
+    {
+        const std::string runClass = className(task.batchClass);
+        const auto host = m_placement.choose(requestFor(task, runClass), ledger, nullptr);
+        return host && ledger.booked(*host).cores + task.declared.cores <= m_allowance
+            ? std::optional(indexOf(*host))
+            : std::nullopt;
+    }
+    void started(const Task &) override { }
+    InterferenceDecision observe(int, const WorkerSample &, Instant) override
+    {
+        return {m_allowance, {}, {}};
+    }
+
+private:
+    SpreadPlacement m_placement;
+    int m_allowance;
+};
+
+// Steps the allowance of a worker by its measured p99 against the target, blind to what runs there.
+class BlindFeedbackPolicy final : public Policy
+{
+public:
+    explicit BlindFeedbackPolicy(int workers)
+        : m_allowances(workers, workerCores)
+        , m_changedAt(workers, Instant{-1'000'000})
+    { }
+
+    std::optional<int> place(const Task &task, const HostLedger &ledger) override
+    {
+        const std::string runClass = className(task.batchClass);
+        const auto host = m_placement.choose(requestFor(task, runClass), ledger, nullptr);
+        return host ? std::optional(indexOf(*host)) : std::nullopt;
+    }
+    void started(const Task &) override { }
+    InterferenceDecision observe(int worker, const WorkerSample &sample, Instant now) override
+    {
+        double &allowance = m_allowances[worker];
+        InterferenceDecision decision;
+        const bool shown = sample.takenAt - m_changedAt[worker] >= Millis{15'000};
+        const double before = allowance;
+        if (shown && sample.urgentP99Ms > sample.targetMs)
+            allowance *= 0.6;
+        else if (shown && sample.urgentP99Ms < 0.9 * sample.targetMs)
+            allowance = std::min(allowance + workerCores / 16.0, 1.0 * workerCores);
+        if (allowance != before)
+            m_changedAt[worker] = now;
+        decision.allowance = static_cast<int>(allowance);
+        double cores = 0;
+        for (const BatchTask &it : sample.tasks)
+            cores += it.cores;
+        const int percent =
+            cores > 0 ? std::clamp(static_cast<int>(100 * allowance / cores), 25, 100) : 100;
+        for (const BatchTask &it : sample.tasks)
+            decision.throttles.push_back({it.id, percent});
+        return decision;
+    }
+
+private:
+    SpreadPlacement m_placement;
+    std::vector<double> m_allowances;
+    std::vector<Instant> m_changedAt;
+};
+
+// The library's controller with its learned pairs, for placement and for each worker.
+class ControllerPolicy final : public Policy
+{
+public:
+    ControllerPolicy(int workers, const InterferenceOptions &options)
+        : m_controller(options)
+    {
+        for (int i = 0; i < workers; ++i)
+            m_controller.setWorker(workerName(i), workerCores);
+    }
+
+    std::optional<int> place(const Task &task, const HostLedger &ledger) override
+    {
+        const std::string runClass = className(task.batchClass);
+        const auto host = m_placement.choose(requestFor(task, runClass), ledger, &m_controller);
+        return host ? std::optional(indexOf(*host)) : std::nullopt;
+    }
+    void started(const Task &task) override
+    {
+        m_controller.noteStart(workerName(task.worker), className(task.batchClass),
+                               task.declared.cores);
+    }
+    InterferenceDecision observe(int worker, const WorkerSample &sample, Instant now) override
+    {
+        return m_controller.observe(workerName(worker), sample, now);
+    }
+
+private:
+    SpreadPlacement m_placement;
+    InterferenceController m_controller;
+};
+
+struct Site
+{
+    int workers;
+    int perRack;
+    unsigned seed;
+};
+
+struct PolicyCase
+{
+    std::string name;
+    std::function<std::unique_ptr<Policy>(int workers)> make;
+};
+
+void report(const std::string &benchCase, const Totals &t, const Totals &batchFree,
+            const Totals &none)
+{
+    const double starts = std::max(t.starts, 1);
+    const double p99 = t.p99Ms / batchFree.p99Ms;
+    const double p999 = t.p999Ms / batchFree.p999Ms;
+    const double work = t.usefulCoreSeconds / std::max(none.usefulCoreSeconds, 1.0);
+    const double noisy = t.noisyCoreSeconds / std::max(none.noisyCoreSeconds, 1.0);
+    const double evictions = t.evictions / starts;
+    const double wasted = t.wastedCoreSeconds / std::max(t.usefulCoreSeconds, 1.0);
+    benchtable::emit("interference", benchCase, "p99_over_batch_free", p99);
+    benchtable::emit("interference", benchCase, "p999_over_batch_free", p999);
+    benchtable::emit("interference", benchCase, "over_target", t.overTarget);
+    benchtable::emit("interference", benchCase, "work_over_no_policy", work);
+    benchtable::emit("interference", benchCase, "noisy_work_over_no_policy", noisy);
+    benchtable::emit("interference", benchCase, "evictions_per_start", evictions);
+    benchtable::emit("interference", benchCase, "wasted_work", wasted);
+    std::fprintf(stderr, "%-24s %8.3f %8.3f %8.1f%% %8.1f%% %8.1f%% %8.2f%% %7.2f%% %8d %8zu\n",
+                 benchCase.c_str(), p99, p999, 100 * t.overTarget, 100 * work, 100 * noisy,
+                 100 * evictions, 100 * wasted, t.starts, t.waiting);
+}
+
+} // namespace
+
+int main()
+{
+    const std::vector<PolicyCase> policies{
+        {"none", [](int) { return std::make_unique<StaticPolicy>(0); }},
+        {"reserve-16", [](int) { return std::make_unique<StaticPolicy>(16); }},
+        {"reserve-32", [](int) { return std::make_unique<StaticPolicy>(32); }},
+        {"blind-feedback", [](int n) { return std::make_unique<BlindFeedbackPolicy>(n); }},
+        {"pairs",
+         [](int n) { return std::make_unique<ControllerPolicy>(n, InterferenceOptions{}); }},
+    };
+    std::fprintf(stderr, "%-24s %8s %8s %9s %9s %9s %9s %8s %8s %8s\n", "workers/policy", "p99",
+                 "p99.9", "overtgt", "work", "noisy", "evicted", "wasted", "starts", "waiting");
+    for (const Site &site : {Site{50, 8, 11}, Site{65, 11, 12}}) {
+        const Options options{
+            .workers = site.workers, .workersPerRack = site.perRack, .seed = site.seed};
+        const Totals batchFree = Cluster(options).run(nullptr);
+        const std::string prefix = std::to_string(site.workers) + "/";
+        report(prefix + "batch-free", batchFree, batchFree, {});
+        Totals none;
+        for (const PolicyCase &it : policies) {
+            const Totals totals = Cluster(options).run(it.make(site.workers).get());
+            if (it.name == "none")
+                none = totals;
+            report(prefix + it.name, totals, batchFree, none);
+        }
+    }
+    return 0;
+}
--- a/include/savorywick/interference.h
+++ b/include/savorywick/interference.h
@@ -30,7 +30,7 @@
 {
     std::string id;
     std::string runClass;
-    int cores = 0;
+    double cores = 0; // Cores that it uses at full speed.
     int throttlePercent = 100; // The speed that was in force when it was measured.
     double wastedIfEvicted = 0; // Core seconds since the last checkpoint, plus its cost.
 };
--- a/tests/lib/interference_test.cpp
+++ b/tests/lib/interference_test.cpp
@@ -23,10 +23,10 @@
     sample.targetMs = *rc::gen::inRange(0, 100);
     const int tasks = *rc::gen::inRange(0, 6);
     for (int i = 0; i < tasks; ++i) {
-        sample.tasks.push_back({"t" + std::to_string(i),
-                                *rc::gen::element<std::string>("quiet", "noisy"),
-                                *rc::gen::inRange(0, 40), *rc::gen::element(25, 50, 75, 100),
-                                static_cast<double>(*rc::gen::inRange(0, 1'000))});
+        sample.tasks.push_back(
+            {"t" + std::to_string(i), *rc::gen::element<std::string>("quiet", "noisy"),
+             static_cast<double>(*rc::gen::inRange(0, 40)), *rc::gen::element(25, 50, 75, 100),
+             static_cast<double>(*rc::gen::inRange(0, 1'000))});
     }
     return sample;
 }
