Leave urgent work the cores that it was last seen to use

Cause suspected: the allowance knew nothing of urgent load, so batch work crowded the processors, which no pair explains, and the unexplained part cut the allowance. Change: the allowance is at most the cores left by urgent work and 4% headroom, converted by what the tasks were seen to use of their bookings.

--- a/bench/fakecluster.cpp
+++ b/bench/fakecluster.cpp
@@ -293,8 +293,8 @@
     for (const Task *it : m_tasksOf[worker]) {
         const Task &task = *it;
         const double waste = task.canCheckpoint ? evictionSeconds * task.cores : task.done;
-        sample.tasks.push_back(
-            {task.id, className(task.batchClass), task.cores, task.percent, waste});
+        sample.tasks.push_back({task.id, className(task.batchClass), task.cores,
+                                task.declared.cores, task.percent, waste});
     }
     m_reports.push_back(std::move(report));
 }
--- a/include/savorywick/interference.h
+++ b/include/savorywick/interference.h
@@ -17,6 +17,7 @@
     Millis lag{15'000}; // From a change on a worker until a measurement may show it.
     double excessLimit = 0.10; // Tolerated slowdown of urgent work above its batch-free p99.
     double relaxBelow = 0.06; // Below this slowdown batch work may grow again.
+    double headroom = 0.04; // Part of the cores that is left idle beside urgent and batch work.
     double stepDown = 0.6; // Factor on the allowance when urgent work is hurt.
     double stepUp = 0.0625; // Part of the capacity given back at a time.
     int throttleSteps = 3; // Measurements with throttled work that still hurts before evicting.
@@ -31,6 +32,7 @@
     std::string id;
     std::string runClass;
     double cores = 0; // Cores that it uses at full speed.
+    int bookedCores = 0; // Cores that the ledger keeps for it.
     int throttlePercent = 100; // The speed that was in force when it was measured.
     double wastedIfEvicted = 0; // Core seconds since the last checkpoint, plus its cost.
 };
@@ -90,6 +92,8 @@
     // until a measurement shows what runs there.
     void noteStart(std::string_view worker, std::string_view runClass, int cores);
 
+    // Returns what batch work may be booked up to: what feedback grants, but no more than the cores
+    // that urgent work was last seen to leave.
     int allowance(std::string_view worker) const;
     // Returns the slowdown of urgent work that is expected on the worker with the tasks that it
     // was last seen to run and `cores` more of `runClass`.
@@ -103,7 +107,9 @@
     struct Worker
     {
         int cores = 0;
-        double allowance = 0;
+        double allowance = 0; // What feedback grants.
+        double room = 0; // What urgent work and the headroom leave, as booked cores.
+        int inForce = 0; // The smaller of both, as last decided.
         bool hasChanged = false;
         Instant changedAt;
         int throttledSteps = 0;
@@ -113,6 +119,7 @@
 
     void hurt(Worker &worker, const WorkerSample &sample, InterferenceDecision &decision);
     void relax(Worker &worker, const WorkerSample &sample, InterferenceDecision &decision);
+    void updateRoom(Worker &worker, const WorkerSample &sample) const;
     bool throttle(const Worker &worker, const WorkerSample &sample,
                   InterferenceDecision &decision) const;
     void evict(const Worker &worker, const WorkerSample &sample, InterferenceDecision &decision);
--- a/src/lib/interference.cpp
+++ b/src/lib/interference.cpp
@@ -11,6 +11,9 @@
 // A pair that slows urgent work down by less than this on a full host counts as harmless.
 constexpr double harmlessSlowdown = 0.02;
 constexpr int throttleStepPercent = 25;
+// Bounds on how far declared cores are believed to be off on a worker.
+constexpr double leastBookedPerUsed = 0.5;
+constexpr double mostBookedPerUsed = 2.0;
 // The part of the measured excess that the known pairs must explain to be acted on alone.
 constexpr double explainedPart = 0.5;
 
@@ -52,6 +55,8 @@
     Worker &w = it->second;
     w.cores = std::max(cores, 0);
     w.allowance = added ? w.cores : std::min(w.allowance, static_cast<double>(w.cores));
+    w.room = added ? w.cores : std::min(w.room, static_cast<double>(w.cores));
+    w.inForce = added ? w.cores : std::min(w.inForce, w.cores);
 }
 
 void InterferenceController::removeWorker(std::string_view worker)
@@ -85,7 +90,7 @@
                                             sample.urgentP99Ms, w.shares);
     InterferenceDecision decision;
     const bool shown = !w.hasChanged || sample.takenAt - w.changedAt >= m_options.lag;
-    const double before = w.allowance;
+    const int before = w.inForce;
     if (shown) {
         const bool overTarget = sample.targetMs > 0 && sample.urgentP99Ms > sample.targetMs
             && excess > m_options.relaxBelow;
@@ -93,15 +98,32 @@
             hurt(w, sample, decision);
         else if (excess < m_options.relaxBelow)
             relax(w, sample, decision);
+        updateRoom(w, sample);
+        w.inForce = static_cast<int>(std::min(w.allowance, w.room));
     }
-    if (w.allowance != before || !decision.throttles.empty() || !decision.evictions.empty()) {
+    if (w.inForce != before || !decision.throttles.empty() || !decision.evictions.empty()) {
         w.hasChanged = true;
         w.changedAt = now;
     }
-    decision.allowance = static_cast<int>(w.allowance);
+    decision.allowance = w.inForce;
     return decision;
 }
 
+// Leaves urgent work its cores and the headroom. Batch tasks use more or less than they book, so
+// the room is converted by what they were seen to use.
+void InterferenceController::updateRoom(Worker &worker, const WorkerSample &sample) const
+{
+    double booked = 0;
+    for (const BatchTask &it : sample.tasks)
+        booked += it.bookedCores;
+    const double used = batchCores(sample.tasks);
+    const bool known = booked > 0 && used > 0;
+    const double bookedPerUsed =
+        known ? std::clamp(booked / used, leastBookedPerUsed, mostBookedPerUsed) : 1;
+    const double left = worker.cores * (1 - m_options.headroom) - sample.urgentLoad;
+    worker.room = std::clamp(left * bookedPerUsed, 0.0, static_cast<double>(worker.cores));
+}
+
 // Throttles what the known pairs blame; only what they do not explain costs allowance.
 void InterferenceController::hurt(Worker &worker, const WorkerSample &sample,
                                   InterferenceDecision &decision)
@@ -203,7 +225,7 @@
 int InterferenceController::allowance(std::string_view worker) const
 {
     const auto it = m_workers.find(worker);
-    return it == m_workers.end() ? 0 : static_cast<int>(it->second.allowance);
+    return it == m_workers.end() ? 0 : it->second.inForce;
 }
 
 double InterferenceController::expectedExcess(std::string_view worker, std::string_view runClass,
--- a/tests/lib/interference_test.cpp
+++ b/tests/lib/interference_test.cpp
@@ -25,15 +25,15 @@
     for (int i = 0; i < tasks; ++i) {
         sample.tasks.push_back(
             {"t" + std::to_string(i), *rc::gen::element<std::string>("quiet", "noisy"),
-             static_cast<double>(*rc::gen::inRange(0, 40)), *rc::gen::element(25, 50, 75, 100),
-             static_cast<double>(*rc::gen::inRange(0, 1'000))});
+             static_cast<double>(*rc::gen::inRange(0, 40)), *rc::gen::inRange(0, 40),
+             *rc::gen::element(25, 50, 75, 100), static_cast<double>(*rc::gen::inRange(0, 1'000))});
     }
     return sample;
 }
 
 WorkerSample calm(Instant takenAt)
 {
-    return {takenAt, "quotes", 20, 10, 20, {{"other", "quiet", 16, 100, 0}}};
+    return {takenAt, "quotes", 20, 10, 20, {{"other", "quiet", 16, 16, 100, 0}}};
 }
 
 WorkerSample noisy(Instant takenAt, int percent)
@@ -44,9 +44,9 @@
             20,
             p99Ms,
             20,
-            {{"cheap", "noisy", 16, percent, 5},
-             {"dear", "noisy", 16, percent, 900},
-             {"idle", "quiet", 16, 100, 0}}};
+            {{"cheap", "noisy", 16, 16, percent, 5},
+             {"dear", "noisy", 16, 16, percent, 900},
+             {"idle", "quiet", 16, 16, 100, 0}}};
 }
 
 } // namespace
