Let the report cover all entries, in the form that they answer

Cause: the daemon answers one report of all listed entries, {"entries":[...]}; the page knew a single entry's own form. Ruled out: asking each entry in turn from the command line: the operator need not know them. `suspects` and `evictions` of an entry are optional lists. Conclusion: one page for the whole system, whichever entry is asked.

--- a/src/operator/report.h
+++ b/src/operator/report.h
@@ -1,45 +1,69 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace savorywick {
 
-// Times and counts below are those of the entry that made the report, since it started, unless a
-// comment says otherwise.
+// Counts and times are those of one entry since it started, unless a comment says otherwise.
+// docs/OPERATIONS.md explains every name and reason.
 
-// One counter, such as {"refused", "queue-full", 12}. docs/OPERATIONS.md explains each.
+using ReportCounts = std::map<std::string, std::uint64_t>;
+
+// One counter, such as {"refused", "queue-full", 12}.
 struct ReportCounter
 {
-    std::string group; // "refused", "retried", "run", "evicted" or another group of counters.
+    std::string group;
     std::string name;
     std::uint64_t count = 0;
 };
 
-// The urgent requests of one service.
+// The latencies recorded under one name, such as "urgent matching".
 struct ReportLatency
 {
-    std::string service;
-    std::uint64_t answered = 0;
-    std::uint64_t late = 0; // Answered, or given up, after the caller's deadline.
-    std::int64_t targetMs = 0; // At the 99th percentile; 0 if the document names none.
+    std::string name;
+    std::uint64_t count = 0;
     double p50Ms = 0;
     double p99Ms = 0;
     double p999Ms = 0;
+    double maxMs = 0;
 };
 
-// Runs or watchers that wait for one and the same reason.
-struct ReportWaiting
+// A service document in force in the entry.
+struct ReportDocument
 {
-    std::string kind; // "run" or "watcher".
     std::string service;
-    std::string className;
-    std::string reason; // Such as "no-room"; see docs/OPERATIONS.md.
-    std::uint64_t count = 0;
-    std::int64_t oldestMs = 0; // How long the oldest has waited.
-    std::string oldestId;
+    std::uint64_t revision = 0;
+    std::int64_t latencyTargetMs = 0; // At the 99th percentile; 0 if the document names none.
+};
+
+// The run or watcher of a shard that has waited longest.
+struct ReportOldest
+{
+    std::string id; // Empty if nothing waits.
+    std::int64_t waitedMs = 0;
+    std::string why; // Such as "no-room".
+};
+
+struct ReportClaims
+{
+    std::uint64_t open = 0;
+    std::uint64_t finished = 0;
+    std::uint64_t unknown = 0; // Requests that may or may not have run.
+};
+
+// A shard that the entry holds.
+struct ReportShard
+{
+    int shard = 0;
+    ReportCounts jobs; // Runs and watchers by state.
+    ReportCounts counters; // Since this entry took the shard.
+    ReportClaims claims;
+    ReportOldest oldest;
+    bool storeDown = false;
 };
 
 // A run that was evicted from its worker.
@@ -49,7 +73,7 @@
     std::string service;
     std::string worker;
     std::string reason;
-    std::string state; // What has become of it since, such as "running".
+    std::string state; // What has become of it since, such as "placed".
     std::int64_t agoMs = 0;
 };
 
@@ -57,37 +81,35 @@
 struct ReportHost
 {
     std::string id;
-    std::string role; // "worker", "upstream" or "entry".
-    std::string reason; // Such as "quarantined"; see docs/OPERATIONS.md.
+    std::string role; // "worker" or "upstream".
+    std::string reason; // Such as "quarantined".
     std::int64_t sinceMs = 0; // How long it has been so.
 };
 
-// An edit that is kept but not yet in force everywhere.
-struct ReportEdit
-{
-    std::string service;
-    std::uint64_t revision = 0;
-    std::int64_t ageMs = 0;
-    std::vector<std::string> pendingOn; // Entries.
-};
-
-// What one entry says of itself; GET /v1/report answers it as JSON.
-struct Report
+// What one entry says of itself.
+struct ReportEntry
 {
     std::string entry;
-    std::int64_t madeAtMs = 0; // Wall-clock time.
-    std::int64_t uptimeMs = 0;
+    std::string availabilityZone;
+    std::string region;
+    bool unreachable = false; // It is listed but did not answer; all else is empty.
+    bool ready = true;
     bool storeUp = true;
-    bool membershipUp = true;
-    bool mustReread = false; // The entry was frozen and refuses until it has read the documents.
-    int shardsHeld = 0;
+    std::int64_t uptimeMs = 0;
+    std::uint64_t documentsSeen = 0; // Every edit up to this one is in force there.
     std::vector<ReportCounter> counters;
     std::vector<ReportLatency> latencies;
-    std::vector<ReportWaiting> waiting;
-    std::vector<ReportEviction> evictions; // The latest, newest first.
-    std::vector<ReportHost> hosts;
-    std::vector<ReportEdit> edits;
+    std::vector<ReportDocument> documents;
     std::vector<std::string> invalidDocuments; // Services whose newest row is invalid.
+    std::vector<ReportShard> shards;
+    std::vector<ReportEviction> evictions; // The latest, newest first.
+    std::vector<ReportHost> suspects;
+};
+
+// What all listed entries say of themselves; GET /v1/report answers it as JSON.
+struct Report
+{
+    std::vector<ReportEntry> entries;
 };
 
 // Returns the report as JSON.
@@ -97,8 +119,8 @@
 // Error(InvalidInput) if it is no report.
 Report parseReport(std::string_view json);
 
-// Returns one page of text for an operator who did not watch: first a verdict, then what was
-// refused, late, waiting, evicted, suspect and pending, each with what to do about it.
+// Returns one page of text for an operator who did not watch: first what to look at, then the
+// entries and what was refused, late, waiting, evicted, suspect and pending.
 std::string reportPage(const Report &report);
 
 } // namespace savorywick
--- a/src/operator/reportjson.cpp
+++ b/src/operator/reportjson.cpp
@@ -5,6 +5,7 @@
 #include <json/json.h>
 
 #include <memory>
+#include <type_traits>
 
 namespace savorywick {
 
@@ -25,6 +26,20 @@
     void field(const char *key, std::int64_t value) { m_json[key] = Json::Int64(value); }
     void field(const char *key, std::uint64_t value) { m_json[key] = Json::UInt64(value); }
 
+    void field(const char *key, const ReportCounts &counts)
+    {
+        for (const auto &[name, count] : counts)
+            m_json[key][name] = Json::UInt64(count);
+    }
+
+    template<typename Item>
+    requires std::is_class_v<Item>
+    void field(const char *key, const Item &item)
+    {
+        Writer writer(m_json[key] = Json::objectValue);
+        fields(writer, item);
+    }
+
     void field(const char *key, const std::vector<std::string> &values)
     {
         m_json[key] = Json::arrayValue;
@@ -67,6 +82,23 @@
         value = m_json.get(key, Json::UInt64(value)).asUInt64();
     }
 
+    void field(const char *key, ReportCounts &counts)
+    {
+        const Json::Value &json = m_json[key];
+        for (const std::string &it : json.getMemberNames())
+            counts[it] = json[it].asUInt64();
+    }
+
+    template<typename Item>
+    requires std::is_class_v<Item>
+    void field(const char *key, Item &item)
+    {
+        if (!m_json.isMember(key))
+            return;
+        Reader reader(m_json[key]);
+        fields(reader, item);
+    }
+
     void field(const char *key, std::vector<std::string> &values)
     {
         for (const Json::Value &it : m_json[key])
@@ -103,25 +135,47 @@
 template<typename Archive, Of<ReportLatency> Item>
 void fields(Archive &archive, Item &it)
 {
-    archive.field("service", it.service);
-    archive.field("answered", it.answered);
-    archive.field("late", it.late);
-    archive.field("targetMs", it.targetMs);
+    archive.field("name", it.name);
+    archive.field("count", it.count);
     archive.field("p50Ms", it.p50Ms);
     archive.field("p99Ms", it.p99Ms);
     archive.field("p999Ms", it.p999Ms);
+    archive.field("maxMs", it.maxMs);
 }
 
-template<typename Archive, Of<ReportWaiting> Item>
+template<typename Archive, Of<ReportDocument> Item>
 void fields(Archive &archive, Item &it)
 {
-    archive.field("kind", it.kind);
     archive.field("service", it.service);
-    archive.field("class", it.className);
-    archive.field("reason", it.reason);
-    archive.field("count", it.count);
-    archive.field("oldestMs", it.oldestMs);
-    archive.field("oldestId", it.oldestId);
+    archive.field("revision", it.revision);
+    archive.field("latencyTargetMs", it.latencyTargetMs);
+}
+
+template<typename Archive, Of<ReportOldest> Item>
+void fields(Archive &archive, Item &it)
+{
+    archive.field("id", it.id);
+    archive.field("waitedMs", it.waitedMs);
+    archive.field("why", it.why);
+}
+
+template<typename Archive, Of<ReportClaims> Item>
+void fields(Archive &archive, Item &it)
+{
+    archive.field("open", it.open);
+    archive.field("finished", it.finished);
+    archive.field("unknown", it.unknown);
+}
+
+template<typename Archive, Of<ReportShard> Item>
+void fields(Archive &archive, Item &it)
+{
+    archive.field("shard", it.shard);
+    archive.field("jobs", it.jobs);
+    archive.field("counters", it.counters);
+    archive.field("claims", it.claims);
+    archive.field("oldest", it.oldest);
+    archive.field("storeDown", it.storeDown);
 }
 
 template<typename Archive, Of<ReportEviction> Item>
@@ -144,32 +198,30 @@
     archive.field("sinceMs", it.sinceMs);
 }
 
-template<typename Archive, Of<ReportEdit> Item>
-void fields(Archive &archive, Item &it)
-{
-    archive.field("service", it.service);
-    archive.field("revision", it.revision);
-    archive.field("ageMs", it.ageMs);
-    archive.field("pendingOn", it.pendingOn);
-}
-
-template<typename Archive, Of<Report> Item>
+template<typename Archive, Of<ReportEntry> Item>
 void fields(Archive &archive, Item &it)
 {
     archive.field("entry", it.entry);
-    archive.field("madeAtMs", it.madeAtMs);
-    archive.field("uptimeMs", it.uptimeMs);
+    archive.field("availabilityZone", it.availabilityZone);
+    archive.field("region", it.region);
+    archive.field("unreachable", it.unreachable);
+    archive.field("ready", it.ready);
     archive.field("storeUp", it.storeUp);
-    archive.field("membershipUp", it.membershipUp);
-    archive.field("mustReread", it.mustReread);
-    archive.field("shardsHeld", it.shardsHeld);
+    archive.field("uptimeMs", it.uptimeMs);
+    archive.field("documentsSeen", it.documentsSeen);
     archive.field("counters", it.counters);
     archive.field("latencies", it.latencies);
-    archive.field("waiting", it.waiting);
-    archive.field("evictions", it.evictions);
-    archive.field("hosts", it.hosts);
-    archive.field("edits", it.edits);
+    archive.field("documents", it.documents);
     archive.field("invalidDocuments", it.invalidDocuments);
+    archive.field("shards", it.shards);
+    archive.field("evictions", it.evictions);
+    archive.field("suspects", it.suspects);
+}
+
+template<typename Archive, Of<Report> Item>
+void fields(Archive &archive, Item &it)
+{
+    archive.field("entries", it.entries);
 }
 
 [[noreturn]] void throwNoReport()
@@ -196,7 +248,7 @@
     const Json::CharReaderBuilder builder;
     const std::unique_ptr<Json::CharReader> parser(builder.newCharReader());
     if (!parser->parse(json.data(), json.data() + json.size(), &root, nullptr) || !root.isObject()
-        || !root.isMember("entry"))
+        || !root["entries"].isArray())
         throwNoReport();
     try {
         Report report;
--- a/src/operator/reportpage.cpp
+++ b/src/operator/reportpage.cpp
@@ -1,10 +1,10 @@
 #include "operator/advice.h"
 #include "operator/report.h"
+#include "operator/reporttotals.h"
 
 #include <algorithm>
 #include <array>
 #include <cstdio>
-#include <ctime>
 #include <utility>
 
 namespace savorywick {
@@ -16,12 +16,8 @@
 constexpr std::int64_t hourMs = 60 * minuteMs;
 constexpr std::int64_t dayMs = 24 * hourMs;
 
-// An edit is in force everywhere within this time if all is well.
-constexpr std::int64_t editBoundMs = 5 * secondMs;
-
-// Groups of counters that name refusals and retries; the others are shown as plain figures.
-constexpr std::string_view refusedGroup = "refused";
-constexpr std::string_view retriedGroup = "retried";
+// A list on the page is cut after this many lines.
+constexpr std::size_t maxLines = 20;
 
 // Returns a span in its two largest units, such as "3 h 2 min".
 std::string spanText(std::int64_t ms)
@@ -46,16 +42,6 @@
     return std::to_string(ms) + " ms";
 }
 
-std::string timeText(std::int64_t wallClockMs)
-{
-    const auto seconds = static_cast<std::time_t>(wallClockMs / secondMs);
-    std::tm parts{};
-    gmtime_r(&seconds, &parts);
-    char buf[40];
-    std::strftime(buf, sizeof buf, "%Y-%m-%d %H:%M:%S UTC", &parts);
-    return buf;
-}
-
 std::string msText(double ms)
 {
     char buf[32];
@@ -63,9 +49,9 @@
     return buf;
 }
 
-std::string counted(std::uint64_t n, std::string_view noun)
+std::string counted(std::uint64_t n, std::string_view one, std::string_view many)
 {
-    return std::to_string(n) + " " + std::string(noun) + (n == 1 ? "" : "s");
+    return std::to_string(n) + " " + std::string(n == 1 ? one : many);
 }
 
 std::string joined(const std::vector<std::string> &names)
@@ -82,14 +68,16 @@
 public:
     explicit Page(const Report &report)
         : m_report(report)
+        , m_totals(addUp(report))
     { }
 
     std::string text()
     {
+        entries();
         refused();
         late();
         waiting();
-        evicted();
+        moved();
         hosts();
         edits();
         figures();
@@ -99,39 +87,37 @@
 private:
     std::string head() const
     {
-        std::string text = "Report of " + m_report.entry + ", made " + timeText(m_report.madeAtMs)
-            + "\nUp for " + spanText(m_report.uptimeMs) + ", holds "
-            + counted(static_cast<std::uint64_t>(m_report.shardsHeld), "shard") + "\n\n";
-        std::vector<std::string> findings = states();
-        findings.insert(findings.end(), m_findings.begin(), m_findings.end());
-        if (findings.empty())
+        std::string text = "Report of " + counted(m_report.entries.size(), "entry", "entries")
+            + ", each since it started\n\n";
+        if (m_findings.empty())
             return text + "ALL IS WELL\n";
         text += "TO LOOK AT\n";
-        for (const std::string &it : findings)
+        for (const std::string &it : m_findings)
             text.append("  * ").append(it).append("\n");
         return text;
     }
 
-    std::vector<std::string> states() const
+    void title(std::string_view text)
+    {
+        m_body.append("\n").append(text).append("\n");
+        m_lines = 0;
+    }
+
+    void line(const std::string &text)
+    {
+        m_body.append("  ").append(text).append("\n");
+        ++m_lines;
+    }
+
+    // Ends a list: says that it is empty, or how much of it was cut.
+    void endList(std::size_t size)
     {
-        std::vector<std::string> found;
-        if (!m_report.storeUp)
-            found.emplace_back("The table service does not answer: nothing new can be kept; "
-                               "repeatable requests go on. Call the platform.");
-        if (!m_report.membershipUp)
-            found.emplace_back("The membership list does not answer: the last one is used. "
-                               "Call the platform.");
-        if (m_report.mustReread)
-            found.emplace_back("This entry was frozen and serves again once it has read the "
-                               "documents. If it stays so, replace the host.");
-        for (const std::string &it : m_report.invalidDocuments)
-            found.push_back("The newest document of " + it
-                            + " is invalid; the one before is in force. Apply a valid one.");
-        return found;
+        if (size > maxLines)
+            line("and " + std::to_string(size - maxLines) + " more; see --json");
+        if (m_lines == 0)
+            line("none");
     }
 
-    void title(std::string_view text) { m_body.append("\n").append(text).append("\n"); }
-    void line(const std::string &text) { m_body.append("  ").append(text).append("\n"); }
     void find(const std::string &text) { m_findings.push_back(text); }
 
     void advise(std::string_view reason)
@@ -140,138 +126,183 @@
         line("    " + std::string(advice.meaning) + "; to do: " + std::string(advice.action));
     }
 
-    void counters(std::string_view group)
+    void entries()
     {
-        std::vector<ReportCounter> shown;
-        for (const ReportCounter &it : m_report.counters) {
-            if (it.group == group && it.count > 0)
-                shown.push_back(it);
+        bool storeDown = false;
+        title("ENTRIES");
+        for (const ReportEntry &it : m_report.entries) {
+            line(it.entry + " " + entryState(it));
+            storeDown = storeDown || !it.storeUp;
         }
-        std::stable_sort(shown.begin(), shown.end(),
-                         [](const auto &a, const auto &b) { return a.count > b.count; });
-        for (const ReportCounter &it : shown) {
-            line(std::to_string(it.count) + "  " + it.name);
-            advise(it.name);
+        endList(0);
+        if (storeDown)
+            find("An entry does not reach the table service: nothing new can be kept there; "
+                 "repeatable requests go on. Call the platform if all entries say so.");
+        for (const std::string &it : m_totals.invalidDocuments)
+            find("The newest document of " + it
+                 + " is invalid; the one before is in force. Apply a valid one.");
+    }
+
+    std::string entryState(const ReportEntry &entry)
+    {
+        if (entry.unreachable) {
+            find(entry.entry + " is listed but does not answer. Replace it if it stays so.");
+            return "does not answer";
         }
-        if (shown.empty())
-            line("none");
+        if (!entry.ready)
+            find(entry.entry + " takes no callers now. Replace it if it stays so.");
+        return "in " + entry.availabilityZone + ", " + entry.region + ": "
+            + (entry.ready ? "ready" : "not ready") + ", up for " + spanText(entry.uptimeMs)
+            + ", holds " + counted(entry.shards.size(), "shard", "shards")
+            + (entry.storeUp ? "" : ", does not reach the table service");
     }
 
-    std::uint64_t total(std::string_view group) const
+    // Lists the counters of a group that are not zero, the largest first.
+    std::uint64_t counters(const std::string &group)
     {
+        std::vector<std::pair<std::uint64_t, std::string>> shown;
         std::uint64_t sum = 0;
-        for (const ReportCounter &it : m_report.counters)
-            sum += it.group == group ? it.count : 0;
+        for (const auto &[name, count] : m_totals.counters[group]) {
+            if (count > 0)
+                shown.emplace_back(count, name);
+            sum += count;
+        }
+        std::sort(shown.rbegin(), shown.rend());
+        for (const auto &[count, name] : shown) {
+            line(std::to_string(count) + "  " + name);
+            advise(name);
+        }
+        endList(0);
         return sum;
     }
 
     void refused()
     {
         title("REFUSED (told to the caller; none of these was run)");
-        counters(refusedGroup);
-        if (const std::uint64_t n = total(refusedGroup))
-            find(counted(n, "request") + " refused; the reasons stand under REFUSED.");
+        if (const std::uint64_t n = counters("refused"))
+            find(counted(n, "request was", "requests were")
+                 + " refused; the reasons stand under REFUSED.");
         title("TRIED AGAIN");
-        counters(retriedGroup);
+        counters("retried");
+        title("NOT TRIED AGAIN");
+        counters("retry-denied");
     }
 
     void late()
     {
-        title("LATE");
-        for (const ReportLatency &it : m_report.latencies)
-            latency(it);
-        if (m_report.latencies.empty())
-            line("no urgent requests so far");
-    }
-
-    void latency(const ReportLatency &it)
-    {
-        const std::string target =
-            it.targetMs > 0 ? " (target " + std::to_string(it.targetMs) + " ms)" : "";
-        line(it.service + ": " + std::to_string(it.late) + " late of "
-             + counted(it.answered, "answer") + "; half within " + msText(it.p50Ms)
-             + ", 99 % within " + msText(it.p99Ms) + target + ", 99.9 % within "
-             + msText(it.p999Ms));
-        if (it.late > 0)
-            find(it.service + " was late " + counted(it.late, "time") + ".");
-        if (it.targetMs > 0 && it.p99Ms > static_cast<double>(it.targetMs))
-            find(it.service + " misses its target: 99 % within " + msText(it.p99Ms) + " instead of "
-                 + std::to_string(it.targetMs) + " ms. Add instances, or look at EVICTED and "
-                 + "SUSPECT HOSTS.");
+        title("URGENT ANSWERS");
+        for (const ServiceLatency &it : m_totals.latencies) {
+            const std::string target =
+                it.targetMs > 0 ? " (target " + std::to_string(it.targetMs) + " ms)" : "";
+            line(it.service + ": " + counted(it.answered, "answer", "answers") + "; slowest at "
+                 + it.slowestEntry + ": half within " + msText(it.p50Ms) + ", 99 % within "
+                 + msText(it.p99Ms) + target + ", 99.9 % within " + msText(it.p999Ms));
+            if (it.targetMs > 0 && it.p99Ms > static_cast<double>(it.targetMs))
+                find(it.service + " misses its target at " + it.slowestEntry + ": 99 % within "
+                     + msText(it.p99Ms) + " instead of " + std::to_string(it.targetMs)
+                     + " ms. Add instances, or look for a noisy neighbour under MOVED.");
+        }
+        endList(0);
+        if (const std::uint64_t n = m_totals.claims.unknown)
+            find(counted(n, "request", "requests")
+                 + " that may run once only ended unknown: the callers were told so. Check with "
+                   "the service whether they took effect.");
     }
 
     void waiting()
     {
-        title("WAITING");
-        for (const ReportWaiting &it : m_report.waiting) {
-            line(counted(it.count, it.kind) + " " + it.className + " of " + it.service + ": "
-                 + it.reason + ", the oldest for " + spanText(it.oldestMs) + " (" + it.oldestId
+        title("RUNS AND WATCHERS");
+        for (const auto &[state, count] : m_totals.jobs)
+            line(std::to_string(count) + "  " + state);
+        for (const LongestWait &it : m_totals.waits) {
+            line("longest wait for " + it.reason + ": " + it.id + ", for " + spanText(it.waitedMs)
+                 + " (one of " + counted(static_cast<std::uint64_t>(it.shards), "shard", "shards")
                  + ")");
             advise(it.reason);
             if (it.reason == "not-on-any-host")
-                find(counted(it.count, it.kind) + " " + it.className + " of " + it.service
-                     + " can't start: no live worker is large enough.");
+                find(it.id + " can't start: no live worker is large enough.");
         }
-        if (m_report.waiting.empty())
-            line("none");
+        endList(0);
+        if (const std::uint64_t n = m_totals.jobCounters["givenUp"])
+            find(counted(n, "run was", "runs were")
+                 + " given up after failing on several workers; 'savorywick state run ID' says "
+                   "why.");
     }
 
-    void evicted()
+    void moved()
     {
-        title("EVICTED");
-        for (const ReportEviction &it : m_report.evictions) {
-            line(it.id + " of " + it.service + " from " + it.worker + " " + spanText(it.agoMs)
-                 + " ago: " + it.reason + "; now " + it.state);
-            advise(it.reason);
+        title("MOVED (runs that were evicted or lost their worker)");
+        for (const char *it :
+             {"evictions", "abandonedEvictions", "lapsed", "vanished", "restarts"}) {
+            if (m_totals.jobCounters[it] == 0)
+                continue;
+            line(std::to_string(m_totals.jobCounters[it]) + "  " + it);
+            advise(it);
         }
-        if (m_report.evictions.empty())
-            line("none");
+        for (const ReportEntry &entry : m_report.entries) {
+            for (const ReportEviction &it : entry.evictions)
+                line(it.id + " of " + it.service + " from " + it.worker + " " + spanText(it.agoMs)
+                     + " ago: " + it.reason + "; now " + it.state);
+        }
+        endList(0);
     }
 
     void hosts()
     {
         title("SUSPECT HOSTS");
-        for (const ReportHost &it : m_report.hosts) {
-            line(it.role + " " + it.id + ": " + it.reason + " for " + spanText(it.sinceMs));
-            advise(it.reason);
-            if (it.reason != "leaving")
-                find(it.role + " " + it.id + " is " + it.reason + ".");
+        for (const ReportEntry &entry : m_report.entries) {
+            for (const ReportHost &it : entry.suspects) {
+                line(it.role + " " + it.id + ": " + it.reason + " for " + spanText(it.sinceMs));
+                advise(it.reason);
+                if (it.reason != "leaving")
+                    find(it.role + " " + it.id + " is " + it.reason + ".");
+            }
         }
-        if (m_report.hosts.empty())
-            line("none");
+        if (const std::uint64_t n = m_totals.jobCounters["quarantines"])
+            line("quarantines so far: " + std::to_string(n));
+        endList(0);
     }
 
     void edits()
     {
-        title("PENDING EDITS (kept, but not yet in force everywhere)");
-        for (const ReportEdit &it : m_report.edits) {
-            const std::string what = it.service + " revision " + std::to_string(it.revision)
-                + " has been pending for " + spanText(it.ageMs) + " on " + joined(it.pendingOn);
-            line(what);
-            if (it.ageMs > editBoundMs)
-                find(what
-                     + ". Look at these entries; replace the ones that are frozen or cut off.");
+        title("PENDING EDITS (kept, but not in force everywhere)");
+        for (std::size_t i = 0; i < std::min(maxLines, m_totals.edits.size()); ++i) {
+            const PendingEdit &it = m_totals.edits[i];
+            line(it.service + " revision " + std::to_string(it.revision) + " is pending on "
+                 + joined(it.pendingOn));
         }
-        if (m_report.edits.empty())
-            line("none");
+        endList(m_totals.edits.size());
+        if (!m_totals.edits.empty())
+            find(counted(m_totals.edits.size(), "edit is", "edits are")
+                 + " pending; if the next report says so too, look at the entries named.");
     }
 
     void figures()
     {
         title("OTHER FIGURES");
-        bool any = false;
-        for (const ReportCounter &it : m_report.counters) {
-            if (it.group == refusedGroup || it.group == retriedGroup)
+        for (const auto &[group, counts] : m_totals.counters) {
+            if (group == "refused" || group == "retried" || group == "retry-denied")
                 continue;
-            line(it.group + " " + it.name + ": " + std::to_string(it.count));
-            any = true;
+            for (const auto &[name, count] : counts)
+                figure(group, name, count);
         }
-        if (!any)
-            line("none");
+        for (const auto &[name, count] : m_totals.jobCounters) {
+            if (count > 0)
+                figure("runs and watchers,", name, count);
+        }
+        endList(0);
+    }
+
+    void figure(const std::string &group, const std::string &name, std::uint64_t count)
+    {
+        std::string text = group;
+        line(text.append(" ").append(name).append(": ").append(std::to_string(count)));
     }
 
     const Report &m_report;
+    ReportTotals m_totals;
     std::string m_body;
+    std::size_t m_lines = 0;
     std::vector<std::string> m_findings;
 };
 
