Give workers to shards through rows of the table

Cause: a worker's shard was a hash of its id. With 3 workers and 3 shards one shard had none, and a run whose key hashes there would wait for ever (seen in a trial: hosts [] in the report of shard 0). Ruled out: the rank among the listed workers, since a change of the list would move workers between owners while tasks run. Change: slice rows, decided by the owner of shard 0, every change conditioned on one index row, so two deciders can't give one worker twice; a worker goes to the shard with the fewest of its size. An entry is ready only when it may use slots of every service that has instances.

--- a/src/core/hash.cpp
+++ b/src/core/hash.cpp
@@ -31,11 +31,6 @@
     return static_cast<int>(stableHash(text) % static_cast<std::uint64_t>(shards));
 }
 
-int shardOfWorker(std::string_view worker, int shards)
-{
-    return static_cast<int>(stableHash(worker) % static_cast<std::uint64_t>(shards));
-}
-
 std::string randomDigits(int n)
 {
     static std::mutex mutex;
--- a/src/core/hash.h
+++ b/src/core/hash.h
@@ -15,9 +15,6 @@
 // Returns the shard, out of `shards`, that a service's idempotency key belongs to.
 int shardOfKey(std::string_view service, std::string_view key, int shards);
 
-// Returns the shard that a worker belongs to, whatever other workers there are.
-int shardOfWorker(std::string_view worker, int shards);
-
 // Returns `n` random hexadecimal digits, for ids that must never be used twice.
 std::string randomDigits(int n);
 
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -1,11 +1,11 @@
 #include "entry/daemon.h"
 
-#include "core/hash.h"
 #include "core/log.h"
 #include "core/steadyclock.h"
 #include "entry/api.h"
 #include "entry/periodic.h"
 #include "entry/reportservice.h"
+#include "entry/workerpoll.h"
 #include "peer/peerserver.h"
 #include "platform/httpmembership.h"
 #include "platform/httpobjects.h"
@@ -121,10 +121,9 @@
     void addPeerMethods();
     void listen();
     void startPolling();
-    void pollMembership();
     void drain();
     void awaitQuiet(Instant limit);
-    bool ready() const;
+    bool ready();
 
     const Settings m_settings;
     const SteadyClock m_clock;
@@ -142,12 +141,12 @@
     DocumentApi m_documentApi;
     std::unique_ptr<LeaseLoop> m_leases; // Told of by m_host's actors.
     ShardHost m_host;
+    WorkerPoll m_workerPoll;
     RequestService m_requests;
     RunService m_runs;
     std::unique_ptr<ReportService> m_report;
     Api m_api;
     std::atomic<bool> m_draining{false};
-    std::atomic<bool> m_membersRead{false};
     std::atomic<int> m_inFlight{0};
     HttpServer m_callerServer;
     PeerServer m_peerServer;
@@ -171,6 +170,7 @@
                  if (m_leases)
                      m_leases->shardOver(shard);
              })
+    , m_workerPoll(settings.shardCount, m_clock, m_membership, m_table, m_topology, m_host)
     , m_requests(requestSettings(settings), m_clock, m_documents, m_host, m_topology, m_upstreams,
                  m_forwarder, m_metrics)
     , m_runs({settings.shardCount, Millis{5'000}}, m_documents, m_host, m_topology, m_forwarder)
@@ -259,28 +259,11 @@
     m_periodic.every(leaseStep, [this] { m_leases->step(); });
     m_periodic.every(m_settings.polls.documents, [this] { m_documents.poll(); });
     m_periodic.every(freezeTick, [this] { m_documents.tick(); });
-    m_periodic.every(m_settings.polls.membership, [this] { pollMembership(); });
+    m_periodic.every(m_settings.polls.membership, [this] { m_workerPoll.poll(); });
     m_periodic.every(urgentRefresh, [this] { m_requests.refresh(m_leases->listTakenAt()); });
     m_periodic.every(urgentTick, [this] { m_requests.tick(); });
 }
 
-void Daemon::pollMembership()
-{
-    try {
-        m_topology.setHosts(m_membership.list());
-        m_membersRead = true;
-    } catch (const Error &error) {
-        logDebug("membership-poll-failed", {{"why", error.what()}});
-    }
-    std::map<int, std::vector<HostInfo>> slices;
-    for (const HostInfo &it : *m_topology.hosts()) {
-        if (it.role == HostRole::Worker)
-            slices[shardOfWorker(it.id, m_settings.shardCount)].push_back(it);
-    }
-    for (const int it : m_host.shards())
-        m_host.send(it, WorkersChanged{slices[it]});
-}
-
 void Daemon::drain()
 {
     const Instant limit = m_clock.now() + m_settings.shutdownBound;
@@ -310,11 +293,11 @@
     }
 }
 
-bool Daemon::ready() const
+bool Daemon::ready()
 {
     const bool settled = static_cast<int>(m_host.ready()) >= m_leases->fairShare();
-    return !m_draining && m_documents.isComplete() && m_membersRead
-        && (settled || !m_leases->storeUp());
+    return !m_draining && m_documents.isComplete() && m_workerPoll.listRead()
+        && (settled || !m_leases->storeUp()) && m_requests.settled();
 }
 
 } // namespace
--- a/src/entry/leaseloop.cpp
+++ b/src/entry/leaseloop.cpp
@@ -127,6 +127,7 @@
         const std::vector<Row> shards = scanAll(m_table, "shard/");
         m_keeper->observe(entries, shards, m_clock.now());
         std::vector<PeerEntry> peers;
+        peers.reserve(entries.size());
         for (const Row &it : entries)
             peers.push_back(parseEntryRow(it));
         m_topology.setEntries(std::move(peers));
--- a/src/entry/requestservice.cpp
+++ b/src/entry/requestservice.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 #include "core/log.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace savorywick {
@@ -290,6 +291,13 @@
     return n;
 }
 
+bool RequestService::settled()
+{
+    const std::lock_guard lock(m_mutex);
+    return std::all_of(m_dispatchers.begin(), m_dispatchers.end(),
+                       [](const auto &it) { return it.second->settled(); });
+}
+
 std::shared_ptr<UrgentDispatcher> RequestService::dispatcher(const std::string &service)
 {
     const auto document = m_documents.find(service);
--- a/src/entry/requestservice.h
+++ b/src/entry/requestservice.h
@@ -44,6 +44,8 @@
     void setSession(const std::string &session);
     // Returns the free slots of all services together.
     int freeSlots();
+    // Returns true if and only if every service that has instances has slots to use here.
+    bool settled();
 
 private:
     struct Checked; // A request that its document allows.
--- a/src/entry/urgentdispatcher.cpp
+++ b/src/entry/urgentdispatcher.cpp
@@ -196,6 +196,7 @@
                                  it.state == HostState::Leaving});
     }
     const Instant now = m_clock.now();
+    m_listed = instances.size();
     m_shares.update(entries, instances, takenAt, now);
     m_router.setInstances(m_shares.usable(now), now);
     dispatchQueued(now);
@@ -257,6 +258,12 @@
     return m_router.freeSlots(m_clock.now());
 }
 
+bool UrgentDispatcher::settled()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_listed == 0 || m_shares.usableSlots(m_clock.now()) > 0;
+}
+
 std::size_t UrgentDispatcher::queued()
 {
     const std::lock_guard lock(m_mutex);
--- a/src/entry/urgentdispatcher.h
+++ b/src/entry/urgentdispatcher.h
@@ -86,6 +86,8 @@
     // Notes what a peer said of its free slots.
     void notePeer(const std::string &session, int freeSlots);
     int freeSlots();
+    // Returns true if and only if this entry may use slots of the service, or it has no instances.
+    bool settled();
     std::size_t queued();
 
 private:
@@ -122,6 +124,7 @@
     RetryBudget m_budget;
     SlotShares m_shares;
     std::map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters;
+    std::size_t m_listed = 0; // Instances of the service.
     std::uint64_t m_nextId = 1;
 };
 
--- /dev/null
+++ b/src/entry/workerpoll.cpp
@@ -0,0 +1,82 @@
+#include "entry/workerpoll.h"
+
+#include "core/log.h"
+#include "savorywick/errors.h"
+
+#include <algorithm>
+
+namespace savorywick {
+
+namespace {
+
+constexpr Millis forgetAfter{3'600'000};
+constexpr std::size_t rowsPerScan = 500;
+// Its owner decides for all shards which workers they have.
+constexpr int decidingShard = 0;
+
+} // namespace
+
+WorkerPoll::WorkerPoll(int shards, const Clock &clock, Membership &membership, Table &table,
+                       Topology &topology, ShardHost &host)
+    : m_clock(clock)
+    , m_membership(membership)
+    , m_table(table)
+    , m_topology(topology)
+    , m_host(host)
+    , m_slices(shards, forgetAfter)
+{ }
+
+void WorkerPoll::poll()
+{
+    try {
+        m_topology.setHosts(m_membership.list());
+        m_listRead = true;
+        const std::vector<int> owned = m_host.shards();
+        if (std::find(owned.begin(), owned.end(), decidingShard) != owned.end())
+            assign();
+        tellShards();
+    } catch (const Error &error) {
+        logDebug("worker-poll-failed", {{"why", error.what()}});
+    }
+}
+
+void WorkerPoll::assign()
+{
+    const std::vector<std::string> keys{std::string(sliceIndexKey)};
+    const Row index = m_table.read(keys).front();
+    if (m_slices.isStale(index)) {
+        std::vector<Row> rows;
+        for (std::vector<Row> part;;) {
+            part = m_table.scan(slicePrefix, part.empty() ? std::string() : part.back().key,
+                                rowsPerScan);
+            rows.insert(rows.end(), part.begin(), part.end());
+            if (part.size() < rowsPerScan)
+                break;
+        }
+        m_slices.observe(index, rows);
+    }
+    if (const auto transaction = m_slices.assign(*m_topology.hosts(), m_clock.now()))
+        m_table.commit(*transaction);
+}
+
+void WorkerPoll::tellShards()
+{
+    const std::vector<int> owned = m_host.shards();
+    std::vector<std::string> keys;
+    keys.reserve(owned.size());
+    for (const int it : owned)
+        keys.push_back(sliceKey(it));
+    const std::vector<Row> rows = m_table.read(keys);
+    const auto hosts = m_topology.hosts();
+    for (std::size_t i = 0; i < owned.size(); ++i) {
+        const std::set<std::string> slice = parseSliceRow(rows[i]);
+        WorkersChanged change;
+        for (const HostInfo &it : *hosts) {
+            if (it.role == HostRole::Worker && slice.contains(it.id))
+                change.workers.push_back(it);
+        }
+        m_host.send(owned[i], std::move(change));
+    }
+}
+
+} // namespace savorywick
