--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -79,6 +79,7 @@
         field("polls", "membershipMs", {100, 10'000}, part, &PollSettings::membership),
         field("polls", "documentsMs", {100, 10'000}, part, &PollSettings::documents),
         field("polls", "freezeBoundMs", {200, 60'000}, part, &PollSettings::freezeBound),
+        field("polls", "entryListAgeMs", {500, 60'000}, part, &PollSettings::entryListAge),
     };
 }
 
@@ -108,6 +109,8 @@
     using Limits = LimitSettings;
     return {
         field("limits", "requestDeadlineMs", {1, 600'000}, part, &Limits::requestDeadline),
+        field("limits", "attemptMs", {10, 60'000}, part, &Limits::attempt),
+        field("limits", "slotHoldMs", {0, 60'000}, part, &Limits::slotHold),
         field("limits", "headerReadMs", {100, 60'000}, part, &Limits::headerRead),
         field("limits", "bodyReadMs", {100, 600'000}, part, &Limits::bodyRead),
         field("limits", "idleConnectionMs", {1'000, 3'600'000}, part, &Limits::idleConnection),
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -39,6 +39,7 @@
     Millis membership{1'000};
     Millis documents{1'000};
     Millis freezeBound{3'000}; // A gap between two ticks above this counts as a freeze.
+    Millis entryListAge{3'000}; // Upstream slots are not used by an older list of entries.
 };
 
 // What an entry refuses to exceed. docs/SETTINGS.md says what happens at each limit.
@@ -53,6 +54,8 @@
     int peerThreads = 16;
     int upstreamConnections = 16; // To each instance.
     Millis requestDeadline{30'000}; // The longest that any service document may allow.
+    Millis attempt{3'000}; // One try of a request at one instance.
+    Millis slotHold{2'000}; // A slot is kept so long after a try there timed out.
     Millis headerRead{5'000};
     Millis bodyRead{10'000};
     Millis idleConnection{60'000};
--- a/tests/process/harness.cpp
+++ b/tests/process/harness.cpp
@@ -76,6 +76,10 @@
     }
     settings["polls"]["membershipMs"] = 200;
     settings["polls"]["documentsMs"] = 200;
+    settings["polls"]["freezeBoundMs"] = 1'000;
+    settings["polls"]["entryListAgeMs"] = 1'500;
+    settings["limits"]["attemptMs"] = 1'000;
+    settings["limits"]["slotHoldMs"] = 200;
     settings["limits"]["platformTimeoutMs"] = 1'000;
     settings["limits"]["workerTimeoutMs"] = 500;
     settings["teamKeys"][team] = teamKey;
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -69,6 +69,7 @@
     // Returns an address of the listening line.
     std::string address(const std::string &key = "address") const;
     bool isRunning();
+    pid_t pid() const { return m_pid; }
     std::string output() const;
 
     // Asks the process to end and returns its exit status, or -1 if it didn't end within `limit`
