--- a/tests/process/harness.cpp
+++ b/tests/process/harness.cpp
@@ -76,6 +76,7 @@
     }
     settings["polls"]["membershipMs"] = 200;
     settings["polls"]["documentsMs"] = 200;
+    settings["polls"]["freezeBoundMs"] = 1'000;
     settings["limits"]["platformTimeoutMs"] = 1'000;
     settings["limits"]["workerTimeoutMs"] = 500;
     settings["teamKeys"][team] = teamKey;
@@ -351,10 +352,14 @@
     if (!accepted)
         throw std::runtime_error("the service document was not accepted: " + answer.body);
     for (int i = 0; i < m_shape.entries; ++i) {
-        const auto serves = [&] { return request(i, "quote", "ready").status == 200; };
+        const auto serves = [&] {
+            answer = request(i, "quote", "ready");
+            return answer.status == 200;
+        };
         if (!eventually(readyLimit, serves))
             throw std::runtime_error("entry " + std::to_string(i)
-                                     + " serves no requests; its log: " + entry(i).output());
+                                     + " serves no requests but answers " + answer.body
+                                     + "; its log: " + entry(i).output());
     }
 }
 
@@ -421,7 +426,7 @@
     std::string state;
     eventually(limit, [&] {
         state = look(i, kind, id).get("state", "").asString();
-        return state == "finished" || state == "failed" || state == "cancelled" || state == "met";
+        return state == "finished" || state == "failed" || state == "cancelled";
     });
     return state;
 }
--- /dev/null
+++ b/tests/process/thinpath_test.cpp
@@ -0,0 +1,78 @@
+#include "harness.h"
+
+#include <doctest/doctest.h>
+
+using namespace savorywick;
+using namespace savorywick::testing;
+
+namespace {
+
+constexpr Millis waitLimit{30'000};
+
+int revisionAt(Cluster &cluster, int entry)
+{
+    return parseJson(cluster.call(entry, "GET", "/v1/documents/quotes").body)["revision"].asInt();
+}
+
+} // namespace
+
+TEST_CASE("Every entry answers an urgent request with the caller's own answer")
+{
+    Cluster cluster;
+    for (int i = 0; i < 3; ++i) {
+        const std::string body = "bearing " + std::to_string(i);
+        const HttpAnswer a = cluster.request(i, "quote", body);
+        CHECK(a.status == 200);
+        CHECK(parseJson(a.body)["echo"] == body);
+        CHECK(headerValue(a.headers, "X-Run-Status") == "run");
+        CHECK_FALSE(headerValue(a.headers, "X-Request-Id").empty());
+    }
+}
+
+TEST_CASE("A run finishes on a worker and its result is read through every entry")
+{
+    Cluster cluster;
+    const std::string id = cluster.submit(0, "runs", "refresh", "{}", "run-1");
+    CHECK(cluster.submit(1, "runs", "refresh", "{}", "run-1") == id);
+    for (int i = 0; i < 3; ++i) {
+        CHECK(cluster.endState(i, "runs", id, waitLimit) == "finished");
+        CHECK(cluster.look(i, "runs", id)["result"].asString().starts_with("done:"));
+    }
+    CHECK(cluster.doubledTasks().empty());
+}
+
+TEST_CASE("A watcher stands until its condition is met or it is cancelled")
+{
+    Cluster cluster;
+    const std::string run =
+        cluster.submit(0, "runs", "refresh", R"({"durationMs":1500})", "watched");
+    const std::string byRun =
+        cluster.submit(1, "watchers", "stock", R"({"until":{"run":")" + run + R"("}})", "by-run");
+    const std::string byTime =
+        cluster.submit(2, "watchers", "stock", R"({"until":{"afterMs":300}})", "by-time");
+    const std::string stands =
+        cluster.submit(0, "watchers", "stock", R"({"until":{"afterMs":600000}})", "stands");
+    CHECK(cluster.endState(0, "watchers", byTime, waitLimit) == "finished");
+    CHECK(cluster.endState(2, "watchers", byRun, waitLimit) == "finished");
+    CHECK(cluster.endState(1, "runs", run, Millis{0}) == "finished");
+    CHECK(cluster.call(1, "DELETE", "/v1/watchers/" + stands).status == 200);
+    CHECK(cluster.endState(2, "watchers", stands, waitLimit) == "cancelled");
+}
+
+TEST_CASE("A document edited through one entry is in force on the others and one edit wins")
+{
+    Cluster cluster;
+    const HttpAnswer shown = cluster.call(0, "GET", "/v1/documents/quotes");
+    const Json::Value row = parseJson(shown.body);
+    std::string edited = row["document"].asString();
+    const std::string before = "\"expectedMs\": 300";
+    REQUIRE(edited.find(before) != std::string::npos);
+    edited.replace(edited.find(before), before.size(), "\"expectedMs\": 400");
+    const HttpHeaders match{{"If-Match", std::to_string(row["revision"].asInt())}};
+    CHECK(cluster.call(1, "PUT", "/v1/documents/quotes", edited, match).status == 200);
+    CHECK(cluster.call(2, "PUT", "/v1/documents/quotes", edited, match).status == 412);
+    for (int i = 0; i < 3; ++i) {
+        const auto inForce = [&] { return revisionAt(cluster, i) == row["revision"].asInt() + 1; };
+        CHECK(eventually(waitLimit, inForce));
+    }
+}
