--- a/include/savorywick/interference.h
+++ b/include/savorywick/interference.h
@@ -17,6 +17,8 @@
     Millis lag{15'000}; // From a change on a worker until a measurement may show it.
     double excessLimit = 0.10; // Tolerated slowdown of urgent work above its batch-free p99.
     double relaxBelow = 0.06; // Below this slowdown batch work may grow again.
+    double headroom = 0.04; // Part of the cores that is left idle beside urgent and batch work.
+    double smoothing = 0.3; // Weight of a new measurement in what the pairs do not explain.
     double stepDown = 0.6; // Factor on the allowance when urgent work is hurt.
     double stepUp = 0.0625; // Part of the capacity given back at a time.
     int throttleSteps = 3; // Measurements with throttled work that still hurts before evicting.
@@ -30,7 +32,8 @@
 {
     std::string id;
     std::string runClass;
-    int cores = 0;
+    double cores = 0; // Cores that it uses at full speed.
+    int bookedCores = 0; // Cores that the ledger keeps for it.
     int throttlePercent = 100; // The speed that was in force when it was measured.
     double wastedIfEvicted = 0; // Core seconds since the last checkpoint, plus its cost.
 };
@@ -90,6 +93,8 @@
     // until a measurement shows what runs there.
     void noteStart(std::string_view worker, std::string_view runClass, int cores);
 
+    // Returns what batch work may be booked up to: what feedback grants, but no more than the cores
+    // that urgent work was last seen to leave.
     int allowance(std::string_view worker) const;
     // Returns the slowdown of urgent work that is expected on the worker with the tasks that it
     // was last seen to run and `cores` more of `runClass`.
@@ -103,16 +108,22 @@
     struct Worker
     {
         int cores = 0;
-        double allowance = 0;
+        double allowance = 0; // What feedback grants.
+        double room = 0; // What urgent work and the headroom leave, as booked cores.
+        int inForce = 0; // The smaller of both, as last decided.
         bool hasChanged = false;
         Instant changedAt;
         int throttledSteps = 0;
         std::string service;
         std::vector<ClassShare> shares;
+        double unexplained = 0; // Smoothed slowdown beyond what the pairs explain.
     };
 
-    void hurt(Worker &worker, const WorkerSample &sample, InterferenceDecision &decision);
+    double judge(Worker &worker, const WorkerSample &sample);
+    void hurt(Worker &worker, const WorkerSample &sample, double excess,
+              InterferenceDecision &decision);
     void relax(Worker &worker, const WorkerSample &sample, InterferenceDecision &decision);
+    void updateRoom(Worker &worker, const WorkerSample &sample) const;
     bool throttle(const Worker &worker, const WorkerSample &sample,
                   InterferenceDecision &decision) const;
     void evict(const Worker &worker, const WorkerSample &sample, InterferenceDecision &decision);
