Do not suspend instances for failures that all have alike

Change: an instance is suspended only if it fails clearly more than what is typical of all; the threshold rises with the typical share of failures.

--- a/include/savorywick/router.h
+++ b/include/savorywick/router.h
@@ -38,7 +38,7 @@
     Millis firstSuspension{500}; // Doubled for each suspension in a row.
     Millis longestSuspension{30'000};
     Millis latencyHalfLife{5'000}; // How fast an old latency sample loses its weight.
-    double suspendAboveFailureShare = 0.5;
+    double suspendAboveFailureShare = 0.5; // More when other instances fail too.
     double largestSuspendedShare = 0.5; // Of all instances; the rest is merely avoided.
 };
 
@@ -134,6 +134,7 @@
     void learnLatency(Instance &instance, Millis latency, Instant now);
     void learnSuccess(Instance &instance);
     void learnFailure(Instance &instance, AttemptOutcome outcome, Instant now);
+    bool failsMoreThanOthers(const Instance &instance) const;
     void suspend(Instance &instance, Instant now);
 
     RouterSettings m_settings;
@@ -143,6 +144,7 @@
     std::priority_queue<Wake, std::vector<Wake>, std::greater<>> m_wakes;
     int m_suspended = 0;
     int m_freeSlots = 0;
+    double m_typicalFailureShare = 0;
     double m_typicalLatencyMs = 0; // Of all instances; stands in for what is not measured.
 };
 
--- a/src/lib/router.cpp
+++ b/src/lib/router.cpp
@@ -8,10 +8,13 @@
 namespace {
 
 constexpr double latencyWeight = 0.2; // Of a new sample against all before it.
-constexpr double typicalLatencyWeight = 0.01;
+constexpr double typicalWeight = 0.01; // Of one sample in what is typical of all instances.
 constexpr double failureWeight = 0.2;
 constexpr double connectFailureWeight = 0.4;
 constexpr double failureCost = 10; // How much a failing instance costs more than a sound one.
+constexpr double typicalFailureFactor = 1.5; // Raises the threshold when many instances fail.
+constexpr double highestThreshold = 0.98;
+constexpr double clearFailureMargin = 0.3; // Above what is typical.
 constexpr double failureShareAfterProbe = 0.25;
 constexpr double clearlyCheaper = 0.9; // Smaller differences are noise: the first draw wins.
 constexpr int drawsPerChoice = 8; // Random draws before a choice falls back to a scan.
@@ -240,12 +243,13 @@
     instance.latencyMs = before + latencyWeight * (sample - before);
     instance.latencyAt = now;
     instance.sampled = true;
-    m_typicalLatencyMs += typicalLatencyWeight * (sample - m_typicalLatencyMs);
+    m_typicalLatencyMs += typicalWeight * (sample - m_typicalLatencyMs);
 }
 
 void Router::learnSuccess(Instance &instance)
 {
     instance.failureShare *= 1 - failureWeight;
+    m_typicalFailureShare *= 1 - typicalWeight;
     instance.suspensionsInRow = 0;
     if (!instance.probing)
         return;
@@ -258,10 +262,20 @@
     const bool unreachable = outcome == AttemptOutcome::ConnectFailed;
     const double weight = unreachable ? connectFailureWeight : failureWeight;
     instance.failureShare += weight * (1 - instance.failureShare);
-    if (instance.probing || instance.failureShare > m_settings.suspendAboveFailureShare)
+    m_typicalFailureShare += typicalWeight * (1 - m_typicalFailureShare);
+    if (instance.probing || failsMoreThanOthers(instance))
         suspend(instance, now);
 }
 
+// When all fail alike, the fault is not an instance's, and a suspension would only cost slots.
+bool Router::failsMoreThanOthers(const Instance &instance) const
+{
+    const double raised =
+        m_settings.suspendAboveFailureShare + typicalFailureFactor * m_typicalFailureShare;
+    return instance.failureShare > std::min(raised, highestThreshold)
+        && instance.failureShare > m_typicalFailureShare + clearFailureMargin;
+}
+
 void Router::suspend(Instance &instance, Instant now)
 {
     const double most = m_settings.largestSuspendedShare * static_cast<double>(m_instances.size());
