Leave classes alone that stay within the limit on a host full of them

Cause suspected: a trial print showed 8 of 46 cores throttled away, and small learned slowdowns were enough to be throttled. Change: a class counts as harmful if a host full of it breaks the limit, in place of a fixed 0.02.

--- a/src/lib/interference.cpp
+++ b/src/lib/interference.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-// A pair that slows urgent work down by less than this on a full host counts as harmless.
-constexpr double harmlessSlowdown = 0.02;
 constexpr int throttleStepPercent = 25;
 // Bounds on how far declared cores are believed to be off on a worker.
 constexpr double leastBookedPerUsed = 0.5;
@@ -153,6 +151,7 @@
 }
 
 // Slows the tasks down that hurt most for each core, until the rest is expected to be bearable.
+// Classes that stay within the limit even on a host full of them are left alone.
 // Returns false if there was nothing left to slow down.
 bool InterferenceController::throttle(const Worker &worker, const WorkerSample &sample,
                                       InterferenceDecision &decision) const
@@ -171,7 +170,7 @@
     double expected = m_slowdowns.expected(sample.service, worker.shares);
     bool throttled = false;
     for (const BatchTask *task : tasks) {
-        if (expected <= m_options.relaxBelow || slowdown(task) < harmlessSlowdown)
+        if (expected <= m_options.relaxBelow || slowdown(task) <= m_options.excessLimit)
             break;
         const int percent = m_options.leastThrottlePercent;
         expected -= slowdown(task) * shareOf(*task, task->throttlePercent - percent, worker.cores);
@@ -257,8 +256,8 @@
     const double added =
         m_slowdowns.slowdown(w.service, request.runClass) * request.need.cores / w.cores;
     const double after = m_slowdowns.expected(w.service, w.shares) + added;
-    const bool harmless = added < harmlessSlowdown * request.need.cores / w.cores;
-    if (!harmless && after > m_options.excessLimit)
+    const bool harmful = m_slowdowns.slowdown(w.service, request.runClass) > m_options.excessLimit;
+    if (harmful && after > m_options.excessLimit)
         return std::numeric_limits<double>::infinity();
     return added;
 }
