Count a start until a measurement was taken after it

Cause suspected: a start was forgotten at the next report, which is 10 s old when it arrives, so that the same room was given twice. Change: starts count until a measurement that was taken after them.

--- a/bench/fakecluster.cpp
+++ b/bench/fakecluster.cpp
@@ -115,7 +115,7 @@
         if (policy) {
             arrive(now);
             deliver(*policy, now);
-            startWaiting(*policy);
+            startWaiting(*policy, now);
         }
         advance(now, policy != nullptr);
     }
@@ -157,7 +157,7 @@
     }
 }
 
-void Cluster::startWaiting(Policy &policy)
+void Cluster::startWaiting(Policy &policy, Instant now)
 {
     // Per class, the least size that found no place in this tick.
     std::array<int, classCount> tooLarge{};
@@ -178,7 +178,7 @@
         it->percent = 100;
         ++it->attempts;
         ++m_totals.starts;
-        policy.started(*it);
+        policy.started(*it, now);
         const std::string id = it->id;
         m_tasksOf[*worker].push_back(&m_running.emplace(id, std::move(*it)).first->second);
         it = m_waiting.erase(it);
--- a/bench/fakecluster.h
+++ b/bench/fakecluster.h
@@ -70,7 +70,7 @@
     virtual ~Policy() = default;
     // Returns the index of the worker that a task should start on.
     virtual std::optional<int> place(const Task &task, const savorywick::HostLedger &ledger) = 0;
-    virtual void started(const Task &task) = 0;
+    virtual void started(const Task &task, savorywick::Instant now) = 0;
     // Judges a measurement; only what `InterferenceDecision` holds is carried out.
     virtual savorywick::InterferenceDecision
     observe(int worker, const savorywick::WorkerSample &sample, savorywick::Instant now) = 0;
@@ -98,7 +98,7 @@
     };
 
     void arrive(savorywick::Instant now);
-    void startWaiting(Policy &policy);
+    void startWaiting(Policy &policy, savorywick::Instant now);
     void advance(savorywick::Instant now, bool withBatch);
     void measure(int worker, savorywick::Instant now);
     void deliver(Policy &policy, savorywick::Instant now);
--- a/bench/interference_bench.cpp
+++ b/bench/interference_bench.cpp
@@ -42,7 +42,7 @@
             ? std::optional(indexOf(*host))
             : std::nullopt;
     }
-    void started(const Task &) override { }
+    void started(const Task &, Instant) override { }
     InterferenceDecision observe(int, const WorkerSample &, Instant) override
     {
         return {m_allowance, {}, {}};
@@ -68,7 +68,7 @@
         const auto host = m_placement.choose(requestFor(task, runClass), ledger, nullptr);
         return host ? std::optional(indexOf(*host)) : std::nullopt;
     }
-    void started(const Task &) override { }
+    void started(const Task &, Instant) override { }
     InterferenceDecision observe(int worker, const WorkerSample &sample, Instant now) override
     {
         double &allowance = m_allowances[worker];
@@ -115,10 +115,10 @@
         const auto host = m_placement.choose(requestFor(task, runClass), ledger, &m_controller);
         return host ? std::optional(indexOf(*host)) : std::nullopt;
     }
-    void started(const Task &task) override
+    void started(const Task &task, Instant now) override
     {
         m_controller.noteStart(workerName(task.worker), className(task.batchClass),
-                               task.declared.cores);
+                               task.declared.cores, now);
     }
     InterferenceDecision observe(int worker, const WorkerSample &sample, Instant now) override
     {
--- a/include/savorywick/interference.h
+++ b/include/savorywick/interference.h
@@ -90,8 +90,8 @@
     // Notes a measurement and returns what to do. Unknown workers get an allowance of 0.
     InterferenceDecision observe(std::string_view worker, const WorkerSample &sample, Instant now);
     // Notes that a batch task was started. It adds to the eviction budget, and counts on the worker
-    // until a measurement shows what runs there.
-    void noteStart(std::string_view worker, std::string_view runClass, int cores);
+    // until a measurement that was taken later shows what runs there.
+    void noteStart(std::string_view worker, std::string_view runClass, int cores, Instant now);
 
     // Returns what batch work may be booked up to: what feedback grants, but no more than the cores
     // that urgent work was last seen to leave.
@@ -105,6 +105,11 @@
     const PairSlowdown &slowdowns() const { return m_slowdowns; }
 
 private:
+    struct Start
+    {
+        Instant at;
+        ClassShare share;
+    };
     struct Worker
     {
         int cores = 0;
@@ -116,9 +121,11 @@
         int throttledSteps = 0;
         std::string service;
         std::vector<ClassShare> shares;
+        std::vector<Start> starts; // Since the last measurement was taken, the earliest first.
         double unexplained = 0; // Smoothed slowdown beyond what the pairs explain.
     };
 
+    double expectedOn(const Worker &worker) const;
     double judge(Worker &worker, const WorkerSample &sample);
     void hurt(Worker &worker, const WorkerSample &sample, double excess,
               InterferenceDecision &decision);
--- a/src/lib/interference.cpp
+++ b/src/lib/interference.cpp
@@ -65,14 +65,14 @@
 }
 
 void InterferenceController::noteStart(std::string_view worker, std::string_view runClass,
-                                       int cores)
+                                       int cores, Instant now)
 {
     m_evictionBudget =
         std::min(m_evictionBudget + m_options.evictionsPerStart, m_options.evictionBurst);
     const auto it = m_workers.find(worker);
     if (it != m_workers.end() && it->second.cores > 0)
-        it->second.shares.push_back(
-            {std::string(runClass), static_cast<double>(cores) / it->second.cores});
+        it->second.starts.push_back(
+            {now, {std::string(runClass), static_cast<double>(cores) / it->second.cores}});
 }
 
 InterferenceDecision InterferenceController::observe(std::string_view worker,
@@ -84,6 +84,7 @@
     Worker &w = it->second;
     w.service = sample.service;
     w.shares = sharesOf(sample.tasks, w.cores);
+    std::erase_if(w.starts, [&](const Start &start) { return start.at < sample.takenAt; });
     const double excess = judge(w, sample);
     InterferenceDecision decision;
     const bool shown = !w.hasChanged || sample.takenAt - w.changedAt >= m_options.lag;
@@ -236,6 +237,14 @@
     return it == m_workers.end() ? 0 : it->second.inForce;
 }
 
+double InterferenceController::expectedOn(const Worker &worker) const
+{
+    double sum = m_slowdowns.expected(worker.service, worker.shares);
+    for (const Start &it : worker.starts)
+        sum += m_slowdowns.slowdown(worker.service, it.share.runClass) * it.share.share;
+    return sum;
+}
+
 double InterferenceController::expectedExcess(std::string_view worker, std::string_view runClass,
                                               int cores) const
 {
@@ -243,8 +252,7 @@
     if (it == m_workers.end() || it->second.cores == 0)
         return 0;
     const Worker &w = it->second;
-    return m_slowdowns.expected(w.service, w.shares)
-        + m_slowdowns.slowdown(w.service, runClass) * cores / w.cores;
+    return expectedOn(w) + m_slowdowns.slowdown(w.service, runClass) * cores / w.cores;
 }
 
 double InterferenceController::cost(const HostView &host, const PlacementRequest &request) const
@@ -255,7 +263,7 @@
     const Worker &w = it->second;
     const double added =
         m_slowdowns.slowdown(w.service, request.runClass) * request.need.cores / w.cores;
-    const double after = m_slowdowns.expected(w.service, w.shares) + added;
+    const double after = expectedOn(w) + added;
     const bool harmful = m_slowdowns.slowdown(w.service, request.runClass) > m_options.excessLimit;
     if (harmful && after > m_options.excessLimit)
         return std::numeric_limits<double>::infinity();
--- a/tests/lib/interference_test.cpp
+++ b/tests/lib/interference_test.cpp
@@ -93,7 +93,7 @@
             const Instant now = Instant{} + options.lag * i;
             const std::string worker = *rc::gen::element<std::string>("w1", "w2");
             for (int n = 0; n < startsPerStep; ++n, ++starts)
-                controller.noteStart(worker, "noisy", 1);
+                controller.noteStart(worker, "noisy", 1, now);
             const auto decision = controller.observe(worker, anySample(now), now);
             RC_ASSERT(decision.evictions.size() <= 1);
             evictions += static_cast<int>(decision.evictions.size());
@@ -141,7 +141,7 @@
     for (int i = 0; i < 200; ++i) {
         now = now + Millis{20'000};
         controller.observe("teacher", i % 2 == 0 ? calm(now) : noisy(now, 100), now);
-        controller.noteStart("teacher", "quiet", 0);
+        controller.noteStart("teacher", "quiet", 0, now);
     }
     bool throttled = false;
     std::vector<std::string> evicted;
