Restore throttled tasks together instead of one step at a time

Cause: a trial print by class showed that most of the throttled cores were those of harmless classes, throttled in a moment in which their slowdown was overestimated and given back at one step of one task each 20 s. Change: all tasks whose return keeps the expected slowdown under the limit get their full speed at once.

--- a/include/savorywick/interference.h
+++ b/include/savorywick/interference.h
@@ -133,6 +133,8 @@
     void updateRoom(Worker &worker, const WorkerSample &sample) const;
     bool throttle(const Worker &worker, const WorkerSample &sample,
                   InterferenceDecision &decision) const;
+    bool restore(const Worker &worker, const WorkerSample &sample,
+                 InterferenceDecision &decision) const;
     void evict(const Worker &worker, const WorkerSample &sample, InterferenceDecision &decision);
 
     InterferenceOptions m_options;
--- a/src/lib/interference.cpp
+++ b/src/lib/interference.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr int throttleStepPercent = 25;
 // Bounds on how far declared cores are believed to be off on a worker.
 constexpr double leastBookedPerUsed = 0.5;
 constexpr double mostBookedPerUsed = 2.0;
@@ -204,31 +203,40 @@
     decision.evictions.push_back(best->id);
 }
 
-// Gives throttled tasks their speed back, the least harmful first, and then allowance.
+// Gives throttled tasks their speed back, and allowance if none is left throttled.
 void InterferenceController::relax(Worker &worker, const WorkerSample &sample,
                                    InterferenceDecision &decision)
 {
     worker.throttledSteps = 0;
-    const BatchTask *least = nullptr;
-    double leastSlowdown = 0;
+    if (restore(worker, sample, decision))
+        worker.allowance = std::min(worker.allowance + m_options.stepUp * worker.cores,
+                                    static_cast<double>(worker.cores));
+}
+
+// Restores throttled tasks, the least harmful first, as long as the slowdown is expected to stay
+// below where batch work may grow. Returns true if and only if all run at full speed then.
+bool InterferenceController::restore(const Worker &worker, const WorkerSample &sample,
+                                     InterferenceDecision &decision) const
+{
+    std::vector<const BatchTask *> tasks;
     for (const BatchTask &it : sample.tasks) {
-        const double slowdown = m_slowdowns.slowdown(sample.service, it.runClass);
-        if (it.throttlePercent < 100 && (!least || slowdown < leastSlowdown)) {
-            least = &it;
-            leastSlowdown = slowdown;
-        }
+        if (it.throttlePercent < 100)
+            tasks.push_back(&it);
     }
-    if (least) {
-        const int percent = std::min(100, least->throttlePercent + throttleStepPercent);
-        const double after = m_slowdowns.expected(sample.service, worker.shares)
-            + leastSlowdown * shareOf(*least, percent - least->throttlePercent, worker.cores);
-        if (after < m_options.excessLimit) {
-            decision.throttles.push_back({least->id, percent});
-            return;
-        }
+    const auto slowdown = [&](const BatchTask *task) {
+        return m_slowdowns.slowdown(sample.service, task->runClass);
+    };
+    std::stable_sort(tasks.begin(), tasks.end(), [&](const BatchTask *a, const BatchTask *b) {
+        return slowdown(a) < slowdown(b);
+    });
+    double expected = m_slowdowns.expected(sample.service, worker.shares);
+    for (const BatchTask *task : tasks) {
+        expected += slowdown(task) * shareOf(*task, 100 - task->throttlePercent, worker.cores);
+        if (expected > m_options.relaxBelow && slowdown(task) > m_options.excessLimit)
+            return false;
+        decision.throttles.push_back({task->id, 100});
     }
-    worker.allowance = std::min(worker.allowance + m_options.stepUp * worker.cores,
-                                static_cast<double>(worker.cores));
+    return true;
 }
 
 int InterferenceController::allowance(std::string_view worker) const
