Slow the learning of well known pairs down

Cause: with 5% noise a fixed learning rate of 0.15 keeps every slowdown jumping by 0.05 to 0.2, which can't go below 0, so harmless classes look harmful on average and the batch-free p99 is learned 4% too low. Change: the rate of a pair falls from 0.15 to 0.02 with its measurements.

--- a/include/savorywick/pairslowdown.h
+++ b/include/savorywick/pairslowdown.h
@@ -47,6 +47,7 @@
         double slowdown = 0; // On a host filled with the class.
         double share = 0; // In the measurement at hand.
         double meanShare = 0;
+        int samples = 0; // Measurements that showed the class.
     };
     struct Service
     {
--- a/src/lib/pairslowdown.cpp
+++ b/src/lib/pairslowdown.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 constexpr int loadSteps = 10;
-constexpr double learningRate = 0.15;
+constexpr double firstRate = 0.15; // Learning rate of a pair that is new, ...
+constexpr double lastRate = 0.02; // ... and of one that is well known.
+constexpr double rateHalvesAfter = 50; // Measurements of the pair.
 constexpr double batchFreeRate = 0.05;
 constexpr double meanShareRate = 0.01;
 constexpr double largestExcess = 10.0;
@@ -87,7 +89,9 @@
         power += apart * apart;
     }
     for (auto &[runClass, pair] : service.byClass) {
-        const double step = learningRate * error * (pair.share - pair.meanShare) / power;
+        pair.samples += pair.share > 0 ? 1 : 0;
+        const double rate = std::max(firstRate / (1 + pair.samples / rateHalvesAfter), lastRate);
+        const double step = rate * error * (pair.share - pair.meanShare) / power;
         pair.slowdown = std::clamp(pair.slowdown + step, 0.0, largestExcess);
     }
 }
