Send a run to a shard that has a worker for it

Cause: thinpath_test failed at 8 shards and 2 workers: 'waiting == finished' after 30 s, since a run went to the shard of its key whether or not that shard had a worker. Ruled out: too few settings alone, as a slice may lack the one size of worker that a run needs at any size. Change: the key's shard keeps, as a claim, which id the key stands for; the id names the shard that runs it, drawn among the shards with a live worker large enough by a summary in the slices' index row. A repeat finds the first id, so it never runs twice.

--- a/include/savorywick/workerslices.h
+++ b/include/savorywick/workerslices.h
@@ -2,6 +2,7 @@
 
 #include "savorywick/clock.h"
 #include "savorywick/platform.h"
+#include "savorywick/resources.h"
 
 #include <cstdint>
 #include <map>
@@ -24,6 +25,33 @@
 // Throws Error(InvalidInput) if the row holds something else.
 std::set<std::string> parseSliceRow(const Row &row);
 
+// How many live workers of each size every shard has: the value of the index row.
+//
+// Use it to choose the shard of a new run, so that no run goes where no worker could hold it.
+class SliceSummary
+{
+public:
+    // Returns the summary in the index row; an absent row gives one without workers.
+    // Throws Error(InvalidInput) if the row holds something else.
+    static SliceSummary parse(const Row &index);
+
+    // Counts a live worker of a shard.
+    void add(int shard, const Resources &size);
+    // Returns the value to write.
+    std::string toValue() const;
+
+    // Returns true if and only if no worker is known.
+    bool isEmpty() const { return m_counts.empty(); }
+    // Returns a shard with a worker that could hold `need` if it were empty, each with a chance
+    // in proportion to such workers; nothing if there is none. `draw` is a random number.
+    std::optional<int> choose(const Resources &need, std::uint64_t draw) const;
+
+    bool operator==(const SliceSummary &) const = default;
+
+private:
+    std::map<int, std::map<Resources, int>> m_counts; // By shard and size.
+};
+
 // Decides which worker belongs to which shard, once for each worker, through rows of the table.
 //
 // A worker keeps its shard whatever other workers come and go, so that one owner alone books it.
@@ -56,21 +84,14 @@
     const std::set<std::string> &slice(int shard) const;
 
 private:
-    struct Shape
-    {
-        int cores = 0;
-        int memoryMb = 0;
-        int accelerators = 0;
-        auto operator<=>(const Shape &) const = default;
-    };
-
     std::vector<std::string> longGone(const std::set<std::string> &listed, Instant now);
-    int emptiest(const std::map<std::string, Shape> &shapes, const Shape &shape,
+    int emptiest(const std::map<std::string, Resources> &sizes, const Resources &size,
                  const std::vector<std::set<std::string>> &slices) const;
 
     Millis m_forgetAfter;
     bool m_observed = false;
     std::uint64_t m_indexVersion = 0;
+    SliceSummary m_summary;
     std::vector<std::set<std::string>> m_slices; // By shard.
     std::vector<std::uint64_t> m_versions; // By shard.
     std::map<std::string, Instant> m_missingSince;
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -176,7 +176,8 @@
     , m_workerPoll(settings.shardCount, m_clock, m_membership, m_table, m_topology, m_host)
     , m_requests(requestSettings(settings), m_clock, m_documents, m_host, m_topology, m_upstreams,
                  m_forwarder, m_metrics)
-    , m_runs({settings.shardCount, Millis{5'000}}, m_documents, m_host, m_topology, m_forwarder)
+    , m_runs({settings.shardCount, Millis{5'000}}, m_documents, m_host, m_topology, m_forwarder,
+             m_workerPoll)
     , m_api({&m_clock, &m_metrics, &m_documents, &m_documentApi, &m_requests, &m_runs,
              [this] { return m_report->whole(); }, [this] { return ready(); }})
     , m_callerServer(
--- a/src/entry/runservice.cpp
+++ b/src/entry/runservice.cpp
@@ -14,6 +14,11 @@
 constexpr std::size_t shardDigits = 4;
 constexpr Millis storeRetryAfter{2'000};
 constexpr Millis ownerRetryAfter{1'000};
+constexpr int acceptedStatus = 202;
+// Set between entries: the id that a run's key stands for.
+constexpr std::string_view boundIdHeader = "X-Bound-Run-Id";
+// Sets the keys of runs apart from those of urgent requests.
+const std::string runScope = "run:";
 
 // An id names its shard, so that every entry knows whom to ask.
 std::string idFor(int shard, std::string_view kind, std::string_view service, std::string_view key)
@@ -85,6 +90,18 @@
                               "use a class that the service's document declares"});
 }
 
+HttpResponse keyReused()
+{
+    return toResponse(Problem{422, "key-reused", "this key came with another body before",
+                              "use a new key for a new submission"});
+}
+
+HttpResponse fitsNoWorker(const std::string &why)
+{
+    return toResponse(
+        Problem{422, "fits-no-worker", why, "declare a smaller demand in the service's document"});
+}
+
 HttpResponse badJson()
 {
     return toResponse(Problem{400, "malformed-json", "the body is no JSON object",
@@ -109,12 +126,13 @@
 } // namespace
 
 RunService::RunService(RunServiceSettings settings, DocumentService &documents, ShardHost &shards,
-                       const Topology &topology, Forwarder &forwarder)
+                       const Topology &topology, Forwarder &forwarder, const WorkerPoll &workers)
     : m_settings(settings)
     , m_documents(documents)
     , m_shards(shards)
     , m_topology(topology)
     , m_forwarder(forwarder)
+    , m_workers(workers)
 { }
 
 HttpResponse RunService::submitRun(const CallerRequest &request)
@@ -130,8 +148,6 @@
         return *refusal;
     if (!platform::fromText(request.http.body).isObject())
         return badJson();
-    const int shard = shardOfKey(request.service, spec.key, m_settings.shards);
-    spec.id = idFor(shard, "run", request.service, spec.key);
     spec.service = request.service;
     spec.runClass = request.name;
     spec.team = headerValue(request.http.headers, "X-Team");
@@ -143,8 +159,57 @@
     spec.priority = found->second.priority;
     spec.checkpointable = found->second.checkpointable;
     spec.payload = request.http.body;
+
+    const std::string_view bound = headerValue(request.http.headers, boundIdHeader);
+    if (request.forwarded && !bound.empty()) {
+        spec.id = bound;
+        return submitTo(request, spec, shardOfId(bound, m_settings.shards).value_or(0));
+    }
+    const int home = shardOfKey(request.service, spec.key, m_settings.shards);
+    if (auto response = bindKey(request, spec, home))
+        return *response;
+    CallerRequest onward = request;
+    onward.forwarded = false; // The shard that runs it may be another entry's again.
+    onward.http.headers.push_back({std::string(boundIdHeader), spec.id});
+    const int shard = shardOfId(spec.id, m_settings.shards).value_or(0);
+    HttpResponse response = submitTo(onward, spec, shard);
+    if (response.status == acceptedStatus) {
+        const ClaimKey key{runScope + spec.service, spec.key};
+        m_shards.send(home, CloseClaim{key, ClaimEnd::Finished, {acceptedStatus, spec.id}});
+    }
+    return response;
+}
+
+// Makes durable which id the key stands for, or returns the answer that ends the submission.
+std::optional<HttpResponse> RunService::bindKey(const CallerRequest &request, JobSpec &spec,
+                                                int home)
+{
+    const auto summary = m_workers.summary();
+    const auto chosen = summary->choose(spec.demand, stableHash(request.requestId));
+    if (!chosen && !summary->isEmpty())
+        return fitsNoWorker("no live worker is large enough, even when empty");
+    spec.id = idFor(chosen.value_or(home), "run", spec.service, spec.key);
+    auto slot = std::make_shared<ReplySlot<ClaimReply>>();
+    const ClaimRequest claim{runScope + spec.service, spec.key, spec.bodyHash, spec.id};
+    if (!m_shards.send(home, OpenClaim{claim, slot}))
+        return forward(request, home);
+    const auto reply = slot->await(m_settings.replyLimit);
+    if (!reply)
+        return notDurable(ShardRefusal::Lost);
+    if (reply->refusal != ShardRefusal::None)
+        return notDurable(reply->refusal);
+    if (reply->decision.verdict == ClaimVerdict::KeyReused)
+        return keyReused();
+    if (reply->decision.verdict == ClaimVerdict::Full)
+        return notDurable(ShardRefusal::StoreDown);
+    spec.id = reply->decision.holder;
+    return std::nullopt;
+}
+
+HttpResponse RunService::submitTo(const CallerRequest &request, JobSpec spec, int shard)
+{
     auto slot = std::make_shared<ReplySlot<SubmitReply>>();
-    if (!m_shards.send(shard, SubmitRun{spec, slot}))
+    if (!m_shards.send(shard, SubmitRun{std::move(spec), slot}))
         return forward(request, shard);
     return await(slot);
 }
@@ -228,15 +293,13 @@
         return notDurable(reply->refusal);
     const SubmitResult &result = reply->result;
     if (result.outcome == SubmitOutcome::KeyReused || result.outcome == SubmitOutcome::IdReused)
-        return toResponse(Problem{422, "key-reused", "this key came with another body before",
-                                  "use a new key for a new submission"});
+        return keyReused();
     if (result.outcome == SubmitOutcome::FitsNoWorker)
-        return toResponse(Problem{422, "fits-no-worker", result.reason,
-                                  "declare a smaller demand in the service's document"});
+        return fitsNoWorker(result.reason);
     Json::Value body;
     body["id"] = result.id;
     body["state"] = std::string(toString(result.state));
-    return {202, {{"X-Run-Status", "run"}}, platform::toText(body)};
+    return {acceptedStatus, {{"X-Run-Status", "run"}}, platform::toText(body)};
 }
 
 HttpResponse RunService::await(const ReplySlotPtr<JobReply> &slot, bool watcher) const
--- a/src/entry/runservice.h
+++ b/src/entry/runservice.h
@@ -4,6 +4,7 @@
 #include "entry/documentservice.h"
 #include "entry/forwarder.h"
 #include "entry/shardhost.h"
+#include "entry/workerpoll.h"
 
 #include <optional>
 #include <string>
@@ -18,13 +19,16 @@
 
 // Accepts, shows and cancels long runs and watchers, here or through the owner of their shard.
 //
+// The shard that a run's key hashes to keeps which id the key stands for; the id names the shard
+// that runs it, chosen among those that have a worker large enough.
+//
 // Thread-safe; calls block until the answer is durable or the limit is over.
 class RunService
 {
 public:
     // All references must outlive this object.
     RunService(RunServiceSettings settings, DocumentService &documents, ShardHost &shards,
-               const Topology &topology, Forwarder &forwarder);
+               const Topology &topology, Forwarder &forwarder, const WorkerPoll &workers);
 
     HttpResponse submitRun(const CallerRequest &request);
     HttpResponse submitWatcher(const CallerRequest &request);
@@ -32,6 +36,8 @@
     HttpResponse cancel(const CallerRequest &request, bool watcher);
 
 private:
+    HttpResponse submitTo(const CallerRequest &request, JobSpec spec, int shard);
+    std::optional<HttpResponse> bindKey(const CallerRequest &request, JobSpec &spec, int home);
     HttpResponse forward(const CallerRequest &request, int shard);
     HttpResponse await(const ReplySlotPtr<SubmitReply> &slot) const;
     HttpResponse await(const ReplySlotPtr<JobReply> &slot, bool watcher) const;
@@ -41,6 +47,7 @@
     ShardHost &m_shards;
     const Topology &m_topology;
     Forwarder &m_forwarder;
+    const WorkerPoll &m_workers;
 };
 
 } // namespace savorywick
--- a/src/entry/workerpoll.cpp
+++ b/src/entry/workerpoll.cpp
@@ -31,19 +31,30 @@
     try {
         m_topology.setHosts(m_membership.list());
         m_listRead = true;
+        const std::vector<std::string> keys{std::string(sliceIndexKey)};
+        const Row index = m_table.read(keys).front();
+        {
+            auto summary = std::make_shared<SliceSummary>(SliceSummary::parse(index));
+            const std::lock_guard lock(m_mutex);
+            m_summary = std::move(summary);
+        }
         const std::vector<int> owned = m_host.shards();
         if (std::find(owned.begin(), owned.end(), decidingShard) != owned.end())
-            assign();
+            assign(index);
         tellShards();
     } catch (const Error &error) {
         logDebug("worker-poll-failed", {{"why", error.what()}});
     }
 }
 
-void WorkerPoll::assign()
+std::shared_ptr<const SliceSummary> WorkerPoll::summary() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_summary;
+}
+
+void WorkerPoll::assign(const Row &index)
 {
-    const std::vector<std::string> keys{std::string(sliceIndexKey)};
-    const Row index = m_table.read(keys).front();
     if (m_slices.isStale(index)) {
         std::vector<Row> rows;
         for (std::vector<Row> part;;) {
--- a/src/entry/workerpoll.h
+++ b/src/entry/workerpoll.h
@@ -6,6 +6,8 @@
 #include "savorywick/workerslices.h"
 
 #include <atomic>
+#include <memory>
+#include <mutex>
 
 namespace savorywick {
 
@@ -21,9 +23,11 @@
     void poll();
     // Returns true once the list has been read.
     bool listRead() const { return m_listRead; }
+    // Returns how many workers of each size every shard has. Thread-safe.
+    std::shared_ptr<const SliceSummary> summary() const;
 
 private:
-    void assign();
+    void assign(const Row &index);
     void tellShards();
 
     const Clock &m_clock;
@@ -33,6 +37,8 @@
     ShardHost &m_host;
     WorkerSlices m_slices;
     std::atomic<bool> m_listRead{false};
+    mutable std::mutex m_mutex; // For the member below.
+    std::shared_ptr<const SliceSummary> m_summary = std::make_shared<SliceSummary>();
 };
 
 } // namespace savorywick
--- a/src/lib/workerslices.cpp
+++ b/src/lib/workerslices.cpp
@@ -13,14 +13,32 @@
 
 namespace {
 
+std::string toText(const Json::Value &value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
+// Returns the array in a row. Throws Error(InvalidInput) if the row holds something else.
+Json::Value arrayOf(const Row &row)
+{
+    Json::Value value;
+    const Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    const char *text = row.value.data();
+    if (!reader->parse(text, text + row.value.size(), &value, nullptr) || !value.isArray())
+        throw Error(ErrorKind::InvalidInput, "row '" + row.key + "' is no slice of workers",
+                    "remove the row; it is written anew");
+    return value;
+}
+
 std::string toValue(const std::set<std::string> &slice)
 {
     Json::Value value(Json::arrayValue);
     for (const std::string &it : slice)
         value.append(it);
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, value);
+    return toText(value);
 }
 
 // "shard/0007" and "slice/0007" carry the same digits.
@@ -42,18 +60,59 @@
     std::set<std::string> slice;
     if (row.version == 0)
         return slice;
-    Json::Value value;
-    const Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    const char *text = row.value.data();
-    if (!reader->parse(text, text + row.value.size(), &value, nullptr) || !value.isArray())
-        throw Error(ErrorKind::InvalidInput, "row '" + row.key + "' is no slice of workers",
-                    "remove the row; its workers are given to shards again");
+    const Json::Value value = arrayOf(row);
     for (const Json::Value &it : value)
         slice.insert(it.asString());
     return slice;
 }
 
+SliceSummary SliceSummary::parse(const Row &index)
+{
+    SliceSummary summary;
+    if (index.version == 0)
+        return summary;
+    const Json::Value value = arrayOf(index);
+    for (const Json::Value &it : value) {
+        const Resources size{it[1].asInt(), it[2].asInt(), it[3].asInt()};
+        summary.m_counts[it[0].asInt()][size] = it[4].asInt();
+    }
+    return summary;
+}
+
+void SliceSummary::add(int shard, const Resources &size)
+{
+    ++m_counts[shard][size];
+}
+
+std::string SliceSummary::toValue() const
+{
+    Json::Value value(Json::arrayValue);
+    for (const auto &shard : m_counts) {
+        for (const auto &it : shard.second) {
+            Json::Value entry(Json::arrayValue);
+            for (const int n :
+                 {shard.first, it.first.cores, it.first.memoryMb, it.first.accelerators, it.second})
+                entry.append(n);
+            value.append(std::move(entry));
+        }
+    }
+    return toText(value);
+}
+
+std::optional<int> SliceSummary::choose(const Resources &need, std::uint64_t draw) const
+{
+    std::vector<int> shards; // One element for each fitting worker.
+    for (const auto &shard : m_counts) {
+        for (const auto &it : shard.second) {
+            if (need.fitsIn(it.first))
+                shards.insert(shards.end(), static_cast<std::size_t>(it.second), shard.first);
+        }
+    }
+    if (shards.empty())
+        return std::nullopt;
+    return shards[draw % shards.size()];
+}
+
 WorkerSlices::WorkerSlices(int shards, Millis forgetAfter)
     : m_forgetAfter(forgetAfter)
     , m_slices(static_cast<std::size_t>(shards))
@@ -69,6 +128,7 @@
 {
     m_observed = true;
     m_indexVersion = index.version;
+    m_summary = SliceSummary::parse(index);
     for (std::size_t shard = 0; shard < m_slices.size(); ++shard) {
         m_slices[shard].clear();
         m_versions[shard] = 0;
@@ -84,13 +144,14 @@
 
 std::optional<Transaction> WorkerSlices::assign(std::span<const HostInfo> hosts, Instant now)
 {
-    std::map<std::string, Shape> shapes;
+    std::map<std::string, Resources> sizes; // Of the live workers.
     std::set<std::string> listed;
     for (const HostInfo &it : hosts) {
         if (it.role != HostRole::Worker)
             continue;
-        shapes[it.id] = {it.cores, it.memoryMb, it.accelerators};
         listed.insert(it.id);
+        if (it.state == HostState::Live)
+            sizes[it.id] = {it.cores, it.memoryMb, it.accelerators};
     }
     std::vector<std::set<std::string>> slices = m_slices;
     for (const std::string &it : longGone(listed, now)) {
@@ -100,15 +161,22 @@
     std::set<std::string> placed;
     for (const auto &slice : slices)
         placed.insert(slice.begin(), slice.end());
-    for (const std::string &it : listed) {
-        if (placed.contains(it))
+    for (const auto &it : sizes) {
+        if (placed.contains(it.first))
             continue;
-        const int shard = emptiest(shapes, shapes[it], slices);
-        slices[static_cast<std::size_t>(shard)].insert(it);
+        const int shard = emptiest(sizes, it.second, slices);
+        slices[static_cast<std::size_t>(shard)].insert(it.first);
+    }
+    SliceSummary summary;
+    for (std::size_t shard = 0; shard < slices.size(); ++shard) {
+        for (const std::string &it : slices[shard]) {
+            if (const auto size = sizes.find(it); size != sizes.end())
+                summary.add(static_cast<int>(shard), size->second);
+        }
     }
 
     Transaction transaction{{{std::string(sliceIndexKey), m_indexVersion}},
-                            {{std::string(sliceIndexKey), std::string("1")}}};
+                            {{std::string(sliceIndexKey), summary.toValue()}}};
     for (std::size_t shard = 0; shard < slices.size(); ++shard) {
         if (slices[shard] == m_slices[shard])
             continue;
@@ -116,7 +184,7 @@
         transaction.conditions.push_back({key, m_versions[shard]});
         transaction.writes.push_back({key, toValue(slices[shard])});
     }
-    if (!m_observed || transaction.writes.size() == 1)
+    if (!m_observed || (transaction.writes.size() == 1 && summary == m_summary))
         return std::nullopt;
     return transaction;
 }
@@ -145,15 +213,15 @@
     return gone;
 }
 
-int WorkerSlices::emptiest(const std::map<std::string, Shape> &shapes, const Shape &shape,
+int WorkerSlices::emptiest(const std::map<std::string, Resources> &sizes, const Resources &size,
                            const std::vector<std::set<std::string>> &slices) const
 {
     using Rank = std::tuple<std::ptrdiff_t, std::size_t, std::size_t>;
     std::optional<Rank> best;
     for (std::size_t shard = 0; shard < slices.size(); ++shard) {
         const auto alike = [&](const std::string &it) {
-            const auto found = shapes.find(it);
-            return found != shapes.end() && found->second == shape;
+            const auto found = sizes.find(it);
+            return found != sizes.end() && found->second == size;
         };
         const auto n = std::count_if(slices[shard].begin(), slices[shard].end(), alike);
         const Rank rank{n, slices[shard].size(), shard};
