Suspend an instance that is much slower than the others

Under load an entry's last free slots are those of the slow instance, however dear they are; a peer has better ones.

Change: an answer is slow if it takes more than four times its tier's typical latency; an instance whose share of slow answers is clearly above what is typical of all is suspended and probed, by the same rule as for failures. The typical latency is kept for each tier: the other region's is 40 ms higher for no fault of its instances.

Ruled out, as tried: comparing the instance's mean latency with the typical one. It suspended 13 of 50 at the start, when the typical latency is not known yet, and would suspend at random where quick and long requests share the instances; a case with 2 to 50 % of long requests holds that now.

Without the suspension, and without the comparison with the others, cases fail.

--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -98,7 +98,7 @@
     if (way == Way::Random) {
         settings.availabilityZone.clear(); // Any instance of the region.
         settings.choices = 1;
-        settings.suspendAboveFailureShare = 2; // Never.
+        settings.suspendAboveShare = 2; // Never.
     }
     return settings;
 }
--- a/include/savorywick/router.h
+++ b/include/savorywick/router.h
@@ -38,7 +38,8 @@
     Millis firstSuspension{500}; // Doubled for each suspension in a row.
     Millis longestSuspension{30'000};
     Millis latencyHalfLife{5'000}; // How fast an old latency sample loses its weight.
-    double suspendAboveFailureShare = 0.5; // More when other instances fail too.
+    double suspendAboveShare = 0.5; // Of failures, or of slow answers; more if others have them.
+    double slowLatencyFactor = 4; // A slow answer takes more than this by its tier's typical one.
     double largestSuspendedShare = 0.5; // Of all instances; the rest is merely avoided.
 };
 
@@ -46,7 +47,8 @@
 //
 // Use one for each service in each entry. It compares a few random instances of the nearest tier
 // that has a free slot, by latency, load and failures, so that a pick costs the same whatever the
-// number of instances. An instance that fails is suspended and then probed with one request.
+// number of instances. An instance that fails, or is much slower than the others, is suspended and
+// then probed with one request.
 //
 // Not thread-safe.
 //
@@ -95,6 +97,7 @@
         int held = 0;
         int suspensionsInRow = 0;
         double failureShare = 0;
+        double slowShare = 0;
         bool sampled = false; // Whether the latency was ever measured.
         double latencyMs = 0;
         Instant latencyAt;
@@ -102,6 +105,13 @@
         std::size_t freeIndex = notFree; // Position in the tier's free list.
     };
 
+    // Of all instances of a tier; stands in for what is not measured of one.
+    struct TypicalLatency
+    {
+        double ms = 0;
+        double samples = 0;
+    };
+
     struct Wake
     {
         Instant at;
@@ -132,9 +142,10 @@
     Instance *scan(const std::vector<Instance *> &candidates, std::span<const std::string> excluded,
                    Instant now) const;
     void learnLatency(Instance &instance, Millis latency, Instant now);
-    void learnSuccess(Instance &instance);
+    bool isSlow(const Instance &instance, Millis latency) const;
+    void learnSuccess(Instance &instance, bool slow, Instant now);
     void learnFailure(Instance &instance, AttemptOutcome outcome, Instant now);
-    bool failsMoreThanOthers(const Instance &instance) const;
+    bool isOutlier(double share, double typicalShare) const;
     void suspend(Instance &instance, Instant now);
 
     RouterSettings m_settings;
@@ -145,7 +156,8 @@
     int m_suspended = 0;
     int m_freeSlots = 0;
     double m_typicalFailureShare = 0;
-    double m_typicalLatencyMs = 0; // Of all instances; stands in for what is not measured.
+    double m_typicalSlowShare = 0;
+    std::array<TypicalLatency, tierCount> m_typicalLatency;
 };
 
 } // namespace savorywick
--- a/src/lib/router.cpp
+++ b/src/lib/router.cpp
@@ -9,13 +9,14 @@
 
 constexpr double latencyWeight = 0.2; // Of a new sample against all before it.
 constexpr double typicalWeight = 0.01; // Of one sample in what is typical of all instances.
+constexpr double latencyNoiseMs = 10; // A smaller difference makes no answer slow.
 constexpr double failureWeight = 0.2;
 constexpr double connectFailureWeight = 0.4;
 constexpr double failureCost = 10; // How much a failing instance costs more than a sound one.
-constexpr double typicalFailureFactor = 1.5; // Raises the threshold when many instances fail.
+constexpr double typicalShareFactor = 1.5; // Raises the threshold when many instances do.
 constexpr double highestThreshold = 0.98;
-constexpr double clearFailureMargin = 0.3; // Above what is typical.
-constexpr double failureShareAfterProbe = 0.25;
+constexpr double clearMargin = 0.3; // Above what is typical.
+constexpr double shareAfterProbe = 0.25;
 constexpr double clearlyCheaper = 0.9; // Smaller differences are noise: the first draw wins.
 constexpr int drawsPerChoice = 8; // Random draws before a choice falls back to a scan.
 
@@ -78,10 +79,11 @@
         ++instance.held;
         m_wakes.push({now + m_settings.slotHoldAfterTimeout, it->first, true});
     }
+    const bool slow = isSlow(instance, latency);
     if (outcome == AttemptOutcome::Answered || outcome == AttemptOutcome::TimedOut)
         learnLatency(instance, latency, now);
     if (outcome == AttemptOutcome::Answered)
-        learnSuccess(instance);
+        learnSuccess(instance, slow, now);
     else
         learnFailure(instance, outcome, now);
     refresh(instance);
@@ -189,7 +191,8 @@
     const double age = static_cast<double>((now - instance.latencyAt).count());
     const double halfLife = static_cast<double>(m_settings.latencyHalfLife.count());
     const double memory = instance.sampled ? std::exp2(-age / halfLife) : 0;
-    return m_typicalLatencyMs + (instance.latencyMs - m_typicalLatencyMs) * memory;
+    const double typical = m_typicalLatency[static_cast<std::size_t>(instance.tier)].ms;
+    return typical + (instance.latencyMs - typical) * memory;
 }
 
 double Router::cost(const Instance &instance, Instant now) const
@@ -239,22 +242,42 @@
 void Router::learnLatency(Instance &instance, Millis latency, Instant now)
 {
     const double sample = static_cast<double>(latency.count());
-    const double before = instance.sampled ? latencyOf(instance, now) : sample;
+    const bool startsAnew = !instance.sampled || instance.probing;
+    const double before = startsAnew ? sample : latencyOf(instance, now);
     instance.latencyMs = before + latencyWeight * (sample - before);
     instance.latencyAt = now;
     instance.sampled = true;
-    m_typicalLatencyMs += typicalWeight * (sample - m_typicalLatencyMs);
+    TypicalLatency &typical = m_typicalLatency[static_cast<std::size_t>(instance.tier)];
+    ++typical.samples;
+    typical.ms += std::max(typicalWeight, 1 / typical.samples) * (sample - typical.ms);
 }
 
-void Router::learnSuccess(Instance &instance)
+bool Router::isSlow(const Instance &instance, Millis latency) const
 {
+    const TypicalLatency &typical = m_typicalLatency[static_cast<std::size_t>(instance.tier)];
+    const double threshold = m_settings.slowLatencyFactor * typical.ms + latencyNoiseMs;
+    return typical.samples * typicalWeight >= 1 && static_cast<double>(latency.count()) > threshold;
+}
+
+void Router::learnSuccess(Instance &instance, bool slow, Instant now)
+{
+    const double slowSample = slow ? 1 : 0;
+    instance.slowShare += failureWeight * (slowSample - instance.slowShare);
+    m_typicalSlowShare += typicalWeight * (slowSample - m_typicalSlowShare);
     instance.failureShare *= 1 - failureWeight;
     m_typicalFailureShare *= 1 - typicalWeight;
+    if (instance.suspended)
+        return; // Sent before the suspension.
+    if (instance.probing ? slow : isOutlier(instance.slowShare, m_typicalSlowShare)) {
+        suspend(instance, now);
+        return;
+    }
     instance.suspensionsInRow = 0;
     if (!instance.probing)
         return;
     instance.probing = false;
-    instance.failureShare = std::min(instance.failureShare, failureShareAfterProbe);
+    instance.failureShare = std::min(instance.failureShare, shareAfterProbe);
+    instance.slowShare = std::min(instance.slowShare, shareAfterProbe);
 }
 
 void Router::learnFailure(Instance &instance, AttemptOutcome outcome, Instant now)
@@ -263,17 +286,16 @@
     const double weight = unreachable ? connectFailureWeight : failureWeight;
     instance.failureShare += weight * (1 - instance.failureShare);
     m_typicalFailureShare += typicalWeight * (1 - m_typicalFailureShare);
-    if (instance.probing || failsMoreThanOthers(instance))
+    if (instance.probing || isOutlier(instance.failureShare, m_typicalFailureShare))
         suspend(instance, now);
 }
 
-// When all fail alike, the fault is not an instance's, and a suspension would only cost slots.
-bool Router::failsMoreThanOthers(const Instance &instance) const
+// Tells whether an instance fails, or is slow, clearly more often than what is typical. When all
+// are alike, the fault is not an instance's, and a suspension would only cost slots.
+bool Router::isOutlier(double share, double typicalShare) const
 {
-    const double raised =
-        m_settings.suspendAboveFailureShare + typicalFailureFactor * m_typicalFailureShare;
-    return instance.failureShare > std::min(raised, highestThreshold)
-        && instance.failureShare > m_typicalFailureShare + clearFailureMargin;
+    const double raised = m_settings.suspendAboveShare + typicalShareFactor * typicalShare;
+    return share > std::min(raised, highestThreshold) && share > typicalShare + clearMargin;
 }
 
 void Router::suspend(Instance &instance, Instant now)
--- a/tests/lib/router_test.cpp
+++ b/tests/lib/router_test.cpp
@@ -236,6 +236,52 @@
     }
 }
 
+TEST_CASE("A much slower instance gets only probes until it has recovered")
+{
+    Router router(settings, 1);
+    Instant now{0};
+    router.setInstances(plainInstances(10, 8), now);
+    spread(router, 1'000, now, AttemptOutcome::Answered, Millis{20});
+    // All others are busy: the slow one would have eight free slots.
+    std::vector<std::string> others;
+    for (int n = 1; n < 10; ++n)
+        others.push_back("i" + std::to_string(n));
+    int slowAnswers = 0;
+    while (router.pick(others, now)) {
+        router.finished("i0", AttemptOutcome::Answered, Millis{400}, now);
+        ++slowAnswers;
+    }
+    CHECK(slowAnswers < 10);
+    CHECK(router.suspendedInstances(now) == 1);
+    now = now + settings.longestSuspension;
+    CHECK(router.pick(others, now) == "i0");
+    CHECK(router.pick(others, now) == std::nullopt);
+    router.finished("i0", AttemptOutcome::Answered, Millis{20}, now);
+    CHECK(router.pick(others, now) == "i0");
+    CHECK(router.pick(others, now) == "i0");
+}
+
+TEST_CASE("Requests that take long on every instance suspend none")
+{
+    for (const int longOfHundred : {2, 5, 20, 50}) {
+        CAPTURE(longOfHundred);
+        Router router(settings, 1);
+        std::mt19937_64 random(1);
+        Instant now{0};
+        router.setInstances(plainInstances(50, 8), now);
+        int mostSuspended = 0;
+        for (int n = 0; n < 20'000; ++n) {
+            const auto id = router.pick({}, now);
+            REQUIRE(id.has_value());
+            now = now + Millis{n % 4 == 0 ? 1 : 0};
+            const bool isLong = static_cast<int>(random() % 100) < longOfHundred;
+            router.finished(*id, AttemptOutcome::Answered, Millis{isLong ? 500 : 5}, now);
+            mostSuspended = std::max(mostSuspended, router.suspendedInstances(now));
+        }
+        CHECK(mostSuspended <= 5);
+    }
+}
+
 TEST_CASE("No more than half of the instances are suspended")
 {
     Router router(settings, 1);
