--- a/src/lib/interference.cpp
+++ b/src/lib/interference.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-// A pair that slows urgent work down by less than this on a full host counts as harmless.
-constexpr double harmlessSlowdown = 0.02;
-constexpr int throttleStepPercent = 25;
 // Bounds on how far declared cores are believed to be off on a worker.
 constexpr double leastBookedPerUsed = 0.5;
 constexpr double mostBookedPerUsed = 2.0;
@@ -67,14 +64,14 @@
 }
 
 void InterferenceController::noteStart(std::string_view worker, std::string_view runClass,
-                                       int cores)
+                                       int cores, Instant now)
 {
     m_evictionBudget =
         std::min(m_evictionBudget + m_options.evictionsPerStart, m_options.evictionBurst);
     const auto it = m_workers.find(worker);
     if (it != m_workers.end() && it->second.cores > 0)
-        it->second.shares.push_back(
-            {std::string(runClass), static_cast<double>(cores) / it->second.cores});
+        it->second.starts.push_back(
+            {now, {std::string(runClass), static_cast<double>(cores) / it->second.cores}});
 }
 
 InterferenceDecision InterferenceController::observe(std::string_view worker,
@@ -86,6 +83,7 @@
     Worker &w = it->second;
     w.service = sample.service;
     w.shares = sharesOf(sample.tasks, w.cores);
+    std::erase_if(w.starts, [&](const Start &start) { return start.at < sample.takenAt; });
     const double excess = judge(w, sample);
     InterferenceDecision decision;
     const bool shown = !w.hasChanged || sample.takenAt - w.changedAt >= m_options.lag;
@@ -153,6 +151,7 @@
 }
 
 // Slows the tasks down that hurt most for each core, until the rest is expected to be bearable.
+// Classes that stay within the limit even on a host full of them are left alone.
 // Returns false if there was nothing left to slow down.
 bool InterferenceController::throttle(const Worker &worker, const WorkerSample &sample,
                                       InterferenceDecision &decision) const
@@ -171,7 +170,7 @@
     double expected = m_slowdowns.expected(sample.service, worker.shares);
     bool throttled = false;
     for (const BatchTask *task : tasks) {
-        if (expected <= m_options.relaxBelow || slowdown(task) < harmlessSlowdown)
+        if (expected <= m_options.relaxBelow || slowdown(task) <= m_options.excessLimit)
             break;
         const int percent = m_options.leastThrottlePercent;
         expected -= slowdown(task) * shareOf(*task, task->throttlePercent - percent, worker.cores);
@@ -204,31 +203,40 @@
     decision.evictions.push_back(best->id);
 }
 
-// Gives throttled tasks their speed back, the least harmful first, and then allowance.
+// Gives throttled tasks their speed back, and allowance if none is left throttled.
 void InterferenceController::relax(Worker &worker, const WorkerSample &sample,
                                    InterferenceDecision &decision)
 {
     worker.throttledSteps = 0;
-    const BatchTask *least = nullptr;
-    double leastSlowdown = 0;
+    if (restore(worker, sample, decision))
+        worker.allowance = std::min(worker.allowance + m_options.stepUp * worker.cores,
+                                    static_cast<double>(worker.cores));
+}
+
+// Restores throttled tasks, the least harmful first, as long as the slowdown is expected to stay
+// below where batch work may grow. Returns true if and only if all run at full speed then.
+bool InterferenceController::restore(const Worker &worker, const WorkerSample &sample,
+                                     InterferenceDecision &decision) const
+{
+    std::vector<const BatchTask *> tasks;
     for (const BatchTask &it : sample.tasks) {
-        const double slowdown = m_slowdowns.slowdown(sample.service, it.runClass);
-        if (it.throttlePercent < 100 && (!least || slowdown < leastSlowdown)) {
-            least = &it;
-            leastSlowdown = slowdown;
-        }
+        if (it.throttlePercent < 100)
+            tasks.push_back(&it);
     }
-    if (least) {
-        const int percent = std::min(100, least->throttlePercent + throttleStepPercent);
-        const double after = m_slowdowns.expected(sample.service, worker.shares)
-            + leastSlowdown * shareOf(*least, percent - least->throttlePercent, worker.cores);
-        if (after < m_options.excessLimit) {
-            decision.throttles.push_back({least->id, percent});
-            return;
-        }
+    const auto slowdown = [&](const BatchTask *task) {
+        return m_slowdowns.slowdown(sample.service, task->runClass);
+    };
+    std::stable_sort(tasks.begin(), tasks.end(), [&](const BatchTask *a, const BatchTask *b) {
+        return slowdown(a) < slowdown(b);
+    });
+    double expected = m_slowdowns.expected(sample.service, worker.shares);
+    for (const BatchTask *task : tasks) {
+        expected += slowdown(task) * shareOf(*task, 100 - task->throttlePercent, worker.cores);
+        if (expected > m_options.relaxBelow && slowdown(task) > m_options.excessLimit)
+            return false;
+        decision.throttles.push_back({task->id, 100});
     }
-    worker.allowance = std::min(worker.allowance + m_options.stepUp * worker.cores,
-                                static_cast<double>(worker.cores));
+    return true;
 }
 
 int InterferenceController::allowance(std::string_view worker) const
@@ -237,6 +245,14 @@
     return it == m_workers.end() ? 0 : it->second.inForce;
 }
 
+double InterferenceController::expectedOn(const Worker &worker) const
+{
+    double sum = m_slowdowns.expected(worker.service, worker.shares);
+    for (const Start &it : worker.starts)
+        sum += m_slowdowns.slowdown(worker.service, it.share.runClass) * it.share.share;
+    return sum;
+}
+
 double InterferenceController::expectedExcess(std::string_view worker, std::string_view runClass,
                                               int cores) const
 {
@@ -244,8 +260,7 @@
     if (it == m_workers.end() || it->second.cores == 0)
         return 0;
     const Worker &w = it->second;
-    return m_slowdowns.expected(w.service, w.shares)
-        + m_slowdowns.slowdown(w.service, runClass) * cores / w.cores;
+    return expectedOn(w) + m_slowdowns.slowdown(w.service, runClass) * cores / w.cores;
 }
 
 double InterferenceController::cost(const HostView &host, const PlacementRequest &request) const
@@ -256,9 +271,9 @@
     const Worker &w = it->second;
     const double added =
         m_slowdowns.slowdown(w.service, request.runClass) * request.need.cores / w.cores;
-    const double after = m_slowdowns.expected(w.service, w.shares) + added;
-    const bool harmless = added < harmlessSlowdown * request.need.cores / w.cores;
-    if (!harmless && after > m_options.excessLimit)
+    const double after = expectedOn(w) + added;
+    const bool harmful = m_slowdowns.slowdown(w.service, request.runClass) > m_options.excessLimit;
+    if (harmful && after > m_options.excessLimit)
         return std::numeric_limits<double>::infinity();
     return added;
 }
