--- a/include/savorywick/jobbook.h
+++ b/include/savorywick/jobbook.h
@@ -80,9 +80,10 @@
 // Every decision applies in memory at once and appends records to `records`. The user appends them
 // to the shard's Journal, also if there are none, and holds back the answer to the caller and the
 // effects taken at the same time until that ticket has landed. If the journal is fenced, drop the
-// book. Every effect but ThrottleTask must be answered by its reply function, as failed or unknown
-// if no answer came; right before it is sent ask wanted() again, and drop it if it is not.
-// Call nothing while LeaseKeeper::mayAct() is false.
+// book. Renewals need not wait, see waitsForCommit(). Every effect but ThrottleTask must be answered
+// by its reply function, as failed or unknown if no answer came; right before it is sent ask
+// wanted() again, and drop it if it is not. While LeaseKeeper::mayAct() is false call no tick(),
+// send no effect and answer no caller; the workers' replies are taken in at all times.
 //
 // Attempt n+1 is placed only after attempt n is confirmed stopped, its worker restarted, or the
 // worker's lease surely lapsed. Not thread-safe.
--- a/include/savorywick/workercalls.h
+++ b/include/savorywick/workercalls.h
@@ -59,6 +59,14 @@
 // A call that the owner of a shard must make to a worker.
 using Effect = std::variant<RenewLease, StartTask, StopTask, CheckpointTask, ThrottleTask>;
 
+// Returns true if and only if the call must wait until the records appended before it are durable.
+// A renewal promises nothing that a record could contradict, so it goes out also while the store is
+// slow, and running tasks keep their leases.
+inline bool waitsForCommit(const Effect &effect)
+{
+    return !std::holds_alternative<RenewLease>(effect);
+}
+
 enum class TaskState { Running, Finished, Failed };
 
 // What a worker says of one attempt.
--- a/tests/lib/faketable.h
+++ b/tests/lib/faketable.h
@@ -58,9 +58,12 @@
     {
         checkUp();
         std::vector<savorywick::Row> rows;
-        for (const auto &[key, row] : m_rows) {
-            if (rows.size() < limit && key.starts_with(prefix) && key > after)
-                rows.push_back(row);
+        const std::string from(std::max(prefix, after));
+        for (auto it = m_rows.lower_bound(from); it != m_rows.end(); ++it) {
+            if (!it->first.starts_with(prefix) || rows.size() == limit)
+                break;
+            if (it->first != after)
+                rows.push_back(it->second);
         }
         return rows;
     }
--- a/tests/lib/jobbook_test.cpp
+++ b/tests/lib/jobbook_test.cpp
@@ -239,6 +239,37 @@
     CHECK(bench.now() - taken <= Millis{50'000});
 }
 
+TEST_CASE("A refused start is taken back only when nothing on its way can start it")
+{
+    struct Case
+    {
+        StartOutcome outcome;
+        bool freed; // At once, since the worker refuses every copy of the call.
+        bool stops; // The worker must refuse the attempt first.
+    };
+    for (const Case &it :
+         {Case{StartOutcome::WrongIncarnation, true, false},
+          Case{StartOutcome::StaleAttempt, true, false}, Case{StartOutcome::NoRoom, false, true},
+          Case{StartOutcome::NoLease, false, false}, Case{StartOutcome::StaleEpoch, false, false},
+          Case{StartOutcome::Unknown, false, false}}) {
+        CAPTURE(static_cast<int>(it.outcome));
+        Bench bench(1);
+        bench.run(Millis{1'000});
+        JobBook::Records records;
+        bench.book().submit(spec("a"), bench.now(), records);
+        bench.book().tick(bench.now(), records);
+        bench.book().takeEffects();
+        bench.book().startReply("a", 1, {it.outcome, {}}, bench.now(), records);
+        CHECK(bench.state("a") == (it.freed ? "waiting" : "placed"));
+        const auto effects = bench.book().takeEffects();
+        const bool stops = effects.size() == 1 && std::holds_alternative<StopTask>(effects[0]);
+        CHECK(stops == it.stops);
+        if (stops)
+            bench.book().stopReply(std::get<StopTask>(effects[0]), true, bench.now(), records);
+        CHECK(bench.state("a") == (it.freed || it.stops ? "waiting" : "placed"));
+    }
+}
+
 TEST_CASE("A run that fails everywhere is given up with its causes")
 {
     Bench bench(4);
