--- a/src/lib/interference.cpp
+++ b/src/lib/interference.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-// A pair that slows urgent work down by less than this on a full host counts as harmless.
-constexpr double harmlessSlowdown = 0.02;
-constexpr int throttleStepPercent = 25;
+// Bounds on how far declared cores are believed to be off on a worker.
+constexpr double leastBookedPerUsed = 0.5;
+constexpr double mostBookedPerUsed = 2.0;
 // The part of the measured excess that the known pairs must explain to be acted on alone.
 constexpr double explainedPart = 0.5;
 
@@ -52,6 +52,8 @@
     Worker &w = it->second;
     w.cores = std::max(cores, 0);
     w.allowance = added ? w.cores : std::min(w.allowance, static_cast<double>(w.cores));
+    w.room = added ? w.cores : std::min(w.room, static_cast<double>(w.cores));
+    w.inForce = added ? w.cores : std::min(w.inForce, w.cores);
 }
 
 void InterferenceController::removeWorker(std::string_view worker)
@@ -62,14 +64,14 @@
 }
 
 void InterferenceController::noteStart(std::string_view worker, std::string_view runClass,
-                                       int cores)
+                                       int cores, Instant now)
 {
     m_evictionBudget =
         std::min(m_evictionBudget + m_options.evictionsPerStart, m_options.evictionBurst);
     const auto it = m_workers.find(worker);
     if (it != m_workers.end() && it->second.cores > 0)
-        it->second.shares.push_back(
-            {std::string(runClass), static_cast<double>(cores) / it->second.cores});
+        it->second.starts.push_back(
+            {now, {std::string(runClass), static_cast<double>(cores) / it->second.cores}});
 }
 
 InterferenceDecision InterferenceController::observe(std::string_view worker,
@@ -81,34 +83,61 @@
     Worker &w = it->second;
     w.service = sample.service;
     w.shares = sharesOf(sample.tasks, w.cores);
-    const double excess = m_slowdowns.learn(sample.service, sample.urgentLoad / w.cores,
-                                            sample.urgentP99Ms, w.shares);
+    std::erase_if(w.starts, [&](const Start &start) { return start.at < sample.takenAt; });
+    const double excess = judge(w, sample);
     InterferenceDecision decision;
     const bool shown = !w.hasChanged || sample.takenAt - w.changedAt >= m_options.lag;
-    const double before = w.allowance;
+    const int before = w.inForce;
     if (shown) {
-        const bool overTarget = sample.targetMs > 0 && sample.urgentP99Ms > sample.targetMs
-            && excess > m_options.relaxBelow;
+        const double batchFree =
+            m_slowdowns.batchFreeP99Ms(sample.service, sample.urgentLoad / w.cores);
+        const bool overTarget = sample.targetMs > 0 && excess > m_options.relaxBelow
+            && batchFree * (1 + excess) > sample.targetMs;
         if (excess > m_options.excessLimit || overTarget)
-            hurt(w, sample, decision);
+            hurt(w, sample, excess, decision);
         else if (excess < m_options.relaxBelow)
             relax(w, sample, decision);
+        updateRoom(w, sample);
+        w.inForce = static_cast<int>(std::min(w.allowance, w.room));
     }
-    if (w.allowance != before || !decision.throttles.empty() || !decision.evictions.empty()) {
+    if (w.inForce != before || !decision.throttles.empty() || !decision.evictions.empty()) {
         w.hasChanged = true;
         w.changedAt = now;
     }
-    decision.allowance = static_cast<int>(w.allowance);
+    decision.allowance = w.inForce;
     return decision;
 }
 
+// Leaves urgent work its cores and the headroom. Batch tasks use more or less than they book, so
+// the room is converted by what they were seen to use.
+void InterferenceController::updateRoom(Worker &worker, const WorkerSample &sample) const
+{
+    double booked = 0;
+    for (const BatchTask &it : sample.tasks)
+        booked += it.bookedCores;
+    const double used = batchCores(sample.tasks);
+    const bool known = booked > 0 && used > 0;
+    const double bookedPerUsed =
+        known ? std::clamp(booked / used, leastBookedPerUsed, mostBookedPerUsed) : 1;
+    const double left = worker.cores * (1 - m_options.headroom) - sample.urgentLoad;
+    worker.room = std::clamp(left * bookedPerUsed, 0.0, static_cast<double>(worker.cores));
+}
+
+// Learns from the measurement and returns the slowdown to act on: what the pairs on the worker
+// explain, which carries no noise of this measurement, and the smoothed rest.
+double InterferenceController::judge(Worker &worker, const WorkerSample &sample)
+{
+    const double known = m_slowdowns.expected(sample.service, worker.shares);
+    const double measured = m_slowdowns.learn(sample.service, sample.urgentLoad / worker.cores,
+                                              sample.urgentP99Ms, worker.shares);
+    worker.unexplained += m_options.smoothing * (measured - known - worker.unexplained);
+    return known + worker.unexplained;
+}
+
 // Throttles what the known pairs blame; only what they do not explain costs allowance.
-void InterferenceController::hurt(Worker &worker, const WorkerSample &sample,
+void InterferenceController::hurt(Worker &worker, const WorkerSample &sample, double excess,
                                   InterferenceDecision &decision)
 {
-    const double batchFree =
-        m_slowdowns.batchFreeP99Ms(sample.service, sample.urgentLoad / worker.cores);
-    const double excess = batchFree > 0 ? sample.urgentP99Ms / batchFree - 1 : 0;
     const bool explained =
         m_slowdowns.expected(sample.service, worker.shares) >= explainedPart * excess;
     const bool throttled = throttle(worker, sample, decision);
@@ -122,6 +151,7 @@
 }
 
 // Slows the tasks down that hurt most for each core, until the rest is expected to be bearable.
+// Classes that stay within the limit even on a host full of them are left alone.
 // Returns false if there was nothing left to slow down.
 bool InterferenceController::throttle(const Worker &worker, const WorkerSample &sample,
                                       InterferenceDecision &decision) const
@@ -140,7 +170,7 @@
     double expected = m_slowdowns.expected(sample.service, worker.shares);
     bool throttled = false;
     for (const BatchTask *task : tasks) {
-        if (expected <= m_options.relaxBelow || slowdown(task) < harmlessSlowdown)
+        if (expected <= m_options.relaxBelow || slowdown(task) <= m_options.excessLimit)
             break;
         const int percent = m_options.leastThrottlePercent;
         expected -= slowdown(task) * shareOf(*task, task->throttlePercent - percent, worker.cores);
@@ -173,37 +203,54 @@
     decision.evictions.push_back(best->id);
 }
 
-// Gives throttled tasks their speed back, the least harmful first, and then allowance.
+// Gives throttled tasks their speed back, and allowance if none is left throttled.
 void InterferenceController::relax(Worker &worker, const WorkerSample &sample,
                                    InterferenceDecision &decision)
 {
     worker.throttledSteps = 0;
-    const BatchTask *least = nullptr;
-    double leastSlowdown = 0;
+    if (restore(worker, sample, decision))
+        worker.allowance = std::min(worker.allowance + m_options.stepUp * worker.cores,
+                                    static_cast<double>(worker.cores));
+}
+
+// Restores throttled tasks, the least harmful first, as long as the slowdown is expected to stay
+// below where batch work may grow. Returns true if and only if all run at full speed then.
+bool InterferenceController::restore(const Worker &worker, const WorkerSample &sample,
+                                     InterferenceDecision &decision) const
+{
+    std::vector<const BatchTask *> tasks;
     for (const BatchTask &it : sample.tasks) {
-        const double slowdown = m_slowdowns.slowdown(sample.service, it.runClass);
-        if (it.throttlePercent < 100 && (!least || slowdown < leastSlowdown)) {
-            least = &it;
-            leastSlowdown = slowdown;
-        }
+        if (it.throttlePercent < 100)
+            tasks.push_back(&it);
     }
-    if (least) {
-        const int percent = std::min(100, least->throttlePercent + throttleStepPercent);
-        const double after = m_slowdowns.expected(sample.service, worker.shares)
-            + leastSlowdown * shareOf(*least, percent - least->throttlePercent, worker.cores);
-        if (after < m_options.excessLimit) {
-            decision.throttles.push_back({least->id, percent});
-            return;
-        }
+    const auto slowdown = [&](const BatchTask *task) {
+        return m_slowdowns.slowdown(sample.service, task->runClass);
+    };
+    std::stable_sort(tasks.begin(), tasks.end(), [&](const BatchTask *a, const BatchTask *b) {
+        return slowdown(a) < slowdown(b);
+    });
+    double expected = m_slowdowns.expected(sample.service, worker.shares);
+    for (const BatchTask *task : tasks) {
+        expected += slowdown(task) * shareOf(*task, 100 - task->throttlePercent, worker.cores);
+        if (expected > m_options.relaxBelow && slowdown(task) > m_options.excessLimit)
+            return false;
+        decision.throttles.push_back({task->id, 100});
     }
-    worker.allowance = std::min(worker.allowance + m_options.stepUp * worker.cores,
-                                static_cast<double>(worker.cores));
+    return true;
 }
 
 int InterferenceController::allowance(std::string_view worker) const
 {
     const auto it = m_workers.find(worker);
-    return it == m_workers.end() ? 0 : static_cast<int>(it->second.allowance);
+    return it == m_workers.end() ? 0 : it->second.inForce;
+}
+
+double InterferenceController::expectedOn(const Worker &worker) const
+{
+    double sum = m_slowdowns.expected(worker.service, worker.shares);
+    for (const Start &it : worker.starts)
+        sum += m_slowdowns.slowdown(worker.service, it.share.runClass) * it.share.share;
+    return sum;
 }
 
 double InterferenceController::expectedExcess(std::string_view worker, std::string_view runClass,
@@ -213,8 +260,7 @@
     if (it == m_workers.end() || it->second.cores == 0)
         return 0;
     const Worker &w = it->second;
-    return m_slowdowns.expected(w.service, w.shares)
-        + m_slowdowns.slowdown(w.service, runClass) * cores / w.cores;
+    return expectedOn(w) + m_slowdowns.slowdown(w.service, runClass) * cores / w.cores;
 }
 
 double InterferenceController::cost(const HostView &host, const PlacementRequest &request) const
@@ -225,9 +271,9 @@
     const Worker &w = it->second;
     const double added =
         m_slowdowns.slowdown(w.service, request.runClass) * request.need.cores / w.cores;
-    const double after = m_slowdowns.expected(w.service, w.shares) + added;
-    const bool harmless = added < harmlessSlowdown * request.need.cores / w.cores;
-    if (!harmless && after > m_options.excessLimit)
+    const double after = expectedOn(w) + added;
+    const bool harmful = m_slowdowns.slowdown(w.service, request.runClass) > m_options.excessLimit;
+    if (harmful && after > m_options.excessLimit)
         return std::numeric_limits<double>::infinity();
     return added;
 }
--- a/tests/lib/interference_test.cpp
+++ b/tests/lib/interference_test.cpp
@@ -23,17 +23,17 @@
     sample.targetMs = *rc::gen::inRange(0, 100);
     const int tasks = *rc::gen::inRange(0, 6);
     for (int i = 0; i < tasks; ++i) {
-        sample.tasks.push_back({"t" + std::to_string(i),
-                                *rc::gen::element<std::string>("quiet", "noisy"),
-                                *rc::gen::inRange(0, 40), *rc::gen::element(25, 50, 75, 100),
-                                static_cast<double>(*rc::gen::inRange(0, 1'000))});
+        sample.tasks.push_back(
+            {"t" + std::to_string(i), *rc::gen::element<std::string>("quiet", "noisy"),
+             static_cast<double>(*rc::gen::inRange(0, 40)), *rc::gen::inRange(0, 40),
+             *rc::gen::element(25, 50, 75, 100), static_cast<double>(*rc::gen::inRange(0, 1'000))});
     }
     return sample;
 }
 
 WorkerSample calm(Instant takenAt)
 {
-    return {takenAt, "quotes", 20, 10, 20, {{"other", "quiet", 16, 100, 0}}};
+    return {takenAt, "quotes", 20, 10, 20, {{"other", "quiet", 16, 16, 100, 0}}};
 }
 
 WorkerSample noisy(Instant takenAt, int percent)
@@ -44,9 +44,9 @@
             20,
             p99Ms,
             20,
-            {{"cheap", "noisy", 16, percent, 5},
-             {"dear", "noisy", 16, percent, 900},
-             {"idle", "quiet", 16, 100, 0}}};
+            {{"cheap", "noisy", 16, 16, percent, 5},
+             {"dear", "noisy", 16, 16, percent, 900},
+             {"idle", "quiet", 16, 16, 100, 0}}};
 }
 
 } // namespace
@@ -93,7 +93,7 @@
             const Instant now = Instant{} + options.lag * i;
             const std::string worker = *rc::gen::element<std::string>("w1", "w2");
             for (int n = 0; n < startsPerStep; ++n, ++starts)
-                controller.noteStart(worker, "noisy", 1);
+                controller.noteStart(worker, "noisy", 1, now);
             const auto decision = controller.observe(worker, anySample(now), now);
             RC_ASSERT(decision.evictions.size() <= 1);
             evictions += static_cast<int>(decision.evictions.size());
@@ -141,7 +141,7 @@
     for (int i = 0; i < 200; ++i) {
         now = now + Millis{20'000};
         controller.observe("teacher", i % 2 == 0 ? calm(now) : noisy(now, 100), now);
-        controller.noteStart("teacher", "quiet", 0);
+        controller.noteStart("teacher", "quiet", 0, now);
     }
     bool throttled = false;
     std::vector<std::string> evicted;
