Let the model's queue look past what finds no place

Cause: the model looked at the first 400 waiting tasks only, so noisy tasks that no policy would place hid the harmless ones behind them; the library's queue keeps a head per size and has no such limit. Change: only searches for a place count.

--- a/bench/fakecluster.cpp
+++ b/bench/fakecluster.cpp
@@ -51,7 +51,7 @@
 constexpr int requestsPerTick = 20;
 constexpr int histogramSteps = 4'000;
 constexpr double stepRatio = 1.005;
-constexpr int scanLimit = 400;
+constexpr int mostAttempts = 400; // Searches for a place in one tick.
 
 double hoursOf(Instant now)
 {
@@ -162,12 +162,13 @@
     // Per class, the least size that found no place in this tick.
     std::array<int, classCount> tooLarge{};
     tooLarge.fill(workerCores + 1);
-    int scanned = 0;
-    for (auto it = m_waiting.begin(); it != m_waiting.end() && scanned < scanLimit; ++scanned) {
+    int attempts = 0;
+    for (auto it = m_waiting.begin(); it != m_waiting.end() && attempts < mostAttempts;) {
         if (it->declared.cores >= tooLarge[it->batchClass]) {
             ++it;
             continue;
         }
+        ++attempts;
         const auto worker = policy.place(*it, m_ledger);
         if (!worker || !m_ledger.book(workerName(*worker), it->id, it->declared)) {
             tooLarge[it->batchClass] = it->declared.cores;
