Cut the allowance by how far urgent work is over the limit

Cause: a trial print showed the allowance below the room that urgent work leaves for 31% of the time; each slight crossing of the limit cut it to 0.6 and it came back by 1/16 of the host at a time. Change: the cut grows with the excess over the limit, from 5% to the former 40%.

--- a/include/savorywick/interference.h
+++ b/include/savorywick/interference.h
@@ -19,7 +19,8 @@
     double relaxBelow = 0.06; // Below this slowdown batch work may grow again.
     double headroom = 0.04; // Part of the cores that is left idle beside urgent and batch work.
     double smoothing = 0.3; // Weight of a new measurement in what the pairs do not explain.
-    double stepDown = 0.6; // Factor on the allowance when urgent work is hurt.
+    double stepDown = 0.6; // The smallest factor on the allowance when urgent work is hurt.
+    double cutPerExcess = 2.0; // Part of the allowance cut for each unit over `excessLimit`.
     double stepUp = 0.0625; // Part of the capacity given back at a time.
     int throttleSteps = 3; // Measurements with throttled work that still hurts before evicting.
     int leastThrottlePercent = 25; // Speed of a fully throttled task.
--- a/src/lib/interference.cpp
+++ b/src/lib/interference.cpp
@@ -11,6 +11,8 @@
 // Bounds on how far declared cores are believed to be off on a worker.
 constexpr double leastBookedPerUsed = 0.5;
 constexpr double mostBookedPerUsed = 2.0;
+// A cut of the allowance leaves at most this part.
+constexpr double leastCut = 0.95;
 // The part of the measured excess that the known pairs must explain to be acted on alone.
 constexpr double explainedPart = 0.5;
 
@@ -143,7 +145,8 @@
     const bool throttled = throttle(worker, sample, decision);
     if (!explained) {
         const double used = std::min(worker.allowance, batchCores(sample.tasks));
-        worker.allowance = used * m_options.stepDown;
+        const double over = (excess - m_options.excessLimit) * m_options.cutPerExcess;
+        worker.allowance = used * std::clamp(1 - over, m_options.stepDown, leastCut);
     }
     ++worker.throttledSteps;
     if (!throttled && worker.throttledSteps >= m_options.throttleSteps)
