Throttle a harmful task no further than needed

Cause: tasks were throttled to a quarter of their speed however little was needed. Change: a task is slowed down to the speed at which the slowdown is expected to be bearable.

--- a/src/lib/interference.cpp
+++ b/src/lib/interference.cpp
@@ -175,8 +175,11 @@
     for (const BatchTask *task : tasks) {
         if (expected <= m_options.relaxBelow || slowdown(task) <= m_options.excessLimit)
             break;
-        const int percent = m_options.leastThrottlePercent;
-        expected -= slowdown(task) * shareOf(*task, task->throttlePercent - percent, worker.cores);
+        const double perPercent = slowdown(task) * shareOf(*task, 1, worker.cores);
+        const double tooMuch = (expected - m_options.relaxBelow) / perPercent;
+        const int wanted = task->throttlePercent - static_cast<int>(std::min(tooMuch, 100.0)) - 1;
+        const int percent = std::max(wanted, m_options.leastThrottlePercent);
+        expected -= perPercent * (task->throttlePercent - percent);
         decision.throttles.push_back({task->id, percent});
         throttled = true;
     }
