Restore a harmful task as far as is bearable

Cause: a throttled harmful task got its full speed back or none. Change: it gets as much as keeps the expected slowdown bearable, in steps of 5% or more.

--- a/src/lib/interference.cpp
+++ b/src/lib/interference.cpp
@@ -13,6 +13,8 @@
 constexpr double mostBookedPerUsed = 2.0;
 // A cut of the allowance leaves at most this part.
 constexpr double leastCut = 0.95;
+// Smaller steps up are not worth a call to the worker.
+constexpr int leastRestoredPercent = 5;
 // The part of the measured excess that the known pairs must explain to be acted on alone.
 constexpr double explainedPart = 0.5;
 
@@ -236,13 +238,20 @@
         return slowdown(a) < slowdown(b);
     });
     double expected = m_slowdowns.expected(sample.service, worker.shares);
+    bool all = true;
     for (const BatchTask *task : tasks) {
-        expected += slowdown(task) * shareOf(*task, 100 - task->throttlePercent, worker.cores);
-        if (expected > m_options.relaxBelow && slowdown(task) > m_options.excessLimit)
-            return false;
-        decision.throttles.push_back({task->id, 100});
+        const double perPercent = slowdown(task) * shareOf(*task, 1, worker.cores);
+        const double room = std::max(m_options.relaxBelow - expected, 0.0);
+        const bool harmful = slowdown(task) > m_options.excessLimit && perPercent > 0;
+        const int most = 100 - task->throttlePercent;
+        const int more = harmful ? static_cast<int>(std::min(room / perPercent, 1.0 * most)) : most;
+        all = all && more == most;
+        if (more < leastRestoredPercent && more < most)
+            continue;
+        expected += perPercent * more;
+        decision.throttles.push_back({task->id, task->throttlePercent + more});
     }
-    return true;
+    return all;
 }
 
 int InterferenceController::allowance(std::string_view worker) const
