Let the allowance grow while known pairs are throttled

Cause suspected: a single throttled task kept the allowance of its worker from growing. Change: both are given back together.

--- a/include/savorywick/interference.h
+++ b/include/savorywick/interference.h
@@ -70,8 +70,8 @@
 // work needs at that load without batch work, as learned from all workers. If it is hurt, the
 // batch allowance steps down at once and the tasks that hurt most are throttled; if that does not
 // help within `throttleSteps` measurements, the cheapest of the harmful tasks is evicted, within a
-// budget per start. If urgent work is well, tasks regain their speed and then the allowance steps
-// up. Measurements that were taken less than `lag` after the last change on the worker teach, but
+// budget per start. If urgent work is well, tasks regain their speed and the allowance steps up.
+// Measurements that were taken less than `lag` after the last change on the worker teach, but
 // decide nothing, so nothing swings faster than the lag. Not thread-safe.
 //
 // Example:
@@ -134,7 +134,7 @@
     void updateRoom(Worker &worker, const WorkerSample &sample) const;
     bool throttle(const Worker &worker, const WorkerSample &sample,
                   InterferenceDecision &decision) const;
-    bool restore(const Worker &worker, const WorkerSample &sample,
+    void restore(const Worker &worker, const WorkerSample &sample,
                  InterferenceDecision &decision) const;
     void evict(const Worker &worker, const WorkerSample &sample, InterferenceDecision &decision);
 
--- a/src/lib/interference.cpp
+++ b/src/lib/interference.cpp
@@ -211,19 +211,20 @@
     decision.evictions.push_back(best->id);
 }
 
-// Gives throttled tasks their speed back, and allowance if none is left throttled.
+// Gives throttled tasks their speed back, and the worker allowance: what is still throttled then is
+// held by the known pairs, which bind placement too.
 void InterferenceController::relax(Worker &worker, const WorkerSample &sample,
                                    InterferenceDecision &decision)
 {
     worker.throttledSteps = 0;
-    if (restore(worker, sample, decision))
-        worker.allowance = std::min(worker.allowance + m_options.stepUp * worker.cores,
-                                    static_cast<double>(worker.cores));
+    restore(worker, sample, decision);
+    worker.allowance = std::min(worker.allowance + m_options.stepUp * worker.cores,
+                                static_cast<double>(worker.cores));
 }
 
 // Restores throttled tasks, the least harmful first, as long as the slowdown is expected to stay
-// below where batch work may grow. Returns true if and only if all run at full speed then.
-bool InterferenceController::restore(const Worker &worker, const WorkerSample &sample,
+// below where batch work may grow.
+void InterferenceController::restore(const Worker &worker, const WorkerSample &sample,
                                      InterferenceDecision &decision) const
 {
     std::vector<const BatchTask *> tasks;
@@ -238,20 +239,17 @@
         return slowdown(a) < slowdown(b);
     });
     double expected = m_slowdowns.expected(sample.service, worker.shares);
-    bool all = true;
     for (const BatchTask *task : tasks) {
         const double perPercent = slowdown(task) * shareOf(*task, 1, worker.cores);
         const double room = std::max(m_options.relaxBelow - expected, 0.0);
         const bool harmful = slowdown(task) > m_options.excessLimit && perPercent > 0;
         const int most = 100 - task->throttlePercent;
         const int more = harmful ? static_cast<int>(std::min(room / perPercent, 1.0 * most)) : most;
-        all = all && more == most;
         if (more < leastRestoredPercent && more < most)
             continue;
         expected += perPercent * more;
         decision.throttles.push_back({task->id, task->throttlePercent + more});
     }
-    return all;
 }
 
 int InterferenceController::allowance(std::string_view worker) const
