--- a/src/lib/interference.cpp
+++ b/src/lib/interference.cpp
@@ -11,6 +11,10 @@
 // Bounds on how far declared cores are believed to be off on a worker.
 constexpr double leastBookedPerUsed = 0.5;
 constexpr double mostBookedPerUsed = 2.0;
+// A cut of the allowance leaves at most this part.
+constexpr double leastCut = 0.95;
+// Smaller steps up are not worth a call to the worker.
+constexpr int leastRestoredPercent = 5;
 // The part of the measured excess that the known pairs must explain to be acted on alone.
 constexpr double explainedPart = 0.5;
 
@@ -143,7 +147,8 @@
     const bool throttled = throttle(worker, sample, decision);
     if (!explained) {
         const double used = std::min(worker.allowance, batchCores(sample.tasks));
-        worker.allowance = used * m_options.stepDown;
+        const double over = (excess - m_options.excessLimit) * m_options.cutPerExcess;
+        worker.allowance = used * std::clamp(1 - over, m_options.stepDown, leastCut);
     }
     ++worker.throttledSteps;
     if (!throttled && worker.throttledSteps >= m_options.throttleSteps)
@@ -172,8 +177,11 @@
     for (const BatchTask *task : tasks) {
         if (expected <= m_options.relaxBelow || slowdown(task) <= m_options.excessLimit)
             break;
-        const int percent = m_options.leastThrottlePercent;
-        expected -= slowdown(task) * shareOf(*task, task->throttlePercent - percent, worker.cores);
+        const double perPercent = slowdown(task) * shareOf(*task, 1, worker.cores);
+        const double tooMuch = (expected - m_options.relaxBelow) / perPercent;
+        const int wanted = task->throttlePercent - static_cast<int>(std::min(tooMuch, 100.0)) - 1;
+        const int percent = std::max(wanted, m_options.leastThrottlePercent);
+        expected -= perPercent * (task->throttlePercent - percent);
         decision.throttles.push_back({task->id, percent});
         throttled = true;
     }
@@ -203,19 +211,20 @@
     decision.evictions.push_back(best->id);
 }
 
-// Gives throttled tasks their speed back, and allowance if none is left throttled.
+// Gives throttled tasks their speed back, and the worker allowance: what is still throttled then is
+// held by the known pairs, which bind placement too.
 void InterferenceController::relax(Worker &worker, const WorkerSample &sample,
                                    InterferenceDecision &decision)
 {
     worker.throttledSteps = 0;
-    if (restore(worker, sample, decision))
-        worker.allowance = std::min(worker.allowance + m_options.stepUp * worker.cores,
-                                    static_cast<double>(worker.cores));
+    restore(worker, sample, decision);
+    worker.allowance = std::min(worker.allowance + m_options.stepUp * worker.cores,
+                                static_cast<double>(worker.cores));
 }
 
 // Restores throttled tasks, the least harmful first, as long as the slowdown is expected to stay
-// below where batch work may grow. Returns true if and only if all run at full speed then.
-bool InterferenceController::restore(const Worker &worker, const WorkerSample &sample,
+// below where batch work may grow.
+void InterferenceController::restore(const Worker &worker, const WorkerSample &sample,
                                      InterferenceDecision &decision) const
 {
     std::vector<const BatchTask *> tasks;
@@ -231,12 +240,16 @@
     });
     double expected = m_slowdowns.expected(sample.service, worker.shares);
     for (const BatchTask *task : tasks) {
-        expected += slowdown(task) * shareOf(*task, 100 - task->throttlePercent, worker.cores);
-        if (expected > m_options.relaxBelow && slowdown(task) > m_options.excessLimit)
-            return false;
-        decision.throttles.push_back({task->id, 100});
+        const double perPercent = slowdown(task) * shareOf(*task, 1, worker.cores);
+        const double room = std::max(m_options.relaxBelow - expected, 0.0);
+        const bool harmful = slowdown(task) > m_options.excessLimit && perPercent > 0;
+        const int most = 100 - task->throttlePercent;
+        const int more = harmful ? static_cast<int>(std::min(room / perPercent, 1.0 * most)) : most;
+        if (more < leastRestoredPercent && more < most)
+            continue;
+        expected += perPercent * more;
+        decision.throttles.push_back({task->id, task->throttlePercent + more});
     }
-    return true;
 }
 
 int InterferenceController::allowance(std::string_view worker) const
