--- a/src/operator/reportpage.cpp
+++ b/src/operator/reportpage.cpp
@@ -212,8 +212,10 @@
     void waiting()
     {
         title("RUNS AND WATCHERS");
-        for (const auto &[state, count] : m_totals.jobs)
-            line(std::to_string(count) + "  " + state);
+        for (const auto &[state, count] : m_totals.jobs) {
+            if (count > 0)
+                line(std::to_string(count) + "  " + state);
+        }
         for (const LongestWait &it : m_totals.waits) {
             line("longest wait for " + it.reason + ": " + it.id + ", for " + spanText(it.waitedMs)
                  + " (one of " + counted(static_cast<std::uint64_t>(it.shards), "shard", "shards")
--- /dev/null
+++ b/tests/process/documents_test.cpp
@@ -0,0 +1,184 @@
+#include "harness.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <thread>
+#include <vector>
+
+using namespace savorywick;
+using namespace savorywick::testing;
+
+namespace {
+
+constexpr Millis limit{30'000};
+const std::string path = "/v1/documents/quotes";
+
+// Returns a document whose only request class is `className`.
+std::string documentWith(const std::string &className)
+{
+    return R"({"service": "quotes", "team": "counter", "upstreamService": "quotes",)"
+           R"("requests": {")"
+        + className + R"(": {"deadlineLimitMs": 10000, "repeatable": true}}})";
+}
+
+HttpAnswer apply(Cluster &cluster, int i, std::uint64_t base, const std::string &text)
+{
+    return cluster.call(i, "PUT", path, text, {{"If-Match", std::to_string(base)}});
+}
+
+Json::Value show(Cluster &cluster, int i, const std::string &suffix = "")
+{
+    return parseJson(cluster.call(i, "GET", path + suffix).body);
+}
+
+bool isAccepted(Cluster &cluster, int i)
+{
+    return show(cluster, i, "/status")["state"].asString() == "accepted";
+}
+
+std::string reasonOf(const HttpAnswer &answer)
+{
+    return parseJson(answer.body)["title"].asString();
+}
+
+} // namespace
+
+TEST_CASE("An accepted edit is in force on every entry at once")
+{
+    Cluster cluster;
+    for (std::uint64_t base = 1; base <= 5; ++base) {
+        const std::string name = "class-" + std::to_string(base);
+        const HttpAnswer answer =
+            apply(cluster, static_cast<int>(base % 3), base, documentWith(name));
+        INFO("edit ", base, ": ", answer.status, " ", answer.body);
+        REQUIRE(answer.status == 200);
+        CHECK(parseJson(answer.body)["state"].asString() == "accepted");
+        for (int i = 0; i < 3; ++i)
+            CHECK(cluster.request(i, name, "x").status == 200);
+    }
+    CHECK(show(cluster, 0, "?revision=3")["document"].asString() == documentWith("class-2"));
+}
+
+TEST_CASE("Of three racing operators one wins and the others learn the present revision")
+{
+    Cluster cluster;
+    for (std::uint64_t base = 1; base <= 3; ++base) {
+        std::array<HttpAnswer, 3> answers;
+        std::vector<std::jthread> operators;
+        operators.reserve(answers.size());
+        for (int i = 0; i < 3; ++i) {
+            operators.emplace_back([&, i] {
+                answers[std::size_t(i)] =
+                    apply(cluster, i, base, documentWith("by-" + std::to_string(i)));
+            });
+        }
+        operators.clear();
+        int winners = 0;
+        for (const HttpAnswer &it : answers) {
+            INFO("round ", base, ": ", it.status, " ", it.body);
+            winners += it.status == 200 ? 1 : 0;
+            CHECK((it.status == 200 || it.status == 412));
+            if (it.status == 412)
+                CHECK(parseJson(it.body)["present"]["revision"].asUInt64() == base + 1);
+        }
+        CHECK(winners == 1);
+        CHECK(show(cluster, 0)["revision"].asUInt64() == base + 1);
+    }
+}
+
+TEST_CASE("A lost reply of the store is settled and the edit lands once")
+{
+    Cluster cluster;
+    cluster.fault(cluster.platform(), R"({"loseReplies": 4})");
+    const HttpAnswer answer = apply(cluster, 0, 1, documentWith("ask"));
+    INFO(answer.status, " ", answer.body);
+    CHECK(answer.status == 200);
+    CHECK(parseJson(answer.body)["revision"].asUInt64() == 2);
+    CHECK(show(cluster, 1)["revision"].asUInt64() == 2);
+    CHECK(cluster.call(1, "GET", path + "?revision=3").status == 404);
+}
+
+TEST_CASE("An entry that was frozen over an accepted edit never serves the old document")
+{
+    Cluster cluster;
+    cluster.entry(2).pause();
+    const HttpAnswer answer = apply(cluster, 0, 1, documentWith("ask"));
+    INFO(answer.status, " ", answer.body);
+    REQUIRE(answer.status == 200);
+    const Json::Value said = parseJson(answer.body);
+    CHECK(said["state"].asString() == "pending");
+    REQUIRE(said["pendingOn"].size() == 1);
+    CHECK(said["pendingOn"][0].asString() == "entry-2");
+    // Once the frozen entry's row has lapsed, it is listed no more.
+    CHECK(eventually(limit, [&] { return isAccepted(cluster, 0); }));
+    cluster.entry(2).resume();
+    const bool serves = eventually(limit, [&] {
+        const HttpAnswer old = cluster.request(2, "quote", "x");
+        CHECK_MESSAGE(old.status != 200, "the old class was served after the edit was accepted");
+        return cluster.request(2, "ask", "x").status == 200;
+    });
+    CHECK(serves);
+    CHECK(eventually(limit, [&] { return isAccepted(cluster, 2); }));
+}
+
+TEST_CASE("A kill of the entry that takes an edit leaves the old or the new document whole")
+{
+    Cluster cluster;
+    std::uint64_t base = 1;
+    std::string present = show(cluster, 0)["document"].asString();
+    for (const int delayMs : {0, 1, 2, 4, 8, 16}) {
+        const std::string next = documentWith("after-" + std::to_string(delayMs));
+        HttpAnswer answer;
+        std::jthread editor([&] { answer = apply(cluster, 0, base, next); });
+        passTime(Millis{delayMs});
+        cluster.entry(0).kill();
+        editor.join();
+        const Json::Value kept = show(cluster, 1);
+        const std::uint64_t revision = kept["revision"].asUInt64();
+        INFO("killed after ", delayMs, " ms; answer ", answer.status, " ", answer.body);
+        CHECK((revision == base || revision == base + 1));
+        CHECK(kept["document"].asString() == (revision == base ? present : next));
+        if (answer.status == 200)
+            CHECK(revision == base + 1);
+        CHECK(eventually(limit, [&] { return isAccepted(cluster, 1); }));
+        cluster.startEntry(0);
+        CHECK(eventually(limit, [&] { return isAccepted(cluster, 0); }));
+        base = revision;
+        present = kept["document"].asString();
+    }
+}
+
+TEST_CASE("A store that is down refuses edits as not run and keeps repeatable requests going")
+{
+    Cluster cluster;
+    cluster.fault(cluster.platform(), R"({"down": true})");
+    const HttpAnswer refused = apply(cluster, 0, 1, documentWith("ask"));
+    INFO(refused.status, " ", refused.body);
+    CHECK(refused.status == 503);
+    CHECK(reasonOf(refused) == "store-unavailable");
+    CHECK(headerValue(refused.headers, "X-Run-Status") == "not-run");
+    CHECK(cluster.request(1, "quote", "x").status == 200);
+    cluster.fault(cluster.platform(), R"({"down": false})");
+    CHECK(
+        eventually(limit, [&] { return apply(cluster, 0, 1, documentWith("ask")).status != 503; }));
+    CHECK(show(cluster, 1)["revision"].asUInt64() == 2);
+}
+
+TEST_CASE("Edits without the right key or by another team or with faults are refused")
+{
+    Cluster cluster;
+    const HttpAnswer invalid = apply(cluster, 0, 1, R"({"service": "quotes", "extra": 1})");
+    CHECK(invalid.status == 400);
+    CHECK(parseJson(invalid.body)["faults"].size() == 2);
+    const auto put = [&](const std::string &team, const std::string &key) {
+        return call({.address = cluster.entry(0).address("callers"),
+                     .method = "PUT",
+                     .path = path,
+                     .headers = {{"If-Match", "1"}, {"X-Team", team}, {"X-Team-Key", key}},
+                     .body = documentWith("ask")});
+    };
+    CHECK(put("counter", "wrong-key-wrong-key").status == 403);
+    CHECK(put("others", "0123456789abcdef").status == 403);
+    CHECK(show(cluster, 0)["revision"].asUInt64() == 1);
+}
