Let measurements of the workers steer the batch work of a shard

Cause: the interference controller and the learned sizes stood in the library and nothing called them, so the daemon booked declared sizes and never throttled. Change: BatchControl beside each shard's job book takes in every lease report: larger bookings for tasks that hold more memory than booked, eviction where the host has no room, the batch allowance, throttles and evictions of the controller. Targets, weights and quotas come from the service documents; a shard has its part of a quota.

Ruled out: doing it inside JobBook, which would mix what is journaled with what is only measured.

--- a/include/savorywick/jobbook.h
+++ b/include/savorywick/jobbook.h
@@ -9,6 +9,7 @@
 #include "savorywick/placement.h"
 #include "savorywick/platform.h"
 #include "savorywick/quarantine.h"
+#include "savorywick/sizelearner.h"
 #include "savorywick/workercalls.h"
 #include "savorywick/workerlease.h"
 
@@ -101,8 +102,9 @@
 
     // `placement` and `cost` choose among the workers that are usable; without them the tightest
     // fit is taken. The book does not own them; they must outlive it.
+    // With `sizes` a run is booked at its declared size or the learned one, whichever is larger.
     explicit JobBook(const JobBookSettings &settings, const Placement *placement = nullptr,
-                     const HostCost *cost = nullptr);
+                     const HostCost *cost = nullptr, const SizeLearner *sizes = nullptr);
 
     // Accepts a run once a key. Refuses what no listed worker could hold; accepts it if no worker
     // is known. Throws Error(InvalidInput) if id, service or key is empty.
@@ -117,6 +119,15 @@
     // Slows a running attempt. Returns false if it is not known to be running.
     bool throttle(const std::string &id, int percent);
 
+    // Changes what a placed run has booked. Returns false, and changes nothing, if its host has no
+    // room for that or the run is on no worker.
+    bool rebook(const std::string &id, const Resources &need);
+    // Limits the cores that further placements may bring a worker to.
+    void setAllowance(const std::string &worker, int cores)
+    {
+        m_ledger.setAllowance(worker, cores);
+    }
+
     // Returns the runs that watchers wait for and that this shard does not know.
     std::vector<std::string> awaitedRuns() const;
     // Tells that a run of another shard has ended in `state`.
@@ -182,6 +193,7 @@
     };
     class BookFit;
 
+    Resources needOf(const Job &job) const;
     Millis bookTime(Instant now) const;
     Instant instantOf(Millis at) const;
     void record(internal::JobRecord record, Instant now, Records &records);
@@ -233,6 +245,7 @@
     BestFitPlacement m_tightest;
     const Placement *m_placement;
     const HostCost *m_cost;
+    const SizeLearner *m_sizes;
     JobCounters m_counters;
 
     Instant m_origin; // The instant of the shard's own time 0.
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -173,7 +173,8 @@
                  if (m_leases)
                      m_leases->shardOver(shard);
              })
-    , m_workerPoll(settings.shardCount, m_clock, m_membership, m_table, m_topology, m_host)
+    , m_workerPoll(settings.shardCount, m_clock, m_membership, m_table, m_topology, m_host,
+                   m_documents)
     , m_requests(requestSettings(settings), m_clock, m_documents, m_host, m_topology, m_upstreams,
                  m_forwarder, m_metrics)
     , m_runs({settings.shardCount, Millis{5'000}}, m_documents, m_host, m_topology, m_forwarder,
--- a/src/entry/shardactor.cpp
+++ b/src/entry/shardactor.cpp
@@ -81,10 +81,13 @@
         },
         [this](const LeaseAnswer &answer) {
             JobBook::Records records;
-            if (answer.granted)
-                m_engine->jobs().leaseReply(answer.worker, answer.report, now(), records);
-            else
-                m_engine->jobs().leaseFailed(answer.worker, now());
+            JobBook &jobs = m_engine->jobs();
+            if (answer.granted) {
+                jobs.leaseReply(answer.worker, answer.report, now(), records);
+                m_engine->control().observe(answer.worker, answer.report, jobs, now(), records);
+            } else {
+                jobs.leaseFailed(answer.worker, now());
+            }
             m_engine->settle(records);
             pump();
         },
@@ -205,6 +208,12 @@
 void ShardActor::handle(const WorkersChanged &message)
 {
     m_engine->jobs().setWorkers(message.workers, now());
+    m_engine->control().setWorkers(message.workers);
+    if (!message.policy)
+        return;
+    m_engine->control().setTargets(message.policy->targets);
+    for (const TeamPolicy &it : message.policy->teams)
+        m_engine->jobs().setTeam(it.team, it.share);
 }
 
 void ShardActor::handle(const ReleaseShard & /*message*/)
--- a/src/entry/shardengine.cpp
+++ b/src/entry/shardengine.cpp
@@ -23,7 +23,8 @@
     : m_settings(settings)
     , m_journal(owned, settings.journal)
     , m_claims(settings.claims, now)
-    , m_jobs(settings.jobs)
+    , m_control(settings.control)
+    , m_jobs(settings.jobs, &m_placement, &m_control.cost(), &m_control.sizes())
 { }
 
 void ShardEngine::restore(const std::string &snapshot, const std::vector<std::string> &records,
@@ -225,8 +226,11 @@
         actions.removeObject = m_journal.objectToRemove();
     }
     for (Effect &it : m_ready) {
-        if (!m_over && m_jobs.wanted(it))
-            actions.effects.push_back(std::move(it));
+        if (m_over || !m_jobs.wanted(it))
+            continue;
+        if (const auto *start = std::get_if<StartTask>(&it))
+            m_control.noteStart(*start, m_jobs, now);
+        actions.effects.push_back(std::move(it));
     }
     m_ready.clear();
     actions.over = m_over;
--- a/src/entry/shardengine.h
+++ b/src/entry/shardengine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/replyslot.h"
+#include "savorywick/batchcontrol.h"
 #include "savorywick/claims.h"
 #include "savorywick/jobbook.h"
 #include "savorywick/journal.h"
@@ -90,6 +91,7 @@
     JournalSettings journal;
     ClaimSettings claims;
     JobBookSettings jobs;
+    BatchControlSettings control;
     Millis slowCommit{500}; // A commit in flight for longer counts as trouble with the store.
 };
 
@@ -123,6 +125,7 @@
     // Gives the workers' side of the shard: for the replies to effects and the list of workers.
     // Call settle() after each change made through it, with the records that it appended.
     JobBook &jobs() { return m_jobs; }
+    BatchControl &control() { return m_control; }
     void settle(const JobBook::Records &records);
     void tick(Instant now);
 
@@ -152,6 +155,8 @@
     ShardEngineSettings m_settings;
     Journal m_journal;
     ClaimLedger m_claims;
+    SpreadPlacement m_placement;
+    BatchControl m_control;
     JobBook m_jobs;
     std::multimap<Ticket, Held> m_held;
     std::vector<Effect> m_ready; // Effects whose records have landed.
--- a/src/entry/shardmessages.h
+++ b/src/entry/shardmessages.h
@@ -59,9 +59,24 @@
     ReplySlotPtr<ShardReport> slot;
 };
 
+// One team's part of a shard.
+struct TeamPolicy
+{
+    std::string team;
+    TeamShare share;
+};
+
+// What the service documents say about batch work, for every shard alike.
+struct BatchPolicy
+{
+    std::map<std::string, Millis> targets; // The p99 that each service allows.
+    std::vector<TeamPolicy> teams;
+};
+
 struct WorkersChanged
 {
     std::vector<HostInfo> workers; // The shard's slice.
+    std::shared_ptr<const BatchPolicy> policy;
 };
 
 struct ReleaseShard
--- a/src/entry/workerpoll.h
+++ b/src/entry/workerpoll.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/documentservice.h"
 #include "entry/shardhost.h"
 #include "entry/topology.h"
 #include "savorywick/platform.h"
@@ -18,7 +19,7 @@
 public:
     // All references must outlive this object.
     WorkerPoll(int shards, const Clock &clock, Membership &membership, Table &table,
-               Topology &topology, ShardHost &host);
+               Topology &topology, ShardHost &host, const DocumentService &documents);
 
     void poll();
     // Returns true once the list has been read.
@@ -29,12 +30,15 @@
 private:
     void assign(const Row &index);
     void tellShards();
+    BatchPolicy policy() const;
 
     const Clock &m_clock;
     Membership &m_membership;
     Table &m_table;
     Topology &m_topology;
     ShardHost &m_host;
+    const DocumentService &m_documents;
+    const int m_shards;
     WorkerSlices m_slices;
     std::atomic<bool> m_listRead{false};
     mutable std::mutex m_mutex; // For the member below.
--- /dev/null
+++ b/src/lib/batchcontrol.cpp
@@ -0,0 +1,120 @@
+#include "savorywick/batchcontrol.h"
+
+#include <algorithm>
+
+namespace savorywick {
+
+namespace {
+
+constexpr int fullSpeedPercent = 100;
+
+// Returns the core seconds that an eviction would waste: all progress without a checkpoint.
+double wasteOf(const Job &job, const TaskReport &task)
+{
+    const double seconds = static_cast<double>(task.progress.count()) / 1'000;
+    const double cores = std::max(1, task.usage.cores);
+    return job.spec.checkpointable ? cores : cores * seconds;
+}
+
+} // namespace
+
+BatchControl::BatchControl(const BatchControlSettings &settings)
+    : m_interference(settings.interference)
+    , m_sizes(settings.sizes)
+{ }
+
+void BatchControl::setWorkers(std::span<const HostInfo> workers)
+{
+    std::map<std::string, Worker> known;
+    for (const HostInfo &it : workers) {
+        m_interference.setWorker(it.id, it.cores);
+        Worker worker;
+        if (const auto old = m_workers.find(it.id); old != m_workers.end())
+            worker = std::move(old->second);
+        worker.service = it.service;
+        known[it.id] = std::move(worker);
+    }
+    for (const auto &it : m_workers) {
+        if (!known.contains(it.first))
+            m_interference.removeWorker(it.first);
+    }
+    m_workers = std::move(known);
+}
+
+void BatchControl::observe(const std::string &worker, const LeaseReport &report, JobBook &book,
+                           Instant now, JobBook::Records &records)
+{
+    learnSizes(worker, report, book, now, records);
+    const auto found = m_workers.find(worker);
+    if (found == m_workers.end() || report.urgentP99 <= Millis{0})
+        return; // Nothing urgent runs there, so nothing can be hurt.
+    const WorkerSample sample = sampleOf(worker, report, book, now);
+    const InterferenceDecision decision = m_interference.observe(worker, sample, now);
+    book.setAllowance(worker, decision.allowance);
+    for (const TaskThrottle &it : decision.throttles) {
+        if (!book.throttle(it.task, it.percent))
+            continue;
+        if (it.percent == fullSpeedPercent)
+            found->second.throttles.erase(it.task);
+        else
+            found->second.throttles[it.task] = it.percent;
+    }
+    for (const std::string &it : decision.evictions)
+        book.evict(it, now, records);
+}
+
+void BatchControl::noteStart(const StartTask &start, const JobBook &book, Instant now)
+{
+    if (const Job *job = book.find(start.job))
+        m_interference.noteStart(start.worker, job->spec.runClass, start.demand.cores, now);
+}
+
+void BatchControl::learnSizes(const std::string &worker, const LeaseReport &report, JobBook &book,
+                              Instant now, JobBook::Records &records)
+{
+    for (const TaskReport &it : report.tasks) {
+        const Job *job = book.find(it.job);
+        if (job == nullptr || it.state != TaskState::Running || job->worker != worker)
+            continue;
+        m_sizes.observe(job->spec.service, job->spec.runClass, it.usage);
+        const Resources booked = book.ledger().bookedFor(worker, it.job);
+        if (it.usage.memoryMb <= booked.memoryMb)
+            continue;
+        Resources need = booked;
+        need.memoryMb = it.usage.memoryMb;
+        if (!book.rebook(it.job, need))
+            book.evict(it.job, now, records);
+    }
+}
+
+WorkerSample BatchControl::sampleOf(const std::string &worker, const LeaseReport &report,
+                                    const JobBook &book, Instant now) const
+{
+    const Worker &known = m_workers.at(worker);
+    WorkerSample sample;
+    sample.takenAt = now;
+    sample.service = known.service;
+    sample.urgentP99Ms = static_cast<double>(report.urgentP99.count());
+    if (const auto it = m_targets.find(known.service); it != m_targets.end())
+        sample.targetMs = static_cast<double>(it->second.count());
+    int batchCores = 0;
+    for (const TaskReport &it : report.tasks) {
+        const Job *job = book.find(it.job);
+        if (job == nullptr || it.state != TaskState::Running)
+            continue;
+        batchCores += it.usage.cores;
+        BatchTask task;
+        task.id = it.job;
+        task.runClass = job->spec.runClass;
+        if (const auto t = known.throttles.find(it.job); t != known.throttles.end())
+            task.throttlePercent = t->second;
+        task.cores = static_cast<double>(it.usage.cores) * fullSpeedPercent / task.throttlePercent;
+        task.bookedCores = book.ledger().bookedFor(worker, it.job).cores;
+        task.wastedIfEvicted = wasteOf(*job, it);
+        sample.tasks.push_back(std::move(task));
+    }
+    sample.urgentLoad = std::max(0, report.usage.cores - batchCores);
+    return sample;
+}
+
+} // namespace savorywick
--- a/src/lib/jobbook.cpp
+++ b/src/lib/jobbook.cpp
@@ -55,13 +55,15 @@
     return "unnamed";
 }
 
-JobBook::JobBook(const JobBookSettings &settings, const Placement *placement, const HostCost *cost)
+JobBook::JobBook(const JobBookSettings &settings, const Placement *placement, const HostCost *cost,
+                 const SizeLearner *sizes)
     : m_settings(settings)
     , m_leases(settings.workers)
     , m_queue({})
     , m_quarantine(settings.quarantine)
     , m_placement(placement != nullptr ? placement : &m_tightest)
     , m_cost(cost)
+    , m_sizes(sizes)
 { }
 
 SubmitResult JobBook::submit(const JobSpec &spec, Instant now, Records &records)
--- a/src/lib/jobplacing.cpp
+++ b/src/lib/jobplacing.cpp
@@ -24,7 +24,8 @@
     {
         if (choose(item))
             return Fit::Fits;
-        const FitVerdict verdict = m_book.m_ledger.fitsAnyHost(item.need).verdict;
+        const Resources need = m_book.needOf(*m_book.find(item.id));
+        const FitVerdict verdict = m_book.m_ledger.fitsAnyHost(need).verdict;
         return verdict == FitVerdict::TooLarge ? Fit::NotOnAnyHost : Fit::NotNow;
     }
 
@@ -35,7 +36,8 @@
         std::vector<std::string> avoid = m_unusable;
         for (const TaskFailure &failure : job.failures)
             avoid.push_back(failure.worker);
-        PlacementRequest request{job.spec.service, job.spec.runClass, item.need, avoid};
+        const Resources need = m_book.needOf(job);
+        PlacementRequest request{job.spec.service, job.spec.runClass, need, avoid};
         const Placement &placement = *m_book.m_placement;
         auto worker = placement.choose(request, m_book.m_ledger, m_book.m_cost);
         if (worker || job.failures.empty())
@@ -66,6 +68,23 @@
     return m_queue.oldest(fit);
 }
 
+// Returns what to book for a run. A learned size that no worker holds is not believed.
+Resources JobBook::needOf(const Job &job) const
+{
+    const Resources &declared = job.spec.demand;
+    if (m_sizes == nullptr)
+        return declared;
+    const Resources learned = m_sizes->booking(job.spec.service, job.spec.runClass, declared);
+    const bool possible = m_ledger.fitsAnyHost(learned).verdict == FitVerdict::Fits;
+    return possible ? learned : declared;
+}
+
+bool JobBook::rebook(const std::string &id, const Resources &need)
+{
+    const Job *job = find(id);
+    return job != nullptr && isOnWorker(job->state) && m_ledger.rebook(job->worker, id, need);
+}
+
 void JobBook::placeWaiting(Instant now, Records &records)
 {
     if (m_queue.waitingCount() == 0)
@@ -85,7 +104,7 @@
 void JobBook::place(const std::string &id, const std::string &worker, Instant now, Records &records)
 {
     const Job &job = *find(id);
-    m_ledger.book(worker, id, job.spec.demand);
+    m_ledger.book(worker, id, needOf(job));
     JobRecord r;
     r.kind = RecordKind::Place;
     r.id = id;
--- /dev/null
+++ b/tests/lib/batchcontrol_test.cpp
@@ -0,0 +1,150 @@
+#include "savorywick/batchcontrol.h"
+
+#include "jobbench.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using namespace savorywick;
+
+namespace {
+
+constexpr int urgentCores = 4;
+
+// One worker of 8 cores and 16,000 MB, its book and the control beside it; calls land at once.
+class Shard
+{
+public:
+    Shard()
+        : m_book({}, nullptr, &m_control.cost(), &m_control.sizes())
+    {
+        HostInfo info = workerInfo("w");
+        info.service = "quotes";
+        m_book.takeOver(m_now);
+        m_book.setWorkers({&info, 1}, m_now);
+        m_control.setWorkers({&info, 1});
+        m_control.setTargets({{"quotes", Millis{50}}});
+        step();
+    }
+
+    JobBook &book() { return m_book; }
+    // Returns how many effects of a kind there were since the start.
+    template<typename Kind>
+    std::ptrdiff_t countOf() const
+    {
+        return std::count_if(m_effects.begin(), m_effects.end(),
+                             [](const Effect &it) { return std::holds_alternative<Kind>(it); });
+    }
+
+    void submit(const std::string &id)
+    {
+        JobBook::Records records;
+        m_book.submit(spec(id), m_now, records);
+        step();
+    }
+
+    // Lets five seconds pass and has the worker report every placed task with `memoryMb` each.
+    void report(int memoryMb, Millis urgentP99)
+    {
+        m_now = m_now + Millis{5'000};
+        LeaseReport lease{"w.1", {}, {.cores = urgentCores}, urgentP99};
+        for (const std::string &it : m_book.ledger().tasks("w"))
+            lease.tasks.push_back({it,
+                                   m_book.find(it)->attempt,
+                                   TaskState::Running,
+                                   Millis{1'000},
+                                   {},
+                                   {.cores = 1, .memoryMb = memoryMb}});
+        lease.usage.cores += static_cast<int>(lease.tasks.size());
+        m_report = lease;
+        step();
+        step();
+    }
+
+private:
+    // Ticks and answers what follows; renewals are answered by the latest report.
+    void step()
+    {
+        JobBook::Records records;
+        for (int i = 0; i < 2; ++i) {
+            m_book.tick(m_now, records);
+            for (Effect &it : m_book.takeEffects()) {
+                answer(it, records);
+                m_effects.push_back(std::move(it));
+            }
+        }
+    }
+
+    void answer(const Effect &effect, JobBook::Records &records)
+    {
+        if (const auto *start = std::get_if<StartTask>(&effect))
+            m_book.startReply(start->job, start->attempt, {StartOutcome::Running, {}}, m_now,
+                              records);
+        if (!std::holds_alternative<RenewLease>(effect))
+            return;
+        m_book.leaseReply("w", m_report, m_now, records);
+        m_control.observe("w", m_report, m_book, m_now, records);
+    }
+
+    Instant m_now{1'000};
+    BatchControl m_control{{}};
+    JobBook m_book;
+    LeaseReport m_report{"w.1", {}, {}, Millis{0}};
+    std::vector<Effect> m_effects;
+};
+
+} // namespace
+
+TEST_CASE("A task that holds more memory than is booked gets a larger booking")
+{
+    Shard shard;
+    shard.submit("a");
+    REQUIRE(shard.book().ledger().bookedFor("w", "a").memoryMb == 1'000);
+    shard.report(3'000, Millis{0});
+    CHECK(shard.book().ledger().bookedFor("w", "a").memoryMb == 3'000);
+    shard.submit("b");
+    // Learned with a margin of a tenth.
+    CHECK(shard.book().ledger().bookedFor("w", "b").memoryMb == 3'300);
+}
+
+TEST_CASE("A task that outgrows its host is checkpointed so that it can go on elsewhere")
+{
+    Shard shard;
+    shard.submit("a");
+    shard.submit("b");
+    shard.report(9'000, Millis{0});
+    CHECK(shard.countOf<CheckpointTask>() == 1);
+}
+
+TEST_CASE("Batch work beside urgent requests that it hurts is slowed down and gets no more room")
+{
+    Shard shard;
+    for (int i = 0; i < 20; ++i)
+        shard.report(0, Millis{10});
+    for (int i = 0; i < 6; ++i)
+        shard.submit("j" + std::to_string(i));
+    REQUIRE(shard.book().ledger().booked("w").cores > 0);
+    REQUIRE(shard.countOf<ThrottleTask>() == 0);
+    for (int i = 0; i < 20; ++i)
+        shard.report(1'000, Millis{60});
+    CHECK_MESSAGE(shard.countOf<ThrottleTask>() > 0, "no task was slowed down in 100 s");
+    CHECK(shard.book().ledger().free("w").cores == 0);
+}
+
+TEST_CASE("Bookings never exceed the host whatever sizes are reported")
+{
+    CHECK(rc::check("booked fits in capacity after every report", [] {
+        Shard shard;
+        const auto sizes = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 40'000));
+        int n = 0;
+        for (const int it : sizes) {
+            if (it % 2 == 0)
+                shard.submit("j" + std::to_string(++n));
+            shard.report(it, Millis{it % 100});
+            const HostLedger &ledger = shard.book().ledger();
+            RC_ASSERT(ledger.booked("w").fitsIn(ledger.capacity("w")));
+        }
+    }));
+}
--- a/tests/lib/workerslices_test.cpp
+++ b/tests/lib/workerslices_test.cpp
@@ -91,6 +91,7 @@
     WorkerSlices slices(shards, forgetAfter);
     table.showTo(slices);
     std::vector<HostInfo> hosts;
+    hosts.reserve(65);
     for (int i = 0; i < 65; ++i)
         hosts.push_back(worker("w" + std::to_string(i), i % 5 == 0 ? 4 : 0));
     REQUIRE(table.commit(*slices.assign(hosts, Instant{})));
