--- a/tests/process/thinpath_test.cpp
+++ b/tests/process/thinpath_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace savorywick;
 using namespace savorywick::testing;
 
@@ -41,6 +43,20 @@
     CHECK(cluster.doubledTasks().empty());
 }
 
+TEST_CASE("Runs finish although there are fewer workers than shards")
+{
+    Cluster cluster({.entries = 1, .workers = 1, .editSettings = [](Json::Value &settings) {
+                         settings["shardCount"] = 4;
+                     }});
+    std::vector<std::string> ids(8);
+    for (std::size_t i = 0; i < ids.size(); ++i)
+        ids[i] = cluster.submit(0, "runs", "refresh", "{}", "run-" + std::to_string(i));
+    const auto finished = [&](const std::string &id) {
+        return cluster.endState(0, "runs", id, Millis{0}) == "finished";
+    };
+    CHECK(eventually(waitLimit, [&] { return std::all_of(ids.begin(), ids.end(), finished); }));
+}
+
 TEST_CASE("A watcher stands until its condition is met or it is cancelled")
 {
     Cluster cluster;
