Give the trust in the list of entries a class of its own

Cause: the trust stood in SlotShares, one for each service; an entry has one list for all of them, and should ask its peers once.

The random sequences run over both classes.

--- a/include/savorywick/slotshares.h
+++ b/include/savorywick/slotshares.h
@@ -22,15 +22,6 @@
     std::string region;
 };
 
-// What an entry takes for the list of live entries: two views are equal if and only if the lists
-// are.
-struct ListView
-{
-    std::uint64_t digest = 0; // Of the entries' ids, in any order.
-    std::size_t entries = 0;
-    bool operator==(const ListView &) const = default;
-};
-
 // Says from which entries the owner of a slot is taken, if there are any there.
 enum class ShareLocality { Anywhere, SameRegion, SameZone };
 
@@ -44,8 +35,8 @@
 {
     std::string self; // This entry's id.
     ShareLocality locality = ShareLocality::SameRegion;
-    // A list older than this is not trusted, unless peers confirm it: no slot may be used until a
-    // new one comes.
+    // A list older than this is not trusted: no slot may be used until a new one comes, or until
+    // peers have confirmed it; see ListTrust.
     Millis longestListAge{3'000};
     // The longest time that an attempt may occupy a slot, the hold after a timeout included.
     Millis longestAttempt{5'000};
@@ -61,10 +52,6 @@
 // longer renews its row after more than `longestListAge`, not sooner; an entry that shuts down
 // takes no more slots before it removes its row; no attempt lasts longer than `longestAttempt`.
 //
-// When the table service is down nobody gets a new list. Then the entries ask each other, and go on
-// with the old one as long as more than half of them agree on it without a gap: see noteAnswer().
-// docs/design/urgent.md says what this leaves open when the table is down for only some.
-//
 // Not thread-safe.
 //
 // Example:
@@ -76,27 +63,16 @@
 public:
     explicit SlotShares(SlotSharesSettings settings);
 
-    // Takes in a new list. `takenAt`, on this process's clock, is when its reading was begun or
-    // when this entry's last successful renewal of its own row was begun, whichever is the earlier:
-    // the others may drop an entry from their lists once it no longer renews. A list that is older
-    // than the last one is ignored.
+    // Takes in a list. `takenAt`, on this process's clock, is when its reading was begun or when
+    // this entry's last successful renewal of its own row was begun, whichever is the earlier: the
+    // others may drop an entry from their lists once it no longer renews. Where the table may be
+    // down, pass ListTrust::goodSince(), and again whenever that changes.
     void update(std::span<const EntryInfo> entries, std::span<const InstanceInfo> instances,
                 Instant takenAt, Instant now);
 
     // Returns the time between the gain of a slot and its first use.
     Millis handover() const;
 
-    // Returns the present list as peers are told of it, in questions and in answers.
-    ListView listView() const { return m_view; }
-    // Notes the view of a peer that asks for ours.
-    void noteQuestion(const ListView &theirs);
-    // Notes a peer's view, told in answer to a question that was sent at `askedAt`. Ask all peers
-    // several times within `longestListAge` while the list can't be read; an entry that is
-    // shutting down does not ask. The list stays trusted for `longestListAge` after questions on
-    // which more than half of the entries, this one among them, agreed; of two lists that differ
-    // the longer one counts. A list that is trusted no more is not trusted again.
-    void noteAnswer(std::string_view peer, const ListView &theirs, Instant askedAt, Instant now);
-
     // Returns every listed instance with `slots` lowered to what this entry may use now; those of
     // which it may use none are left out. All are left out when the list is too old.
     std::vector<InstanceInfo> usable(Instant now) const;
@@ -126,7 +102,6 @@
         int freeSlots = 0;
         bool known = false;
         Instant heardAt;
-        std::optional<Instant> agreedAt; // When it was last asked for its list and had the same.
     };
 
     void updatePeers(std::span<const EntryInfo> entries);
@@ -134,8 +109,6 @@
                                                          const Share *before, Instant now);
     int usableOf(const Share &share, Instant now) const;
     bool trusted(Instant now) const;
-    void forgetAgreements();
-    void workOutTrust();
     std::vector<Peer *> peersWithRoom(std::span<const std::string> excluded, bool sameRegion,
                                       Instant now);
     int expectedRoom(const Peer &peer, Instant now) const;
@@ -145,10 +118,7 @@
     std::vector<Peer> m_peers;
     std::string m_region; // This entry's.
     int m_slotsPerEntry = 0; // Of all instances; stands in for a peer that was not heard of.
-    ListView m_view;
     std::optional<Instant> m_listTakenAt;
-    std::optional<Instant> m_trustedFrom; // The list's age counts from here.
-    std::size_t m_longestListHeard = 0; // Entries, in a list that differs from ours.
 };
 
 } // namespace savorywick
--- a/src/lib/slotowners.cpp
+++ b/src/lib/slotowners.cpp
@@ -50,14 +50,6 @@
     }
 }
 
-ListView SlotOwners::view() const
-{
-    std::uint64_t digest = 0;
-    for (const Candidate &it : m_all)
-        digest += it.hash;
-    return {digest, m_all.size()};
-}
-
 std::optional<std::size_t> SlotOwners::ownerOf(const InstanceInfo &instance, int slot) const
 {
     const Group &group = nearest(instance);
--- a/src/lib/slotowners.h
+++ b/src/lib/slotowners.h
@@ -22,9 +22,6 @@
 public:
     SlotOwners(std::span<const EntryInfo> entries, ShareLocality locality);
 
-    // Returns the list's view, the same for the same entries in any order.
-    ListView view() const;
-
     // Returns the slot's owner as an index into the entries; nothing if there are none.
     std::optional<std::size_t> ownerOf(const InstanceInfo &instance, int slot) const;
 
--- a/src/lib/slotshares.cpp
+++ b/src/lib/slotshares.cpp
@@ -44,8 +44,6 @@
 void SlotShares::update(std::span<const EntryInfo> entries, std::span<const InstanceInfo> instances,
                         Instant takenAt, Instant now)
 {
-    if (m_listTakenAt && takenAt < *m_listTakenAt)
-        return; // Overtaken by a newer list.
     // Whoever did not trust its list for a while may have missed that its slots had other owners.
     const bool keepsOwnership = trusted(now);
     std::unordered_map<std::string_view, const Share *> before;
@@ -65,19 +63,7 @@
     m_shares = std::move(shares);
     m_slotsPerEntry = entries.empty() ? 0 : slots / static_cast<int>(entries.size());
     updatePeers(entries);
-    const ListView view = owners.view();
-    if (takenAt != m_listTakenAt || view != m_view)
-        forgetAgreements();
-    m_view = view;
     m_listTakenAt = takenAt;
-    workOutTrust();
-}
-
-void SlotShares::forgetAgreements()
-{
-    m_longestListHeard = 0;
-    for (Peer &peer : m_peers)
-        peer.agreedAt.reset();
 }
 
 std::vector<std::optional<Instant>> SlotShares::ownership(const std::vector<bool> &owned,
@@ -112,46 +98,7 @@
 
 bool SlotShares::trusted(Instant now) const
 {
-    return m_trustedFrom && now - *m_trustedFrom <= m_settings.longestListAge;
-}
-
-void SlotShares::noteQuestion(const ListView &theirs)
-{
-    if (theirs == m_view || theirs.entries <= m_longestListHeard)
-        return;
-    m_longestListHeard = theirs.entries;
-    workOutTrust();
-}
-
-void SlotShares::noteAnswer(std::string_view entry, const ListView &theirs, Instant askedAt,
-                            Instant now)
-{
-    noteQuestion(theirs);
-    if (theirs != m_view || !trusted(now))
-        return;
-    const auto peer = std::find_if(m_peers.begin(), m_peers.end(),
-                                   [&](const Peer &it) { return it.info.id == entry; });
-    if (peer == m_peers.end())
-        return;
-    peer->agreedAt = peer->agreedAt ? std::max(*peer->agreedAt, askedAt) : askedAt;
-    workOutTrust();
-}
-
-// Trusts the list from when it was taken, or from the latest moment since which enough peers have
-// agreed on it.
-void SlotShares::workOutTrust()
-{
-    m_trustedFrom = m_listTakenAt;
-    const std::size_t enough = std::max(m_view.entries, m_longestListHeard) / 2;
-    std::vector<Instant> agreed;
-    for (const Peer &peer : m_peers) {
-        if (peer.agreedAt)
-            agreed.push_back(*peer.agreedAt);
-    }
-    if (!m_listTakenAt || enough == 0 || agreed.size() < enough)
-        return;
-    std::sort(agreed.begin(), agreed.end());
-    m_trustedFrom = std::max(*m_listTakenAt, agreed[agreed.size() - enough]);
+    return m_listTakenAt && now - *m_listTakenAt <= m_settings.longestListAge;
 }
 
 int SlotShares::usableOf(const Share &share, Instant now) const
@@ -190,7 +137,7 @@
 {
     if (!trusted(now))
         return std::nullopt;
-    Instant next = *m_trustedFrom + m_settings.longestListAge + Millis{1};
+    Instant next = *m_listTakenAt + m_settings.longestListAge + Millis{1};
     for (const Share &share : m_shares) {
         for (const auto &since : share.ownedSince) {
             if (since && *since + handover() > now)
--- a/tests/lib/slotshares_test.cpp
+++ b/tests/lib/slotshares_test.cpp
@@ -1,3 +1,4 @@
+#include "savorywick/listtrust.h"
 #include "savorywick/slotshares.h"
 
 #include <doctest/doctest.h>
@@ -32,6 +33,8 @@
 {
     EntryInfo info;
     SlotShares shares;
+    ListTrust trust;
+    std::vector<EntryInfo> list; // As last read.
     std::int64_t clockPermille; // Rate of its clock against the model's.
     bool cut = false; // Reaches neither the table nor the other entries.
     bool gone = false;
@@ -55,6 +58,8 @@
         const std::string region = m_entries.size() % 2 == 0 ? "east" : "west";
         m_entries.push_back({{id, region + "-a", region},
                              SlotShares({id, ShareLocality::SameRegion, listAge, attemptTime}),
+                             ListTrust(listAge),
+                             {},
                              995 + static_cast<std::int64_t>(m_entries.size() * 7 % 11)});
         m_entries.back().renewedAt = m_now;
     }
@@ -85,7 +90,9 @@
             const Instant takenAt = it.local(m_now);
             const auto list = listed();
             pass(delay);
-            it.shares.update(list, m_instances, takenAt, it.local(m_now));
+            it.list = list;
+            it.trust.noteRead(listViewOf(idsOf(list)), takenAt);
+            update(it);
         });
     }
 
@@ -124,6 +131,22 @@
         ListView view;
     };
 
+    static std::vector<std::string> idsOf(const std::vector<EntryInfo> &entries)
+    {
+        std::vector<std::string> ids;
+        ids.reserve(entries.size());
+        for (const EntryInfo &it : entries)
+            ids.push_back(it.id);
+        return ids;
+    }
+
+    void update(ModelEntry &entry) const
+    {
+        if (entry.trust.goodSince())
+            entry.shares.update(entry.list, m_instances, *entry.trust.goodSince(),
+                                entry.local(m_now));
+    }
+
     void ask(ModelEntry &asker, Millis delay)
     {
         const Instant askedAt = asker.local(m_now);
@@ -131,12 +154,14 @@
         for (ModelEntry &it : m_entries) {
             if (it.gone || it.cut || it.info.id == asker.info.id)
                 continue;
-            it.shares.noteQuestion(asker.shares.listView());
-            answers.push_back({it.info.id, it.shares.listView()});
+            it.trust.noteQuestion(asker.trust.view());
+            update(it);
+            answers.push_back({it.info.id, it.trust.view()});
         }
         pass(delay);
         for (const Answer &it : answers)
-            asker.shares.noteAnswer(it.peer, it.view, askedAt, asker.local(m_now));
+            asker.trust.noteAnswer(it.peer, it.view, askedAt, asker.local(m_now));
+        update(asker);
     }
 
     std::vector<EntryInfo> listed() const
@@ -282,55 +307,6 @@
     CHECK(model.inUse() == 0);
 }
 
-TEST_CASE("Peers prolong the trust in a list only without a gap and only if enough of them agree")
-{
-    const std::vector<EntryInfo> entries{{"a", "z", "r"}, {"b", "z", "r"}, {"c", "z", "r"}};
-    SlotShares shares({"a", ShareLocality::Anywhere, listAge, attemptTime});
-    Instant now{0};
-    for (; now <= Instant{0} + shares.handover(); now = now + listAge)
-        shares.update(entries, instancesOf(3), now, now);
-    shares.update(entries, instancesOf(3), now, now);
-    const ListView same = shares.listView();
-    const ListView longer{same.digest + 1, 5};
-
-    now = now + listAge;
-    SUBCASE("one of two peers is enough")
-    {
-        shares.noteAnswer("b", same, now, now);
-        CHECK(shares.usableSlots(now + listAge) > 0);
-        CHECK(shares.usableSlots(now + listAge + Millis{1}) == 0);
-    }
-    SUBCASE("an answer counts from its question")
-    {
-        shares.noteAnswer("b", same, now - Millis{100}, now);
-        CHECK(shares.usableSlots(now + listAge - Millis{100}) > 0);
-        CHECK(shares.usableSlots(now + listAge) == 0);
-    }
-    SUBCASE("a peer with another list does not count")
-    {
-        shares.noteAnswer("b", {same.digest + 1, 3}, now, now);
-        CHECK(shares.usableSlots(now + Millis{1}) == 0);
-    }
-    SUBCASE("a stranger does not count")
-    {
-        shares.noteAnswer("x", same, now, now);
-        CHECK(shares.usableSlots(now + Millis{1}) == 0);
-    }
-    SUBCASE("a longer list that was heard of asks for more peers")
-    {
-        shares.noteAnswer("b", same, now, now);
-        shares.noteQuestion(longer);
-        CHECK(shares.usableSlots(now + Millis{1}) == 0);
-    }
-    SUBCASE("what is trusted no more is not trusted again")
-    {
-        now = now + Millis{1};
-        shares.noteAnswer("b", same, now, now);
-        shares.noteAnswer("c", same, now, now);
-        CHECK(shares.usableSlots(now) == 0);
-    }
-}
-
 TEST_CASE("A slot moves only to an entry that joins or from one that leaves")
 {
     CHECK(rc::check("whatever the order of the list", [] {
