Hold the list of entries while it is walked

Cause: `for (... : *m_topology.entries())` lets go of the shared list before the first step; when the lease loop replaces it meanwhile, the loop walks freed memory. Read off the code; no run has shown it.

Change: the three loops that run on other threads than the lease loop's keep the list. The lease loop's own is the thread that replaces it.

--- a/src/entry/documentservice.cpp
+++ b/src/entry/documentservice.cpp
@@ -218,7 +218,8 @@
                                    const std::vector<EntryDocuments> &said) const
 {
     std::vector<std::string> listed;
-    for (const PeerEntry &it : *m_topology.entries())
+    const Topology::Entries entriesNow = m_topology.entries();
+    for (const PeerEntry &it : *entriesNow)
         listed.push_back(it.name);
     return acceptanceOf(stored, listed, said);
 }
--- a/src/entry/requestservice.cpp
+++ b/src/entry/requestservice.cpp
@@ -185,7 +185,8 @@
     UrgentReply reply = urgent->serve(checked.urgent, !request.forwarded);
     if (reply.verdict != UrgentVerdict::Forward)
         return toResponse(reply);
-    for (const PeerEntry &it : *m_topology.entries()) {
+    const Topology::Entries entriesNow = m_topology.entries();
+    for (const PeerEntry &it : *entriesNow) {
         if (it.session != reply.peer)
             continue;
         const Millis remaining = checked.urgent.deadline - m_clock.now();
--- a/src/entry/urgentdispatcher.cpp
+++ b/src/entry/urgentdispatcher.cpp
@@ -185,12 +185,14 @@
 {
     const std::lock_guard lock(m_mutex);
     std::vector<EntryInfo> entries;
-    for (const PeerEntry &it : *m_topology.entries()) {
+    const Topology::Entries entriesNow = m_topology.entries();
+    for (const PeerEntry &it : *entriesNow) {
         if (!it.draining || it.session == m_settings.session)
             entries.push_back({it.session, it.availabilityZone, it.region});
     }
     std::vector<InstanceInfo> instances;
-    for (const HostInfo &it : *m_topology.hosts()) {
+    const Topology::Hosts hostsNow = m_topology.hosts();
+    for (const HostInfo &it : *hostsNow) {
         if (it.role == HostRole::Upstream && it.service == m_settings.service)
             instances.push_back({it.id, it.availabilityZone, it.region, it.rack, it.slots,
                                  it.state == HostState::Leaving});
