--- /dev/null
+++ b/bench/journal_bench.cpp
@@ -0,0 +1,390 @@
+// Measures the shards' journal and the book of jobs: writes and delays of group commit, recovery
+// and takeover, memory and processor time for each job.
+
+#include "report.h"
+#include "savorywick/jobbook.h"
+#include "savorywick/journal.h"
+#include "savorywick/shardlease.h"
+
+#include <algorithm>
+#include <cmath>
+#include <ctime>
+#include <deque>
+#include <malloc.h>
+#include <map>
+#include <random>
+#include <utility>
+
+using namespace savorywick;
+using bench::Metric;
+
+namespace {
+
+constexpr unsigned seed = 20'261'203;
+const std::string benchName = "journal";
+
+double cpuMillis()
+{
+    return 1'000.0 * static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+double heapBytes()
+{
+    return static_cast<double>(mallinfo2().uordblks);
+}
+
+OwnedShard ownedShard()
+{
+    OwnedShard owned;
+    owned.row.owner = "entry.1";
+    owned.row.epoch = 1;
+    owned.version = 1;
+    return owned;
+}
+
+JobSpec spec(int n)
+{
+    JobSpec s;
+    s.id = "run-" + std::to_string(n);
+    s.service = "matching";
+    s.runClass = "allocation";
+    s.team = n % 3 == 0 ? "derwent" : "kestrel";
+    s.key = "key-" + std::to_string(n);
+    s.bodyHash = "9f86d081884c7d65";
+    s.demand = {1, 1'000, 0};
+    s.expected = Millis{60'000};
+    s.payload = std::string(100, 'p');
+    return s;
+}
+
+// Group commit in virtual time.
+
+struct Load
+{
+    int startsPerSecond = 100;
+    Millis commitEvery{20};
+    Millis latency{5}; // Of the store; each commit takes between half of it and half more.
+    int burst = 1;
+};
+
+struct Arrival
+{
+    Ticket ticket;
+    Instant at;
+};
+
+struct CommitFigures
+{
+    std::vector<double> delays;
+    double commits = 0;
+    double starts = 0;
+    double bytes = 0;
+    double seconds = 0;
+};
+
+CommitFigures runLoad(const Load &load)
+{
+    constexpr int millis = 20'000;
+    constexpr int recordsPerStart = 3; // Submit, place and end.
+    std::mt19937 random(seed);
+    std::poisson_distribution<int> arrivals(load.startsPerSecond / 1'000.0);
+    std::uniform_real_distribution<double> spread(0.5, 1.5);
+    JournalSettings settings;
+    settings.commitEvery = load.commitEvery;
+    settings.burst = load.burst;
+    Journal journal(ownedShard(), settings);
+    const std::vector<std::string> records(recordsPerStart, std::string(160, 'r'));
+    CommitFigures figures;
+    std::deque<Arrival> waiting;
+    Instant ends;
+    bool inFlight = false;
+    for (Instant now; now.count() < millis; now = now + Millis{1}) {
+        for (int n = arrivals(random); n > 0; --n) {
+            waiting.push_back({journal.append(records), now});
+            ++figures.starts;
+        }
+        if (inFlight && now >= ends) {
+            journal.committed({CommitOutcome::Committed, 2}, now);
+            inFlight = false;
+        }
+        for (; !waiting.empty() && waiting.front().ticket <= journal.landed(); waiting.pop_front())
+            figures.delays.push_back(static_cast<double>((now - waiting.front().at).count()));
+        const auto t = journal.nextCommit(now);
+        if (!t)
+            continue;
+        ++figures.commits;
+        for (const Write &it : t->writes)
+            figures.bytes += static_cast<double>(it.key.size() + it.value.value_or("").size());
+        const double takes = static_cast<double>(load.latency.count()) * spread(random);
+        inFlight = true;
+        ends = now + Millis{std::max<std::int64_t>(1, std::llround(takes))};
+    }
+    figures.seconds = millis / 1'000.0;
+    return figures;
+}
+
+void reportLoad(const Load &load)
+{
+    CommitFigures f = runLoad(load);
+    const std::string name = std::to_string(load.startsPerSecond) + " starts/s, every "
+        + std::to_string(load.commitEvery.count()) + " ms, burst " + std::to_string(load.burst)
+        + ", store " + std::to_string(load.latency.count()) + " ms";
+    bench::report(benchName, name,
+                  {{"writesPer1000Starts", 1'000 * f.commits / f.starts},
+                   {"startsPerWrite", f.starts / f.commits},
+                   {"writesPerSecond", f.commits / f.seconds},
+                   {"kilobytesPerSecond", f.bytes / 1'000 / f.seconds},
+                   {"delayP50Ms", bench::quantile(f.delays, 0.5)},
+                   {"delayP99Ms", bench::quantile(f.delays, 0.99)}});
+}
+
+void measureCommits()
+{
+    bench::reportHead("group commit of one shard",
+                      {"writes per 1,000 starts", "starts per write", "writes/s", "kB/s",
+                       "delay p50 ms", "delay p99 ms"});
+    for (const int rate : {10, 100, 469}) {
+        for (const int every : {1, 20, 50, 100})
+            reportLoad({rate, Millis{every}, Millis{5}, 1});
+        reportLoad({rate, Millis{50}, Millis{5}, 10});
+    }
+    for (const int latency : {2, 20, 100, 500, 2'000})
+        reportLoad({100, Millis{50}, Millis{latency}, 10});
+}
+
+// Workers that answer at once and finish every attempt by the next renewal.
+class InstantWorkers
+{
+public:
+    explicit InstantWorkers(int count)
+    {
+        for (int n = 0; n < count; ++n) {
+            HostInfo info;
+            info.id = "worker-" + std::to_string(n);
+            info.role = HostRole::Worker;
+            info.rack = "rack-" + std::to_string(n / 11);
+            info.cores = 64;
+            info.memoryMb = 250'000;
+            m_infos.push_back(info);
+        }
+    }
+
+    const std::vector<HostInfo> &infos() const { return m_infos; }
+
+    void answer(JobBook &book, Instant now, JobBook::Records &records)
+    {
+        for (const Effect &effect : book.takeEffects()) {
+            if (const auto *renew = std::get_if<RenewLease>(&effect)) {
+                auto &tasks = m_tasks[renew->worker];
+                book.leaseReply(renew->worker, {"1", std::exchange(tasks, {}), {}, {}}, now,
+                                records);
+            } else if (const auto *start = std::get_if<StartTask>(&effect)) {
+                book.startReply(start->job, start->attempt, {StartOutcome::Running, {}}, now,
+                                records);
+                m_tasks[start->worker].push_back(
+                    {start->job, start->attempt, TaskState::Finished, {}, "done", {}});
+            }
+        }
+    }
+
+private:
+    std::vector<HostInfo> m_infos;
+    std::map<std::string, std::vector<TaskReport>> m_tasks;
+};
+
+struct BookFigures
+{
+    double submitCpu = 0; // In ms, for all jobs.
+    double runCpu = 0;
+    double waitingBytes = 0;
+    double finalBytes = 0;
+    std::vector<std::string> records;
+    std::string snapshot;
+};
+
+BookFigures runBook(int jobs)
+{
+    constexpr int workers = 65;
+    BookFigures figures;
+    const double before = heapBytes();
+    JobBookSettings settings;
+    settings.startsPerTick = 4'096;
+    JobBook book(settings);
+    InstantWorkers fleet(workers);
+    Instant now;
+    book.takeOver(now);
+    book.setWorkers(fleet.infos(), now);
+    JobBook::Records records;
+    const double start = cpuMillis();
+    for (int n = 0; n < jobs; ++n)
+        book.submit(spec(n), now, records);
+    figures.submitCpu = cpuMillis() - start;
+    figures.records = std::move(records);
+    double kept = 0;
+    for (const std::string &it : figures.records)
+        kept += static_cast<double>(it.capacity() + sizeof(std::string));
+    figures.waitingBytes = heapBytes() - before - kept;
+    const double middle = cpuMillis();
+    while (book.count(JobState::Finished) < static_cast<std::size_t>(jobs)) {
+        records.clear();
+        book.tick(now, records);
+        fleet.answer(book, now, records);
+        std::ranges::move(records, std::back_inserter(figures.records));
+        now = now + Millis{1'000};
+    }
+    figures.runCpu = cpuMillis() - middle;
+    figures.snapshot = book.snapshot();
+    return figures;
+}
+
+double cpuOfReplay(const std::vector<std::string> &records)
+{
+    JobBook book{JobBookSettings{}};
+    const double start = cpuMillis();
+    for (const std::string &it : records)
+        book.apply(it);
+    book.takeOver(Instant{});
+    return cpuMillis() - start;
+}
+
+double cpuOfRestore(const std::string &snapshot)
+{
+    JobBook book{JobBookSettings{}};
+    const double start = cpuMillis();
+    book.restore(snapshot);
+    book.takeOver(Instant{});
+    return cpuMillis() - start;
+}
+
+void measureBook()
+{
+    struct Recovery
+    {
+        int jobs;
+        std::size_t records;
+        double bytes;
+        double replay;
+        double restore;
+    };
+    std::vector<Recovery> recoveries;
+    bench::reportHead(
+        "one shard's book",
+        {"bytes per waiting job", "submit µs per job", "place, start and end µs per job"});
+    for (const int jobs : {1'000, 10'000, 100'000}) {
+        const BookFigures f = runBook(jobs);
+        bench::report(benchName, std::to_string(jobs) + " jobs",
+                      {{"bytesPerWaitingJob", f.waitingBytes / jobs},
+                       {"submitMicros", 1'000 * f.submitCpu / jobs},
+                       {"runMicros", 1'000 * f.runCpu / jobs}});
+        double bytes = 0;
+        for (const std::string &it : f.records)
+            bytes += static_cast<double>(it.size()) + 1;
+        recoveries.push_back(
+            {jobs, f.records.size(), bytes, cpuOfReplay(f.records), cpuOfRestore(f.snapshot)});
+    }
+    bench::reportHead("recovery (processor time)",
+                      {"records", "MB of journal", "replay ms", "snapshot restore ms"});
+    for (const Recovery &it : recoveries)
+        bench::report(benchName, "recovery of " + std::to_string(it.jobs) + " jobs",
+                      {{"records", static_cast<double>(it.records)},
+                       {"journalMegabytes", it.bytes / 1e6},
+                       {"replayMs", it.replay},
+                       {"restoreMs", it.restore}});
+}
+
+// Takeover in virtual time.
+
+// The rows that two keepers share, without faults.
+class SmallTable
+{
+public:
+    CommitResult commit(const Transaction &t)
+    {
+        for (const Condition &it : t.conditions) {
+            const auto row = m_rows.find(it.key);
+            if ((row == m_rows.end() ? 0 : row->second.version) != it.version)
+                return {CommitOutcome::Conflict, 0};
+        }
+        ++m_version;
+        for (const Write &it : t.writes) {
+            if (it.value)
+                m_rows[it.key] = {it.key, *it.value, m_version};
+            else
+                m_rows.erase(it.key);
+        }
+        return {CommitOutcome::Committed, m_version};
+    }
+
+    std::vector<Row> rows(const std::string &prefix) const
+    {
+        std::vector<Row> all;
+        for (const auto &[key, row] : m_rows) {
+            if (key.starts_with(prefix))
+                all.push_back(row);
+        }
+        return all;
+    }
+
+private:
+    std::map<std::string, Row> m_rows;
+    std::uint64_t m_version = 0;
+};
+
+void runKeeper(LeaseKeeper &keeper, SmallTable &table, Instant now)
+{
+    if (const auto t = keeper.nextRenewal(now))
+        keeper.renewed(table.commit(*t), now);
+    keeper.observe(table.rows("entry/"), table.rows("shard/"), now);
+    for (const Transaction &t : keeper.expiries(now))
+        table.commit(t);
+    keeper.observe(table.rows("entry/"), table.rows("shard/"), now);
+    for (const ShardClaim &claim : keeper.claims(now))
+        keeper.claimed(claim, table.commit(claim.transaction));
+}
+
+// Returns the ms from one of two owners' end to the other's owning every shard.
+double takeover(int firstEnds, int phase, bool handedOver)
+{
+    constexpr int round = 500; // From one round of a keeper to the next.
+    SmallTable table;
+    LeaseKeeper ends("a.1", "", {});
+    LeaseKeeper stays("b.1", "", {});
+    for (int now = 0;; ++now) {
+        if (now % round == 0 && now < firstEnds)
+            runKeeper(ends, table, Instant{now});
+        if (now == firstEnds && handedOver)
+            table.commit(ends.farewell());
+        if (now % round == phase)
+            runKeeper(stays, table, Instant{now});
+        if (now > firstEnds && stays.owned().size() == 16)
+            return now - firstEnds;
+    }
+}
+
+void measureTakeovers()
+{
+    bench::reportHead("takeover of 8 of 16 shards (virtual time)", {"p50 ms", "longest ms"});
+    for (const bool handedOver : {false, true}) {
+        std::mt19937 random(seed);
+        std::vector<double> spans;
+        for (int n = 0; n < 60; ++n) {
+            const int firstEnds = std::uniform_int_distribution<int>(5'000, 15'000)(random);
+            const int phase = std::uniform_int_distribution<int>(0, 499)(random);
+            spans.push_back(takeover(firstEnds, phase, handedOver));
+        }
+        const double longest = *std::ranges::max_element(spans);
+        bench::report(
+            benchName, handedOver ? "owner left in order" : "owner died",
+            {{"takeoverP50Ms", bench::quantile(spans, 0.5)}, {"takeoverLongestMs", longest}});
+    }
+}
+
+} // namespace
+
+int main()
+{
+    measureCommits();
+    measureBook();
+    measureTakeovers();
+    return 0;
+}
--- a/include/savorywick/journal.h
+++ b/include/savorywick/journal.h
@@ -19,10 +19,14 @@
 struct JournalSettings
 {
     std::size_t maxSegmentBytes = 262'144; // One segment holds at least one record.
-    Millis commitEvery{20}; // From the start of one commit to the next, to spare the store.
+    Millis commitEvery{50}; // The mean time between commits under load, to spare the store.
+    int burst = 10; // Commits that may come sooner after a quiet time, at least 1.
     Millis firstRetry{50}; // Doubles with each retry of one commit.
     Millis lastRetry{2'000};
-    std::uint64_t snapshotAfter = 256; // Segments since the last snapshot.
+    // A snapshot is due once the journal since the last one is this many segments and as many
+    // bytes as that, or `longestJournal` segments.
+    std::uint64_t snapshotAfter = 256;
+    std::uint64_t longestJournal = 4'096;
     std::size_t deletesPerCommit = 64; // Covered segments removed by one transaction.
 };
 
@@ -110,6 +114,7 @@
     {
         std::string state;
         Ticket ticket = 0;
+        std::size_t bytes = 0;
         std::optional<std::uint64_t> sequence; // Known once all that it covers is durable.
         bool stored = false;
     };
@@ -139,12 +144,15 @@
 
     Transaction m_inFlight;
     std::size_t m_inFlightRecords = 0;
-    std::optional<Instant> m_startedAt;
+    std::size_t m_inFlightBytes = 0;
+    std::optional<Instant> m_allowedAt; // When the next commit may start, after the first.
     Instant m_retryAt;
     Millis m_retryDelay;
 
     std::uint64_t m_commits = 0;
     std::optional<Snapshot> m_snapshot;
+    std::size_t m_snapshotBytes = 0; // Of the last one; 0 if it was not taken here.
+    std::size_t m_bytesSince = 0; // Durable since then.
     std::optional<std::string> m_staleObject;
 };
 
--- a/src/lib/jobjson.cpp
+++ b/src/lib/jobjson.cpp
@@ -43,8 +43,8 @@
 
 Json::Value fromText(const std::string &text)
 {
-    static const Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    thread_local const std::unique_ptr<Json::CharReader> reader(
+        Json::CharReaderBuilder().newCharReader());
     Json::Value json;
     const char *begin = text.data();
     if (!reader->parse(begin, begin + text.size(), &json, nullptr) || !json.isObject())
--- a/src/lib/journal.cpp
+++ b/src/lib/journal.cpp
@@ -62,7 +62,7 @@
         return m_retryAt;
     if (m_phase != Phase::Idle || !hasWork())
         return {};
-    return m_startedAt ? *m_startedAt + m_settings.commitEvery : Instant{};
+    return m_allowedAt.value_or(Instant{});
 }
 
 std::optional<Transaction> Journal::nextCommit(Instant now)
@@ -72,7 +72,8 @@
         return {};
     if (m_phase == Phase::Idle) {
         m_inFlight = build();
-        m_startedAt = now;
+        const Instant earliest = now - m_settings.commitEvery * (m_settings.burst - 1);
+        m_allowedAt = std::max(m_allowedAt.value_or(earliest), earliest) + m_settings.commitEvery;
         m_retryDelay = m_settings.firstRetry;
     }
     m_phase = Phase::InFlight;
@@ -84,6 +85,7 @@
     Transaction t;
     m_nextRow = m_row;
     m_inFlightRecords = 0;
+    m_inFlightBytes = 0;
     addSegment(t);
     addSnapshot(t);
     addDeletes(t);
@@ -117,6 +119,7 @@
     if (segment.empty())
         return;
     ++m_nextRow.head;
+    m_inFlightBytes = segment.size();
     t.writes.push_back({segmentKey(m_nextRow.head), std::move(segment)});
 }
 
@@ -172,8 +175,12 @@
     const bool snapshotMoved = m_nextRow.object != m_row.object;
     if (snapshotMoved && !m_row.object.empty())
         m_staleObject = m_row.object;
-    if (snapshotMoved)
+    if (snapshotMoved) {
+        m_snapshotBytes = m_snapshot->bytes;
+        m_bytesSince = 0;
         m_snapshot.reset();
+    }
+    m_bytesSince += m_inFlightBytes;
     const bool givenUp = m_nextRow.owner.empty();
     m_row = m_nextRow;
     m_version = version;
@@ -202,13 +209,15 @@
 bool Journal::snapshotDue() const
 {
     const std::uint64_t length = m_row.head - m_row.snapshot;
-    return !m_snapshot && !m_releasing && !fenced() && !released()
-        && length >= m_settings.snapshotAfter;
+    const bool worth = length >= m_settings.snapshotAfter && m_bytesSince >= m_snapshotBytes;
+    const bool idle = !m_snapshot && !m_releasing && !fenced() && !released();
+    return idle && (worth || length >= m_settings.longestJournal);
 }
 
 void Journal::beginSnapshot(std::string state)
 {
-    m_snapshot = Snapshot{std::move(state), m_appended, {}, false};
+    const std::size_t bytes = state.size();
+    m_snapshot = Snapshot{std::move(state), m_appended, bytes, {}, false};
     if (m_appended == m_landed)
         m_snapshot->sequence = m_row.head;
 }
