--- a/include/savorywick/interference.h
+++ b/include/savorywick/interference.h
@@ -15,11 +15,12 @@
 struct InterferenceOptions
 {
     Millis lag{15'000}; // From a change on a worker until a measurement may show it.
-    double excessLimit = 0.10; // Tolerated slowdown of urgent work above its batch-free p99.
-    double relaxBelow = 0.06; // Below this slowdown batch work may grow again.
+    double excessLimit = 0.15; // Tolerated slowdown of urgent work above its batch-free p99.
+    double relaxBelow = 0.10; // Below this slowdown batch work may grow again.
     double headroom = 0.04; // Part of the cores that is left idle beside urgent and batch work.
     double smoothing = 0.3; // Weight of a new measurement in what the pairs do not explain.
-    double stepDown = 0.6; // Factor on the allowance when urgent work is hurt.
+    double stepDown = 0.6; // The smallest factor on the allowance when urgent work is hurt.
+    double cutPerExcess = 2.0; // Part of the allowance cut for each unit over `excessLimit`.
     double stepUp = 0.0625; // Part of the capacity given back at a time.
     int throttleSteps = 3; // Measurements with throttled work that still hurts before evicting.
     int leastThrottlePercent = 25; // Speed of a fully throttled task.
@@ -69,8 +70,8 @@
 // work needs at that load without batch work, as learned from all workers. If it is hurt, the
 // batch allowance steps down at once and the tasks that hurt most are throttled; if that does not
 // help within `throttleSteps` measurements, the cheapest of the harmful tasks is evicted, within a
-// budget per start. If urgent work is well, tasks regain their speed and then the allowance steps
-// up. Measurements that were taken less than `lag` after the last change on the worker teach, but
+// budget per start. If urgent work is well, tasks regain their speed and the allowance steps up.
+// Measurements that were taken less than `lag` after the last change on the worker teach, but
 // decide nothing, so nothing swings faster than the lag. Not thread-safe.
 //
 // Example:
@@ -133,7 +134,7 @@
     void updateRoom(Worker &worker, const WorkerSample &sample) const;
     bool throttle(const Worker &worker, const WorkerSample &sample,
                   InterferenceDecision &decision) const;
-    bool restore(const Worker &worker, const WorkerSample &sample,
+    void restore(const Worker &worker, const WorkerSample &sample,
                  InterferenceDecision &decision) const;
     void evict(const Worker &worker, const WorkerSample &sample, InterferenceDecision &decision);
 
