Watch checkpoints and watchers over owners that come and go

Cause: the world's check of checkpoints compared an attempt with itself, so it could not fail, and no watcher outlived an owner in it.

Change: a checkpoint counts once its record is known to be durable, and no later attempt may resume from before it.

--- a/tests/lib/fakeworker.h
+++ b/tests/lib/fakeworker.h
@@ -22,6 +22,7 @@
         savorywick::Instant startedAt;
         savorywick::Millis duration;
         savorywick::Resources demand;
+        savorywick::Millis before; // Done by earlier attempts.
     };
 
     FakeWorker(savorywick::HostInfo info, double rate)
@@ -92,8 +93,10 @@
         if (!(used() + call.demand).fitsIn({m_info.cores, m_info.memoryMb, m_info.accelerators}))
             return {StartOutcome::NoRoom, {}};
         const std::int64_t done = call.checkpoint.empty() ? 0 : std::stoll(call.checkpoint);
-        m_tasks[call.job] = {call.attempt, savorywick::TaskState::Running, local(real),
-                             call.expected - savorywick::Millis{done}, call.demand};
+        const savorywick::Millis before{done};
+        m_tasks[call.job] = {call.attempt, savorywick::TaskState::Running,
+                             local(real),  call.expected - before,
+                             call.demand,  before};
         if (onStart)
             onStart(call);
         return {StartOutcome::Running, {}};
@@ -118,7 +121,7 @@
         if (!accepts(epoch) || !isLive(call.job))
             return {};
         const Task &task = m_tasks.at(call.job);
-        return std::to_string((local(real) - task.startedAt).count());
+        return std::to_string((task.before + (local(real) - task.startedAt)).count());
     }
 
     // Returns the sum of the demands of what runs.
--- a/tests/lib/jobworld_test.cpp
+++ b/tests/lib/jobworld_test.cpp
@@ -75,6 +75,23 @@
         std::vector<std::function<void()>> waiting; // Calls that came while it was paused.
     };
 
+    // A checkpoint that is known to be durable.
+    struct Kept
+    {
+        int attempt = 0;
+        std::string checkpoint;
+    };
+    struct Watched
+    {
+        Millis from;
+        Millis after;
+    };
+
+    static std::int64_t progressOf(const std::string &checkpoint)
+    {
+        return checkpoint.empty() ? 0 : std::stoll(checkpoint);
+    }
+
     static std::string describe(const Job &job)
     {
         return std::string(toString(job.state)) + " in attempt " + std::to_string(job.attempt)
@@ -108,10 +125,11 @@
         const std::string attempt = call.job + " attempt " + std::to_string(call.attempt);
         demand(!m_facts.cancelled.contains(call.job), "cancelled " + attempt + " was started");
         demand(m_facts.started.emplace(attempt, worker).second, attempt + " was started twice");
-        std::string &checkpoint = m_checkpoints[attempt];
-        demand(checkpoint.empty() || checkpoint == call.checkpoint,
-               attempt + " resumed from another checkpoint");
-        checkpoint = call.checkpoint;
+        const auto kept = m_checkpoints.find(call.job);
+        if (kept == m_checkpoints.end() || kept->second.attempt >= call.attempt)
+            return;
+        demand(progressOf(call.checkpoint) >= progressOf(kept->second.checkpoint),
+               attempt + " resumed from before its recorded checkpoint");
     }
 
     void step()
@@ -176,15 +194,20 @@
             host = newHost();
         for (const Effect &it : calls)
             send(n, it);
-        if (m_faults && host.owner->acts(m_now) && draw(4) == 0)
+        if (!host.owner->acts(m_now))
+            return;
+        checkWatchers(*host.owner->book());
+        if (m_faults && draw(4) == 0)
             clientAct(*host.owner);
     }
 
     void clientAct(Owner &owner)
     {
         const std::string id = "j" + std::to_string(draw(40));
-        const int action = draw(6);
-        if (action < 3)
+        const int action = draw(7);
+        if (action == 6)
+            watch(owner, "t" + std::to_string(draw(20)), id);
+        else if (action < 3)
             submit(owner, id);
         else if (action == 3)
             cancel(owner, id);
@@ -211,6 +234,39 @@
             [this, id] { m_facts.submitted.insert(id); });
     }
 
+    // Half of the watchers wait for a run, the others for time.
+    void watch(Owner &owner, const std::string &id, const std::string &run)
+    {
+        WatcherSpec spec;
+        spec.id = id;
+        spec.service = "matching";
+        spec.key = id;
+        spec.after = Millis{draw(60'000)};
+        if (id.back() % 2 == 0 && m_facts.submitted.contains(run))
+            spec.untilRun = run;
+        const Watched watched{m_now, spec.after};
+        bool accepted = false;
+        owner.decide(
+            m_now,
+            [&](JobBook &book, Instant now, JobBook::Records &records) {
+                accepted = book.watch(spec, now, records).outcome == SubmitOutcome::Accepted;
+            },
+            [this, id] { m_facts.submitted.insert(id); });
+        if (accepted && spec.untilRun.empty())
+            m_watched[id] = watched;
+    }
+
+    void checkWatchers(JobBook &book)
+    {
+        for (auto it = m_watched.begin(); it != m_watched.end();) {
+            const Job *job = book.find(it->first);
+            const bool fired = job != nullptr && job->state == JobState::Finished;
+            const Millis least = it->second.after * 97 / 100; // Clocks differ by up to 2 %.
+            demand(!fired || m_now - it->second.from >= least, it->first + " fired early");
+            it = fired ? m_watched.erase(it) : std::next(it);
+        }
+    }
+
     void cancel(Owner &owner, const std::string &id)
     {
         bool never = false;
@@ -273,8 +329,13 @@
             to.waiting.push_back([=, this] { answer(host, owner, epoch, call, reply); });
             return;
         }
-        if (m_open.erase(call) == 1 && to.owner->epoch() == epoch)
-            to.owner->decide(m_now, reply);
+        if (m_open.erase(call) != 1 || to.owner->epoch() != epoch)
+            return;
+        m_landing = nullptr;
+        to.owner->decide(m_now, reply);
+        if (m_landing)
+            to.owner->decide(
+                m_now, [](auto &, auto, auto &) {}, std::exchange(m_landing, {}));
     }
 
     Answer handle(Node &node, const RenewLease &call, std::uint64_t epoch)
@@ -307,8 +368,13 @@
     Answer handle(Node &node, const CheckpointTask &call, std::uint64_t epoch)
     {
         const auto checkpoint = node.worker->checkpoint(call, epoch, m_now);
-        return [=](JobBook &book, Instant now, JobBook::Records &records) {
+        return [=, this](JobBook &book, Instant now, JobBook::Records &records) {
+            const Job *job = book.find(call.job);
+            const bool before = job != nullptr && job->state == JobState::Evicting;
             book.checkpointReply(call.job, call.attempt, checkpoint, now, records);
+            const bool after = job != nullptr && job->state == JobState::Evicting;
+            if (!before && after)
+                m_landing = [=, this] { m_checkpoints[call.job] = {call.attempt, *checkpoint}; };
         };
     }
 
@@ -380,13 +446,15 @@
     Millis m_tableBrokenUntil;
     WorldFacts m_facts;
     std::map<std::string, std::string> m_objects;
-    std::map<std::string, std::string> m_checkpoints; // By attempt.
+    std::map<std::string, Kept> m_checkpoints; // By job.
+    std::map<std::string, Watched> m_watched; // Watchers for time that have not fired.
     std::vector<Host> m_hosts;
     std::vector<Node> m_nodes;
     std::vector<HostInfo> m_infos;
     std::multimap<Millis, std::function<void()>> m_mail;
     std::set<std::uint64_t> m_open;
     std::uint64_t m_calls = 0;
+    std::function<void()> m_landing; // What the answer taken in last does once it is durable.
     int m_sessions = 0;
     std::size_t m_takeovers = 0;
 };
