--- a/include/savorywick/interference.h
+++ b/include/savorywick/interference.h
@@ -15,14 +15,14 @@
 struct InterferenceOptions
 {
     Millis lag{15'000}; // From a change on a worker until a measurement may show it.
-    double excessLimit = 0.15; // Tolerated slowdown of urgent work above its batch-free p99.
-    double relaxBelow = 0.10; // Below this slowdown batch work may grow again.
-    double headroom = 0.04; // Part of the cores that is left idle beside urgent and batch work.
+    double excessLimit = 0.18; // Tolerated slowdown of urgent work above its batch-free p99.
+    double relaxBelow = 0.13; // Below this slowdown batch work may grow again.
+    double headroom = 0.05; // Part of the cores that is left idle beside urgent and batch work.
     double smoothing = 0.3; // Weight of a new measurement in what the pairs do not explain.
     double stepDown = 0.6; // The smallest factor on the allowance when urgent work is hurt.
     double cutPerExcess = 2.0; // Part of the allowance cut for each unit over `excessLimit`.
-    double stepUp = 0.0625; // Part of the capacity given back at a time.
-    int throttleSteps = 3; // Measurements with throttled work that still hurts before evicting.
+    double stepUp = 0.125; // Part of the capacity given back at a time.
+    int throttleSteps = 6; // Measurements with throttled work that still hurts before evicting.
     int leastThrottlePercent = 25; // Speed of a fully throttled task.
     double evictionsPerStart = 0.01; // Evictions allowed for each start, ...
     double evictionBurst = 2.0; // ... and how many may be saved up.
