--- /dev/null
+++ b/bench/placement_bench.cpp
@@ -0,0 +1,287 @@
+// Packing, fragmentation and decision time of the placements, with fixed seeds.
+
+#include "benchtable.h"
+#include "savorywick/placement.h"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+#include <random>
+#include <vector>
+
+using namespace savorywick;
+
+namespace {
+
+constexpr Resources workerSize{64, 250'000, 0};
+constexpr Resources wideTask{32, 100'000, 0};
+constexpr int hostsPerSlice = 500;
+constexpr int timedStarts = 20'000;
+constexpr double rackCost = 0.001;
+
+// The plain way: looks at each host and takes the one left fullest.
+class LinearBestFit final : public Placement
+{
+public:
+    std::optional<std::string> choose(const PlacementRequest &request, const HostLedger &ledger,
+                                      const HostCost *) const override
+    {
+        std::optional<std::string> best;
+        int least = std::numeric_limits<int>::max();
+        for (const std::string &id : ledger.hosts()) {
+            const Resources free = ledger.free(id);
+            if (!request.need.fitsIn(free) || free.cores >= least)
+                continue;
+            best = id;
+            least = free.cores;
+        }
+        return best;
+    }
+};
+
+struct Fleet
+{
+    HostLedger ledger;
+    RackSpread spread{rackCost};
+    std::map<std::string, std::string> rackOf;
+
+    Fleet(int hosts, int perRack)
+    {
+        for (int i = 0; i < hosts; ++i) {
+            HostInfo host;
+            host.id = "worker-" + std::to_string(i);
+            host.role = HostRole::Worker;
+            host.rack = "rack-" + std::to_string(i / perRack);
+            host.cores = workerSize.cores;
+            host.memoryMb = workerSize.memoryMb;
+            host.accelerators = i % 8 == 0 ? 4 : 0;
+            ledger.setHost(host);
+            rackOf[host.id] = host.rack;
+        }
+    }
+};
+
+struct Running
+{
+    std::string host;
+    std::string task;
+    std::string runClass;
+};
+
+Resources anyNeed(std::mt19937 &random)
+{
+    const int cores =
+        std::discrete_distribution<int>{0, 3, 4, 0, 4, 0, 0, 0, 3, 0, 0, 0, 0, 0, 0, 0, 1}(random);
+    const int memoryMb = cores * std::uniform_int_distribution<int>(1'000, 7'000)(random);
+    const bool accelerated = std::uniform_int_distribution<int>(0, 19)(random) == 0;
+    return {cores, memoryMb, accelerated ? 1 : 0};
+}
+
+// Fills the fleet and keeps it full while tasks come and go. Times the decisions.
+class Churn
+{
+public:
+    Churn(Fleet &fleet, const Placement &placement, const HostCost *cost, unsigned seed)
+        : m_fleet(fleet)
+        , m_placement(placement)
+        , m_cost(cost)
+        , m_random(seed)
+    { }
+
+    // Starts one task; returns false if it finds no host.
+    bool start()
+    {
+        const Resources need = anyNeed(m_random);
+        const std::string runClass = "class-" + std::to_string(m_next % 5);
+        const PlacementRequest request{"service", runClass, need, {}};
+        const auto before = std::chrono::steady_clock::now();
+        const auto host = m_placement.choose(request, m_fleet.ledger, m_cost);
+        m_spent += std::chrono::steady_clock::now() - before;
+        ++m_decisions;
+        if (!host)
+            return false;
+        const std::string task = "task-" + std::to_string(m_next++);
+        m_fleet.ledger.book(*host, task, need);
+        m_fleet.spread.started(m_fleet.rackOf.at(*host), "service", runClass);
+        m_running.push_back({*host, task, runClass});
+        return true;
+    }
+    void endAny()
+    {
+        std::uniform_int_distribution<std::size_t> any(0, m_running.size() - 1);
+        std::swap(m_running[any(m_random)], m_running.back());
+        const Running &it = m_running.back();
+        m_fleet.ledger.release(it.host, it.task);
+        m_fleet.spread.ended(m_fleet.rackOf.at(it.host), "service", it.runClass);
+        m_running.pop_back();
+    }
+    void fill()
+    {
+        for (int failuresInRow = 0; failuresInRow < 8;)
+            failuresInRow = start() ? 0 : failuresInRow + 1;
+    }
+    void churn(int starts)
+    {
+        for (int i = 0; i < starts; ++i) {
+            endAny();
+            start();
+        }
+    }
+    void empty(double part)
+    {
+        const auto keep =
+            static_cast<std::size_t>(static_cast<double>(m_running.size()) * (1 - part));
+        while (m_running.size() > keep)
+            endAny();
+    }
+    double microsPerDecision() const
+    {
+        return std::chrono::duration<double, std::micro>(m_spent).count() / m_decisions;
+    }
+    void resetTime()
+    {
+        m_spent = {};
+        m_decisions = 0;
+    }
+    const std::vector<Running> &running() const { return m_running; }
+
+private:
+    Fleet &m_fleet;
+    const Placement &m_placement;
+    const HostCost *m_cost;
+    std::mt19937 m_random;
+    std::vector<Running> m_running;
+    std::chrono::steady_clock::duration m_spent{};
+    int m_decisions = 0;
+    int m_next = 0;
+};
+
+double bookedPart(const Fleet &fleet)
+{
+    double booked = 0;
+    for (const std::string &id : fleet.ledger.hosts())
+        booked += fleet.ledger.booked(id).cores;
+    return booked / (static_cast<double>(fleet.ledger.hostCount()) * workerSize.cores);
+}
+
+// Returns how many wide tasks fit, as a part of those that the free cores would hold in one piece.
+double wideFit(const Fleet &fleet)
+{
+    double fit = 0;
+    double freeCores = 0;
+    for (const std::string &id : fleet.ledger.hosts()) {
+        const Resources free = fleet.ledger.free(id);
+        freeCores += free.cores;
+        fit += std::min(free.cores / wideTask.cores, free.memoryMb / wideTask.memoryMb);
+    }
+    return freeCores > 0 ? fit * wideTask.cores / freeCores : 0;
+}
+
+// Returns the largest part of one class that a single rack holds.
+double worstRack(const Fleet &fleet, const std::vector<Running> &running)
+{
+    std::map<std::string, int> perRack;
+    int total = 0;
+    for (const Running &it : running) {
+        if (it.runClass != "class-0")
+            continue;
+        ++perRack[fleet.rackOf.at(it.host)];
+        ++total;
+    }
+    int most = 0;
+    for (const auto &[rack, n] : perRack)
+        most = std::max(most, n);
+    return total > 0 ? static_cast<double>(most) / total : 0;
+}
+
+struct PlacementCase
+{
+    std::string name;
+    const Placement &placement;
+    bool withRacks;
+};
+
+void measurePacking(const PlacementCase &it, int hosts, int perRack)
+{
+    Fleet fleet(hosts, perRack);
+    Churn churn(fleet, it.placement, it.withRacks ? &fleet.spread : nullptr, 7);
+    churn.fill();
+    churn.churn(10'000);
+    churn.fill();
+    const double full = bookedPart(fleet);
+    churn.empty(0.4);
+    churn.churn(10'000);
+    const double wide = wideFit(fleet);
+    const double rack = worstRack(fleet, churn.running());
+    const std::string name = std::to_string(hosts) + "/" + it.name;
+    benchtable::emit("placement", name, "cores_booked_when_full", full);
+    benchtable::emit("placement", name, "wide_tasks_that_fit", wide);
+    benchtable::emit("placement", name, "worst_rack_share", rack);
+    std::fprintf(stderr, "%-24s %9.1f%% %9.1f%% %9.1f%%\n", name.c_str(), 100 * full, 100 * wide,
+                 100 * rack);
+}
+
+void measureTime(const PlacementCase &it, int hosts, int starts)
+{
+    Fleet fleet(hosts, 8);
+    Churn churn(fleet, it.placement, it.withRacks ? &fleet.spread : nullptr, 7);
+    // Small hosts' worth of tasks, so that filling the largest fleet stays quick.
+    for (int i = 0; i < hosts * 8; ++i)
+        churn.start();
+    churn.resetTime();
+    churn.churn(starts);
+    const std::string name = std::to_string(hosts) + "/" + it.name;
+    benchtable::emit("placement", name, "microseconds_per_start", churn.microsPerDecision());
+    std::fprintf(stderr, "%-24s %9.2f us\n", name.c_str(), churn.microsPerDecision());
+}
+
+// All hosts in slices of one shard each; a start is decided within one slice.
+void measureSlices(const PlacementCase &it, int hosts)
+{
+    double sum = 0;
+    double full = 0;
+    const int slices = hosts / hostsPerSlice;
+    for (int i = 0; i < slices; ++i) {
+        Fleet fleet(hostsPerSlice, 8);
+        Churn churn(fleet, it.placement, it.withRacks ? &fleet.spread : nullptr, 100 + i);
+        churn.fill();
+        churn.resetTime();
+        churn.churn(timedStarts / slices);
+        sum += churn.microsPerDecision();
+        full += bookedPart(fleet);
+    }
+    const std::string name = std::to_string(hosts) + "-sliced/" + it.name;
+    benchtable::emit("placement", name, "microseconds_per_start", sum / slices);
+    benchtable::emit("placement", name, "cores_booked_when_full", full / slices);
+    std::fprintf(stderr, "%-24s %9.2f us %9.1f%% booked\n", name.c_str(), sum / slices,
+                 100 * full / slices);
+}
+
+} // namespace
+
+int main()
+{
+    const BestFitPlacement bestFit;
+    const SpreadPlacement spread;
+    const LinearBestFit linear;
+    const std::vector<PlacementCase> cases{{"best-fit", bestFit, false},
+                                           {"best-fit-racks", bestFit, true},
+                                           {"spread", spread, false},
+                                           {"spread-racks", spread, true}};
+    std::fprintf(stderr, "%-24s %10s %10s %10s\n", "hosts/placement", "full", "wide fit",
+                 "worst rack");
+    for (const PlacementCase &it : cases) {
+        measurePacking(it, 50, 8);
+        measurePacking(it, 65, 11);
+    }
+    std::fprintf(stderr, "\n%-24s %12s\n", "hosts/placement", "per start");
+    for (const int hosts : {50, 500, 5'000, 30'000}) {
+        for (const PlacementCase &it : cases)
+            measureTime(it, hosts, timedStarts);
+        if (hosts <= 500)
+            measureTime({"linear-scan", linear, false}, hosts, 1'000);
+    }
+    for (const PlacementCase &it : cases)
+        measureSlices(it, 30'000);
+    return 0;
+}
