--- /dev/null
+++ b/bench/fairqueue_bench.cpp
@@ -0,0 +1,123 @@
+// Cost of the fair queue's steps against the number of waiting items, with fixed seeds.
+
+#include "benchtable.h"
+#include "savorywick/fairqueue.h"
+
+#include <chrono>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace savorywick;
+
+namespace {
+
+constexpr int teams = 570;
+constexpr int steps = 20'000;
+constexpr int sizes = 8; // Sizes of a team's items.
+
+class EverythingFits final : public FitTest
+{
+public:
+    Fit test(const WaitingItem &) override { return Fit::Fits; }
+};
+
+// What is left of a cluster that is nearly full: small items fit only.
+class OnlySmallFit final : public FitTest
+{
+public:
+    Fit test(const WaitingItem &item) override
+    {
+        return item.need.cores <= 1 ? Fit::Fits : Fit::NotNow;
+    }
+};
+
+class NothingFits final : public FitTest
+{
+public:
+    Fit test(const WaitingItem &) override { return Fit::NotNow; }
+};
+
+class Load
+{
+public:
+    explicit Load(int waiting)
+        : m_queue({})
+        , m_random(5)
+    {
+        for (int i = 0; i < teams; ++i) {
+            m_queue.setTeam(teamName(i), {1.0 + i % 4, {1'000'000, 1'000'000'000, 1'000}});
+        }
+        for (int i = 0; i < waiting; ++i)
+            push();
+    }
+
+    void push()
+    {
+        m_now = m_now + Millis{7};
+        std::uniform_int_distribution<int> anyTeam(0, teams - 1);
+        std::uniform_int_distribution<int> anySize(1, sizes);
+        std::uniform_int_distribution<int> anyPriority(0, 9);
+        const int cores = anySize(m_random);
+        m_queue.push({"item-" + std::to_string(m_next++),
+                      teamName(anyTeam(m_random)),
+                      anyPriority(m_random),
+                      {cores, cores * 2'000, 0},
+                      m_now},
+                     m_now);
+    }
+    bool popAndFinish(FitTest &fit)
+    {
+        const auto item = m_queue.pop(m_now, fit);
+        if (item)
+            m_queue.finished(item->id, m_now);
+        return item.has_value();
+    }
+
+private:
+    static std::string teamName(int team) { return "team-" + std::to_string(team); }
+
+    FairQueue m_queue;
+    std::mt19937 m_random;
+    Instant m_now;
+    int m_next = 0;
+};
+
+template<typename Step>
+double microsPerStep(int n, Step step)
+{
+    const auto before = std::chrono::steady_clock::now();
+    for (int i = 0; i < n; ++i)
+        step();
+    const auto spent = std::chrono::steady_clock::now() - before;
+    return std::chrono::duration<double, std::micro>(spent).count() / n;
+}
+
+} // namespace
+
+int main()
+{
+    std::fprintf(stderr, "%-10s %14s %14s %14s\n", "waiting", "push+pop us", "small only us",
+                 "nothing us");
+    for (const int waiting : {1'000, 10'000, 100'000}) {
+        Load load(waiting);
+        EverythingFits everything;
+        OnlySmallFit small;
+        NothingFits nothing;
+        const double all = microsPerStep(steps, [&] {
+            load.push();
+            load.popAndFinish(everything);
+        });
+        const double some = microsPerStep(2'000, [&] {
+            load.push();
+            load.popAndFinish(small);
+        });
+        const double none = microsPerStep(500, [&] { load.popAndFinish(nothing); });
+        const std::string name = std::to_string(waiting);
+        benchtable::emit("fairqueue", name, "microseconds_per_push_and_pop", all);
+        benchtable::emit("fairqueue", name, "microseconds_when_only_small_items_fit", some);
+        benchtable::emit("fairqueue", name, "microseconds_when_nothing_fits", none);
+        std::fprintf(stderr, "%-10s %14.2f %14.2f %14.2f\n", name.c_str(), all, some, none);
+    }
+    return 0;
+}
