--- a/include/savorywick/jobbook.h
+++ b/include/savorywick/jobbook.h
@@ -6,7 +6,9 @@
 #include "savorywick/internal/dueindex.h"
 #include "savorywick/internal/jobtable.h"
 #include "savorywick/job.h"
+#include "savorywick/placement.h"
 #include "savorywick/platform.h"
+#include "savorywick/quarantine.h"
 #include "savorywick/workercalls.h"
 #include "savorywick/workerlease.h"
 
@@ -31,8 +33,8 @@
     int forgetsPerTick = 256;
     int startTries = 5; // Refusals for want of a lease before an attempt is taken back.
     int checkpointTries = 3; // Before an eviction is given up.
-    std::size_t failedWorkers = 3; // Distinct workers on which a job may fail.
-    std::size_t failedAttempts = 5; // Failed attempts on whatever workers.
+    std::size_t failedAttempts = 10; // Before a job is given up, on whatever workers.
+    QuarantineOptions quarantine;
 };
 
 enum class SubmitOutcome {
@@ -70,6 +72,7 @@
     std::uint64_t lapsed = 0; // Attempts whose worker's lease ran out.
     std::uint64_t vanished = 0; // Attempts that their worker no longer knew.
     std::uint64_t restarts = 0; // Attempts whose worker restarted.
+    std::uint64_t quarantines = 0; // Workers that were found to fail whatever they start.
 };
 
 // The runs and watchers of one shard, and the workers that it has a slice of.
@@ -77,9 +80,10 @@
 // Every decision applies in memory at once and appends records to `records`. The user appends them
 // to the shard's Journal, also if there are none, and holds back the answer to the caller and the
 // effects taken at the same time until that ticket has landed. If the journal is fenced, drop the
-// book. Every effect but ThrottleTask must be answered by its reply function, as failed or unknown
-// if no answer came; right before it is sent ask wanted() again, and drop it if it is not.
-// Call nothing while LeaseKeeper::mayAct() is false.
+// book. Renewals need not wait, see waitsForCommit(). Every effect but ThrottleTask must be
+// answered by its reply function, as failed or unknown if no answer came; right before it is sent
+// ask wanted() again, and drop it if it is not. While LeaseKeeper::mayAct() is false call no
+// tick(), send no effect and answer no caller; the workers' replies are taken in at all times.
 //
 // Attempt n+1 is placed only after attempt n is confirmed stopped, its worker restarted, or the
 // worker's lease surely lapsed. Not thread-safe.
@@ -95,7 +99,10 @@
 public:
     using Records = std::vector<std::string>;
 
-    explicit JobBook(const JobBookSettings &settings);
+    // `placement` and `cost` choose among the workers that are usable; without them the tightest
+    // fit is taken. The book does not own them; they must outlive it.
+    explicit JobBook(const JobBookSettings &settings, const Placement *placement = nullptr,
+                     const HostCost *cost = nullptr);
 
     // Accepts a run once a key. Refuses what no listed worker could hold; accepts it if no worker
     // is known. Throws Error(InvalidInput) if id, service or key is empty.
@@ -159,6 +166,7 @@
     // Returns the run that has waited longest and why.
     OldestWaiting oldestWaiting(Instant now) const;
     const HostLedger &ledger() const { return m_ledger; }
+    const Quarantine &quarantine() const { return m_quarantine; }
     const JobCounters &counters() const { return m_counters; }
 
 private:
@@ -193,7 +201,8 @@
     void call(const std::string &id, Instant now);
     void callFailed(const std::string &id, Instant now);
     void confirmRunning(const std::string &id, Instant now);
-    void giveUpIfHopeless(const Job &job, Instant now, Records &records);
+    bool noteFailure(const Job &job, const TaskFailure &failure, Instant now);
+    void giveUp(const Job &job, Instant now, Records &records);
     void finishAttempt(const Job &job, const std::string &result, Instant now, Records &records);
     void failAttempt(const Job &job, const std::string &cause, Instant now, Records &records);
     void freeAttempt(const std::string &id, const char *proof, Instant now, Records &records);
@@ -211,7 +220,7 @@
     void repeatCalls(Instant now);
     void placeWaiting(Instant now, Records &records);
     void place(const std::string &id, const std::string &worker, Instant now, Records &records);
-    std::string chooseWorker(const WaitingItem &item, Instant now) const;
+    bool takesWork(const std::string &worker, Instant now) const;
     void forgetOld(Instant now, Records &records);
     void markTime(Instant now, Records &records);
 
@@ -220,6 +229,10 @@
     WorkerLeases m_leases;
     HostLedger m_ledger;
     FairQueue m_queue;
+    Quarantine m_quarantine;
+    BestFitPlacement m_tightest;
+    const Placement *m_placement;
+    const HostCost *m_cost;
     JobCounters m_counters;
 
     Instant m_origin; // The instant of the shard's own time 0.
@@ -229,7 +242,9 @@
     std::map<std::string, std::set<std::string>, std::less<>> m_awaiting; // Watchers by run.
     internal::DueIndex m_timers; // Watchers that wait for time.
     internal::DueIndex m_done; // Final jobs by the end of their retention.
-    bool m_mustSettle = false; // A crash may have cut a batch between an end and what follows.
+    // A crash may have cut a batch between an end and what follows.
+    bool m_mustSettle = false;
+    std::vector<std::string> m_hopeless; // Runs that may be given up then.
     std::vector<Effect> m_effects;
 };
 
--- /dev/null
+++ b/src/entry/workerpoll.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "entry/shardhost.h"
+#include "entry/topology.h"
+#include "savorywick/platform.h"
+#include "savorywick/workerslices.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+
+namespace savorywick {
+
+// Reads the membership list, gives new workers to shards, and tells the shards of this entry which
+// workers are theirs. poll() is called by one thread; it blocks on the platform.
+class WorkerPoll
+{
+public:
+    // All references must outlive this object.
+    WorkerPoll(int shards, const Clock &clock, Membership &membership, Table &table,
+               Topology &topology, ShardHost &host);
+
+    void poll();
+    // Returns true once the list has been read.
+    bool listRead() const { return m_listRead; }
+    // Returns how many workers of each size every shard has. Thread-safe.
+    std::shared_ptr<const SliceSummary> summary() const;
+
+private:
+    void assign(const Row &index);
+    void tellShards();
+
+    const Clock &m_clock;
+    Membership &m_membership;
+    Table &m_table;
+    Topology &m_topology;
+    ShardHost &m_host;
+    WorkerSlices m_slices;
+    std::atomic<bool> m_listRead{false};
+    mutable std::mutex m_mutex; // For the member below.
+    std::shared_ptr<const SliceSummary> m_summary = std::make_shared<SliceSummary>();
+};
+
+} // namespace savorywick
--- /dev/null
+++ b/src/operator/reportjson.cpp
@@ -0,0 +1,263 @@
+#include "operator/report.h"
+
+#include "savorywick/errors.h"
+
+#include <json/json.h>
+
+#include <memory>
+#include <type_traits>
+
+namespace savorywick {
+
+namespace {
+
+// Writes members into a JSON object, with the same field lists that Reader reads by.
+class Writer
+{
+public:
+    explicit Writer(Json::Value &json)
+        : m_json(json)
+    { }
+
+    void field(const char *key, const std::string &value) { m_json[key] = value; }
+    void field(const char *key, bool value) { m_json[key] = value; }
+    void field(const char *key, int value) { m_json[key] = value; }
+    void field(const char *key, double value) { m_json[key] = value; }
+    void field(const char *key, std::int64_t value) { m_json[key] = Json::Int64(value); }
+    void field(const char *key, std::uint64_t value) { m_json[key] = Json::UInt64(value); }
+
+    void field(const char *key, const ReportCounts &counts)
+    {
+        for (const auto &[name, count] : counts)
+            m_json[key][name] = Json::UInt64(count);
+    }
+
+    template<typename Item>
+    requires std::is_class_v<Item>
+    void field(const char *key, const Item &item)
+    {
+        Writer writer(m_json[key] = Json::objectValue);
+        fields(writer, item);
+    }
+
+    void field(const char *key, const std::vector<std::string> &values)
+    {
+        m_json[key] = Json::arrayValue;
+        for (const std::string &it : values)
+            m_json[key].append(it);
+    }
+
+    template<typename Item>
+    void field(const char *key, const std::vector<Item> &items)
+    {
+        m_json[key] = Json::arrayValue;
+        for (const Item &it : items) {
+            Writer writer(m_json[key].append(Json::objectValue));
+            fields(writer, it);
+        }
+    }
+
+private:
+    Json::Value &m_json;
+};
+
+// Reads members of a JSON object; absent ones keep their value.
+class Reader
+{
+public:
+    explicit Reader(const Json::Value &json)
+        : m_json(json)
+    { }
+
+    void field(const char *key, std::string &value) { value = m_json.get(key, value).asString(); }
+    void field(const char *key, bool &value) { value = m_json.get(key, value).asBool(); }
+    void field(const char *key, int &value) { value = m_json.get(key, value).asInt(); }
+    void field(const char *key, double &value) { value = m_json.get(key, value).asDouble(); }
+    void field(const char *key, std::int64_t &value)
+    {
+        value = m_json.get(key, Json::Int64(value)).asInt64();
+    }
+    void field(const char *key, std::uint64_t &value)
+    {
+        value = m_json.get(key, Json::UInt64(value)).asUInt64();
+    }
+
+    void field(const char *key, ReportCounts &counts)
+    {
+        const Json::Value &json = m_json[key];
+        for (const std::string &it : json.getMemberNames())
+            counts[it] = json[it].asUInt64();
+    }
+
+    template<typename Item>
+    requires std::is_class_v<Item>
+    void field(const char *key, Item &item)
+    {
+        if (!m_json.isMember(key))
+            return;
+        Reader reader(m_json[key]);
+        fields(reader, item);
+    }
+
+    void field(const char *key, std::vector<std::string> &values)
+    {
+        for (const Json::Value &it : m_json[key])
+            values.push_back(it.asString());
+    }
+
+    template<typename Item>
+    void field(const char *key, std::vector<Item> &items)
+    {
+        for (const Json::Value &it : m_json[key]) {
+            Reader reader(it);
+            fields(reader, items.emplace_back());
+        }
+    }
+
+private:
+    const Json::Value &m_json;
+};
+
+// One list of fields a struct serves both directions. `Archive` is a Writer with a const struct or
+// a Reader with a mutable one.
+
+template<typename Archive, typename Struct>
+concept Of = std::is_same_v<std::remove_const_t<Archive>, Struct>;
+
+template<typename Archive, Of<ReportCounter> Item>
+void fields(Archive &archive, Item &it)
+{
+    archive.field("group", it.group);
+    archive.field("name", it.name);
+    archive.field("count", it.count);
+}
+
+template<typename Archive, Of<ReportLatency> Item>
+void fields(Archive &archive, Item &it)
+{
+    archive.field("name", it.name);
+    archive.field("count", it.count);
+    archive.field("p50Ms", it.p50Ms);
+    archive.field("p99Ms", it.p99Ms);
+    archive.field("p999Ms", it.p999Ms);
+    archive.field("maxMs", it.maxMs);
+}
+
+template<typename Archive, Of<ReportDocument> Item>
+void fields(Archive &archive, Item &it)
+{
+    archive.field("service", it.service);
+    archive.field("revision", it.revision);
+    archive.field("latencyTargetMs", it.latencyTargetMs);
+}
+
+template<typename Archive, Of<ReportOldest> Item>
+void fields(Archive &archive, Item &it)
+{
+    archive.field("id", it.id);
+    archive.field("waitedMs", it.waitedMs);
+    archive.field("why", it.why);
+}
+
+template<typename Archive, Of<ReportClaims> Item>
+void fields(Archive &archive, Item &it)
+{
+    archive.field("open", it.open);
+    archive.field("finished", it.finished);
+    archive.field("unknown", it.unknown);
+}
+
+template<typename Archive, Of<ReportShard> Item>
+void fields(Archive &archive, Item &it)
+{
+    archive.field("shard", it.shard);
+    archive.field("jobs", it.jobs);
+    archive.field("counters", it.counters);
+    archive.field("claims", it.claims);
+    archive.field("oldest", it.oldest);
+    archive.field("storeDown", it.storeDown);
+}
+
+template<typename Archive, Of<ReportEviction> Item>
+void fields(Archive &archive, Item &it)
+{
+    archive.field("id", it.id);
+    archive.field("service", it.service);
+    archive.field("worker", it.worker);
+    archive.field("reason", it.reason);
+    archive.field("state", it.state);
+    archive.field("agoMs", it.agoMs);
+}
+
+template<typename Archive, Of<ReportHost> Item>
+void fields(Archive &archive, Item &it)
+{
+    archive.field("id", it.id);
+    archive.field("role", it.role);
+    archive.field("reason", it.reason);
+    archive.field("sinceMs", it.sinceMs);
+}
+
+template<typename Archive, Of<ReportEntry> Item>
+void fields(Archive &archive, Item &it)
+{
+    archive.field("entry", it.entry);
+    archive.field("availabilityZone", it.availabilityZone);
+    archive.field("region", it.region);
+    archive.field("unreachable", it.unreachable);
+    archive.field("ready", it.ready);
+    archive.field("storeUp", it.storeUp);
+    archive.field("uptimeMs", it.uptimeMs);
+    archive.field("documentsSeen", it.documentsSeen);
+    archive.field("counters", it.counters);
+    archive.field("latencies", it.latencies);
+    archive.field("documents", it.documents);
+    archive.field("invalidDocuments", it.invalidDocuments);
+    archive.field("shards", it.shards);
+    archive.field("evictions", it.evictions);
+    archive.field("suspects", it.suspects);
+}
+
+template<typename Archive, Of<Report> Item>
+void fields(Archive &archive, Item &it)
+{
+    archive.field("entries", it.entries);
+}
+
+[[noreturn]] void throwNoReport()
+{
+    throw Error(ErrorKind::InvalidInput, "the answer is no report",
+                "check that the address is an entry's callers address");
+}
+
+} // namespace
+
+std::string toJson(const Report &report)
+{
+    Json::Value json(Json::objectValue);
+    Writer writer(json);
+    fields(writer, report);
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, json);
+}
+
+Report parseReport(std::string_view json)
+{
+    Json::Value root;
+    const Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> parser(builder.newCharReader());
+    if (!parser->parse(json.data(), json.data() + json.size(), &root, nullptr) || !root.isObject()
+        || !root["entries"].isArray())
+        throwNoReport();
+    try {
+        Report report;
+        Reader reader(root);
+        fields(reader, report);
+        return report;
+    } catch (const Json::Exception &) {
+        throwNoReport();
+    }
+}
+
+} // namespace savorywick
