--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -13,6 +13,7 @@
 #include "platform/json.h"
 #include "savorywick/errors.h"
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -97,6 +98,8 @@
     result.lease.term = settings.leases.entryTerm;
     result.lease.margin = settings.leases.entryMargin;
     result.lease.renewEvery = settings.leases.entryRenewal;
+    // The keeper starts its watch anew after a gap of two renewals, so it must look more often.
+    result.observeEvery = std::min(result.observeEvery, settings.leases.entryRenewal);
     return result;
 }
 
