Make the frozen entry's test see the guard that it is about

Cause: on a scratch build with FreezeGuard switched off the case still passed: the push that waited in the socket, or the list of slots that had grown old, kept the woken entry from serving. Change: sixteen requests wait in the frozen entry's sockets, the store is silent while it wakes, and the refusal must be `documents-stale` and `not-run`.

--- a/tests/process/documents_test.cpp
+++ b/tests/process/documents_test.cpp
@@ -112,10 +112,26 @@
     CHECK(said["pendingOn"][0].asString() == "entry-2");
     // Once the frozen entry's row has lapsed, it is listed no more.
     CHECK(eventually(limit, [&] { return isAccepted(cluster, 0); }));
+    // Requests that wait in the frozen entry's sockets are the first thing that it sees when it
+    // wakes; a silent store keeps it from learning of the edit meanwhile.
+    std::array<HttpAnswer, 16> early;
+    std::vector<std::jthread> callers;
+    callers.reserve(early.size());
+    for (HttpAnswer &it : early)
+        callers.emplace_back([&] { it = cluster.request(2, "quote", "x"); });
+    passTime(Millis{500});
+    cluster.platform().pause();
     cluster.entry(2).resume();
+    callers.clear();
+    cluster.platform().resume();
+    for (const HttpAnswer &it : early) {
+        INFO(it.status, " ", it.body);
+        CHECK_MESSAGE(it.status != 200, "the old class was served after the edit was accepted");
+        CHECK(reasonOf(it) == "documents-stale");
+        CHECK(headerValue(it.headers, "X-Run-Status") == "not-run");
+    }
     const bool serves = eventually(limit, [&] {
-        const HttpAnswer old = cluster.request(2, "quote", "x");
-        CHECK_MESSAGE(old.status != 200, "the old class was served after the edit was accepted");
+        CHECK(cluster.request(2, "quote", "x").status != 200);
         return cluster.request(2, "ask", "x").status == 200;
     });
     CHECK(serves);
