Measure the slopes that the capacity page needs

Not yet final: the sample of the worker's report held no tasks, since the first worker has accelerators and the spread placement keeps it free.

--- /dev/null
+++ b/bench/capacity_bench.cpp
@@ -0,0 +1,270 @@
+// Slopes that no other bench measures: what an entry pays for the list of entries and shards, for
+// the slices of the workers, and for each worker's lease report. See docs/CAPACITY.md.
+
+#include "report.h"
+
+#include "savorywick/batchcontrol.h"
+#include "savorywick/jobbook.h"
+#include "savorywick/shardlease.h"
+#include "savorywick/workerslices.h"
+
+#include <json/json.h>
+
+#include <chrono>
+#include <functional>
+
+#include <malloc.h>
+
+using namespace savorywick;
+using namespace savorywick::bench;
+
+namespace {
+
+constexpr const char *name = "capacity";
+constexpr int tasksPerWorker = 20;
+
+// Returns the microseconds that one call of `work` takes, the least of three rounds.
+double microseconds(int calls, const std::function<void()> &work)
+{
+    double best = 0;
+    for (int round = 0; round < 3; ++round) {
+        const auto start = std::chrono::steady_clock::now();
+        for (int i = 0; i < calls; ++i)
+            work();
+        const std::chrono::duration<double, std::micro> span =
+            std::chrono::steady_clock::now() - start;
+        const double each = span.count() / calls;
+        best = round == 0 ? each : std::min(best, each);
+    }
+    return best;
+}
+
+double heapBytes()
+{
+    return static_cast<double>(mallinfo2().uordblks);
+}
+
+std::string entryValue()
+{
+    return R"({"beat":17,"callers":"10.20.30.40:18080","documentsSeen":123456,"draining":false,)"
+           R"("name":"entry-hobart-1","peers":"10.20.30.40:18090","region":"south-tas",)"
+           R"("zone":"hobart"})";
+}
+
+std::size_t bytesOf(const std::vector<Row> &rows)
+{
+    std::size_t n = 0;
+    for (const Row &it : rows)
+        n += it.key.size() + it.value.size() + 40;
+    return n;
+}
+
+void measureList(int entries, int shards)
+{
+    std::vector<Row> entryRows;
+    entryRows.reserve(static_cast<std::size_t>(entries));
+    for (int i = 0; i < entries; ++i)
+        entryRows.push_back({entryKey("entry-" + std::to_string(i) + ".0123abcd"), entryValue(),
+                             static_cast<std::uint64_t>(i) + 1});
+    std::vector<Row> shardRows;
+    shardRows.reserve(static_cast<std::size_t>(shards));
+    for (int i = 0; i < shards; ++i) {
+        ShardRow row;
+        row.owner = "entry-" + std::to_string(i % entries) + ".0123abcd";
+        row.peer = "10.20.30.40:18090";
+        row.epoch = 7;
+        row.head = 123'456;
+        row.commit = "entry-0.0123abcd/7/123456";
+        shardRows.push_back({shardKey(i), toValue(row), static_cast<std::uint64_t>(i) + 1});
+    }
+    LeaseKeeper keeper("entry-0.0123abcd", "10.20.30.40:18090", {.shards = shards});
+    std::int64_t ms = 0;
+    const double us = microseconds(20, [&] {
+        ms += 1'000;
+        keeper.observe(entryRows, shardRows, Instant{ms});
+    });
+    report(name, std::to_string(entries) + " entries and " + std::to_string(shards) + " shards",
+           {{"observe_us", us},
+            {"bytes_read", static_cast<double>(bytesOf(entryRows) + bytesOf(shardRows))}});
+}
+
+std::vector<HostInfo> workersOf(int n)
+{
+    std::vector<HostInfo> hosts;
+    hosts.reserve(static_cast<std::size_t>(n));
+    for (int i = 0; i < n; ++i) {
+        HostInfo host;
+        host.id = "worker-" + std::to_string(i);
+        host.role = HostRole::Worker;
+        host.rack = "rack-" + std::to_string(i / 11);
+        host.cores = 64;
+        host.memoryMb = 250'000;
+        host.accelerators = i % 4 == 0 ? 4 : 0;
+        hosts.push_back(std::move(host));
+    }
+    return hosts;
+}
+
+void measureSlices(int workers, int shards)
+{
+    const std::vector<HostInfo> hosts = workersOf(workers);
+    WorkerSlices slices(shards, Millis{3'600'000});
+    slices.observe({}, {});
+    const auto first = slices.assign(hosts, Instant{1});
+    std::vector<Row> rows;
+    Row index;
+    for (const Write &it : first->writes) {
+        if (it.key == sliceIndexKey)
+            index = {it.key, *it.value, 1};
+        else
+            rows.push_back({it.key, *it.value, 1});
+    }
+    slices.observe(index, rows);
+    const double assign = microseconds(3, [&] { slices.assign(hosts, Instant{2}); });
+    const double parse = microseconds(50, [&] { SliceSummary::parse(index); });
+    const SliceSummary summary = SliceSummary::parse(index);
+    std::uint64_t draw = 0;
+    const double choose = microseconds(200, [&] { summary.choose({.cores = 4}, ++draw); });
+    report(name, std::to_string(workers) + " workers in " + std::to_string(shards) + " slices",
+           {{"assign_us", assign},
+            {"parse_us", parse},
+            {"choose_us", choose},
+            {"index_bytes", static_cast<double>(index.value.size())}});
+}
+
+// The answers of workers that run what they are told to.
+class FakeWorkers
+{
+public:
+    explicit FakeWorkers(JobBook &book)
+        : m_book(book)
+    { }
+
+    void answerAll(Instant now)
+    {
+        JobBook::Records records;
+        for (const Effect &it : m_book.takeEffects()) {
+            if (const auto *lease = std::get_if<RenewLease>(&it))
+                m_book.leaseReply(lease->worker, reportOf(lease->worker), now, records);
+            if (const auto *start = std::get_if<StartTask>(&it))
+                m_book.startReply(start->job, start->attempt, {StartOutcome::Running, {}}, now,
+                                  records);
+        }
+    }
+
+    LeaseReport reportOf(const std::string &worker) const
+    {
+        LeaseReport report{worker + ".1", {}, {.cores = 40, .memoryMb = 100'000}, Millis{20}};
+        for (const std::string &it : m_book.ledger().tasks(worker))
+            report.tasks.push_back(
+                {it, 1, TaskState::Running, Millis{60'000}, {}, {.cores = 2, .memoryMb = 4'000}});
+        return report;
+    }
+
+private:
+    JobBook &m_book;
+};
+
+// Returns the bytes of one renewal and its answer on the wire of docs/PROTOCOLS.md.
+double wireBytes(const LeaseReport &report)
+{
+    constexpr int httpBytes = 300;
+    Json::Value answer;
+    answer["incarnation"] = report.incarnation;
+    for (const TaskReport &it : report.tasks) {
+        Json::Value task;
+        task["task"] = "0123-0123456789abcdef0123456789abcdef";
+        task["attempt"] = it.attempt;
+        task["state"] = "running";
+        task["progressMs"] = 123'456;
+        task["result"] = "";
+        task["cores"] = it.usage.cores;
+        task["memoryMb"] = it.usage.memoryMb;
+        answer["tasks"].append(std::move(task));
+    }
+    answer["usage"]["cores"] = report.usage.cores;
+    answer["usage"]["memoryMb"] = report.usage.memoryMb;
+    answer["usage"]["accelerators"] = 0;
+    answer["usage"]["urgentP99Ms"] = 20;
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return static_cast<double>(Json::writeString(builder, answer).size() + 50 + httpBytes);
+}
+
+void measureWorkers(int workers)
+{
+    const double heapBefore = heapBytes();
+    const std::vector<HostInfo> hosts = workersOf(workers);
+    BatchControl control({});
+    SpreadPlacement placement;
+    JobBookSettings settings;
+    settings.startsPerTick = 1'000'000;
+    JobBook book(settings, &placement, &control.cost(), &control.sizes());
+    FakeWorkers fakes(book);
+    Instant now{1'000};
+    JobBook::Records records;
+    book.takeOver(now);
+    book.setWorkers(hosts, now);
+    control.setWorkers(hosts);
+    book.tick(now, records);
+    fakes.answerAll(now);
+    for (int i = 0; i < workers * tasksPerWorker; ++i) {
+        JobSpec spec;
+        spec.id = "0123-job-" + std::to_string(i);
+        spec.service = "matching";
+        spec.runClass = "allocation";
+        spec.team = "team-" + std::to_string(i % 10);
+        spec.key = "key-" + std::to_string(i);
+        spec.demand = {2, 4'000, 0};
+        spec.expected = Millis{600'000};
+        book.submit(spec, now, records);
+    }
+    for (int i = 0; i < 20; ++i) {
+        book.tick(now, records);
+        fakes.answerAll(now);
+        records.clear();
+    }
+    const double heapAfter = heapBytes();
+    const LeaseReport sample = fakes.reportOf(hosts[0].id);
+    now = now + Millis{6'000};
+    const int rounds = std::min(workers, 200);
+    int next = 0;
+    const double reply = microseconds(rounds, [&] {
+        const std::string &worker = hosts[static_cast<std::size_t>(next++ % workers)].id;
+        book.leaseReply(worker, sample, now, records);
+        control.observe(worker, sample, book, now, records);
+        records.clear();
+    });
+    const double tick = microseconds(5, [&] {
+        now = now + Millis{100};
+        book.tick(now, records);
+        book.takeEffects();
+        records.clear();
+    });
+    report(name, std::to_string(workers) + " workers in a shard",
+           {{"running", static_cast<double>(book.count(JobState::Placed))},
+            {"report_us", reply},
+            {"tick_us", tick},
+            {"bytes_per_task", (heapAfter - heapBefore) / (workers * tasksPerWorker)},
+            {"wire_bytes", wireBytes(sample)}});
+}
+
+} // namespace
+
+int main()
+{
+    reportHead("list", {"observe us", "bytes read"});
+    measureList(9, 16);
+    measureList(60, 64);
+    measureList(240, 256);
+    reportHead("slices", {"assign us", "parse us", "choose us", "index bytes"});
+    measureSlices(65, 3);
+    measureSlices(3'000, 32);
+    measureSlices(30'000, 256);
+    reportHead("worker control",
+               {"running", "report us", "tick us", "bytes per task", "wire bytes"});
+    measureWorkers(50);
+    measureWorkers(500);
+    measureWorkers(5'000);
+    return 0;
+}
