Ask the other entries for their list when the store gives none

Cause: in an outage the lease loop took its list for good unless a peer of its region answered that the store was up. An entry that is cut off from the store and from all peers heard no such answer and went on with slots that the others take over; and the peers' word on the store says nothing of which list they have.

Change: LeaseLoop::confirmList(), on a thread of its own since the store's calls may block for long, asks all entries by the new peer method compareLists once the list has half of its longest age, and feeds ListTrust; this replaces peersAgreeStoreIsDown().

Ruled out: asking from step(), where two store calls that time out and a few silent peers take longer than a list's age.

--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -26,6 +26,7 @@
 constexpr Millis urgentTick{10};
 constexpr Millis urgentRefresh{250};
 constexpr Millis leaseStep{100};
+constexpr Millis listConfirmation{200};
 constexpr Millis freezeTick{200};
 constexpr Millis drainPoll{20};
 constexpr Millis quietSpan{300};
@@ -100,6 +101,7 @@
     result.lease.renewEvery = settings.leases.entryRenewal;
     // The keeper starts its watch anew after a gap of two renewals, so it must look more often.
     result.observeEvery = std::min(result.observeEvery, settings.leases.entryRenewal);
+    result.longestListAge = settings.polls.entryListAge;
     return result;
 }
 
@@ -229,6 +231,10 @@
         result["storeUp"] = m_leases->storeUp();
         return platform::toText(result);
     });
+    m_peerServer.add("compareLists", [this](const std::string &parameters) {
+        const auto theirs = parseListView(parameters);
+        return theirs ? listViewText(m_leases->noteQuestion(*theirs)) : std::string("{}");
+    });
     m_peerServer.add("report", [this](const std::string &) { return m_report->own(); });
 }
 
@@ -265,6 +271,7 @@
 void Daemon::startPolling()
 {
     m_periodic.every(leaseStep, [this] { m_leases->step(); });
+    m_periodic.every(listConfirmation, [this] { m_leases->confirmList(); });
     m_periodic.every(m_settings.polls.documents, [this] { m_documents.poll(); });
     m_periodic.every(freezeTick, [this] { m_documents.tick(); });
     m_periodic.every(m_settings.polls.membership, [this] { m_workerPoll.poll(); });
--- a/src/entry/leaseloop.cpp
+++ b/src/entry/leaseloop.cpp
@@ -5,7 +5,7 @@
 #include "platform/json.h"
 #include "savorywick/errors.h"
 
-#include <algorithm>
+#include <future>
 
 namespace savorywick {
 
@@ -14,6 +14,7 @@
 constexpr int sessionDigits = 8;
 constexpr std::size_t rowsPerScan = 500;
 constexpr int claimTries = 3;
+constexpr std::size_t callsAtOnce = 16;
 
 std::vector<Row> scanAll(Table &table, std::string_view prefix)
 {
@@ -39,6 +40,7 @@
     , m_host(host)
     , m_self(std::move(self))
     , m_listeners(std::move(listeners))
+    , m_listTrust(settings.longestListAge)
 {
     newSession();
 }
@@ -134,13 +136,11 @@
         m_topology.setOwners(shards);
         m_storeUp = true;
         if (m_keeper->mayAct(m_clock.now()))
-            m_listTakenAt = std::min(start, m_clock.now()).count();
+            noteList(start);
         takeShards();
     } catch (const Error &error) {
         m_storeUp = false;
         logDebug("observation-failed", {{"why", error.what()}});
-        if (peersAgreeStoreIsDown())
-            m_listTakenAt = start.count();
     }
     m_fairShare = m_keeper->fairShare();
 }
@@ -199,18 +199,66 @@
 
 // An entry that can't reach the store may only go on using its slots if nobody can take them:
 // while the store is down for all, no entry can be expired.
-bool LeaseLoop::peersAgreeStoreIsDown()
+void LeaseLoop::noteList(Instant takenAt)
 {
-    for (const PeerEntry &it : *m_topology.entries()) {
-        if (it.session == m_keeper->session() || it.region != m_self.region)
-            continue;
-        const PeerReply reply = m_peers.call(it.peers, "status", "{}", m_settings.peerTimeout);
-        if (reply.outcome != PeerOutcome::Answered)
+    const Topology::Entries entries = m_topology.entries();
+    std::vector<std::string> sessions;
+    for (const PeerEntry &it : *entries) {
+        if (!it.draining)
+            sessions.push_back(it.session);
+    }
+    const std::lock_guard lock(m_mutex);
+    m_listTrust.noteRead(listViewOf(sessions), takenAt);
+}
+
+Instant LeaseLoop::listTakenAt() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_listTrust.goodSince().value_or(Instant{});
+}
+
+ListView LeaseLoop::noteQuestion(const ListView &theirs)
+{
+    const std::lock_guard lock(m_mutex);
+    m_listTrust.noteQuestion(theirs);
+    return m_listTrust.view();
+}
+
+void LeaseLoop::confirmList()
+{
+    ListView ours;
+    std::string session;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto good = m_listTrust.goodSince();
+        if (m_draining || !good || m_clock.now() - *good < m_settings.longestListAge / 2)
+            return;
+        ours = m_listTrust.view();
+        session = m_session;
+    }
+    const Topology::Entries entries = m_topology.entries();
+    std::vector<std::future<void>> calls; // Each waits for its end when it is destroyed.
+    for (const PeerEntry &it : *entries) {
+        if (it.session == session || it.draining)
             continue;
-        if (platform::fromText(reply.result)["storeUp"].asBool())
-            return false;
+        if (calls.size() == callsAtOnce)
+            calls.clear();
+        calls.push_back(std::async(std::launch::async, [&] { askForList(it, ours); }));
     }
-    return true;
+}
+
+void LeaseLoop::askForList(const PeerEntry &peer, const ListView &ours)
+{
+    const Instant askedAt = m_clock.now();
+    const PeerReply reply =
+        m_peers.call(peer.peers, "compareLists", listViewText(ours), m_settings.peerTimeout);
+    if (reply.outcome != PeerOutcome::Answered)
+        return;
+    const auto theirs = parseListView(reply.result);
+    if (!theirs)
+        return;
+    const std::lock_guard lock(m_mutex);
+    m_listTrust.noteAnswer(peer.session, *theirs, askedAt, m_clock.now());
 }
 
 } // namespace savorywick
--- a/src/entry/leaseloop.h
+++ b/src/entry/leaseloop.h
@@ -3,6 +3,7 @@
 #include "entry/shardhost.h"
 #include "entry/topology.h"
 #include "peer/peerclient.h"
+#include "savorywick/listtrust.h"
 #include "savorywick/shardlease.h"
 
 #include <atomic>
@@ -19,11 +20,13 @@
     LeaseSettings lease;
     Millis observeEvery{1'000};
     Millis peerTimeout{500};
+    Millis longestListAge{3'000}; // As in SlotSharesSettings.
 };
 
 // Keeps this entry's session and its shards: renews, watches the others, takes and releases.
 //
-// step() is called by one thread and blocks on the store; everything else is thread-safe.
+// step() is called by one thread and blocks on the store, confirmList() by another one and blocks
+// on peers; everything else is thread-safe.
 class LeaseLoop
 {
 public:
@@ -40,6 +43,11 @@
 
     // Does what is due now. Call it several times in each renewal period.
     void step();
+    // Asks the other entries whether they have the same list of entries, once ours is no longer
+    // new: the store may be down. Call it several times within the longest age of a list.
+    void confirmList();
+    // Notes the list of a peer that asks so, and returns ours.
+    ListView noteQuestion(const ListView &theirs);
     // Notes that a shard was lost or released.
     void shardOver(int shard);
 
@@ -50,7 +58,7 @@
 
     std::string session() const;
     // Returns when the list of entries and this entry's right to be on it were last known good.
-    Instant listTakenAt() const { return Instant{m_listTakenAt}; }
+    Instant listTakenAt() const;
     bool storeUp() const { return m_storeUp; }
     int fairShare() const { return m_fairShare; }
 
@@ -61,7 +69,8 @@
     void takeShards();
     void openIfOwned(const ShardClaim &claim);
     void takeOverNotes();
-    bool peersAgreeStoreIsDown();
+    void noteList(Instant takenAt);
+    void askForList(const PeerEntry &peer, const ListView &ours);
 
     const LeaseLoopSettings m_settings;
     const Clock &m_clock;
@@ -75,7 +84,6 @@
     std::unique_ptr<LeaseKeeper> m_keeper;
     Instant m_lastObserved;
     bool m_observed = false;
-    std::atomic<std::int64_t> m_listTakenAt{0};
     std::atomic<bool> m_storeUp{false};
     std::atomic<bool> m_draining{false};
     std::atomic<int> m_fairShare{0};
@@ -83,6 +91,7 @@
     mutable std::mutex m_mutex; // For the members below.
     std::string m_session;
     std::vector<int> m_over;
+    ListTrust m_listTrust;
 };
 
 } // namespace savorywick
--- a/src/entry/topology.cpp
+++ b/src/entry/topology.cpp
@@ -104,4 +104,20 @@
     return platform::toText(value);
 }
 
+std::string listViewText(const ListView &view)
+{
+    Json::Value value;
+    value["digest"] = Json::UInt64(view.digest);
+    value["entries"] = Json::UInt64(view.entries);
+    return platform::toText(value);
+}
+
+std::optional<ListView> parseListView(std::string_view text)
+{
+    const Json::Value value = platform::fromText(text);
+    if (!value.isObject() || !value["digest"].isUInt64() || !value["entries"].isUInt64())
+        return std::nullopt;
+    return ListView{value["digest"].asUInt64(), value["entries"].asUInt64()};
+}
+
 } // namespace savorywick
--- a/src/entry/topology.h
+++ b/src/entry/topology.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "savorywick/listtrust.h"
 #include "savorywick/platform.h"
 #include "savorywick/shardrow.h"
 #include "savorywick/slotshares.h"
@@ -68,4 +69,8 @@
 // Returns the row's fields as the text of a JSON object, for LeaseKeeper::setFields().
 std::string toFields(const PeerEntry &entry);
 
+// Return a view of the entries as the text of a JSON object, and back; nothing if it is none.
+std::string listViewText(const ListView &view);
+std::optional<ListView> parseListView(std::string_view text);
+
 } // namespace savorywick
