Let stand-in workers change their incarnation when the lease lapses

Cause: docs/PROTOCOLS.md says so since a worker that is paused past its lease may find a renewal and a start in its sockets when it wakes; the stand-in and the worker client did not follow.

Ruled out: leaving the start's no-lease refusal to catch it. The renewal that waited with it opens a lease first.

Change: the stand-in's incarnation changes with a lapse, a renewal that names another one grants nothing, and the client names the one last told.

--- a/src/entry/workeractor.cpp
+++ b/src/entry/workeractor.cpp
@@ -76,7 +76,8 @@
 
 void WorkerActor::carryOut(const EffectOrder &order, const RenewLease &effect)
 {
-    const LeaseGrant grant = m_client.lease(callerFor(order, effect.worker), effect.term);
+    const LeaseGrant grant =
+        m_client.lease(callerFor(order, effect.worker), effect.incarnation, effect.term);
     send(order.replyTo,
          LeaseAnswer{effect.worker, grant.outcome == WorkerOutcome::Done, reportOf(grant)});
 }
--- a/src/worker/workerclient.cpp
+++ b/src/worker/workerclient.cpp
@@ -70,9 +70,11 @@
 
 } // namespace
 
-LeaseGrant HttpWorkerClient::lease(const WorkerCaller &caller, Millis term)
+LeaseGrant HttpWorkerClient::lease(const WorkerCaller &caller, const std::string &incarnation,
+                                   Millis term)
 {
     Json::Value body = callerJson(caller);
+    body["incarnation"] = incarnation;
     body["termMs"] = Json::Int64(term.count());
     const HttpAnswer answer = post(m_client, caller, "/lease", body, m_timeout);
     LeaseGrant grant;
--- a/src/worker/workerclient.h
+++ b/src/worker/workerclient.h
@@ -39,7 +39,7 @@
 {
     WorkerOutcome outcome = WorkerOutcome::NotSent;
     std::string reason;
-    std::string incarnation; // Changes whenever the worker restarts.
+    std::string incarnation; // Changes when the worker restarts and when its lease lapses.
     std::vector<WorkerTask> tasks;
     WorkerUsage usage;
 };
@@ -78,7 +78,9 @@
 public:
     virtual ~WorkerClient() = default;
 
-    virtual LeaseGrant lease(const WorkerCaller &caller, Millis term) = 0;
+    // Renews the lease if the worker's incarnation is still `incarnation`, or if that is empty.
+    virtual LeaseGrant lease(const WorkerCaller &caller, const std::string &incarnation,
+                             Millis term) = 0;
     virtual WorkerReply start(const WorkerCaller &caller, const StartOrder &order) = 0;
     virtual WorkerReply stop(const WorkerCaller &caller, const std::string &task, int attempt) = 0;
     virtual WorkerReply checkpoint(const WorkerCaller &caller, const std::string &task,
@@ -97,7 +99,8 @@
         , m_timeout(timeout)
     { }
 
-    LeaseGrant lease(const WorkerCaller &caller, Millis term) override;
+    LeaseGrant lease(const WorkerCaller &caller, const std::string &incarnation,
+                     Millis term) override;
     WorkerReply start(const WorkerCaller &caller, const StartOrder &order) override;
     WorkerReply stop(const WorkerCaller &caller, const std::string &task, int attempt) override;
     WorkerReply checkpoint(const WorkerCaller &caller, const std::string &task,
--- a/standins/worker.cpp
+++ b/standins/worker.cpp
@@ -37,13 +37,18 @@
     return {body["cores"].asInt(), body["memoryMb"].asInt(), body["accelerators"].asInt()};
 }
 
+std::string newIncarnation()
+{
+    return std::to_string(std::random_device{}()) + "-" + std::to_string(nowMs());
+}
+
 class Worker
 {
 public:
     Worker(Faults &faults, const HostInfo &host)
         : m_faults(faults)
         , m_sizes{host.cores, host.memoryMb, host.accelerators}
-        , m_incarnation(std::to_string(std::random_device{}()) + "-" + std::to_string(nowMs()))
+        , m_incarnation(newIncarnation())
     { }
 
     using Action = Reply (Worker::*)(const Json::Value &);
@@ -77,7 +82,7 @@
 
     Faults &m_faults;
     const Sizes m_sizes;
-    const std::string m_incarnation;
+    std::string m_incarnation; // Changes when the lease lapses, as all tasks are gone then.
     std::mutex m_mutex;
     TaskSet m_tasks;
     std::map<int, std::uint64_t> m_epochs; // By shard: the highest seen.
@@ -98,6 +103,7 @@
     if (m_leaseEndMs != 0 && now >= m_leaseEndMs) {
         m_leaseEndMs = 0;
         ++m_lapses;
+        m_incarnation = newIncarnation();
         m_tasks.killAll();
     }
     m_tasks.advance(now);
@@ -137,7 +143,10 @@
 
 Reply Worker::lease(const Json::Value &body)
 {
-    m_leaseEndMs = nowMs() + body["termMs"].asInt64();
+    // A renewal that waited while this process was paused names what is gone since.
+    const std::string named = body["incarnation"].asString();
+    if (named.empty() || named == m_incarnation)
+        m_leaseEndMs = nowMs() + body["termMs"].asInt64();
     return jsonReply(
         object({{"incarnation", m_incarnation}, {"tasks", m_tasks.list()}, {"usage", usage()}}));
 }
