Renew workers' leases while a commit hangs

Cause: the engine held renewals behind the records of the same tick, so a slow store cost running tasks their leases although the entry might still act.

Ruled out: letting all effects pass. Only a renewal promises nothing that a record could contradict.

Change: ShardEngine asks waitsForCommit(); a test program for the entry's pure classes.

--- a/src/entry/shardengine.cpp
+++ b/src/entry/shardengine.cpp
@@ -264,7 +264,9 @@
     for (const std::string &it : records)
         tagged.push_back(tag + it);
     const Ticket ticket = m_journal.append(tagged);
-    std::vector<Effect> effects = m_jobs.takeEffects();
+    std::vector<Effect> effects;
+    for (Effect &it : m_jobs.takeEffects())
+        (waitsForCommit(it) ? effects : m_ready).push_back(std::move(it));
     if (!effects.empty()) {
         m_held.emplace(ticket, [this, effects](bool landed, Instant) {
             if (landed)
--- /dev/null
+++ b/tests/entry/shardengine_test.cpp
@@ -0,0 +1,100 @@
+#include "entry/shardengine.h"
+
+#include <doctest/doctest.h>
+
+using namespace savorywick;
+
+namespace {
+
+OwnedShard ownedShard()
+{
+    OwnedShard owned;
+    owned.row.owner = "entry.1";
+    owned.row.epoch = 1;
+    owned.version = 1;
+    return owned;
+}
+
+HostInfo workerInfo()
+{
+    HostInfo info;
+    info.id = "w0";
+    info.role = HostRole::Worker;
+    info.cores = 8;
+    info.memoryMb = 16'000;
+    return info;
+}
+
+JobSpec spec()
+{
+    JobSpec s;
+    s.id = "run-1";
+    s.service = "matching";
+    s.key = "key-1";
+    s.demand = {1, 100, 0};
+    return s;
+}
+
+template<typename Call>
+std::size_t countOf(const std::vector<Effect> &effects)
+{
+    std::size_t n = 0;
+    for (const Effect &it : effects)
+        n += std::holds_alternative<Call>(it) ? 1 : 0;
+    return n;
+}
+
+// An engine with one worker that has answered its first renewal.
+class Setup
+{
+public:
+    Setup()
+        : m_engine(ownedShard(), {}, Instant{})
+    {
+        m_engine.restore({}, {}, Instant{});
+        const HostInfo info = workerInfo();
+        m_engine.jobs().setWorkers({&info, 1}, Instant{});
+        m_engine.tick(Instant{});
+        m_engine.pump(Instant{});
+        JobBook::Records records;
+        m_engine.jobs().leaseReply("w0", {"1", {}, {}, {}}, Instant{10}, records);
+        m_engine.settle(records);
+    }
+
+    // Submits a run whose commit stays in flight.
+    ShardActions submit()
+    {
+        JobBook::Records records;
+        m_engine.jobs().submit(spec(), Instant{20}, records);
+        m_engine.jobs().tick(Instant{20}, records);
+        m_engine.settle(records);
+        return m_engine.pump(Instant{20});
+    }
+
+    ShardEngine &engine() { return m_engine; }
+
+private:
+    ShardEngine m_engine;
+};
+
+} // namespace
+
+TEST_CASE("A start waits for the commit that carries it")
+{
+    Setup setup;
+    const ShardActions before = setup.submit();
+    REQUIRE(before.commit);
+    CHECK(countOf<StartTask>(before.effects) == 0);
+    setup.engine().commitEnded({CommitOutcome::Committed, 2}, Instant{30});
+    CHECK(countOf<StartTask>(setup.engine().pump(Instant{30}).effects) == 1);
+}
+
+TEST_CASE("A worker's lease is renewed while a commit hangs")
+{
+    Setup setup;
+    REQUIRE(setup.submit().commit);
+    setup.engine().tick(Instant{6'000});
+    const ShardActions actions = setup.engine().pump(Instant{6'000});
+    CHECK(countOf<RenewLease>(actions.effects) == 1);
+    CHECK(countOf<StartTask>(actions.effects) == 0);
+}
