--- a/bench/interference_bench.cpp
+++ b/bench/interference_bench.cpp
@@ -102,8 +102,9 @@
 class ControllerPolicy final : public Policy
 {
 public:
-    ControllerPolicy(int workers, const InterferenceOptions &options)
-        : m_controller(options)
+    ControllerPolicy(int workers, const Placement &placement)
+        : m_placement(placement)
+        , m_controller({})
     {
         for (int i = 0; i < workers; ++i)
             m_controller.setWorker(workerName(i), workerCores);
@@ -126,7 +127,7 @@
     }
 
 private:
-    SpreadPlacement m_placement;
+    const Placement &m_placement;
     InterferenceController m_controller;
 };
 
@@ -176,13 +177,15 @@
 {
     // Another seed may be given, to see whether the figures hold there too.
     const unsigned seed = argc > 1 ? static_cast<unsigned>(std::atoi(argv[1])) : 11;
+    const SpreadPlacement spread;
+    const BestFitPlacement bestFit;
     const std::vector<PolicyCase> policies{
         {"none", [](int) { return std::make_unique<StaticPolicy>(0); }},
         {"reserve-16", [](int) { return std::make_unique<StaticPolicy>(16); }},
         {"reserve-32", [](int) { return std::make_unique<StaticPolicy>(32); }},
         {"blind-feedback", [](int n) { return std::make_unique<BlindFeedbackPolicy>(n); }},
-        {"pairs",
-         [](int n) { return std::make_unique<ControllerPolicy>(n, InterferenceOptions{}); }},
+        {"pairs", [&](int n) { return std::make_unique<ControllerPolicy>(n, spread); }},
+        {"pairs-best-fit", [&](int n) { return std::make_unique<ControllerPolicy>(n, bestFit); }},
     };
     std::fprintf(stderr, "%-24s %8s %8s %8s %9s %9s %9s %9s %8s %8s %8s\n", "workers/policy", "p99",
                  "worst", "p99.9", "overtgt", "work", "noisy", "evicted", "wasted", "starts",
