--- a/tests/process/documents_test.cpp
+++ b/tests/process/documents_test.cpp
@@ -1,8 +1,10 @@
+#include "core/httpserver.h"
 #include "harness.h"
 
 #include <doctest/doctest.h>
 
 #include <array>
+#include <atomic>
 #include <thread>
 #include <vector>
 
@@ -37,6 +39,50 @@
     return show(cluster, i, "/status")["state"].asString() == "accepted";
 }
 
+// Passes an entry's calls on to the table service until it is cut.
+class Relay
+{
+public:
+    Relay()
+        : m_server(
+            {}, [this](const HttpRequest &request) { return pass(request); },
+            [](int status) {
+                return HttpResponse{status, {}, ""};
+            })
+        , m_address(m_server.listen("127.0.0.1:0"))
+    { }
+    ~Relay() { m_server.stop(); }
+    Relay(const Relay &) = delete;
+    Relay &operator=(const Relay &) = delete;
+
+    // Puts the relay between entry-2 and the table service.
+    void editSettings(Json::Value &settings)
+    {
+        if (settings["id"].asString() != "entry-2")
+            return;
+        m_target = settings["platform"]["table"].asString();
+        settings["platform"]["table"] = m_address;
+    }
+
+    std::atomic<bool> cut{false};
+
+private:
+    HttpResponse pass(const HttpRequest &request)
+    {
+        if (cut)
+            return {503, {}, ""};
+        const HttpAnswer answer = call({.address = m_target,
+                                        .method = request.method,
+                                        .path = request.path,
+                                        .body = request.body});
+        return {answer.outcome == HttpOutcome::Answered ? answer.status : 503, {}, answer.body};
+    }
+
+    std::string m_target;
+    HttpServer m_server;
+    std::string m_address;
+};
+
 std::string reasonOf(const HttpAnswer &answer)
 {
     return parseJson(answer.body)["title"].asString();
@@ -138,6 +184,26 @@
     CHECK(eventually(limit, [&] { return isAccepted(cluster, 2); }));
 }
 
+TEST_CASE("An entry that is cut from the store holds an edit up until it serves no more")
+{
+    Relay relay;
+    Cluster cluster({.editSettings = [&](Json::Value &settings) { relay.editSettings(settings); }});
+    relay.cut = true;
+    const HttpAnswer answer = apply(cluster, 0, 1, documentWith("ask"));
+    INFO(answer.status, " ", answer.body);
+    REQUIRE(answer.status == 200);
+    CHECK(parseJson(answer.body)["state"].asString() == "pending");
+    CHECK(eventually(limit, [&] { return isAccepted(cluster, 0); }));
+    for (int i = 0; i < 100; ++i) {
+        const HttpAnswer old = cluster.request(2, "quote", "x");
+        INFO(old.status, " ", old.body);
+        CHECK(old.status != 200);
+        passTime(Millis{20});
+    }
+    relay.cut = false;
+    CHECK(eventually(limit, [&] { return cluster.request(2, "ask", "x").status == 200; }));
+}
+
 TEST_CASE("A kill of the entry that takes an edit leaves the old or the new document whole")
 {
     Cluster cluster;
