Hold one host for an overdue task while others start elsewhere

Cause: the queue's default lets nothing start while room is held for an overdue item, so one wide task could idle a shard for a run's length. Ruled out: skipping the hold, as small tasks then take the room for ever. Change: HeldRoom picks the host that lacks least and keeps to it; FitTest::fitsBeside can let others start on the rest. JobBook does not use it yet.

--- a/include/savorywick/hostledger.h
+++ b/include/savorywick/hostledger.h
@@ -87,6 +87,9 @@
     Resources bookedFor(std::string_view host, std::string_view task) const;
     // Returns what the list last said that the host has; nothing for unknown hosts.
     Resources capacity(std::string_view host) const;
+    // Returns what could be booked if nothing were: the capacity within the allowance; nothing for
+    // hosts that accept no work.
+    Resources sizeWhenEmpty(std::string_view host) const;
     // Returns true if and only if the host is listed, live and open.
     bool accepts(std::string_view host) const;
     // Returns the tasks booked on `host`, sorted.
--- a/src/lib/hostledger.cpp
+++ b/src/lib/hostledger.cpp
@@ -251,6 +251,16 @@
     return h ? h->capacity : Resources{};
 }
 
+Resources HostLedger::sizeWhenEmpty(std::string_view host) const
+{
+    const Host *h = find(host);
+    if (!h || !h->acceptsWork())
+        return {};
+    Resources size = h->capacity;
+    size.cores = std::min(size.cores, h->allowance);
+    return size;
+}
+
 bool HostLedger::accepts(std::string_view host) const
 {
     const Host *h = find(host);
--- /dev/null
+++ b/tests/lib/heldroom_test.cpp
@@ -0,0 +1,151 @@
+#include "savorywick/fairqueue.h"
+#include "savorywick/heldroom.h"
+#include "savorywick/placement.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+
+using namespace savorywick;
+
+namespace {
+
+HostInfo worker(const std::string &id, int cores)
+{
+    HostInfo info;
+    info.id = id;
+    info.role = HostRole::Worker;
+    info.cores = cores;
+    info.memoryMb = 1'000;
+    return info;
+}
+
+class LedgerFit final : public FitTest
+{
+public:
+    explicit LedgerFit(HostLedger &ledger)
+        : m_ledger(ledger)
+    { }
+
+    Fit test(const WaitingItem &item) override
+    {
+        return choose(item, {}) ? Fit::Fits : Fit::NotNow;
+    }
+    bool fitsBeside(const WaitingItem &item, const WaitingItem &reserved) override
+    {
+        m_room.holdFor(reserved.id, reserved.need, m_ledger);
+        return placeFor(item).has_value();
+    }
+    std::optional<std::string> placeFor(const WaitingItem &item)
+    {
+        std::vector<std::string> avoid;
+        if (m_room.held() && item.id != "big")
+            avoid.push_back(*m_room.held());
+        return choose(item, avoid);
+    }
+
+private:
+    std::optional<std::string> choose(const WaitingItem &item,
+                                      const std::vector<std::string> &avoid) const
+    {
+        return m_placement.choose({"s", "c", item.need, avoid}, m_ledger, nullptr);
+    }
+
+    HostLedger &m_ledger;
+    SpreadPlacement m_placement;
+    HeldRoom m_room;
+};
+
+} // namespace
+
+TEST_CASE("a large task gets its room while small ones go on elsewhere")
+{
+    CHECK(rc::check("within the longest run after it is overdue and has its turn", [] {
+        HostLedger ledger;
+        for (const char *it : {"w1", "w2", "w3"})
+            ledger.setHost(worker(it, 8));
+        FairQueueOptions options;
+        options.oldestEvery = 2;
+        options.reserveAfter = Millis{10};
+        FairQueue queue(options);
+        LedgerFit fit(ledger);
+        std::map<std::string, std::pair<std::string, int>> running;
+        const int longest = *rc::gen::inRange(2, 12);
+        int n = 0;
+        for (int t = 0; t < 18 + longest; ++t) {
+            const Instant now{t};
+            for (auto it = running.begin(); it != running.end();) {
+                if (it->second.second > t) {
+                    ++it;
+                    continue;
+                }
+                ledger.release(it->second.first, it->first);
+                queue.finished(it->first, now);
+                it = running.erase(it);
+            }
+            while (queue.waitingCount() < 20)
+                queue.push({"small" + std::to_string(n++), "a", 0, {2, 10, 0}, now}, now);
+            if (t == 5)
+                queue.push({"big", "b", 0, {8, 10, 0}, now}, now);
+            while (const auto item = queue.pop(now, fit)) {
+                const auto host = fit.placeFor(*item);
+                RC_ASSERT(host);
+                RC_ASSERT(ledger.book(*host, item->id, item->need));
+                if (item->id == "big")
+                    return;
+                running[item->id] = {*host, t + *rc::gen::inRange(1, longest + 1)};
+            }
+        }
+        RC_FAIL("the large task did not start in time");
+    }));
+}
+
+TEST_CASE("small tasks start on the other hosts only while room is held")
+{
+    HostLedger ledger;
+    for (const char *it : {"w1", "w2"})
+        ledger.setHost(worker(it, 8));
+    REQUIRE(ledger.book("w1", "old", {2, 10, 0}));
+    REQUIRE(ledger.book("w2", "old", {4, 10, 0}));
+    FairQueueOptions options;
+    options.oldestEvery = 1;
+    options.reserveAfter = Millis{10};
+    FairQueue queue(options);
+    LedgerFit fit(ledger);
+    queue.push({"big", "b", 0, {8, 10, 0}, Instant{0}}, Instant{0});
+    for (const char *it : {"s1", "s2", "s3"})
+        queue.push({it, "a", 0, {2, 10, 0}, Instant{1}}, Instant{1});
+    for (const char *it : {"s1", "s2"}) {
+        const auto item = queue.pop(Instant{20}, fit);
+        REQUIRE(item);
+        CHECK(item->id == it);
+        CHECK(fit.placeFor(*item) == "w2");
+        REQUIRE(ledger.book("w2", item->id, item->need));
+    }
+    CHECK_FALSE(queue.pop(Instant{20}, fit));
+    ledger.release("w1", "old");
+    CHECK(queue.pop(Instant{21}, fit)->id == "big");
+}
+
+TEST_CASE("the host that lacks least is held until it can no longer serve")
+{
+    HostLedger ledger;
+    for (const char *it : {"w1", "w2", "w3"})
+        ledger.setHost(worker(it, 8));
+    ledger.setHost(worker("small", 4));
+    for (const char *it : {"w1", "w3"})
+        REQUIRE(ledger.book(it, "t", {6, 10, 0}));
+    REQUIRE(ledger.book("w2", "t", {3, 10, 0}));
+    HeldRoom room;
+    CHECK(room.holdFor("big", {8, 10, 0}, ledger) == "w2");
+    REQUIRE(ledger.book("w2", "more", {5, 10, 0}));
+    CHECK(room.holdFor("big", {8, 10, 0}, ledger) == "w2");
+    ledger.setAllowance("w2", 7);
+    CHECK(room.holdFor("big", {8, 10, 0}, ledger) == "w1");
+    ledger.removeHost("w1");
+    CHECK(room.holdFor("big", {8, 10, 0}, ledger) == "w3");
+    CHECK(room.holdFor("huge", {9, 10, 0}, ledger) == std::nullopt);
+    room.release();
+    CHECK_FALSE(room.held());
+}
--- a/tests/lib/placement_test.cpp
+++ b/tests/lib/placement_test.cpp
@@ -107,6 +107,20 @@
     }
 }
 
+TEST_CASE("several costs add up")
+{
+    const CostOf first({{"a", 0.3}, {"b", 0.1}});
+    const CostOf second({{"a", 0.1}, {"b", 0.4}});
+    const std::vector<const HostCost *> parts{&first, &second};
+    HostLedger ledger;
+    for (const char *id : {"a", "b"})
+        ledger.setHost(worker(id, "r1", {8, 100, 0}));
+    const SummedCost sum(parts);
+    CHECK(BestFitPlacement().choose({"s", "c", {2, 10, 0}, {}}, ledger, &second) == "a");
+    CHECK(BestFitPlacement().choose({"s", "c", {2, 10, 0}, {}}, ledger, &first) == "b");
+    CHECK(BestFitPlacement().choose({"s", "c", {2, 10, 0}, {}}, ledger, &sum) == "a");
+}
+
 TEST_CASE("tasks of one kind spread over the racks")
 {
     HostLedger ledger;
