Test faults over real processes

An edit without a revision is answered 428, not 400 as the first draft of the table said: that is the standard's status for it, and typed all the same.

--- /dev/null
+++ b/tests/process/badinput_test.cpp
@@ -0,0 +1,96 @@
+#include "harness.h"
+
+#include <doctest/doctest.h>
+
+using namespace savorywick;
+using namespace savorywick::testing;
+
+namespace {
+
+constexpr Millis waitLimit{20'000};
+
+// Returns whether the answer names a typed reason and a remedy.
+bool isTyped(const std::string &body)
+{
+    const Json::Value problem = parseJson(body);
+    return problem.isObject() && problem["type"].asString().starts_with("urn:savorywick:")
+        && !problem["remedy"].asString().empty();
+}
+
+} // namespace
+
+TEST_CASE("Bad input is answered with a typed reason and the entry stays up")
+{
+    struct Case
+    {
+        std::string name;
+        const char *method;
+        std::string path;
+        HttpHeaders headers;
+        std::string body;
+        int status;
+    };
+    const std::string quote = "/v1/services/quotes/requests/quote";
+    const std::string order = "/v1/services/quotes/requests/order";
+    const std::string run = "/v1/services/quotes/runs/refresh";
+    const std::string watcher = "/v1/services/quotes/watchers/stock";
+    const HttpHeader key{"Idempotency-Key", "bad"};
+    const HttpHeader deadline{"X-Deadline-Ms", "1000"};
+    const std::vector<Case> cases{
+        {"broken JSON", "POST", run, {key}, "{", 400},
+        {"no object", "POST", run, {key}, "[]", 400},
+        {"broken condition", "POST", watcher, {key}, R"({"until":{}})", 400},
+        {"no key for a run", "POST", run, {}, "{}", 400},
+        {"no key for an order", "POST", order, {deadline}, "x", 400},
+        {"unknown service", "POST", "/v1/services/nothing/requests/quote", {deadline}, "x", 404},
+        {"unknown class", "POST", "/v1/services/quotes/requests/nothing", {deadline}, "x", 404},
+        {"unknown path", "GET", "/v2", {}, "", 404},
+        {"unknown run", "GET", "/v1/runs/nothing", {}, "", 404},
+        {"no deadline", "POST", quote, {}, "x", 400},
+        {"deadline of 0", "POST", quote, {{"X-Deadline-Ms", "0"}}, "x", 400},
+        {"negative deadline", "POST", quote, {{"X-Deadline-Ms", "-5"}}, "x", 400},
+        {"worded deadline", "POST", quote, {{"X-Deadline-Ms", "soon"}}, "x", 400},
+        {"absurd deadline", "POST", quote, {{"X-Deadline-Ms", "99999999999999"}}, "x", 400},
+        {"wrong method", "DELETE", quote, {}, "", 405},
+        {"oversized body", "POST", quote, {deadline}, std::string(2U << 20U, 'x'), 413},
+        {"broken document", "PUT", "/v1/documents/quotes", {{"If-Match", "1"}}, "{", 400},
+        {"no revision", "PUT", "/v1/documents/quotes", {}, "{}", 428},
+    };
+    Cluster cluster({.entries = 1});
+    for (const Case &it : cases) {
+        CAPTURE(it.name);
+        const HttpAnswer a = cluster.call(0, it.method, it.path, it.body, it.headers);
+        CHECK(a.status == it.status);
+        CHECK_MESSAGE(isTyped(a.body), a.body);
+    }
+    CHECK(cluster.entry(0).isRunning());
+    CHECK(cluster.request(0, "quote", "still here").status == 200);
+}
+
+TEST_CASE("Broken and half and slow requests neither hold nor end the entry")
+{
+    struct Case
+    {
+        std::string name;
+        const char *bytes;
+        const char *answer; // How the answer starts; "" if the connection may just close.
+    };
+    Cluster cluster({.entries = 1, .editSettings = [](Json::Value &settings) {
+                         settings["limits"]["headerReadMs"] = 500;
+                         settings["limits"]["bodyReadMs"] = 500;
+                     }});
+    for (const Case &it :
+         {Case{"no HTTP", "NONSENSE\r\n\r\n", "HTTP/1.1 4"},
+          Case{"half a header", "GET /health/live HTTP/1.1\r\nHo", ""},
+          Case{"half a body",
+               "POST /v1/services/quotes/requests/quote HTTP/1.1\r\nX-Deadline-Ms: 1000\r\n"
+               "Content-Length: 100\r\n\r\nhalf",
+               "HTTP/1.1 4"}}) {
+        CAPTURE(it.name);
+        const std::string answer =
+            exchangeBytes(cluster.entry(0).address("callers"), it.bytes, waitLimit);
+        CHECK_MESSAGE(answer.starts_with(it.answer), answer);
+    }
+    CHECK(cluster.runsOf("half") == 0);
+    CHECK(cluster.request(0, "quote", "still here").status == 200);
+}
