--- a/include/savorywick/jobbook.h
+++ b/include/savorywick/jobbook.h
@@ -2,6 +2,7 @@
 
 #include "savorywick/clock.h"
 #include "savorywick/fairqueue.h"
+#include "savorywick/heldroom.h"
 #include "savorywick/hostledger.h"
 #include "savorywick/internal/dueindex.h"
 #include "savorywick/internal/jobtable.h"
@@ -241,6 +242,7 @@
     WorkerLeases m_leases;
     HostLedger m_ledger;
     FairQueue m_queue;
+    HeldRoom m_room;
     Quarantine m_quarantine;
     BestFitPlacement m_tightest;
     const Placement *m_placement;
--- a/src/entry/shardengine.cpp
+++ b/src/entry/shardengine.cpp
@@ -195,10 +195,9 @@
 void ShardEngine::commitEnded(const CommitResult &result, Instant now)
 {
     m_commitSentAt.reset();
-    if (result.outcome == CommitOutcome::Committed)
-        m_trouble = false;
-    if (result.outcome == CommitOutcome::Unavailable || result.outcome == CommitOutcome::Unknown)
-        m_trouble = true;
+    // A conflict is an answer too: the store works.
+    m_trouble = result.outcome == CommitOutcome::Unavailable
+        || result.outcome == CommitOutcome::Unknown;
     takeEvent(m_journal.committed(result, now), now);
 }
 
--- a/src/lib/jobplacing.cpp
+++ b/src/lib/jobplacing.cpp
@@ -11,8 +11,10 @@
 class JobBook::BookFit final : public FitTest
 {
 public:
-    BookFit(const JobBook &book, Instant now)
+    // With `room`, wide work that has waited long is given the room that it needs.
+    BookFit(const JobBook &book, Instant now, HeldRoom *room = nullptr)
         : m_book(book)
+        , m_room(room)
     {
         for (const std::string &host : book.m_ledger.hosts()) {
             if (!book.takesWork(host, now))
@@ -29,11 +31,23 @@
         return verdict == FitVerdict::TooLarge ? Fit::NotOnAnyHost : Fit::NotNow;
     }
 
+    bool fitsBeside(const WaitingItem &item, const WaitingItem &reserved) override
+    {
+        if (m_room == nullptr)
+            return false;
+        m_reserved = reserved.id;
+        m_room->holdFor(reserved.id, m_book.needOf(*m_book.find(reserved.id)), m_book.m_ledger);
+        return choose(item).has_value();
+    }
+
     // Returns the worker for an item, one on which it has not failed if there is any.
     std::optional<std::string> choose(const WaitingItem &item) const
     {
         const Job &job = *m_book.find(item.id);
-        std::vector<std::string> avoid = m_unusable;
+        std::vector<std::string> unusable = m_unusable;
+        if (!m_reserved.empty() && item.id != m_reserved && m_room->held())
+            unusable.push_back(*m_room->held());
+        std::vector<std::string> avoid = unusable;
         for (const TaskFailure &failure : job.failures)
             avoid.push_back(failure.worker);
         const Resources need = m_book.needOf(job);
@@ -42,7 +56,7 @@
         auto worker = placement.choose(request, m_book.m_ledger, m_book.m_cost);
         if (worker || job.failures.empty())
             return worker;
-        request.avoid = m_unusable;
+        request.avoid = unusable;
         return placement.choose(request, m_book.m_ledger, m_book.m_cost);
     }
 
@@ -51,6 +65,8 @@
 
 private:
     const JobBook &m_book;
+    HeldRoom *m_room;
+    std::string m_reserved; // The item that room is held for in this pass; empty if none.
     std::vector<std::string> m_unusable;
 };
 
@@ -89,7 +105,7 @@
 {
     if (m_queue.waitingCount() == 0)
         return;
-    BookFit fit(*this, now);
+    BookFit fit(*this, now, &m_room);
     for (int n = 0; n < m_settings.startsPerTick; ++n) {
         const auto item = m_queue.pop(now, fit);
         if (!item)
