--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -92,14 +92,8 @@
         field("limits", "queueBytes", {1'024, 16'384 * mib}, part, &Limits::queueBytes),
         field("limits", "bodyBytes", {1'024, 256 * mib}, part, &Limits::bodyBytes),
         field("limits", "callerConnections", {1, 65'536}, part, &Limits::callerConnections),
-        field("limits", "callerThreads", {1, 1'024}, part, &Limits::callerThreads),
         field("limits", "peerConnections", {1, 65'536}, part, &Limits::peerConnections),
-        field("limits", "peerThreads", {1, 1'024}, part, &Limits::peerThreads),
-        field("limits", "upstreamConnections", {1, 1'024}, part, &Limits::upstreamConnections),
-        field("limits", "batchRecords", {1, 10'000}, part, &Limits::batchRecords),
-        field("limits", "snapshotRecords", {10, 1'000'000}, part, &Limits::snapshotRecords),
-        field("limits", "openRunsPerTeam", {1, 10'000'000}, part, &Limits::openRunsPerTeam),
-        field("limits", "openWatchersPerTeam", {1, 10'000'000}, part, &Limits::openWatchersPerTeam),
+        field("limits", "snapshotSegments", {10, 4'096}, part, &Limits::snapshotSegments),
     };
 }
 
@@ -112,16 +106,13 @@
         field("limits", "attemptMs", {10, 60'000}, part, &Limits::attempt),
         field("limits", "slotHoldMs", {0, 60'000}, part, &Limits::slotHold),
         field("limits", "headerReadMs", {100, 60'000}, part, &Limits::headerRead),
-        field("limits", "bodyReadMs", {100, 600'000}, part, &Limits::bodyRead),
         field("limits", "idleConnectionMs", {1'000, 3'600'000}, part, &Limits::idleConnection),
         field("limits", "platformTimeoutMs", {50, 60'000}, part, &Limits::platformTimeout),
-        field("limits", "upstreamConnectTimeoutMs", {10, 60'000}, part,
-              &Limits::upstreamConnectTimeout),
         field("limits", "workerTimeoutMs", {50, 60'000}, part, &Limits::workerTimeout),
         field("limits", "peerTimeoutMs", {50, 60'000}, part, &Limits::peerTimeout),
         field("limits", "claimRetentionMs", {60'000, 30 * dayMs}, part, &Limits::claimRetention),
         field("limits", "runRetentionMs", {60'000, 365 * dayMs}, part, &Limits::runRetention),
-        field("limits", "batchWaitMs", {0, 1'000}, part, &Limits::batchWait),
+        field("limits", "commitEveryMs", {0, 1'000}, part, &Limits::commitEvery),
     };
 }
 
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -49,27 +49,19 @@
     std::int64_t queueBytes = 64 << 20;
     std::int64_t bodyBytes = 1 << 20;
     int callerConnections = 1'024;
-    int callerThreads = 64;
     int peerConnections = 512;
-    int peerThreads = 16;
-    int upstreamConnections = 16; // To each instance.
     Millis requestDeadline{30'000}; // The longest that any service document may allow.
     Millis attempt{3'000}; // One try of a request at one instance.
     Millis slotHold{2'000}; // A slot is kept so long after a try there timed out.
     Millis headerRead{5'000};
-    Millis bodyRead{10'000};
     Millis idleConnection{60'000};
     Millis platformTimeout{2'000};
-    Millis upstreamConnectTimeout{500};
     Millis workerTimeout{2'000};
     Millis peerTimeout{1'000};
     Millis claimRetention{86'400'000};
     Millis runRetention{604'800'000}; // Of finished runs and watchers.
-    int batchRecords = 500; // Journal records in one commit.
-    Millis batchWait{5};
-    int snapshotRecords = 5'000; // Journal records before a new snapshot.
-    int openRunsPerTeam = 20'000;
-    int openWatchersPerTeam = 20'000;
+    Millis commitEvery{50}; // The mean time between a shard's commits under load.
+    int snapshotSegments = 256; // Journal segments before a new snapshot.
 };
 
 // The secret with which a team proves that an edit is its own. Never log it.
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "core/steadyclock.h"
 #include "entry/api.h"
+#include "entry/entrysettings.h"
 #include "entry/periodic.h"
 #include "entry/reportservice.h"
 #include "entry/workerpoll.h"
@@ -13,7 +14,6 @@
 #include "platform/json.h"
 #include "savorywick/errors.h"
 
-#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -49,62 +49,6 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(span.count()));
 }
 
-HttpServerLimits callerLimits(const Settings &settings)
-{
-    return {.connections = static_cast<std::size_t>(settings.limits.callerConnections),
-            .bodyBytes = static_cast<std::size_t>(settings.limits.bodyBytes),
-            .readTimeout = settings.limits.headerRead,
-            .idleTimeout = settings.limits.idleConnection};
-}
-
-HttpServerLimits peerLimits(const Settings &settings)
-{
-    // A forwarded body travels as hexadecimal digits within JSON.
-    return {.connections = static_cast<std::size_t>(settings.limits.peerConnections),
-            .bodyBytes = static_cast<std::size_t>(settings.limits.bodyBytes) * 2 + (1U << 16U)};
-}
-
-RequestServiceSettings requestSettings(const Settings &settings)
-{
-    RequestServiceSettings result;
-    result.shards = settings.shardCount;
-    result.longestDeadline = settings.limits.requestDeadline;
-    UrgentSettings &urgent = result.urgent;
-    urgent.router.availabilityZone = settings.availabilityZone;
-    urgent.router.region = settings.region;
-    urgent.admission.maxQueued = static_cast<std::size_t>(settings.limits.queueRequests);
-    urgent.admission.maxQueuedBytes = static_cast<std::size_t>(settings.limits.queueBytes);
-    urgent.longestAttempt = settings.limits.attempt;
-    urgent.router.slotHoldAfterTimeout = settings.limits.slotHold;
-    urgent.shares.longestListAge = settings.polls.entryListAge;
-    urgent.shares.longestAttempt = urgent.longestAttempt + urgent.router.slotHoldAfterTimeout;
-    return result;
-}
-
-ShardHostSettings hostSettings(const Settings &settings)
-{
-    ShardHostSettings result;
-    result.engine.claims.retention = settings.limits.claimRetention;
-    result.engine.jobs.workers.term = settings.leases.workerTerm;
-    result.engine.jobs.workers.margin = settings.leases.workerMargin;
-    result.engine.jobs.workers.renewEvery = settings.leases.workerRenewal;
-    result.engine.jobs.retention = settings.limits.runRetention;
-    return result;
-}
-
-LeaseLoopSettings leaseSettings(const Settings &settings)
-{
-    LeaseLoopSettings result;
-    result.lease.shards = settings.shardCount;
-    result.lease.term = settings.leases.entryTerm;
-    result.lease.margin = settings.leases.entryMargin;
-    result.lease.renewEvery = settings.leases.entryRenewal;
-    // The keeper starts its watch anew after a gap of two renewals, so it must look more often.
-    result.observeEvery = std::min(result.observeEvery, settings.leases.entryRenewal);
-    result.longestListAge = settings.polls.entryListAge;
-    return result;
-}
-
 PeerEntry selfOf(const Settings &settings, const std::string &callers, const std::string &peers)
 {
     PeerEntry self;
--- a/tests/core/settings_test.cpp
+++ b/tests/core/settings_test.cpp
@@ -217,3 +217,14 @@
                       "docs/SETTINGS.md lacks a line that starts with: ", line);
     }
 }
+
+TEST_CASE("docs/SETTINGS.md lists no number that the file does not take")
+{
+    const std::string page = readFile(std::string(SOURCE_DIR) + "/docs/SETTINGS.md");
+    const std::string numbers = page.substr(page.find("## Numbers"));
+    std::size_t lines = 0;
+    for (auto at = numbers.find("\n| `"); at != std::string::npos;
+         at = numbers.find("\n| `", at + 1))
+        ++lines;
+    CHECK(lines == numberSettings().size());
+}
