Refuse an edit that removes a class with unfinished work

Cause: explainChange() refuses such an edit, but DocumentApi never gave it the counts, so that the edit was taken although OPERATIONS.md says that it is refused.

Ruled out: the `report` method of the peers (its counts are not by service and class), and counting only the shards that answer (an unfinished run of a moving shard would be missed). An atomic count and edit would need a write of every shard; a run carries all that it needs, so what is handed in during the edit itself is not stranded by it. OPERATIONS.md says so.

Change: an edit that removes a class of runs or watchers of its base revision asks every listed entry by the peer method `liveWork`. A shard answers once all that its count rests on has landed. If an entry does not answer, or a shard is counted nowhere, the edit is refused as 503 `live-work-unknown` and not run; with unfinished work as 409 `class-in-use`. Other edits ask nobody, but read their base revision once.

Tests: documentWith() of documents_test removed the harness's classes of runs and watchers by the way; it keeps them now, since with a paused entry such an edit is rightly refused. Its checks are unchanged. New: both refusals over three entry processes, JobBook::liveWork and removesBatchClass.

--- a/include/savorywick/jobbook.h
+++ b/include/savorywick/jobbook.h
@@ -9,6 +9,7 @@
 #include "savorywick/placement.h"
 #include "savorywick/platform.h"
 #include "savorywick/quarantine.h"
+#include "savorywick/servicedocument.h"
 #include "savorywick/sizelearner.h"
 #include "savorywick/workercalls.h"
 #include "savorywick/workerlease.h"
@@ -174,6 +175,8 @@
     const Job *find(const std::string &id) const { return m_table.find(id); }
     std::size_t count(JobState state) const { return m_table.count(state); }
     std::size_t size() const { return m_table.jobs().size(); }
+    // Returns the unfinished runs and watchers of a service, by class. Looks at every job.
+    std::vector<LiveWork> liveWork(std::string_view service) const;
     // Returns the run that has waited longest and why.
     OldestWaiting oldestWaiting(Instant now) const;
     const HostLedger &ledger() const { return m_ledger; }
--- a/include/savorywick/servicedocument.h
+++ b/include/savorywick/servicedocument.h
@@ -101,6 +101,9 @@
                                           const ServiceDocument &after,
                                           std::span<const LiveWork> live);
 
+// Returns if and only if a class of runs or watchers of `before` is missing in `after`.
+bool removesBatchClass(const ServiceDocument &before, const ServiceDocument &after);
+
 // Returns if and only if one of the changes is refused.
 bool anyRefused(std::span<const DocumentChange> changes);
 
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -4,6 +4,7 @@
 #include "core/steadyclock.h"
 #include "entry/api.h"
 #include "entry/entrysettings.h"
+#include "entry/liveworkservice.h"
 #include "entry/periodic.h"
 #include "entry/reportservice.h"
 #include "entry/workerpoll.h"
@@ -90,9 +91,10 @@
     Topology m_topology;
     Forwarder m_forwarder;
     DocumentService m_documents;
-    DocumentApi m_documentApi;
     std::unique_ptr<LeaseLoop> m_leases; // Told of by m_host's actors.
     ShardHost m_host;
+    LiveWorkService m_liveWork;
+    DocumentApi m_documentApi;
     WorkerPoll m_workerPoll;
     RequestService m_requests;
     RunService m_runs;
@@ -116,12 +118,13 @@
     , m_forwarder(m_peers)
     , m_documents({settings.id, settings.limits.peerTimeout, settings.polls.freezeBound}, m_clock,
                   m_table, m_peers, m_topology)
-    , m_documentApi(m_settings, m_documents)
     , m_host(hostSettings(settings), m_clock, m_table, m_objects, m_workers, m_topology,
              [this](int shard) {
                  if (m_leases)
                      m_leases->shardOver(shard);
              })
+    , m_liveWork(settings.shardCount, m_clock, m_host, m_topology, m_peers)
+    , m_documentApi(m_settings, m_documents, m_liveWork)
     , m_workerPoll(settings.shardCount, m_clock, m_membership, m_table, m_topology, m_host,
                    m_documents)
     , m_requests(requestSettings(settings), m_clock, m_documents, m_host, m_topology, m_upstreams,
@@ -179,6 +182,9 @@
         const auto theirs = parseListView(parameters);
         return theirs ? listViewText(m_leases->noteQuestion(*theirs)) : std::string("{}");
     });
+    m_peerServer.add("liveWork", [this](const std::string &parameters) {
+        return m_liveWork.own(platform::fromText(parameters)["service"].asString());
+    });
     m_peerServer.add("report", [this](const std::string &) { return m_report->own(); });
 }
 
--- a/src/entry/documentapi.cpp
+++ b/src/entry/documentapi.cpp
@@ -78,6 +78,29 @@
     return list;
 }
 
+HttpResponse liveWorkUnknown()
+{
+    return toResponse(Problem{503, "live-work-unknown",
+                              "the edit removes a class of runs or watchers, and not every entry "
+                              "and shard has said whether work of it is unfinished",
+                              "apply it again after the time in Retry-After; replace an entry that "
+                              "'savorywick report' shows as not answering",
+                              RunStatus::NotRun, storeRetryAfter});
+}
+
+HttpResponse strandedResponse(const std::vector<DocumentChange> &changes)
+{
+    std::string found;
+    std::string remedy;
+    for (const DocumentChange &it : changes) {
+        if (!it.refused)
+            continue;
+        found += (found.empty() ? "" : "; ") + it.path + " " + it.change;
+        remedy = it.effect;
+    }
+    return toResponse(Problem{409, "class-in-use", found, remedy});
+}
+
 HttpResponse faultsResponse(const FaultList &faults)
 {
     Json::Value list = Json::arrayValue;
@@ -100,9 +123,11 @@
 
 } // namespace
 
-DocumentApi::DocumentApi(const Settings &settings, DocumentService &documents)
+DocumentApi::DocumentApi(const Settings &settings, DocumentService &documents,
+                         const LiveWorkService &liveWork)
     : m_settings(settings)
     , m_documents(documents)
+    , m_liveWork(liveWork)
 { }
 
 HttpResponse DocumentApi::show(const CallerRequest &request)
@@ -134,6 +159,8 @@
     EditRequest edit;
     edit.service = request.service;
     edit.baseRevision = *revisionFrom(headerValue(request.http.headers, "If-Match"));
+    if (auto refusal = refuseStranding(*parsed.document, edit.baseRevision))
+        return *refusal;
     edit.document = request.http.body;
     edit.editedBy = parsed.document->team;
     edit.editedAtMs = wallClockMs();
@@ -170,6 +197,30 @@
     return storeDown(RunStatus::Unknown);
 }
 
+// Returns why the edit must not be made: it would remove a class with unfinished work. An edit of
+// another revision than the present one is left to fail as such.
+std::optional<HttpResponse> DocumentApi::refuseStranding(const ServiceDocument &after,
+                                                         std::uint64_t baseRevision)
+{
+    if (baseRevision == 0)
+        return std::nullopt;
+    try {
+        const StoredDocument stored = m_documents.load(after.service, baseRevision);
+        const ParsedDocument before = parseServiceDocument(stored.document);
+        if (!before.document || !removesBatchClass(*before.document, after))
+            return std::nullopt;
+        const auto live = m_liveWork.everywhere(after.service);
+        if (!live)
+            return liveWorkUnknown();
+        const auto changes = explainChange(*before.document, after, *live);
+        if (anyRefused(changes))
+            return strandedResponse(changes);
+        return std::nullopt;
+    } catch (const Error &) {
+        return storeDown(RunStatus::NotRun);
+    }
+}
+
 HttpResponse DocumentApi::status(const CallerRequest &request)
 {
     try {
--- a/src/entry/documentapi.h
+++ b/src/entry/documentapi.h
@@ -3,6 +3,7 @@
 #include "core/settings.h"
 #include "entry/callercontext.h"
 #include "entry/documentservice.h"
+#include "entry/liveworkservice.h"
 
 namespace savorywick {
 
@@ -10,8 +11,9 @@
 class DocumentApi
 {
 public:
-    // Both must outlive this object.
-    DocumentApi(const Settings &settings, DocumentService &documents);
+    // All references must outlive this object.
+    DocumentApi(const Settings &settings, DocumentService &documents,
+                const LiveWorkService &liveWork);
 
     HttpResponse show(const CallerRequest &request);
     HttpResponse apply(const CallerRequest &request);
@@ -20,9 +22,12 @@
 private:
     std::optional<HttpResponse> refuse(const CallerRequest &request,
                                        const ParsedDocument &parsed) const;
+    std::optional<HttpResponse> refuseStranding(const ServiceDocument &after,
+                                                std::uint64_t baseRevision);
 
     const Settings &m_settings;
     DocumentService &m_documents;
+    const LiveWorkService &m_liveWork;
 };
 
 } // namespace savorywick
--- a/src/entry/shardactor.cpp
+++ b/src/entry/shardactor.cpp
@@ -205,6 +205,11 @@
     message.slot->give(m_engine->report(now()));
 }
 
+void ShardActor::handle(const AskLiveWork &message)
+{
+    m_engine->liveWork(message.service, message.slot);
+}
+
 void ShardActor::handle(const WorkersChanged &message)
 {
     m_engine->jobs().setWorkers(message.workers, now());
@@ -230,6 +235,7 @@
     void operator()(const SubmitWatcher &it) const { it.slot->give({ShardRefusal::NotOwner, {}}); }
     void operator()(const CancelJob &it) const { it.slot->give({ShardRefusal::NotOwner, {}}); }
     void operator()(const QueryJob &it) const { it.slot->give({ShardRefusal::NotOwner, {}}); }
+    void operator()(const AskLiveWork &it) const { it.slot->give({ShardRefusal::NotOwner, {}}); }
     void operator()(const AskReport & /*it*/) const { }
     void operator()(const CloseClaim & /*it*/) const { }
     void operator()(const WorkersChanged & /*it*/) const { }
--- a/src/entry/shardactor.h
+++ b/src/entry/shardactor.h
@@ -44,6 +44,7 @@
     void handle(const CancelJob &message);
     void handle(const QueryJob &message);
     void handle(const AskReport &message);
+    void handle(const AskLiveWork &message);
     void handle(const WorkersChanged &message);
     void handle(const ReleaseShard &message);
 
--- a/src/entry/shardengine.cpp
+++ b/src/entry/shardengine.cpp
@@ -140,6 +140,14 @@
     });
 }
 
+void ShardEngine::liveWork(const std::string &service, const ReplySlotPtr<LiveWorkReply> &slot)
+{
+    const std::vector<LiveWork> work = m_jobs.liveWork(service);
+    hold({}, jobTag, [slot, work](bool landed, Instant) {
+        slot->give({landed ? ShardRefusal::None : ShardRefusal::Lost, work});
+    });
+}
+
 ShardReport ShardEngine::report(Instant now)
 {
     ShardReport report;
--- a/src/entry/shardengine.h
+++ b/src/entry/shardengine.h
@@ -54,6 +54,13 @@
     std::optional<JobView> job; // Nothing if it is unknown.
 };
 
+// The unfinished work of one service in a shard.
+struct LiveWorkReply
+{
+    ShardRefusal refusal = ShardRefusal::None;
+    std::vector<LiveWork> work;
+};
+
 // What one shard tells the operators' report.
 struct ShardReport
 {
@@ -120,6 +127,8 @@
     void watch(const WatcherSpec &spec, const ReplySlotPtr<SubmitReply> &slot, Instant now);
     void cancel(const std::string &id, const ReplySlotPtr<JobReply> &slot, Instant now);
     void query(const std::string &id, const ReplySlotPtr<JobReply> &slot);
+    // Answers once all that the count rests on is durable, so that only the shard's owner can.
+    void liveWork(const std::string &service, const ReplySlotPtr<LiveWorkReply> &slot);
     ShardReport report(Instant now);
 
     // Gives the workers' side of the shard: for the replies to effects and the list of workers.
--- a/src/entry/shardmessages.h
+++ b/src/entry/shardmessages.h
@@ -59,6 +59,12 @@
     ReplySlotPtr<ShardReport> slot;
 };
 
+struct AskLiveWork
+{
+    std::string service;
+    ReplySlotPtr<LiveWorkReply> slot;
+};
+
 // One team's part of a shard.
 struct TeamPolicy
 {
@@ -84,6 +90,6 @@
 };
 
 using ShardMessage = std::variant<OpenClaim, CloseClaim, SubmitRun, SubmitWatcher, CancelJob,
-                                  QueryJob, AskReport, WorkersChanged, ReleaseShard>;
+                                  QueryJob, AskReport, AskLiveWork, WorkersChanged, ReleaseShard>;
 
 } // namespace savorywick
--- a/src/lib/documentchange.cpp
+++ b/src/lib/documentchange.cpp
@@ -181,6 +181,15 @@
     return comparison.sorted();
 }
 
+bool removesBatchClass(const ServiceDocument &before, const ServiceDocument &after)
+{
+    const auto missing = [](const auto &classes) {
+        return [&classes](const auto &it) { return !classes.contains(it.first); };
+    };
+    return std::any_of(before.runs.begin(), before.runs.end(), missing(after.runs))
+        || std::any_of(before.watchers.begin(), before.watchers.end(), missing(after.watchers));
+}
+
 bool anyRefused(std::span<const DocumentChange> changes)
 {
     return std::any_of(changes.begin(), changes.end(),
--- a/src/lib/jobplacing.cpp
+++ b/src/lib/jobplacing.cpp
@@ -62,6 +62,24 @@
     return standing == WorkerStanding::Open || standing == WorkerStanding::ProbeDue;
 }
 
+std::vector<LiveWork> JobBook::liveWork(std::string_view service) const
+{
+    std::map<std::string, int> runs;
+    std::map<std::string, int> watchers;
+    for (const auto &it : m_table.jobs()) {
+        const Job &job = it.second;
+        if (job.spec.service == service && !isFinal(job.state))
+            ++(job.watcher ? watchers : runs)[job.spec.runClass];
+    }
+    std::vector<LiveWork> result;
+    result.reserve(runs.size() + watchers.size());
+    for (const auto &it : runs)
+        result.push_back({BatchKind::Run, it.first, it.second});
+    for (const auto &it : watchers)
+        result.push_back({BatchKind::Watcher, it.first, it.second});
+    return result;
+}
+
 OldestWaiting JobBook::oldestWaiting(Instant now) const
 {
     BookFit fit(*this, now);
--- a/tests/lib/jobbook_test.cpp
+++ b/tests/lib/jobbook_test.cpp
@@ -310,3 +310,26 @@
     CHECK(bench.book().size() == 0);
     CHECK(nameOf(bench.submit(spec("a"))) == "accepted");
 }
+
+TEST_CASE("liveWork counts the unfinished jobs of one service by class")
+{
+    Bench bench(1);
+    for (const char *id : {"a", "b", "c"}) {
+        JobSpec s = spec(id);
+        s.runClass = std::string(id) == "c" ? "rebuild" : "refresh";
+        bench.submit(s);
+    }
+    JobSpec other = spec("d");
+    other.service = "other";
+    bench.submit(other);
+    const std::string service = spec("a").service;
+    std::vector<LiveWork> live = bench.book().liveWork(service);
+    REQUIRE(live.size() == 2);
+    CHECK(live[0].className == "rebuild");
+    CHECK(live[0].count == 1);
+    CHECK(live[1].className == "refresh");
+    CHECK(live[1].count == 2);
+    bench.run(Millis{600'000});
+    CHECK(bench.state("a") == "finished");
+    CHECK(bench.book().liveWork(service).empty());
+}
--- a/tests/lib/servicedocument_test.cpp
+++ b/tests/lib/servicedocument_test.cpp
@@ -198,3 +198,18 @@
     CHECK(changeAt(changes, "quotas.weight"));
     CHECK_FALSE(anyRefused(changes));
 }
+
+TEST_CASE("removesBatchClass looks at runs and watchers and not at requests")
+{
+    ServiceDocument before;
+    before.requests["quote"] = {};
+    before.runs["rebuild"] = {};
+    before.watchers["stock"] = {};
+    ServiceDocument after = before;
+    after.requests.clear();
+    after.runs["new"] = {};
+    CHECK_FALSE(removesBatchClass(before, after));
+    CHECK(removesBatchClass(after, before));
+    after.watchers.clear();
+    CHECK(removesBatchClass(before, after));
+}
--- a/tests/process/documents_test.cpp
+++ b/tests/process/documents_test.cpp
@@ -16,12 +16,18 @@
 constexpr Millis limit{30'000};
 const std::string path = "/v1/documents/quotes";
 
-// Returns a document whose only request class is `className`.
+const std::string batchClasses =
+    R"("runs": {"refresh": {"demand": {"cores": 2, "memoryMb": 1000}, "expectedMs": 300},)"
+    R"("rebuild": {"demand": {"cores": 2, "memoryMb": 1000}, "expectedMs": 20000}},)"
+    R"("watchers": {"stock": {}})";
+
+// Returns a document whose only request class is `className`; the classes of runs and watchers are
+// the harness's, since removing one asks every entry.
 std::string documentWith(const std::string &className)
 {
     return R"({"service": "quotes", "team": "counter", "upstreamService": "quotes",)"
            R"("requests": {")"
-        + className + R"(": {"deadlineLimitMs": 10000, "repeatable": true}}})";
+        + className + R"(": {"deadlineLimitMs": 10000, "repeatable": true}},)" + batchClasses + "}";
 }
 
 HttpAnswer apply(Cluster &cluster, int i, std::uint64_t base, const std::string &text)
@@ -83,6 +89,20 @@
     std::string m_address;
 };
 
+// Returns a document like the harness's own, with these classes of runs and watchers.
+std::string documentWithBatch(const std::string &runs, const std::string &watchers)
+{
+    return R"({"service": "quotes", "team": "counter", "upstreamService": "quotes",)"
+           R"("requests": {"quote": {"deadlineLimitMs": 10000, "repeatable": true}},)"
+           R"("runs": {)"
+        + runs + R"(}, "watchers": {)" + watchers + R"(},)"
+        + R"("quotas": {"openRuns": 1000, "openWatchers": 1000, "cores": 64}})";
+}
+
+const std::string rebuildClass =
+    R"("rebuild": {"demand": {"cores": 1, "memoryMb": 64}, "expectedMs": 20000})";
+const std::string stockClass = R"("stock": {})";
+
 std::string reasonOf(const HttpAnswer &answer)
 {
     return parseJson(answer.body)["title"].asString();
@@ -264,3 +284,61 @@
     CHECK(put("others", "0123456789abcdef").status == 403);
     CHECK(show(cluster, 0)["revision"].asUInt64() == 1);
 }
+
+TEST_CASE("A class of runs or watchers is removed only once none of its work is unfinished")
+{
+    Cluster cluster;
+    const std::string both = documentWithBatch(rebuildClass, stockClass);
+    REQUIRE(apply(cluster, 0, 1, both).status == 200);
+    std::vector<std::string> runs;
+    runs.reserve(4);
+    for (int i = 0; i < 4; ++i)
+        runs.push_back(cluster.submit(i % 3, "runs", "rebuild", R"({"durationMs":600000})",
+                                      "rebuild-" + std::to_string(i)));
+    const std::string watcher =
+        cluster.submit(1, "watchers", "stock", R"({"until":{"afterMs":600000}})", "stock-1");
+    for (int i = 0; i < 3; ++i) {
+        const HttpAnswer answer = apply(cluster, i, 2, documentWithBatch("", ""));
+        INFO("entry ", i, ": ", answer.status, " ", answer.body);
+        CHECK(answer.status == 409);
+        CHECK(reasonOf(answer) == "class-in-use");
+        CHECK(headerValue(answer.headers, "X-Run-Status") == "not-run");
+        const std::string detail = parseJson(answer.body)["detail"].asString();
+        CHECK(detail.find("runs.rebuild is removed while 4 of it") != std::string::npos);
+        CHECK(detail.find("watchers.stock is removed while 1 of it") != std::string::npos);
+    }
+    CHECK(show(cluster, 0)["revision"].asUInt64() == 2);
+    for (const std::string &it : runs)
+        cluster.call(0, "DELETE", "/v1/runs/" + it);
+    for (const std::string &it : runs)
+        CHECK(cluster.endState(0, "runs", it, limit) == "cancelled");
+    const HttpAnswer withWatcher = apply(cluster, 2, 2, documentWithBatch("", ""));
+    CHECK(withWatcher.status == 409);
+    const HttpAnswer onlyRuns = apply(cluster, 2, 2, documentWithBatch("", stockClass));
+    INFO(onlyRuns.status, " ", onlyRuns.body);
+    CHECK(onlyRuns.status == 200);
+    cluster.call(0, "DELETE", "/v1/watchers/" + watcher);
+    const HttpAnswer rest = apply(cluster, 1, 3, documentWithBatch("", ""));
+    INFO(rest.status, " ", rest.body);
+    CHECK(rest.status == 200);
+}
+
+TEST_CASE("A removal of a class is refused while an entry does not say what is unfinished")
+{
+    Cluster cluster;
+    REQUIRE(apply(cluster, 0, 1, documentWithBatch(rebuildClass, stockClass)).status == 200);
+    cluster.entry(2).pause();
+    const HttpAnswer refused = apply(cluster, 0, 2, documentWithBatch("", stockClass));
+    INFO(refused.status, " ", refused.body);
+    CHECK(refused.status == 503);
+    CHECK(reasonOf(refused) == "live-work-unknown");
+    CHECK(headerValue(refused.headers, "X-Run-Status") == "not-run");
+    CHECK_FALSE(headerValue(refused.headers, "Retry-After").empty());
+    CHECK(show(cluster, 0)["revision"].asUInt64() == 2);
+    // An edit that removes no class needs no count.
+    const std::string renamed = R"("lookup": {}, )" + stockClass;
+    CHECK(apply(cluster, 0, 2, documentWithBatch(rebuildClass, renamed)).status == 200);
+    cluster.entry(2).resume();
+    CHECK(eventually(
+        limit, [&] { return apply(cluster, 0, 3, documentWithBatch("", renamed)).status == 200; }));
+}
