--- a/tests/lib/jobbook_test.cpp
+++ b/tests/lib/jobbook_test.cpp
@@ -333,3 +333,37 @@
     CHECK(bench.state("a") == "finished");
     CHECK(bench.book().liveWork(service).empty());
 }
+
+TEST_CASE("A wide run that waited long gets its room while small ones go on elsewhere")
+{
+    Bench bench(2);
+    bench.run(Millis{2'000});
+    int n = 0;
+    const auto submitSmall = [&] {
+        JobSpec small = spec("small-" + std::to_string(++n));
+        small.expected = Millis{36'000'000};
+        bench.submit(small);
+    };
+    for (int i = 0; i < 16; ++i) // All cores of both workers.
+        submitSmall();
+    bench.run(Millis{2'000});
+    bench.submit(spec("wide", 8));
+    for (int i = 0; i < 20; ++i)
+        submitSmall();
+    bench.run(Millis{905'000}); // Now the wide run is overdue.
+    // Ends a small run on a worker and tells whether another one starts in its place.
+    const auto isRefilled = [&](const std::string &worker) {
+        const std::size_t before = bench.starts();
+        bench.cancel(bench.book().ledger().tasks(worker).front());
+        bench.run(Millis{5'000});
+        return bench.starts() > before;
+    };
+    int refills = 0; // Until the turn of the oldest comes.
+    while (refills < 20 && isRefilled("w0"))
+        ++refills;
+    REQUIRE(refills < 20);
+    CHECK_MESSAGE(isRefilled("w1"), "room is held on more than the one worker; hold one only");
+    for (int i = 0; i < 7; ++i)
+        isRefilled("w0");
+    CHECK(bench.job("wide").worker == "w0");
+}
