--- a/src/entry/shardengine.cpp
+++ b/src/entry/shardengine.cpp
@@ -204,8 +204,8 @@
 {
     m_commitSentAt.reset();
     // A conflict is an answer too: the store works.
-    m_trouble = result.outcome == CommitOutcome::Unavailable
-        || result.outcome == CommitOutcome::Unknown;
+    m_trouble =
+        result.outcome == CommitOutcome::Unavailable || result.outcome == CommitOutcome::Unknown;
     takeEvent(m_journal.committed(result, now), now);
 }
 
