Report silent and quarantined workers and late requests

Cause: report.h reads `suspects`, and the page advises on `unreachable`, `quarantined` and `probing`, but no entry filled them; nothing counted the requests that ended after their own deadline, and the counter `quarantines` of a shard did not reach the report.

Ruled out: taking the time of a silence from WorkerLeases, which forgets a lease once it has lapsed and would start the time anew every two terms.

Change: JobBook::suspects() lists the workers of the slice that can't be used and have left a renewal unanswered for longer than its period, since the first such renewal and over lapses, and those in quarantine since they entered it. Each shard reports them and the entry joins them. The dispatcher counts under `late` by service what ended after its deadline, answered or not, and the page shows it under URGENT ANSWERS.

--- a/include/savorywick/jobbook.h
+++ b/include/savorywick/jobbook.h
@@ -58,6 +58,14 @@
     std::string reason; // Why it was refused.
 };
 
+// A worker that gets no new work, or only a probe.
+struct WorkerSuspect
+{
+    std::string worker;
+    std::string reason; // "quarantined", "probing" or "unreachable".
+    Instant since; // As far as this owner knows.
+};
+
 // How often each thing happened since this owner took over.
 struct JobCounters
 {
@@ -177,6 +185,9 @@
     std::size_t size() const { return m_table.jobs().size(); }
     // Returns the unfinished runs and watchers of a service, by class. Looks at every job.
     std::vector<LiveWork> liveWork(std::string_view service) const;
+    // Returns the workers in quarantine, and those that were silent for longer than a renewal takes
+    // to be sent again and may not be used.
+    std::vector<WorkerSuspect> suspects(Instant now) const;
     // Returns the run that has waited longest and why.
     OldestWaiting oldestWaiting(Instant now) const;
     const HostLedger &ledger() const { return m_ledger; }
@@ -262,6 +273,7 @@
     bool m_mustSettle = false;
     std::vector<std::string> m_hopeless; // Runs that may be given up then.
     std::vector<Effect> m_effects;
+    std::map<std::string, Instant> m_unansweredSince; // The first renewal without an answer.
 };
 
 } // namespace savorywick
--- a/include/savorywick/quarantine.h
+++ b/include/savorywick/quarantine.h
@@ -3,6 +3,7 @@
 #include "savorywick/clock.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -81,6 +82,8 @@
     std::vector<FailureCause> causes(std::string_view job) const;
     // Returns the workers that the job failed on, sorted; placement should avoid them.
     std::vector<std::string> workersFailed(std::string_view job) const;
+    // Returns when the worker was quarantined, or nothing if it is not.
+    std::optional<Instant> quarantinedAt(std::string_view worker) const;
     // Returns the workers in quarantine, sorted, including those that are probed.
     std::vector<std::string> quarantined() const;
 
@@ -97,6 +100,7 @@
         Instant lastSuccess;
         std::string lastJob; // The job of the last success.
         bool quarantined = false;
+        Instant quarantinedAt;
         bool probing = false;
         Instant probeAt; // When the next probe is due, or when the present one times out.
         Millis backOff;
--- a/src/entry/reportservice.cpp
+++ b/src/entry/reportservice.cpp
@@ -35,6 +35,7 @@
     value["cancelled"] = Json::UInt64(counters.cancelled);
     value["lapsed"] = Json::UInt64(counters.lapsed);
     value["vanished"] = Json::UInt64(counters.vanished);
+    value["quarantines"] = Json::UInt64(counters.quarantines);
     value["restarts"] = Json::UInt64(counters.restarts);
     return value;
 }
@@ -117,19 +118,36 @@
     return list;
 }
 
-Json::Value shardsJson(ShardHost &host)
+std::vector<ShardReport> shardReports(ShardHost &host)
 {
     std::vector<ReplySlotPtr<ShardReport>> slots;
     for (const int it : host.shards()) {
         slots.push_back(std::make_shared<ReplySlot<ShardReport>>());
         host.send(it, AskReport{slots.back()});
     }
-    Json::Value list = Json::arrayValue;
+    std::vector<ShardReport> reports;
     for (const auto &it : slots) {
-        if (const auto report = it->await(shardLimit))
-            list.append(toJson(*report));
+        if (auto report = it->await(shardLimit))
+            reports.push_back(std::move(*report));
+    }
+    return reports;
+}
+
+void addShards(Json::Value &value, const std::vector<ShardReport> &reports)
+{
+    value["shards"] = Json::arrayValue;
+    value["suspects"] = Json::arrayValue;
+    for (const ShardReport &report : reports) {
+        value["shards"].append(toJson(report));
+        for (const ShardReport::Suspect &it : report.suspects) {
+            Json::Value suspect;
+            suspect["id"] = it.host;
+            suspect["role"] = "worker";
+            suspect["reason"] = it.reason;
+            suspect["sinceMs"] = Json::Int64(it.lasted.count());
+            value["suspects"].append(std::move(suspect));
+        }
     }
-    return list;
 }
 
 } // namespace
@@ -157,7 +175,7 @@
     value["invalidDocuments"] = Json::arrayValue;
     for (const std::string &it : m_parts.documents->invalidServices())
         value["invalidDocuments"].append(it);
-    value["shards"] = shardsJson(*m_parts.host);
+    addShards(value, shardReports(*m_parts.host));
     return platform::toText(value);
 }
 
--- a/src/entry/shardengine.cpp
+++ b/src/entry/shardengine.cpp
@@ -167,6 +167,8 @@
     const HostLedger &ledger = m_jobs.ledger();
     for (const std::string &it : ledger.hosts())
         report.hosts.push_back({it, ledger.capacity(it), ledger.booked(it)});
+    for (const WorkerSuspect &it : m_jobs.suspects(now))
+        report.suspects.push_back({it.worker, it.reason, now - it.since});
     return report;
 }
 
--- a/src/entry/shardengine.h
+++ b/src/entry/shardengine.h
@@ -80,6 +80,13 @@
         Resources booked;
     };
     std::vector<HostUse> hosts;
+    struct Suspect
+    {
+        std::string host;
+        std::string reason;
+        Millis lasted;
+    };
+    std::vector<Suspect> suspects;
 };
 
 // What the actor around the engine must do next.
--- a/src/entry/urgentdispatcher.cpp
+++ b/src/entry/urgentdispatcher.cpp
@@ -59,6 +59,7 @@
     , m_retries(metrics, "retried", retryReasons)
     , m_denials(metrics, "retry-denied", retryDenials)
     , m_latency(metrics.latency("urgent " + m_settings.service))
+    , m_late(metrics.counter("late", m_settings.service))
     , m_random(std::random_device{}())
     , m_router(m_settings.router, m_random())
     , m_admission(m_settings.admission, {})
@@ -81,6 +82,8 @@
     dispatchQueued(now);
     if (reply.verdict == UrgentVerdict::Answered)
         m_latency.record(now - start);
+    if (now > request.deadline)
+        m_late.fetch_add(1);
     return reply;
 }
 
--- a/src/entry/urgentdispatcher.h
+++ b/src/entry/urgentdispatcher.h
@@ -116,6 +116,7 @@
     ReasonCounters<RetryReason> m_retries;
     ReasonCounters<RetryDenial> m_denials;
     LatencyRecorder &m_latency;
+    Metrics::Counter &m_late; // Answers that came after the deadline.
 
     std::mutex m_mutex;
     std::mt19937_64 m_random;
--- a/src/lib/jobattempts.cpp
+++ b/src/lib/jobattempts.cpp
@@ -36,6 +36,9 @@
         m_ledger.removeHost(id);
         m_quarantine.removeWorker(id);
     }
+    std::erase_if(m_unansweredSince, [&](const auto &it) {
+        return !listed.contains(it.first) && !m_byWorker.contains(it.first);
+    });
 }
 
 void JobBook::beginAttempt(const Job &job, Instant now)
--- a/src/lib/jobworkers.cpp
+++ b/src/lib/jobworkers.cpp
@@ -13,6 +13,7 @@
         if (!m_leases.due(worker, now))
             continue;
         m_leases.sent(worker, now);
+        m_unansweredSince.try_emplace(worker, now);
         m_effects.emplace_back(
             RenewLease{worker, m_leases.incarnation(worker), m_settings.workers.term});
     }
@@ -39,6 +40,24 @@
     }
 }
 
+std::vector<WorkerSuspect> JobBook::suspects(Instant now) const
+{
+    std::vector<WorkerSuspect> result;
+    for (const std::string &worker : m_ledger.hosts()) {
+        const auto silent = m_unansweredSince.find(worker);
+        const bool isSilent = silent != m_unansweredSince.end()
+            && now - silent->second > m_settings.workers.renewEvery;
+        if (isSilent && !m_leases.usable(worker, now))
+            result.push_back({worker, "unreachable", silent->second});
+        const auto quarantined = m_quarantine.quarantinedAt(worker);
+        if (!quarantined)
+            continue;
+        const bool probing = m_quarantine.standing(worker, now) == WorkerStanding::Probing;
+        result.push_back({worker, probing ? "probing" : "quarantined", *quarantined});
+    }
+    return result;
+}
+
 void JobBook::leaseFailed(const std::string &worker, Instant)
 {
     m_leases.failed(worker);
@@ -49,6 +68,7 @@
 {
     if (!m_leases.confirmed(worker, report.incarnation))
         return;
+    m_unansweredSince.erase(worker);
     freeOldIncarnations(worker, report.incarnation, now, records);
     std::set<std::string> reported;
     for (const TaskReport &task : report.tasks) {
--- a/src/lib/quarantine.cpp
+++ b/src/lib/quarantine.cpp
@@ -58,6 +58,7 @@
 void Quarantine::beginQuarantine(Worker &worker, Instant now)
 {
     worker.quarantined = true;
+    worker.quarantinedAt = now;
     worker.probing = false;
     worker.backOff = m_options.firstProbeAfter;
     worker.probeAt = now + worker.backOff;
@@ -205,6 +206,14 @@
     return names;
 }
 
+std::optional<Instant> Quarantine::quarantinedAt(std::string_view worker) const
+{
+    const auto it = m_workers.find(worker);
+    if (it == m_workers.end() || !it->second.quarantined)
+        return std::nullopt;
+    return it->second.quarantinedAt;
+}
+
 std::vector<std::string> Quarantine::quarantined() const
 {
     std::vector<std::string> names;
--- a/src/operator/reportpage.cpp
+++ b/src/operator/reportpage.cpp
@@ -202,6 +202,11 @@
                      + msText(it.p99Ms) + " instead of " + std::to_string(it.targetMs)
                      + " ms. Add instances, or look for a noisy neighbour under MOVED.");
         }
+        for (const auto &[service, count] : m_totals.counters["late"]) {
+            if (count > 0)
+                line(service + ": " + counted(count, "request", "requests")
+                     + " ended after the deadline");
+        }
         endList(0);
         if (const std::uint64_t n = m_totals.claims.unknown)
             find(counted(n, "request", "requests")
--- a/tests/lib/jobbook_test.cpp
+++ b/tests/lib/jobbook_test.cpp
@@ -333,3 +333,25 @@
     CHECK(bench.state("a") == "finished");
     CHECK(bench.book().liveWork(service).empty());
 }
+
+TEST_CASE("A silent worker is a suspect until it answers again")
+{
+    Bench bench(2);
+    bench.run(Millis{2'000});
+    CHECK(bench.book().suspects(bench.now()).empty());
+    const Instant cut = bench.now();
+    bench.cutOff("w0");
+    for (int i = 0; i < 3; ++i) {
+        bench.run(Millis{40'000});
+        const std::vector<WorkerSuspect> suspects = bench.book().suspects(bench.now());
+        REQUIRE(suspects.size() == 1);
+        CHECK(suspects[0].worker == "w0");
+        CHECK(suspects[0].reason == "unreachable");
+        // The time goes on over a lapse of the lease.
+        CHECK(suspects[0].since >= cut);
+        CHECK(suspects[0].since - cut <= JobBookSettings{}.workers.renewEvery);
+    }
+    bench.reconnect("w0");
+    bench.run(Millis{60'000});
+    CHECK(bench.book().suspects(bench.now()).empty());
+}
--- a/tests/lib/quarantine_test.cpp
+++ b/tests/lib/quarantine_test.cpp
@@ -165,3 +165,17 @@
     quarantine.removeWorker(quarantine.quarantined().front());
     CHECK(quarantine.quarantined().size() == 2);
 }
+
+TEST_CASE("quarantinedAt tells since when a worker is quarantined")
+{
+    Quarantine quarantine({});
+    quarantine.addWorker("w0");
+    CHECK_FALSE(quarantine.quarantinedAt("w0"));
+    quarantine.failed("a", "w0", "exit 1", Instant{10});
+    quarantine.failed("b", "w0", "exit 1", Instant{20});
+    quarantine.failed("c", "w0", "exit 1", Instant{30});
+    REQUIRE(quarantine.quarantinedAt("w0"));
+    CHECK(*quarantine.quarantinedAt("w0") == Instant{30});
+    quarantine.succeeded("d", "w0", Instant{40});
+    CHECK_FALSE(quarantine.quarantinedAt("w0"));
+}
--- a/tests/operator/report_test.cpp
+++ b/tests/operator/report_test.cpp
@@ -34,6 +34,7 @@
     a.counters = {{"refused", "queue-full", 30},
                   {"refused", "draining", 0},
                   {"retried", "timed-out", 4},
+                  {"late", "matching", 5},
                   {"answers", "2xx", 812}};
     a.latencies = {{"urgent matching", 48'210, 20, 340, 900, 950}};
     a.documents = {{"matching", 3, 300}, {"rosters", 4, 0}};
@@ -77,6 +78,7 @@
              "4  timed-out",
              "matching: 48220 answers; slowest at a: half within 20 ms, 99 % within 340 ms ",
              "(target 300 ms), 99.9 % within 900 ms",
+             "matching: 5 requests ended after the deadline",
              "* matching misses its target at a: 99 % within 340 ms instead of 300 ms.",
              "* 2 requests that may run once only ended unknown",
              "82  waiting",
