Accept an edit only once entries that have left serve no more

Ruled out: a shorter list age, since outages of the store need it. Change: an entry that has left the list counts as listed for the list's age and two looks at the rows; an entry that has read the list for a shorter time than that calls no edit accepted.

Price: an edit stays pending for up to 5 s, by the defaults, after an entry has left or the first has started.

--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -61,6 +61,13 @@
     return self;
 }
 
+// Returns how long an entry may serve after its row is gone: a neighbour may confirm its list for
+// two more looks at the rows, and the list is then good for its age.
+Millis lingeringOf(const Settings &settings)
+{
+    return settings.polls.entryListAge + leaseSettings(settings).observeEvery * 2;
+}
+
 // Everything that one entry consists of. Members are destroyed in reverse order.
 class Daemon
 {
@@ -116,8 +123,9 @@
     , m_workers(m_http, settings.limits.workerTimeout)
     , m_peers(m_http)
     , m_forwarder(m_peers)
-    , m_documents({settings.id, settings.limits.peerTimeout, settings.polls.freezeBound}, m_clock,
-                  m_table, m_peers, m_topology)
+    , m_documents({settings.id, settings.limits.peerTimeout, settings.polls.freezeBound,
+                   lingeringOf(settings)},
+                  m_clock, m_table, m_peers, m_topology)
     , m_host(hostSettings(settings), m_clock, m_table, m_objects, m_workers, m_topology,
              [this](int shard) {
                  if (m_leases)
--- a/src/entry/documentservice.cpp
+++ b/src/entry/documentservice.cpp
@@ -217,11 +217,11 @@
 Acceptance DocumentService::accept(const StoredDocument &stored,
                                    const std::vector<EntryDocuments> &said) const
 {
-    std::vector<std::string> listed;
-    const Topology::Entries entriesNow = m_topology.entries();
-    for (const PeerEntry &it : *entriesNow)
-        listed.push_back(it.name);
-    return acceptanceOf(stored, listed, said);
+    const auto listed = m_topology.listedWithin(m_settings.lingering, m_clock.now());
+    // Too young to know who has just left: nobody but this entry can be named.
+    if (!listed)
+        return {false, {m_settings.entry}};
+    return acceptanceOf(stored, *listed, said);
 }
 
 void DocumentService::applyRow(const Row &row)
--- a/src/entry/documentservice.h
+++ b/src/entry/documentservice.h
@@ -20,6 +20,8 @@
     std::string entry; // The entry's id.
     Millis peerTimeout{1'000};
     Millis freezeBound{3'000};
+    // An entry that has left the list may serve by its documents for so long.
+    Millis lingering{5'000};
 };
 
 // How an edit ended, and where it is in force.
--- a/src/entry/leaseloop.cpp
+++ b/src/entry/leaseloop.cpp
@@ -132,7 +132,7 @@
         peers.reserve(entries.size());
         for (const Row &it : entries)
             peers.push_back(parseEntryRow(it));
-        m_topology.setEntries(std::move(peers));
+        m_topology.setEntries(std::move(peers), m_clock.now());
         m_topology.setOwners(shards);
         m_storeUp = true;
         if (m_keeper->mayAct(m_clock.now()))
--- a/src/entry/topology.cpp
+++ b/src/entry/topology.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::string_view entryPrefix = "entry/";
+// How long an entry that is gone from the list is remembered; above any span that is asked for.
+constexpr Millis longestMemory{300'000};
 
 } // namespace
 
@@ -20,10 +22,14 @@
     m_hosts = std::move(fresh);
 }
 
-void Topology::setEntries(std::vector<PeerEntry> entries)
+void Topology::setEntries(std::vector<PeerEntry> entries, Instant now)
 {
     auto fresh = std::make_shared<std::vector<PeerEntry>>(std::move(entries));
     const std::lock_guard lock(m_mutex);
+    m_entriesSince = m_entriesSince.value_or(now);
+    std::erase_if(m_lastListed, [&](const auto &it) { return now - it.second > longestMemory; });
+    for (const PeerEntry &it : *fresh)
+        m_lastListed[it.name] = now;
     m_entries = std::move(fresh);
 }
 
@@ -57,6 +63,19 @@
     return m_entries;
 }
 
+std::optional<std::vector<std::string>> Topology::listedWithin(Millis span, Instant now) const
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_entriesSince || now - *m_entriesSince < span)
+        return std::nullopt;
+    std::vector<std::string> names;
+    for (const auto &it : m_lastListed) {
+        if (now - it.second <= span)
+            names.push_back(it.first);
+    }
+    return names;
+}
+
 std::optional<ShardOwner> Topology::owner(int shard) const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/entry/topology.h
+++ b/src/entry/topology.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "savorywick/clock.h"
 #include "savorywick/listtrust.h"
 #include "savorywick/platform.h"
 #include "savorywick/shardrow.h"
@@ -44,12 +45,17 @@
     using Entries = std::shared_ptr<const std::vector<PeerEntry>>;
 
     void setHosts(std::vector<HostInfo> hosts);
-    void setEntries(std::vector<PeerEntry> entries);
+    // Replaces the list of entries as read at `now`.
+    void setEntries(std::vector<PeerEntry> entries, Instant now);
     void setOwners(const std::vector<Row> &shardRows);
     void setOwner(int shard, ShardOwner owner);
 
     Hosts hosts() const;
     Entries entries() const;
+    // Returns the names of the entries that were listed within `span` before `now`, each once: an
+    // entry whose row is gone may go on serving for a while. Nothing if the list has been read for
+    // a shorter time than that, since an entry may have left it before.
+    std::optional<std::vector<std::string>> listedWithin(Millis span, Instant now) const;
     // Returns the last known owner of a shard; nothing if it is free or was never seen.
     std::optional<ShardOwner> owner(int shard) const;
     // Returns the address of a worker or upstream, or an empty text if it was never listed.
@@ -60,6 +66,8 @@
     mutable std::mutex m_mutex;
     Hosts m_hosts = std::make_shared<std::vector<HostInfo>>();
     Entries m_entries = std::make_shared<std::vector<PeerEntry>>();
+    std::optional<Instant> m_entriesSince; // When the list was first read.
+    std::map<std::string, Instant> m_lastListed; // By name.
     std::map<int, ShardOwner> m_owners;
     std::map<std::string, std::string> m_addresses;
 };
