--- a/include/savorywick/documentstore.h
+++ b/include/savorywick/documentstore.h
@@ -154,7 +154,7 @@
     std::uint64_t sequence = 0; // Every edit up to this one is in force, as its row publishes.
     std::uint64_t revision =
         0; // Of the service in question, as its reply to a push says; 0 if none.
-    Millis age{0}; // How long ago it said so.
+    Millis age{0}; // How long it has had that revision in force.
 };
 
 // Where an edit stands. It is accepted only once every listed entry has it in force.
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -170,9 +170,11 @@
 {
     m_peerServer.add("documentChanged", [this](const std::string &parameters) {
         const Json::Value value = platform::fromText(parameters);
+        const std::string service = value["service"].asString();
         Json::Value result;
-        result["inForce"] = Json::UInt64(
-            m_documents.onPush({value["service"].asString(), value["revision"].asUInt64()}));
+        result["inForce"] =
+            Json::UInt64(m_documents.onPush({service, value["revision"].asUInt64()}));
+        result["inForceForMs"] = Json::Int64(m_documents.inForceFor(service).count());
         return platform::toText(result);
     });
     m_peerServer.add("forward", [this](const std::string &parameters) {
--- a/src/entry/documentservice.cpp
+++ b/src/entry/documentservice.cpp
@@ -123,6 +123,13 @@
     return m_documents.find(service);
 }
 
+Millis DocumentService::inForceFor(const std::string &service) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_inForceSince.find(service);
+    return it == m_inForceSince.end() ? Millis{0} : m_clock.now() - it->second;
+}
+
 std::vector<std::string> DocumentService::services() const
 {
     const std::lock_guard lock(m_mutex);
@@ -200,13 +207,17 @@
         if (peer.name == m_settings.entry) {
             said[i].sequence = sequence();
             said[i].revision = onPush(revision);
+            said[i].age = inForceFor(revision.service);
             continue;
         }
         threads.emplace_back([&, i, address = peer.peers] {
             const PeerReply reply =
                 m_peers.call(address, "documentChanged", parameters, m_settings.peerTimeout);
-            if (reply.outcome == PeerOutcome::Answered)
-                said[i].revision = platform::fromText(reply.result)["inForce"].asUInt64();
+            if (reply.outcome != PeerOutcome::Answered)
+                return;
+            const Json::Value result = platform::fromText(reply.result);
+            said[i].revision = result["inForce"].asUInt64();
+            said[i].age = Millis{result["inForceForMs"].asInt64()};
         });
     }
     for (std::thread &it : threads)
@@ -227,8 +238,11 @@
 void DocumentService::applyRow(const Row &row)
 {
     const std::lock_guard lock(m_mutex);
-    if (m_documents.apply(row) == ApplyResult::Invalid)
+    const ApplyResult result = m_documents.apply(row);
+    if (result == ApplyResult::Invalid)
         logError("document-invalid", {{"row", row.key}});
+    if (result == ApplyResult::Applied)
+        m_inForceSince[row.key.substr(documentPrefix.size())] = m_clock.now();
 }
 
 } // namespace savorywick
--- a/src/entry/documentservice.h
+++ b/src/entry/documentservice.h
@@ -7,6 +7,7 @@
 #include "savorywick/documentstore.h"
 #include "savorywick/platform.h"
 
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -61,6 +62,8 @@
 
     // Returns the document in force, or null.
     std::shared_ptr<const DocumentInForce> find(std::string_view service) const;
+    // Returns how long the present revision of a document has been in force here; 0 if none is.
+    Millis inForceFor(const std::string &service) const;
     std::vector<std::string> services() const;
     std::uint64_t sequence() const;
     bool isComplete() const;
@@ -87,6 +90,7 @@
 
     mutable std::mutex m_mutex;
     DocumentsInForce m_documents;
+    std::map<std::string, Instant> m_inForceSince; // By service.
     FreezeGuard m_guard;
 };
 
--- a/tests/process/documents_test.cpp
+++ b/tests/process/documents_test.cpp
@@ -124,6 +124,15 @@
             CHECK(cluster.request(i, name, "x").status == 200);
     }
     CHECK(show(cluster, 0, "?revision=3")["document"].asString() == documentWith("class-2"));
+    passTime(Millis{200});
+    const HttpAnswer status = cluster.call(0, "GET", "/v1/documents/quotes/status");
+    const Json::Value entries = parseJson(status.body)["entries"];
+    CHECK(entries.size() == 3);
+    for (const Json::Value &it : entries) {
+        INFO(status.body);
+        CHECK(it["revision"].asUInt64() == 6);
+        CHECK(it["ageMs"].asInt64() >= 200);
+    }
 }
 
 TEST_CASE("Of three racing operators one wins and the others learn the present revision")
