Read and write JSON in one place

Change: internal::toText() and fromText() in src/lib, one writer for all and one reader for each thread; the packages use the same two. Text is written as UTF-8 rather than as escapes.

--- a/src/caller/problem.cpp
+++ b/src/caller/problem.cpp
@@ -1,6 +1,6 @@
 #include "caller/problem.h"
 
-#include <json/json.h>
+#include "lib/jsontext.h"
 
 namespace savorywick {
 
@@ -25,12 +25,10 @@
     body["status"] = problem.status;
     body["detail"] = problem.detail;
     body["remedy"] = problem.remedy;
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
     HttpResponse response;
     response.status = problem.status;
     response.contentType = "application/problem+json";
-    response.body = Json::writeString(builder, body);
+    response.body = internal::toText(body);
     response.headers.push_back({"X-Run-Status", std::string(toString(problem.run))});
     if (problem.retryAfter > Millis{0}) {
         const std::int64_t ms = problem.retryAfter.count();
--- a/src/lib/claimcodec.cpp
+++ b/src/lib/claimcodec.cpp
@@ -1,11 +1,11 @@
 #include "claimcodec.h"
 
+#include "jsontext.h"
 #include "savorywick/errors.h"
 
 #include <json/json.h>
 
 #include <array>
-#include <memory>
 
 namespace savorywick {
 
@@ -84,22 +84,13 @@
 
 std::string write(const Json::Value &value)
 {
-    static const Json::StreamWriterBuilder builder = [] {
-        Json::StreamWriterBuilder b;
-        b["indentation"] = "";
-        return b;
-    }();
-    return Json::writeString(builder, value);
+    return internal::toText(value);
 }
 
 Json::Value parse(std::string_view text)
 {
-    static const Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value value;
-    std::string errors;
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, &errors)
-        || !value.isObject())
+    Json::Value value = internal::fromText(text);
+    if (!value.isObject())
         fail("a claim record is no JSON object");
     return value;
 }
--- a/src/lib/documentstore.cpp
+++ b/src/lib/documentstore.cpp
@@ -1,12 +1,12 @@
 #include "savorywick/documentstore.h"
 
+#include "jsontext.h"
 #include "savorywick/errors.h"
 
 #include <json/json.h>
 
 #include <algorithm>
 #include <cstdio>
-#include <memory>
 
 namespace savorywick {
 
@@ -17,20 +17,10 @@
 
 enum KeyPosition { DocumentKey, HistoryKey, IndexKey, KeyCount };
 
-std::string compact(const Json::Value &json)
-{
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, json);
-}
-
 Json::Value parseRow(const Row &row)
 {
-    Json::Value json;
-    const Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    const char *begin = row.value.data();
-    if (!reader->parse(begin, begin + row.value.size(), &json, nullptr) || !json.isObject())
+    Json::Value json = internal::fromText(row.value);
+    if (!json.isObject())
         throw Error(ErrorKind::InvalidInput, "row '" + row.key + "' holds no JSON object",
                     "restore it from its row under history/");
     return json;
@@ -125,12 +115,12 @@
     json["editedBy"] = document.editedBy;
     json["editedAtMs"] = Json::Int64(document.editedAtMs);
     json["editId"] = document.editId;
-    return compact(json);
+    return internal::toText(json);
 }
 
 std::string toValue(const DocumentRevision &edit)
 {
-    return compact(toJson(edit));
+    return internal::toText(toJson(edit));
 }
 
 std::string toValue(const DocumentIndex &index)
@@ -140,7 +130,7 @@
     json["recent"] = Json::arrayValue;
     for (const DocumentRevision &it : index.recent)
         json["recent"].append(toJson(it));
-    return compact(json);
+    return internal::toText(json);
 }
 
 DocumentEdit::DocumentEdit(EditRequest request)
--- a/src/lib/jobjson.cpp
+++ b/src/lib/jobjson.cpp
@@ -1,9 +1,8 @@
 #include "jobjson.h"
 
+#include "jsontext.h"
 #include "savorywick/errors.h"
 
-#include <memory>
-
 namespace savorywick::internal {
 
 namespace {
@@ -32,22 +31,13 @@
 
 std::string toLine(const Json::Value &json)
 {
-    static const Json::StreamWriterBuilder builder = [] {
-        Json::StreamWriterBuilder b;
-        b["indentation"] = "";
-        b["emitUTF8"] = true;
-        return b;
-    }();
-    return Json::writeString(builder, json);
+    return internal::toText(json);
 }
 
-Json::Value fromText(const std::string &text)
+Json::Value objectFrom(const std::string &text)
 {
-    thread_local const std::unique_ptr<Json::CharReader> reader(
-        Json::CharReaderBuilder().newCharReader());
-    Json::Value json;
-    const char *begin = text.data();
-    if (!reader->parse(begin, begin + text.size(), &json, nullptr) || !json.isObject())
+    Json::Value json = internal::fromText(text);
+    if (!json.isObject())
         throw Error(ErrorKind::InvalidInput, "a journal record or snapshot is no JSON object",
                     "restore the shard's rows and objects from a backup");
     return json;
--- a/src/lib/jobjson.h
+++ b/src/lib/jobjson.h
@@ -14,7 +14,7 @@
 // Returns the value as text without line ends, with members in a fixed order.
 std::string toLine(const Json::Value &json);
 // Returns the object that `text` holds. Throws Error(InvalidInput) if it holds none.
-Json::Value fromText(const std::string &text);
+Json::Value objectFrom(const std::string &text);
 
 Json::Value toJson(const JobSpec &spec);
 JobSpec specOf(const Json::Value &json);
--- a/src/lib/jobrecord.cpp
+++ b/src/lib/jobrecord.cpp
@@ -65,7 +65,7 @@
 
 JobRecord decodeRecord(const std::string &line)
 {
-    const Json::Value json = fromText(line);
+    const Json::Value json = objectFrom(line);
     JobRecord r;
     r.kind = kindOf(json["k"].asString());
     r.at = Millis{json["at"].asInt64()};
--- a/src/lib/jobtable.cpp
+++ b/src/lib/jobtable.cpp
@@ -178,11 +178,11 @@
 {
     *this = {};
     std::size_t n = text.find('\n');
-    const Json::Value head = fromText(text.substr(0, n));
+    const Json::Value head = objectFrom(text.substr(0, n));
     m_lastAt = Millis{head["at"].asInt64()};
     while (n + 1 < text.size()) {
         const std::size_t end = text.find('\n', n + 1);
-        insert(jobOf(fromText(text.substr(n + 1, end - n - 1))));
+        insert(jobOf(objectFrom(text.substr(n + 1, end - n - 1))));
         n = end;
     }
     if (m_jobs.size() != head["jobs"].asUInt64())
--- /dev/null
+++ b/src/lib/jsontext.cpp
@@ -0,0 +1,28 @@
+#include "jsontext.h"
+
+#include <memory>
+
+namespace savorywick::internal {
+
+std::string toText(const Json::Value &value)
+{
+    static const Json::StreamWriterBuilder builder = [] {
+        Json::StreamWriterBuilder b;
+        b["indentation"] = "";
+        b["emitUTF8"] = true;
+        return b;
+    }();
+    return Json::writeString(builder, value);
+}
+
+Json::Value fromText(std::string_view text)
+{
+    thread_local const std::unique_ptr<Json::CharReader> reader(
+        Json::CharReaderBuilder().newCharReader());
+    Json::Value value;
+    if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr))
+        return {};
+    return value;
+}
+
+} // namespace savorywick::internal
--- a/src/lib/shardlease.cpp
+++ b/src/lib/shardlease.cpp
@@ -1,10 +1,10 @@
 #include "savorywick/shardlease.h"
 
+#include "jsontext.h"
 #include "savorywick/errors.h"
 
 #include <algorithm>
 #include <json/json.h>
-#include <memory>
 #include <set>
 
 namespace savorywick {
@@ -15,11 +15,8 @@
 
 Json::Value parseObject(std::string_view text)
 {
-    Json::Value json;
-    const Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    const bool parsed = reader->parse(text.data(), text.data() + text.size(), &json, nullptr);
-    if (!parsed || !json.isObject())
+    Json::Value json = internal::fromText(text);
+    if (!json.isObject())
         throw Error(ErrorKind::InvalidInput, "the text is no JSON object", "give one object");
     return json;
 }
@@ -28,9 +25,7 @@
 {
     Json::Value json = parseObject(fields);
     json["beat"] = Json::UInt64(beat);
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, json);
+    return internal::toText(json);
 }
 
 std::uint64_t beatOf(const Row &row)
--- a/src/lib/shardrow.cpp
+++ b/src/lib/shardrow.cpp
@@ -1,11 +1,10 @@
 #include "savorywick/shardrow.h"
 
+#include "jsontext.h"
 #include "savorywick/errors.h"
 
 #include <charconv>
 #include <cstdio>
-#include <json/json.h>
-#include <memory>
 
 namespace savorywick {
 
@@ -41,11 +40,8 @@
 {
     if (row.version == 0)
         return {};
-    Json::Value json;
-    const Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    const char *begin = row.value.data();
-    if (!reader->parse(begin, begin + row.value.size(), &json, nullptr) || !json.isObject())
+    const Json::Value json = internal::fromText(row.value);
+    if (!json.isObject())
         throw Error(ErrorKind::InvalidInput, "row '" + row.key + "' holds no shard",
                     "restore the row, or delete it if the shard was never used");
     ShardRow r;
@@ -71,9 +67,7 @@
     json["first"] = Json::UInt64(row.first);
     json["object"] = row.object;
     json["commit"] = row.commit;
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, json);
+    return internal::toText(json);
 }
 
 } // namespace savorywick
--- a/src/lib/workerslices.cpp
+++ b/src/lib/workerslices.cpp
@@ -1,33 +1,23 @@
 #include "savorywick/workerslices.h"
 
+#include "jsontext.h"
 #include "savorywick/errors.h"
 #include "savorywick/shardrow.h"
 
 #include <json/json.h>
 
 #include <algorithm>
-#include <memory>
 #include <tuple>
 
 namespace savorywick {
 
 namespace {
 
-std::string toText(const Json::Value &value)
-{
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, value);
-}
-
 // Returns the array in a row. Throws Error(InvalidInput) if the row holds something else.
 Json::Value arrayOf(const Row &row)
 {
-    Json::Value value;
-    const Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    const char *text = row.value.data();
-    if (!reader->parse(text, text + row.value.size(), &value, nullptr) || !value.isArray())
+    Json::Value value = internal::fromText(row.value);
+    if (!value.isArray())
         throw Error(ErrorKind::InvalidInput, "row '" + row.key + "' is no slice of workers",
                     "remove the row; it is written anew");
     return value;
@@ -38,7 +28,7 @@
     Json::Value value(Json::arrayValue);
     for (const std::string &it : slice)
         value.append(it);
-    return toText(value);
+    return internal::toText(value);
 }
 
 // What a shard has: all its workers, and the live ones by size.
@@ -116,7 +106,7 @@
             value.append(std::move(entry));
         }
     }
-    return toText(value);
+    return internal::toText(value);
 }
 
 std::optional<int> SliceSummary::choose(const Resources &need, std::uint64_t draw) const
--- a/src/operator/reportjson.cpp
+++ b/src/operator/reportjson.cpp
@@ -1,10 +1,10 @@
 #include "operator/report.h"
 
+#include "lib/jsontext.h"
 #include "savorywick/errors.h"
 
 #include <json/json.h>
 
-#include <memory>
 #include <type_traits>
 
 namespace savorywick {
@@ -237,18 +237,13 @@
     Json::Value json(Json::objectValue);
     Writer writer(json);
     fields(writer, report);
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, json);
+    return internal::toText(json);
 }
 
 Report parseReport(std::string_view json)
 {
-    Json::Value root;
-    const Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> parser(builder.newCharReader());
-    if (!parser->parse(json.data(), json.data() + json.size(), &root, nullptr) || !root.isObject()
-        || !root["entries"].isArray())
+    const Json::Value root = internal::fromText(json);
+    if (!root.isObject() || !root["entries"].isArray())
         throwNoReport();
     try {
         Report report;
