--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -183,11 +183,6 @@
         --m_inFlight;
         return Forwarder::pack(response, m_requests.freeSlots());
     });
-    m_peerServer.add("status", [this](const std::string &) {
-        Json::Value result;
-        result["storeUp"] = m_leases->storeUp();
-        return platform::toText(result);
-    });
     m_peerServer.add("compareLists", [this](const std::string &parameters) {
         const auto theirs = parseListView(parameters);
         return theirs ? listViewText(m_leases->noteQuestion(*theirs)) : std::string("{}");
