Claim a shard by its own row only, and end a predecessor's session at once

Cause: a claim named the shard's row and the row of the owner's session in one transaction. The users' store allows one part a transaction, and shard and sessions must not share one (a part takes 200 transactions a second). Takeover also waited for a whole term after a process had been restarted on its own host, although its predecessor is surely gone.

Change: the shards' rows are read before those of the sessions, so a missing session is over for ever and the condition on it is needless. An entry ends earlier sessions of its own name when it sees them. With fewer shards than entries a shard no longer moves each time that an entry joins: an entry may take up to an equal share rounded up and gives up what is beyond it.

Tests: "A restarted entry ends its earlier session at once and takes its shards", "Claims name rows of their own shard only"; the property over owners failed until its sessions were named by host.

--- a/include/savorywick/shardlease.h
+++ b/include/savorywick/shardlease.h
@@ -74,13 +74,17 @@
     // Returns true if and only if the session was expired by another process.
     bool fenced() const { return m_fenced; }
 
-    // Takes in all rows `entry/` and `shard/` as read by `now`. After a gap in the observations
-    // (the store was down, or this process slept) the watch over other entries starts anew.
+    // Takes in all rows `entry/` and `shard/` as read by `now`. Read the shards first: an owner
+    // whose row is missing from a later reading of the entries is over for ever. After a gap in the
+    // observations (the store was down, or this process slept) the watch over other entries starts
+    // anew.
     void observe(std::span<const Row> entries, std::span<const Row> shards, Instant now);
 
-    // Returns transactions that expire entries whose rows have stood still for too long.
+    // Returns transactions that expire entries whose rows have stood still for too long, and
+    // earlier sessions of this entry, "NAME.RANDOM" with the same name.
     std::vector<Transaction> expiries(Instant now) const;
-    // Returns claims for free shards, up to this entry's fair share. Empty unless mayAct(). Each
+    // Returns claims for free shards, up to an equal share for each live entry, rounded up. Each
+    // touches rows of its shard only. Empty unless mayAct(). Each
     // must be reported by claimed() before the shard is claimed again.
     std::vector<ShardClaim> claims(Instant now);
     // Reports a claim's end. Returns the owned shard if it is known to be ours. After Unknown send
@@ -89,8 +93,8 @@
     std::optional<OwnedShard> claimed(const ShardClaim &claim, const CommitResult &result);
     std::optional<OwnedShard> claimReadBack(const ShardClaim &claim, const Row &shardRow);
 
-    // Returns owned shards beyond the fair share that another live entry is short of. Release
-    // them through their journals, then call dropped().
+    // Returns owned shards to give up: those beyond mostShards(), or one if another live entry has
+    // fewer than fewestShards(). Release them through their journals, then call dropped().
     std::vector<int> shardsToRelease(Instant now) const;
     // Forgets a shard that was released or lost.
     void dropped(int shard) { m_owned.erase(shard); }
@@ -101,8 +105,10 @@
 
     // Returns the owned shards.
     std::vector<int> owned() const;
-    // Returns how many shards this entry should own, given the entries that are alive.
-    int fairShare() const;
+    // Returns how many shards this entry may take, given the entries that are alive.
+    std::size_t mostShards() const;
+    // Returns how many shards every entry has once they are spread evenly.
+    std::size_t fewestShards() const;
 
 private:
     struct Watched
@@ -111,8 +117,9 @@
         Instant since; // When this version was first seen.
     };
 
-    int fairShareOf(std::size_t rank) const;
     bool someoneIsShort() const;
+    std::size_t liveEntries() const;
+    bool isPredecessor(const std::string &session) const;
     bool isFree(const OwnedShard &seen) const;
     ShardClaim claimFor(const OwnedShard &seen);
     void confirmRenewal(std::uint64_t version);
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -271,7 +271,7 @@
 
 bool Daemon::ready()
 {
-    const bool settled = static_cast<int>(m_host.ready()) >= m_leases->fairShare();
+    const bool settled = m_host.ready() >= m_leases->fewestShards();
     return !m_draining && m_documents.isComplete() && m_workerPoll.listRead()
         && (settled || !m_leases->storeUp()) && m_requests.settled();
 }
--- a/src/entry/leaseloop.cpp
+++ b/src/entry/leaseloop.cpp
@@ -125,8 +125,8 @@
 {
     const Instant start = m_clock.now();
     try {
+        const std::vector<Row> shards = scanAll(m_table, "shard/"); // First: see observe().
         const std::vector<Row> entries = scanAll(m_table, "entry/");
-        const std::vector<Row> shards = scanAll(m_table, "shard/");
         m_keeper->observe(entries, shards, m_clock.now());
         std::vector<PeerEntry> peers;
         peers.reserve(entries.size());
@@ -142,7 +142,7 @@
         m_storeUp = false;
         logDebug("observation-failed", {{"why", error.what()}});
     }
-    m_fairShare = m_keeper->fairShare();
+    m_fewestShards = m_keeper->fewestShards();
 }
 
 void LeaseLoop::takeShards()
--- a/src/entry/leaseloop.h
+++ b/src/entry/leaseloop.h
@@ -60,7 +60,8 @@
     // Returns when the list of entries and this entry's right to be on it were last known good.
     Instant listTakenAt() const;
     bool storeUp() const { return m_storeUp; }
-    int fairShare() const { return m_fairShare; }
+    // Returns how many shards this entry has once they are spread evenly.
+    std::size_t fewestShards() const { return m_fewestShards; }
 
 private:
     void newSession();
@@ -86,7 +87,7 @@
     bool m_observed = false;
     std::atomic<bool> m_storeUp{false};
     std::atomic<bool> m_draining{false};
-    std::atomic<int> m_fairShare{0};
+    std::atomic<std::size_t> m_fewestShards{0};
 
     mutable std::mutex m_mutex; // For the members below.
     std::string m_session;
--- a/src/lib/shardlease.cpp
+++ b/src/lib/shardlease.cpp
@@ -138,7 +138,8 @@
 {
     std::vector<Transaction> all;
     for (const auto &[session, watched] : m_entries) {
-        if (session == m_session || now - watched.since < m_settings.term + m_settings.margin)
+        const bool stoodStill = now - watched.since >= m_settings.term + m_settings.margin;
+        if (session == m_session || !(stoodStill || isPredecessor(session)))
             continue;
         const std::string key = entryKey(session);
         all.push_back({{{key, watched.version}}, {{key, std::nullopt}}});
@@ -146,6 +147,14 @@
     return all;
 }
 
+// A process has the entry's name to itself, so an earlier session of that name is over.
+bool LeaseKeeper::isPredecessor(const std::string &session) const
+{
+    const std::size_t dot = m_session.rfind('.');
+    return dot != std::string::npos && session.rfind('.') == dot
+        && session.compare(0, dot, m_session, 0, dot) == 0;
+}
+
 bool LeaseKeeper::isFree(const OwnedShard &seen) const
 {
     if (m_owned.contains(seen.shard) || m_openClaims.contains(seen.shard))
@@ -159,7 +168,7 @@
     std::vector<ShardClaim> all;
     if (!mayAct(now) || !m_claiming || !m_lastObserved)
         return all;
-    const auto wanted = static_cast<std::size_t>(fairShare());
+    const std::size_t wanted = mostShards();
     const std::size_t first = startingPoint(m_session, m_settings.shards);
     for (int n = 0; n < m_settings.shards; ++n) {
         const int shard = (static_cast<int>(first) + n) % m_settings.shards;
@@ -181,11 +190,8 @@
     claim.taken.row.peer = m_peer;
     claim.taken.row.epoch = seen.row.epoch + 1;
     claim.taken.row.commit = m_session + ":claim:" + std::to_string(++m_claims);
-    const std::string &owner = seen.row.owner;
     Transaction &t = claim.transaction;
     t.conditions.push_back({shardKey(seen.shard), seen.version});
-    if (!owner.empty() && owner != m_session)
-        t.conditions.push_back({entryKey(owner), 0});
     t.writes.push_back({shardKey(seen.shard), toValue(claim.taken.row)});
     m_openClaims.insert(seen.shard);
     return claim;
@@ -212,26 +218,26 @@
 std::vector<int> LeaseKeeper::shardsToRelease(Instant now) const
 {
     std::vector<int> all;
-    const auto share = static_cast<std::size_t>(fairShare());
-    if (!mayAct(now) || m_owned.size() <= share || !someoneIsShort())
+    if (!mayAct(now))
         return all;
-    for (auto it = m_owned.rbegin(); m_owned.size() - all.size() > share; ++it)
+    // Beyond the most all go at once; one more goes if another entry has too few.
+    const std::size_t most = mostShards();
+    std::size_t excess = m_owned.size() > most ? m_owned.size() - most : 0;
+    if (excess == 0 && m_owned.size() > fewestShards() && someoneIsShort())
+        excess = 1;
+    for (auto it = m_owned.rbegin(); all.size() < excess; ++it)
         all.push_back(it->first);
     return all;
 }
 
 bool LeaseKeeper::someoneIsShort() const
 {
-    std::map<std::string, int> counts;
+    std::map<std::string, std::size_t> counts;
     for (const auto &[shard, seen] : m_shardRows)
         ++counts[seen.row.owner];
-    std::size_t rank = 0;
-    for (const auto &[session, watched] : m_entries) {
-        const int share = fairShareOf(rank++);
-        if (session != m_session && counts[session] < share)
-            return true;
-    }
-    return false;
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &it) {
+        return it.first != m_session && counts[it.first] < fewestShards();
+    });
 }
 
 Transaction LeaseKeeper::farewell() const
@@ -248,20 +254,20 @@
     return all;
 }
 
-int LeaseKeeper::fairShare() const
+std::size_t LeaseKeeper::liveEntries() const
+{
+    return m_entries.size() + (m_entries.contains(m_session) ? 0 : 1);
+}
+
+std::size_t LeaseKeeper::mostShards() const
 {
-    std::set<std::string> sessions{m_session};
-    for (const auto &[session, watched] : m_entries)
-        sessions.insert(session);
-    const auto rank = std::distance(sessions.begin(), sessions.find(m_session));
-    const int live = static_cast<int>(sessions.size());
-    return m_settings.shards / live + (rank < m_settings.shards % live ? 1 : 0);
+    const std::size_t live = liveEntries();
+    return (static_cast<std::size_t>(m_settings.shards) + live - 1) / live;
 }
 
-int LeaseKeeper::fairShareOf(std::size_t rank) const
+std::size_t LeaseKeeper::fewestShards() const
 {
-    const int live = static_cast<int>(m_entries.size());
-    return m_settings.shards / live + (static_cast<int>(rank) < m_settings.shards % live ? 1 : 0);
+    return static_cast<std::size_t>(m_settings.shards) / liveEntries();
 }
 
 } // namespace savorywick
--- a/tests/lib/jobworld.h
+++ b/tests/lib/jobworld.h
@@ -115,7 +115,8 @@
             m_keeper.readBack(readRow(entryKey(m_keeper.session())), now);
         if (over())
             drop();
-        m_keeper.observe(m_table.scan("entry/", "", 100), m_table.scan("shard/", "", 100), now);
+        const std::vector<Row> shards = m_table.scan("shard/", "", 100); // First: see observe().
+        m_keeper.observe(m_table.scan("entry/", "", 100), shards, now);
         for (const Transaction &t : m_keeper.expiries(now))
             m_table.commit(t);
         for (const ShardClaim &claim : m_keeper.claims(now)) {
--- a/tests/lib/jobworld_test.cpp
+++ b/tests/lib/jobworld_test.cpp
@@ -106,7 +106,8 @@
 
     Host newHost()
     {
-        const std::string session = "entry." + std::to_string(++m_sessions);
+        // Each process is on a host of its own: a session named like an earlier one would end it.
+        const std::string session = "entry" + std::to_string(++m_sessions) + ".1";
         return {std::make_unique<Owner>(m_table, m_facts, m_objects, session, rate()), {}, {}};
     }
 
--- a/tests/lib/shardlease_test.cpp
+++ b/tests/lib/shardlease_test.cpp
@@ -55,13 +55,13 @@
             m_owned.clear();
     }
 
-    // Reads the entries' rows; look() reads those of the shards, perhaps much later.
-    void scanEntries() { m_entries = m_table.scan("entry/", "", 100); }
+    // Reads the shards' rows; look() reads those of the entries, perhaps much later.
+    void scanShards() { m_shards = m_table.scan("shard/", "", 100); }
 
     void look(Millis real)
     {
-        const auto shards = m_table.scan("shard/", "", 100);
-        m_keeper.observe(m_entries, shards, local(real));
+        const auto entries = m_table.scan("entry/", "", 100);
+        m_keeper.observe(entries, m_shards, local(real));
         for (const Transaction &t : m_keeper.expiries(local(real)))
             m_table.commit(t);
     }
@@ -96,7 +96,7 @@
     {
         try {
             renew(real);
-            scanEntries();
+            scanShards();
             look(real);
             claim(real);
             giveUpExcess(real);
@@ -112,7 +112,7 @@
     LeaseKeeper m_keeper;
     double m_rate;
     std::map<int, OwnedShard> m_owned;
-    std::vector<Row> m_entries;
+    std::vector<Row> m_shards;
 };
 
 } // namespace
@@ -163,6 +163,40 @@
     CHECK(dead.keeper().fenced());
 }
 
+TEST_CASE("A restarted entry ends its earlier session at once and takes its shards")
+{
+    FakeTable table;
+    Process killed(table, "a.1", 2, 1);
+    killed.run(Millis{0});
+    Process other(table, "b.1", 2, 1);
+    other.run(Millis{0});
+    Process restarted(table, "a.2", 2, 1);
+    restarted.run(Millis{100});
+    CHECK(table.row(entryKey("a.1")).version == 0);
+    CHECK(table.row(entryKey("b.1")).version > 0);
+    restarted.run(Millis{200});
+    CHECK(restarted.ownedCount() == 1);
+}
+
+TEST_CASE("Claims name rows of their own shard only")
+{
+    FakeTable table;
+    Process dead(table, "a.1", 3, 1);
+    dead.run(Millis{0});
+    Process taker(table, "b.1", 3, 1);
+    for (Millis at{1'000}; at <= Millis{12'000}; at = at + Millis{1'000}) {
+        taker.renew(at);
+        taker.scanShards();
+        taker.look(at);
+    }
+    const auto claims = taker.keeper().claims(taker.local(Millis{12'000}));
+    REQUIRE(claims.size() == 3);
+    for (const ShardClaim &claim : claims) {
+        REQUIRE(claim.transaction.conditions.size() == 1);
+        CHECK(claim.transaction.conditions.front().key == shardKey(claim.taken.shard));
+    }
+}
+
 TEST_CASE("A renewal counts from before it was first sent")
 {
     FakeTable table;
@@ -211,7 +245,7 @@
     FakeTable table;
     Process process(table, "a.1", 1, 1);
     process.renew(Millis{0});
-    process.scanEntries();
+    process.scanShards();
     process.look(Millis{0});
     table.setFault(Fault::LoseReply);
     process.claim(Millis{0});
@@ -258,7 +292,7 @@
     explicit LeaseWorld(const std::vector<int> &rates)
     {
         for (const int rate : rates)
-            m_processes.push_back(start(1.0 + rate / 1'000.0));
+            m_processes.push_back(start(static_cast<int>(m_processes.size()), 1 + rate / 1'000.0));
     }
 
     // Lets a moment pass and every process that is awake do one thing.
@@ -272,7 +306,7 @@
             m_table.setFault(static_cast<Fault>(std::max(0, *rc::gen::inRange(-30, 5))));
             act(*p.process, *rc::gen::inRange(0, 10));
             if (p.process->keeper().fenced())
-                p = start(p.rate);
+                p = start(p.number, p.rate);
         }
         check();
     }
@@ -291,7 +325,7 @@
             for (auto &p : m_processes) {
                 p.process->run(m_now);
                 if (p.process->keeper().fenced())
-                    p = start(p.rate);
+                    p = start(p.number, p.rate);
             }
             check();
         }
@@ -305,14 +339,16 @@
     struct Host
     {
         std::unique_ptr<Process> process;
+        int number = 0;
         double rate = 1;
         Millis sleepsUntil;
     };
 
-    Host start(double rate)
+    Host start(int number, double rate)
     {
-        const std::string session = "p." + std::to_string(++m_sessions);
-        return {std::make_unique<Process>(m_table, session, shards, rate), rate, m_now};
+        const std::string session =
+            "p" + std::to_string(number) + "." + std::to_string(++m_sessions);
+        return {std::make_unique<Process>(m_table, session, shards, rate), number, rate, m_now};
     }
 
     void act(Process &p, int action)
@@ -321,7 +357,7 @@
             if (action == 0)
                 p.renew(m_now);
             else if (action == 1)
-                p.scanEntries();
+                p.scanShards();
             else if (action == 2)
                 p.look(m_now);
             else if (action == 3)
