Serve and call HTTP on one event loop, and count suspended time

Change: EventLoop, AsyncHttpClient and AsyncHttpServer on Boost.Asio and Beast, with the types of the blocking classes; BootClock, which also counts the time of a suspended host, for leases; the log may go to standard output.

Ruled out: more threads with longer sleeps, which wake up no less when there is work.

--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -1,5 +1,7 @@
 #include "core/log.h"
 
+#include "core/bootclock.h"
+
 #include <json/json.h>
 
 #include <boost/core/null_deleter.hpp>
@@ -12,7 +14,6 @@
 #include <boost/make_shared.hpp>
 
 #include <atomic>
-#include <chrono>
 #include <iostream>
 #include <mutex>
 
@@ -53,12 +54,13 @@
     return name;
 }
 
-void addSinkOnce()
+void addSinkOnce(LogStream stream)
 {
     static std::once_flag once;
-    std::call_once(once, [] {
+    std::call_once(once, [stream] {
         auto backend = boost::make_shared<Backend>();
-        backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
+        std::ostream &out = stream == LogStream::Output ? std::cout : std::cerr;
+        backend->add_stream(boost::shared_ptr<std::ostream>(&out, boost::null_deleter()));
         backend->auto_flush(true);
         auto sink = boost::make_shared<Sink>(backend);
         sink->set_formatter(expressions::stream << expressions::smessage);
@@ -66,12 +68,6 @@
     });
 }
 
-std::int64_t wallClockMs()
-{
-    const auto span = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
-}
-
 void append(std::string &buf, std::string_view name, std::string_view json)
 {
     buf.append(buf.empty() ? "{" : ",").append(quoted(name)).append(":").append(json);
@@ -107,18 +103,18 @@
     , m_json(flag ? "true" : "false")
 { }
 
-void startLog(LogLevel level, std::string_view entry)
+void startLog(LogLevel level, std::string_view entry, LogStream stream)
 {
     entryName() = entry;
     minLevel = level;
-    addSinkOnce();
+    addSinkOnce(stream);
 }
 
 void logLine(LogLevel level, std::string_view event, std::span<const LogField> fields)
 {
     if (level < minLevel.load(std::memory_order_relaxed))
         return;
-    addSinkOnce();
+    addSinkOnce(LogStream::Error);
     std::string buf;
     append(buf, "timeMs", std::to_string(wallClockMs()));
     append(buf, "level", quoted(toString(level)));
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -33,9 +33,11 @@
     std::string m_json;
 };
 
-// Sends every line of `level` and above to standard error from now on. The first call sets logging
-// up; before it, lines of level Info and above are written. Thread-safe.
-void startLog(LogLevel level, std::string_view entry);
+enum class LogStream { Error, Output };
+
+// Sends every line of `level` and above to standard error or output from now on. The first call
+// sets logging up; before it, lines of level Info and above go to standard error. Thread-safe.
+void startLog(LogLevel level, std::string_view entry, LogStream stream = LogStream::Error);
 
 // Writes one JSON line with the time, the level, the event and the fields. Event names are fixed
 // words with hyphens. A line about a request carries its "requestId". Thread-safe.
--- /dev/null
+++ b/src/net/asynchttpclient.cpp
@@ -0,0 +1,268 @@
+#include "net/asynchttpclient.h"
+
+#include "net/address.h"
+#include "net/eventloopimpl.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <chrono>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace savorywick {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Request = http::request<http::string_body>;
+using Parser = http::response_parser<http::string_body>;
+
+Request toRequest(HttpCall &call)
+{
+    Request request;
+    request.version(11);
+    request.method_string(call.method);
+    request.target(call.path);
+    request.set(http::field::host, call.address);
+    for (const HttpHeader &it : call.headers)
+        request.set(it.name, it.value);
+    if (!call.body.empty() || call.method != "GET") {
+        request.set(http::field::content_type, call.contentType);
+        request.body() = std::move(call.body);
+    }
+    request.prepare_payload();
+    return request;
+}
+
+HttpAnswer toAnswer(Parser &parser)
+{
+    auto message = parser.release();
+    HttpAnswer answer{HttpOutcome::Answered, static_cast<int>(message.result_int()), {}, {}};
+    for (const auto &field : message)
+        answer.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    answer.body = std::move(message.body());
+    return answer;
+}
+
+} // namespace
+
+// The pool of idle connections and the counters; connections hold it weakly.
+struct AsyncHttpClient::Impl : std::enable_shared_from_this<Impl>
+{
+    class Connection;
+    using ConnectionPtr = std::shared_ptr<Connection>;
+
+    explicit Impl(EventLoop &l)
+        : loop(l)
+    { }
+
+    ConnectionPtr takeIdle(const std::string &address);
+    void keepIdle(const ConnectionPtr &connection);
+    void forget(const Connection *connection);
+    void dropIdle(const std::string &address) { idle.erase(address); }
+
+    EventLoop &loop;
+    std::unordered_map<std::string, std::vector<ConnectionPtr>> idle;
+    Counts counts;
+};
+
+// One connection, which makes one call after the other.
+class AsyncHttpClient::Impl::Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(EventLoop &loop, std::string address, std::weak_ptr<Impl> pool)
+        : m_stream(loop.impl().context)
+        , m_address(std::move(address))
+        , m_pool(std::move(pool))
+    { }
+
+    const std::string &address() const { return m_address; }
+
+    void connectAndSend(HttpCall call, Done done)
+    {
+        begin(std::move(call), std::move(done));
+        const std::optional<asio::ip::tcp::endpoint> endpoint = parseAddress(m_address);
+        if (!endpoint)
+            return finish({HttpOutcome::NotSent, 0, {}, {}});
+        m_stream.async_connect(*endpoint, [self = shared_from_this()](const error_code &ec) {
+            if (ec)
+                return self->finish({HttpOutcome::NotSent, 0, {}, {}});
+            error_code ignored; // Only a delay would follow from it.
+            self->m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->write();
+        });
+    }
+
+    void send(HttpCall call, Done done)
+    {
+        m_idle = false;
+        begin(std::move(call), std::move(done));
+        write();
+    }
+
+    // Notices when the peer closes the connection while no call is in flight.
+    void watchWhileIdle()
+    {
+        m_idle = true;
+        m_stream.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                     [self = shared_from_this()](const error_code &) {
+                                         if (!self->m_idle)
+                                             return;
+                                         if (const auto pool = self->m_pool.lock())
+                                             pool->forget(self.get());
+                                     });
+    }
+
+private:
+    void begin(HttpCall call, Done done)
+    {
+        m_done = std::move(done);
+        m_stream.expires_after(std::chrono::milliseconds(call.timeout.count()));
+        m_maxAnswerBytes = call.maxAnswerBytes;
+        m_request = toRequest(call);
+    }
+
+    void write()
+    {
+        http::async_write(m_stream, m_request,
+                          [self = shared_from_this()](const error_code &ec, std::size_t) {
+                              if (ec)
+                                  return self->fail(ec);
+                              self->read();
+                          });
+    }
+
+    void read()
+    {
+        m_parser.emplace();
+        m_parser->body_limit(m_maxAnswerBytes);
+        http::async_read(m_stream, m_buffer, *m_parser,
+                         [self = shared_from_this()](const error_code &ec, std::size_t) {
+                             if (ec)
+                                 return self->fail(ec);
+                             self->answered();
+                         });
+    }
+
+    void fail(const error_code &ec)
+    {
+        const bool late = ec == beast::error::timeout;
+        finish({late ? HttpOutcome::TimedOut : HttpOutcome::Broken, 0, {}, {}});
+    }
+
+    void answered()
+    {
+        const bool keep = m_parser->keep_alive();
+        const HttpAnswer answer = toAnswer(*m_parser);
+        m_stream.expires_never();
+        if (const auto pool = m_pool.lock(); pool && keep)
+            pool->keepIdle(shared_from_this());
+        finish(answer);
+    }
+
+    void finish(const HttpAnswer &answer)
+    {
+        const auto pool = m_pool.lock();
+        if (!pool)
+            return;
+        count(pool->counts, answer.outcome);
+        if (answer.outcome == HttpOutcome::TimedOut)
+            pool->dropIdle(m_address);
+        // The callback may start the next call on this very connection.
+        const Done done = std::exchange(m_done, nullptr);
+        pool->loop.post([done, answer, alive = m_pool] {
+            if (!alive.expired())
+                done(answer);
+        });
+    }
+
+    static void count(Counts &counts, HttpOutcome outcome)
+    {
+        switch (outcome) {
+        case HttpOutcome::Answered:
+            ++counts.answered;
+            break;
+        case HttpOutcome::NotSent:
+            ++counts.notSent;
+            break;
+        case HttpOutcome::TimedOut:
+            ++counts.timedOut;
+            break;
+        case HttpOutcome::Broken:
+        case HttpOutcome::Crossed:
+            ++counts.broken;
+            break;
+        }
+    }
+
+    beast::tcp_stream m_stream;
+    std::string m_address;
+    std::weak_ptr<Impl> m_pool;
+    Done m_done;
+    Request m_request;
+    std::optional<Parser> m_parser;
+    beast::flat_buffer m_buffer;
+    std::size_t m_maxAnswerBytes = 0;
+    bool m_idle = false;
+};
+
+AsyncHttpClient::Impl::ConnectionPtr AsyncHttpClient::Impl::takeIdle(const std::string &address)
+{
+    const auto it = idle.find(address);
+    if (it == idle.end() || it->second.empty())
+        return nullptr;
+    // The one used last is the least likely to have gone stale.
+    ConnectionPtr connection = std::move(it->second.back());
+    it->second.pop_back();
+    return connection;
+}
+
+void AsyncHttpClient::Impl::keepIdle(const ConnectionPtr &connection)
+{
+    idle[connection->address()].push_back(connection);
+    connection->watchWhileIdle();
+}
+
+void AsyncHttpClient::Impl::forget(const Connection *connection)
+{
+    const auto it = idle.find(connection->address());
+    if (it == idle.end())
+        return;
+    std::erase_if(it->second, [&](const ConnectionPtr &c) { return c.get() == connection; });
+}
+
+AsyncHttpClient::AsyncHttpClient(EventLoop &loop)
+    : m_impl(std::make_shared<Impl>(loop))
+{ }
+
+AsyncHttpClient::~AsyncHttpClient() = default;
+
+void AsyncHttpClient::exchange(HttpCall call, Done done)
+{
+    if (const auto connection = m_impl->takeIdle(call.address))
+        return connection->send(std::move(call), std::move(done));
+    ++m_impl->counts.connections;
+    const auto fresh =
+        std::make_shared<Impl::Connection>(m_impl->loop, call.address, m_impl->weak_from_this());
+    fresh->connectAndSend(std::move(call), std::move(done));
+}
+
+void AsyncHttpClient::dropIdle(const std::string &address)
+{
+    m_impl->dropIdle(address);
+}
+
+const AsyncHttpClient::Counts &AsyncHttpClient::counts() const
+{
+    return m_impl->counts;
+}
+
+} // namespace savorywick
--- /dev/null
+++ b/src/net/asynchttpserver.cpp
@@ -0,0 +1,309 @@
+#include "net/asynchttpserver.h"
+
+#include "core/log.h"
+#include "net/address.h"
+#include "net/eventloopimpl.h"
+#include "savorywick/errors.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <chrono>
+#include <optional>
+#include <utility>
+
+namespace savorywick {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Tcp = asio::ip::tcp;
+using Parser = http::request_parser<http::string_body>;
+using Response = http::response<http::string_body>;
+
+constexpr Millis acceptRetry{100}; // After an accept that failed, such as for want of descriptors.
+
+std::chrono::milliseconds toChrono(Millis span)
+{
+    return std::chrono::milliseconds(span.count());
+}
+
+int hexDigit(char c)
+{
+    if (c >= '0' && c <= '9')
+        return c - '0';
+    if (c >= 'a' && c <= 'f')
+        return c - 'a' + 10;
+    if (c >= 'A' && c <= 'F')
+        return c - 'A' + 10;
+    return -1;
+}
+
+// Returns the text with %XX replaced; a broken escape stays as it is.
+std::string unescaped(std::string_view text)
+{
+    std::string buf;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const bool whole = text[i] == '%' && i + 2 < text.size();
+        const int high = whole ? hexDigit(text[i + 1]) : -1;
+        const int low = whole ? hexDigit(text[i + 2]) : -1;
+        if (high < 0 || low < 0) {
+            buf += text[i];
+            continue;
+        }
+        buf += static_cast<char>(high * 16 + low);
+        i += 2;
+    }
+    return buf;
+}
+
+HttpHeaders queryParameters(std::string_view query)
+{
+    HttpHeaders all;
+    while (!query.empty()) {
+        const std::string_view pair = query.substr(0, query.find('&'));
+        query.remove_prefix(std::min(query.size(), pair.size() + 1));
+        const std::size_t equals = std::min(pair.find('='), pair.size());
+        const std::string_view value = pair.substr(std::min(pair.size(), equals + 1));
+        all.push_back({unescaped(pair.substr(0, equals)), unescaped(value)});
+    }
+    return all;
+}
+
+HttpRequest toRequest(Parser &parser)
+{
+    auto message = parser.release();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    const std::string_view target(message.target().data(), message.target().size());
+    const std::size_t mark = std::min(target.find('?'), target.size());
+    request.path = unescaped(target.substr(0, mark));
+    request.parameters = queryParameters(target.substr(std::min(target.size(), mark + 1)));
+    for (const auto &field : message)
+        request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    request.body = std::move(message.body());
+    return request;
+}
+
+// Returns the status for a request that could not be read, or 0 if there is nothing to answer.
+int statusOf(const error_code &ec)
+{
+    if (ec == http::error::header_limit)
+        return 431;
+    if (ec == http::error::body_limit)
+        return 413;
+    if (ec == http::error::end_of_stream || ec == http::error::partial_message)
+        return 0;
+    return ec.category() == http::make_error_code(http::error::bad_method).category() ? 400 : 0;
+}
+
+} // namespace
+
+struct AsyncHttpServer::Impl : std::enable_shared_from_this<Impl>
+{
+    class Session;
+
+    Impl(EventLoop &l, const AsyncHttpServerLimits &m, Handler h)
+        : loop(l)
+        , limits(m)
+        , handler(std::move(h))
+        , acceptor(l.impl().context)
+    { }
+
+    void accept();
+
+    EventLoop &loop;
+    AsyncHttpServerLimits limits;
+    Handler handler;
+    Tcp::acceptor acceptor;
+    std::size_t open = 0;
+    std::size_t inFlight = 0;
+    bool draining = false;
+};
+
+// One client's connection. It lives as long as an operation of its own or a responder refers to it.
+class AsyncHttpServer::Impl::Session : public std::enable_shared_from_this<Session>
+{
+public:
+    Session(Tcp::socket socket, std::shared_ptr<Impl> server)
+        : m_stream(std::move(socket))
+        , m_server(std::move(server))
+    {
+        ++m_server->open;
+    }
+    ~Session()
+    {
+        if (m_handling)
+            --m_server->inFlight;
+        --m_server->open;
+    }
+    Session(const Session &) = delete;
+    Session &operator=(const Session &) = delete;
+
+    // Waits for the first byte of a request, then gives the rest of it a time of its own.
+    void awaitRequest()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits.headerBytes));
+        m_parser->body_limit(m_server->limits.bodyBytes);
+        if (m_buffer.size() > 0)
+            return read();
+        m_stream.expires_after(toChrono(m_server->limits.idleTimeout));
+        m_stream.async_read_some(m_buffer.prepare(firstReadBytes),
+                                 [self = shared_from_this()](const error_code &ec, std::size_t n) {
+                                     if (ec)
+                                         return;
+                                     self->m_buffer.commit(n);
+                                     self->read();
+                                 });
+    }
+
+private:
+    static constexpr std::size_t firstReadBytes = 4'096;
+
+    void read()
+    {
+        m_stream.expires_after(toChrono(m_server->limits.requestTimeout));
+        http::async_read(m_stream, m_buffer, *m_parser,
+                         [self = shared_from_this()](const error_code &ec, std::size_t) {
+                             if (ec)
+                                 return self->refuse(statusOf(ec));
+                             self->handle();
+                         });
+    }
+
+    void refuse(int status)
+    {
+        if (status == 0)
+            return;
+        m_keepAlive = false;
+        write({.status = status, .headers = {}, .body = {}});
+    }
+
+    void handle()
+    {
+        m_stream.expires_never();
+        m_keepAlive = m_parser->keep_alive();
+        m_handling = true;
+        ++m_server->inFlight;
+        const auto answered = std::make_shared<bool>(false);
+        const auto respond = [self = shared_from_this(), answered](HttpResponse response) {
+            if (!std::exchange(*answered, true))
+                self->write(std::move(response));
+        };
+        m_server->handler(toRequest(*m_parser), respond);
+    }
+
+    void write(HttpResponse response)
+    {
+        m_response = Response(static_cast<http::status>(response.status), 11);
+        for (const HttpHeader &it : response.headers)
+            m_response.set(it.name, it.value);
+        if (!response.body.empty())
+            m_response.set(http::field::content_type, response.contentType);
+        m_response.body() = std::move(response.body);
+        m_response.keep_alive(m_keepAlive && !m_server->draining);
+        m_response.prepare_payload();
+        m_stream.expires_after(toChrono(m_server->limits.writeTimeout));
+        http::async_write(
+            m_stream, m_response,
+            [self = shared_from_this()](const error_code &ec, std::size_t) { self->written(ec); });
+    }
+
+    void written(const error_code &ec)
+    {
+        if (std::exchange(m_handling, false))
+            --m_server->inFlight;
+        if (ec)
+            return;
+        if (m_response.keep_alive())
+            return awaitRequest();
+        error_code ignored; // The client may have closed first.
+        m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    }
+
+    beast::tcp_stream m_stream;
+    std::shared_ptr<Impl> m_server;
+    beast::flat_buffer m_buffer;
+    std::optional<Parser> m_parser;
+    Response m_response;
+    bool m_keepAlive = true;
+    bool m_handling = false; // A request was read and its answer is not written yet.
+};
+
+void AsyncHttpServer::Impl::accept()
+{
+    acceptor.async_accept([weak = weak_from_this()](const error_code &ec, Tcp::socket socket) {
+        const auto self = weak.lock();
+        if (!self || ec == asio::error::operation_aborted)
+            return;
+        if (ec) {
+            logWarning("accept-failed", {{"error", ec.message()}});
+            self->loop.after(acceptRetry, [weak] {
+                if (const auto server = weak.lock())
+                    server->accept();
+            });
+            return;
+        }
+        if (self->open < self->limits.connections) {
+            error_code ignored; // Only a delay would follow from it.
+            socket.set_option(Tcp::no_delay(true), ignored);
+            std::make_shared<Session>(std::move(socket), self)->awaitRequest();
+        }
+        self->accept();
+    });
+}
+
+AsyncHttpServer::AsyncHttpServer(EventLoop &loop, const AsyncHttpServerLimits &limits,
+                                 Handler handler)
+    : m_impl(std::make_shared<Impl>(loop, limits, std::move(handler)))
+{ }
+
+AsyncHttpServer::~AsyncHttpServer()
+{
+    error_code ignored; // There is nobody left to tell.
+    m_impl->acceptor.close(ignored);
+}
+
+std::string AsyncHttpServer::listen(std::string_view address)
+{
+    const std::optional<Tcp::endpoint> endpoint = parseAddress(address);
+    if (!endpoint)
+        throw Error(ErrorKind::InvalidInput, "'" + std::string(address) + "' is no address",
+                    "write an IP number and a port, such as 127.0.0.1:8080");
+    try {
+        m_impl->acceptor.open(endpoint->protocol());
+        m_impl->acceptor.set_option(Tcp::acceptor::reuse_address(true));
+        m_impl->acceptor.bind(*endpoint);
+        m_impl->acceptor.listen();
+    } catch (const boost::system::system_error &e) {
+        throw Error(ErrorKind::InvalidInput,
+                    "can't listen on '" + std::string(address) + "': " + e.what(),
+                    "choose an address of this host and a free port");
+    }
+    m_impl->accept();
+    const Tcp::endpoint bound = m_impl->acceptor.local_endpoint();
+    return bound.address().to_string() + ":" + std::to_string(bound.port());
+}
+
+void AsyncHttpServer::setLimits(const AsyncHttpServerLimits &limits)
+{
+    m_impl->limits = limits;
+}
+
+void AsyncHttpServer::drain()
+{
+    m_impl->draining = true;
+}
+
+std::size_t AsyncHttpServer::inFlight() const
+{
+    return m_impl->inFlight;
+}
+
+} // namespace savorywick
