Add jobs of steps: durable state, workers under fences, placement, sharing

Cause: the product's job is one task; the users' jobs are steps of many tasks with predecessors, attempts, gangs, spread, standing tasks and tasks that fill in what others leave.

Change: steps/ holds JobTable (records in, state out), WorkerSession (fence, lease and clock of one worker), RunBook, Placement, ImagePairs and the Coordinator, which decides all and leaves records that gate its orders. A start without an answer is settled by a hold with a higher fence, after which no earlier order can take effect. After a takeover the first hold with the new fence tells what runs; running tasks are adopted.

Ruled out: sending an unanswered start again and moving the task when it is refused, since the first copy may still be carried out later.

--- a/include/savorywick/journal.h
+++ b/include/savorywick/journal.h
@@ -96,6 +96,7 @@
 
     // Gives the shard up once all that was appended has landed; nothing can be appended from now.
     void release() { m_releasing = true; }
+    bool releasing() const { return m_releasing; }
 
     // Returns true if and only if the journal is long enough for a snapshot and none is under way.
     bool snapshotDue() const;
--- /dev/null
+++ b/include/savorywick/steps/placement.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "savorywick/clock.h"
+#include "savorywick/steps/imagepairs.h"
+#include "savorywick/steps/orders.h"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace savorywick::steps {
+
+// A worker that may be given tasks now, with what is left of it.
+struct Candidate
+{
+    const WorkerInfo *info = nullptr;
+    Demand room; // Capacity less what is booked.
+    // What fill-in tasks may count on, in thousandths of a processor: room, and what standing tasks
+    // have booked and leave idle, less what fill-in runs use.
+    int idleCores = 0;
+    std::vector<std::string> servingImages; // Of each standing run with a latency target.
+};
+
+// What limits where a step's further tasks may go.
+struct StepLoad
+{
+    std::string service; // Only its workers may run the step.
+    std::map<std::string, int> tasksOn; // Its running tasks by worker.
+    std::vector<std::string> avoid; // Workers that its job has failed on.
+    std::string rack; // Of its running tasks, for co-located steps; empty if there are none.
+    const ImagePairs *pairs = nullptr; // What fill-in tasks do to standing ones; may be absent.
+    double mostHarm = 0; // Of fill-in tasks: sum over standing tasks, as of ImagePairs::harm().
+};
+
+// A step with tasks that may start, and what decides its turn.
+struct OpenStep
+{
+    StepRef ref;
+    const Job *job = nullptr;
+    const StepSpec *spec = nullptr;
+    bool standing = false;
+    Millis lateness; // Since the job's latency objective; negative before it.
+    Millis laxity; // What can be lost before the objective is; negative if it can't be met.
+    Millis objective; // From being due to being complete.
+};
+
+// Returns true if and only if `a` should be placed before `b`.
+//
+// Standing tasks come first, since they earn as long as they run. Then come steps that can still
+// meet the objective of their job, by the queue's priority and then by what they can afford to
+// lose; then those that are late; last those so late that it makes no difference.
+bool comesBefore(const OpenStep &a, const OpenStep &b);
+
+// Returns, for each step of a job, the estimated time from its start to the end of the longest
+// chain of steps that begins with it.
+std::vector<Millis> chainsFrom(std::span<const StepSpec> steps);
+// Returns the time from a job's being due to when it should be complete.
+Millis objectiveOf(const JobSpec &spec);
+
+// Returns the index of the worker that a task should start on, or nothing if none can take it now.
+//
+// Prefers the preferred rack, then workers that the job has not failed on; then the tightest fit,
+// so that room for large tasks stays in one piece. Standing tasks go where their image is already,
+// so that few images meet. Fill-in tasks go where they harm no standing task that is known of, and
+// there where most processors idle.
+std::optional<std::size_t> chooseWorker(const StepSpec &spec, const StepLoad &load,
+                                        std::span<const Candidate> workers);
+
+} // namespace savorywick::steps
--- /dev/null
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -0,0 +1,376 @@
+// The part of Coordinator that deals with workers and with how runs end there.
+
+#include "savorywick/steps/coordinator.h"
+
+#include <algorithm>
+#include <set>
+
+namespace savorywick::steps {
+
+namespace {
+
+constexpr int allPercent = 100;
+
+} // namespace
+
+Coordinator::Worker &Coordinator::session(const WorkerInfo &info, Now now)
+{
+    const std::string &id = info.life.id;
+    const auto it = m_workers.find(id);
+    if (it != m_workers.end()) {
+        it->second.session.update(info.life, info.address, now.at);
+        it->second.info = info;
+        return it->second;
+    }
+    m_quarantine.addWorker(id);
+    Worker worker{
+        info,
+        WorkerSession(info.life, info.address, m_firstFence, m_ownedSince, m_settings.workers),
+        {}};
+    return m_workers.emplace(id, std::move(worker)).first->second;
+}
+
+void Coordinator::setWorkers(std::span<const WorkerInfo> workers, Now now)
+{
+    std::set<std::string_view> listed;
+    for (const WorkerInfo &info : workers) {
+        listed.insert(info.life.id);
+        Worker &worker = session(info, now);
+        worker.unlistedSince.reset();
+        worker.everListed = true;
+        if (info.draining)
+            evacuate(worker);
+    }
+    for (auto &[id, worker] : m_workers) {
+        if (!listed.contains(id) && !worker.unlistedSince)
+            worker.unlistedSince = now.at;
+    }
+    m_mustPlace = true;
+}
+
+void Coordinator::adoptRun(const Job &job, const TaskRef &task, const ActiveRun &active)
+{
+    const StepSpec &spec = job.spec.steps[task.step];
+    Run run;
+    run.key = {task, active.number};
+    run.worker = active.worker.id;
+    run.life = active.worker;
+    run.phase = RunPhase::Doubtful;
+    run.startedAt = m_ownedSince;
+    run.progressAt = m_ownedSince;
+    run.booked = bookingOf(spec);
+    run.declared = spec.demand;
+    run.standing = spec.standing;
+    run.fillIn = spec.fillIn;
+    run.estimate = spec.estimate;
+    run.latencyTarget = spec.latencyTarget;
+    run.image = spec.image;
+    m_runs.add(run);
+    if (m_workers.contains(run.worker))
+        return;
+    // Not listed yet: its lease lapses by itself unless its entry comes.
+    Worker worker{{.life = active.worker},
+                  WorkerSession(active.worker, {}, m_firstFence, m_ownedSince, m_settings.workers),
+                  m_ownedSince};
+    m_quarantine.addWorker(run.worker);
+    m_workers.emplace(run.worker, std::move(worker));
+}
+
+void Coordinator::holdReply(const HoldOrder &order, const HoldReply &reply, Now now)
+{
+    const auto it = m_workers.find(order.target.worker.id);
+    if (it == m_workers.end() || it->second.session.life() != order.target.worker)
+        return;
+    Worker &worker = it->second;
+    const std::string &id = worker.info.life.id;
+    const bool wasResponsive = worker.session.responsive();
+    const Millis silence = now.at - worker.session.heardAt();
+    if (reply.outcome != OrderOutcome::Done) {
+        if (wasResponsive)
+            noteWorker(NoteKind::WorkerSilent, id, toString(reply.outcome), silence);
+        worker.session.holdFailed(now.at);
+        if (reply.outcome == OrderOutcome::Fenced)
+            worker.session.raiseFence(now.at);
+        return;
+    }
+    if (!worker.session.holdAnswered(reply.report, now.at)) {
+        worker.info.life.bornWallMs = reply.report.bornWallMs;
+        worker.session.update(worker.info.life, worker.info.address, now.at);
+        return;
+    }
+    if (!wasResponsive && worker.session.responsive())
+        noteWorker(NoteKind::WorkerBack, id, "answered", silence);
+    takeEnds(worker, reply.report, now);
+    takeRunning(worker, reply.report, now);
+    settleMissing(worker, reply.report, now);
+    shareWorker(worker, now);
+    m_mustPlace = true;
+}
+
+void Coordinator::takeEnds(Worker &worker, const HoldReport &report, Now now)
+{
+    std::int64_t highest = worker.session.takenEnds();
+    for (const EndReport &end : report.ended) {
+        if (end.number <= worker.session.takenEnds())
+            continue;
+        highest = std::max(highest, end.number);
+        const RunKey key{end.task, end.run};
+        const Run *run = m_runs.find(key);
+        if (run && run->worker == worker.info.life.id)
+            endRun(key, end.how, end.checkpoint, now);
+    }
+    if (highest == worker.session.takenEnds())
+        return;
+    worker.session.endsTaken(highest);
+    m_heldAcks.push_back({0, worker.session.life(), highest});
+}
+
+void Coordinator::takeRunning(Worker &worker, const HoldReport &report, Now now)
+{
+    for (const RunningReport &it : report.running) {
+        const RunKey key{it.task, it.run};
+        Run *run = m_runs.find(key);
+        if (!run || run->worker != worker.info.life.id) {
+            takeUnknownRun(worker, it);
+            continue;
+        }
+        if (run->life != worker.session.life())
+            m_runs.setLife(key, worker.session.life());
+        if (run->phase != RunPhase::Running) {
+            if (run->fence == 0)
+                ++m_counters.adopted;
+            noteRun(NoteKind::RunConfirmed, *run, run->fence == 0 ? "adopted" : "listed",
+                    now.at - run->startedAt, it.percent);
+            run->phase = RunPhase::Running;
+            run->confirmedAt = now.at;
+        }
+        if (it.percent != run->percent)
+            run->progressAt = now.at;
+        run->percent = it.percent;
+        run->figure = it.figure;
+    }
+}
+
+// A run that is on no record, such as a late start of a run that was given up.
+void Coordinator::takeUnknownRun(const Worker &worker, const RunningReport &report)
+{
+    m_orders.emplace_back(StopOrder{worker.session.target(), report.task, report.run});
+}
+
+// Ends the runs that the worker neither runs nor lists as ended, where that is certain.
+void Coordinator::settleMissing(Worker &worker, const HoldReport &report, Now now)
+{
+    std::set<RunKey> listed;
+    for (const RunningReport &it : report.running)
+        listed.insert({it.task, it.run});
+    for (const RunKey &key : m_runs.onWorker(worker.info.life.id)) {
+        const Run &run = *m_runs.find(key);
+        if (run.phase == RunPhase::Recorded || listed.contains(key))
+            continue;
+        const bool orderIsVoid = run.fence < worker.session.answeredFence();
+        const bool ranBefore =
+            run.phase == RunPhase::Running && run.confirmedAt < worker.session.answeredHoldSentAt();
+        if (run.phase == RunPhase::Running ? ranBefore : orderIsVoid)
+            endRun(key, run.phase == RunPhase::Running ? RunEnd::Lapsed : RunEnd::NeverStarted, {},
+                   now);
+    }
+}
+
+void Coordinator::startReply(const StartOrder &order, const OrderReply &reply, Now now)
+{
+    ++m_counters.startReplies[reply.outcome];
+    const auto worker = m_workers.find(order.target.worker.id);
+    const bool sameLife =
+        worker != m_workers.end() && worker->second.session.life() == order.target.worker;
+    if (sameLife && reply.clockMs)
+        worker->second.session.noteClock(*reply.clockMs, now.at);
+    const RunKey key{order.task, order.run};
+    Run *run = m_runs.find(key);
+    if (!run || run->phase != RunPhase::Sent)
+        return;
+    switch (reply.outcome) {
+    case OrderOutcome::Done:
+        run->phase = RunPhase::Running;
+        run->confirmedAt = now.at;
+        run->progressAt = now.at;
+        return;
+    case OrderOutcome::Unknown:
+    case OrderOutcome::OldRun:
+        return doubt(key, now);
+    case OrderOutcome::NoRoom:
+    case OrderOutcome::TooLate:
+    case OrderOutcome::Fenced:
+    case OrderOutcome::OtherLife:
+    case OrderOutcome::Rejected:
+    case OrderOutcome::NotSent:
+        if (sameLife && reply.outcome == OrderOutcome::NotSent)
+            worker->second.session.noteSilence();
+        if (sameLife && reply.outcome == OrderOutcome::NoRoom)
+            worker->second.blockedUntil = now.at + m_settings.afterNoRoom;
+        return endRun(key, RunEnd::NeverStarted, {}, now);
+    }
+}
+
+void Coordinator::stopReply(const StopOrder &order, const OrderReply &reply, Now now)
+{
+    const auto worker = m_workers.find(order.target.worker.id);
+    if (worker == m_workers.end() || worker->second.session.life() != order.target.worker)
+        return;
+    if (reply.clockMs)
+        worker->second.session.noteClock(*reply.clockMs, now.at);
+}
+
+// Nobody knows whether the worker has the run: a hold with a higher fence will tell.
+void Coordinator::doubt(const RunKey &key, Now now)
+{
+    Run *run = m_runs.find(key);
+    run->phase = RunPhase::Doubtful;
+    noteRun(NoteKind::RunDoubted, *run, "no-answer", now.at - run->startedAt);
+    const auto worker = m_workers.find(run->worker);
+    if (worker != m_workers.end() && worker->second.session.fence() == run->fence)
+        worker->second.session.raiseFence(now.at);
+}
+
+void Coordinator::endRun(const RunKey &key, RunEnd how, const std::string &checkpoint, Now now)
+{
+    const Run *known = m_runs.find(key);
+    if (!known)
+        return;
+    const Run run = *known;
+    m_runs.remove(key);
+    m_mustPlace = true;
+    ++m_counters.ends[how];
+    noteRun(NoteKind::RunEnded, run, toString(how), now.at - run.startedAt, run.percent);
+    learnFromEnd(run, how, now);
+    const Job *job = m_table.find(key.task.job);
+    if (!job)
+        return;
+    const JobState before = job->state;
+    record(RunEnded{key.task, key.number, how, checkpoint, now.wallMs});
+    if (job->state != before) {
+        noteRun(NoteKind::JobEnded, run, toString(job->state),
+                Millis{now.wallMs - job->dueWallMs(key.task.occurrence)});
+        m_retained.emplace(now.wallMs, key.task.job);
+        show(key.task.job);
+        openOccurrences(*job, now);
+        stopRunsOf(*job, "job-over");
+        return;
+    }
+    if (how == RunEnd::Done)
+        stopCopiesOf(key.task);
+    else if (job->spec.steps[key.task.step].gang)
+        stopGangOf(key);
+    if (!isFinal(job->state))
+        refreshOccurrence(*job, key.task.occurrence, now);
+}
+
+void Coordinator::learnFromEnd(const Run &run, RunEnd how, Now now)
+{
+    if (how == RunEnd::Done)
+        m_quarantine.succeeded(run.key.task.job, run.worker, now.at);
+    if (how != RunEnd::Failed)
+        return;
+    const FailureVerdict verdict =
+        m_quarantine.failed(run.key.task.job, run.worker, toString(how), now.at);
+    if (!verdict.quarantineWorker)
+        return;
+    ++m_counters.quarantined;
+    noteWorker(NoteKind::WorkerSuspected, run.worker, "failures", Millis{0});
+}
+
+// What is left of the gang's run would wait for the member that ended.
+void Coordinator::stopGangOf(const RunKey &key)
+{
+    for (const RunKey &it : m_runs.ofStep(key.task.stepRef())) {
+        if (it.number == key.number)
+            askStop(it, "gang-broken");
+    }
+}
+
+void Coordinator::stopCopiesOf(const TaskRef &task)
+{
+    for (const RunKey &it : m_runs.ofTask(task))
+        askStop(it, "copy-done");
+}
+
+void Coordinator::askStop(const RunKey &key, std::string_view why)
+{
+    const Run *run = m_runs.find(key);
+    if (!run || run->stopping)
+        return;
+    noteRun(NoteKind::RunStopped, *run, why, Millis{0}, run->percent);
+    m_runs.stop(key);
+}
+
+void Coordinator::expireWorkers(Now now)
+{
+    std::vector<std::string> gone;
+    for (auto &[id, worker] : m_workers) {
+        if (!worker.session.lapsed(now.at))
+            continue;
+        if (m_runs.hasRuns(id))
+            noteWorker(NoteKind::WorkerLapsed, id, "lease-over", now.at - worker.session.heardAt());
+        for (const RunKey &key : m_runs.onWorker(id)) {
+            if (m_runs.find(key)->phase != RunPhase::Recorded)
+                endRun(key, RunEnd::Lapsed, {}, now);
+        }
+        if (worker.unlistedSince && !m_runs.hasRuns(id))
+            gone.push_back(id);
+    }
+    for (const std::string &id : gone) {
+        m_workers.erase(id);
+        m_quarantine.removeWorker(id);
+    }
+}
+
+bool Coordinator::stalled(const Run &run, Now now) const
+{
+    if (run.phase != RunPhase::Running || run.stopping || run.fillIn)
+        return false;
+    const Millis still = now.at - run.progressAt;
+    if (run.standing)
+        return run.percent < allPercent && still > m_settings.standingStart;
+    const Millis share = run.estimate * m_settings.stalledEstimatePercent / allPercent;
+    return still > m_settings.stalledAfter && still > share;
+}
+
+void Coordinator::moveStalledRuns(Now now)
+{
+    std::vector<RunKey> all;
+    for (const auto &[key, run] : m_runs.all()) {
+        if (stalled(run, now))
+            all.push_back(key);
+    }
+    for (const RunKey &key : all) {
+        ++m_counters.stalled;
+        m_quarantine.failed(key.task.job, m_runs.find(key)->worker, "stalled", now.at);
+        askStop(key, "stalled");
+    }
+}
+
+// Moves what would not end before the worker leaves and loses little by moving.
+void Coordinator::evacuate(const Worker &worker)
+{
+    for (const RunKey &key : m_runs.onWorker(worker.info.life.id)) {
+        const Run &run = *m_runs.find(key);
+        const StepSpec *spec = specOf(key.task);
+        if (run.stopping || run.phase != RunPhase::Running || !spec)
+            continue;
+        const Millis left = run.estimate * (allPercent - run.percent) / allPercent;
+        const bool endsInTime = !run.standing && left < worker.info.remaining;
+        if (endsInTime || !(spec->checkpointing || spec->standing))
+            continue;
+        ++m_counters.evacuated;
+        askStop(key, "worker-leaves");
+    }
+}
+
+const StepSpec *Coordinator::specOf(const TaskRef &task) const
+{
+    const Job *job = m_table.find(task.job);
+    if (!job || task.step < 0 || task.step >= static_cast<int>(job->spec.steps.size()))
+        return nullptr;
+    return &job->spec.steps[task.step];
+}
+
+} // namespace savorywick::steps
--- /dev/null
+++ b/src/lib/steps/job.cpp
@@ -0,0 +1,111 @@
+#include "savorywick/steps/job.h"
+
+namespace savorywick::steps {
+
+Demand &Demand::operator+=(const Demand &other)
+{
+    milliCores += other.milliCores;
+    memoryMb += other.memoryMb;
+    accelerators += other.accelerators;
+    return *this;
+}
+
+Demand &Demand::operator-=(const Demand &other)
+{
+    milliCores -= other.milliCores;
+    memoryMb -= other.memoryMb;
+    accelerators -= other.accelerators;
+    return *this;
+}
+
+bool Demand::fitsIn(const Demand &room) const
+{
+    return milliCores <= room.milliCores && memoryMb <= room.memoryMb
+        && accelerators <= room.accelerators;
+}
+
+std::string toString(const TaskRef &task)
+{
+    return task.job + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "."
+        + std::to_string(task.index);
+}
+
+std::string_view toString(RunEnd end)
+{
+    switch (end) {
+    case RunEnd::Done:
+        return "done";
+    case RunEnd::Failed:
+        return "failed";
+    case RunEnd::Stopped:
+        return "stopped";
+    case RunEnd::Lapsed:
+        return "lapsed";
+    case RunEnd::Broken:
+        return "broken";
+    case RunEnd::Alone:
+        return "alone";
+    case RunEnd::NeverStarted:
+        return "never-started";
+    }
+    return "unnamed";
+}
+
+std::string_view toString(JobState state)
+{
+    switch (state) {
+    case JobState::Queued:
+        return "queued";
+    case JobState::Running:
+        return "running";
+    case JobState::Completed:
+        return "completed";
+    case JobState::Failed:
+        return "failed";
+    case JobState::Cancelled:
+        return "cancelled";
+    }
+    return "unnamed";
+}
+
+bool isFinal(JobState state)
+{
+    return state == JobState::Completed || state == JobState::Failed
+        || state == JobState::Cancelled;
+}
+
+std::int64_t Job::dueWallMs(int occurrence) const
+{
+    if (spec.schedule.count == 0)
+        return acceptedWallMs;
+    return spec.schedule.firstWallMs + spec.schedule.interval.count() * occurrence;
+}
+
+const Task *Job::find(const TaskRef &task) const
+{
+    const auto it = occurrences.find(task.occurrence);
+    if (it == occurrences.end() || task.step < 0 || task.index < 0)
+        return nullptr;
+    const std::vector<Step> &all = it->second.steps;
+    if (task.step >= static_cast<int>(all.size()))
+        return nullptr;
+    const std::vector<Task> &tasks = all[task.step].tasks;
+    return task.index < static_cast<int>(tasks.size()) ? &tasks[task.index] : nullptr;
+}
+
+Step emptyStep(const StepSpec &spec)
+{
+    Step step;
+    step.tasks.resize(static_cast<std::size_t>(spec.count));
+    return step;
+}
+
+Occurrence emptyOccurrence(const JobSpec &spec)
+{
+    Occurrence occurrence;
+    for (const StepSpec &it : spec.steps)
+        occurrence.steps.push_back(emptyStep(it));
+    return occurrence;
+}
+
+} // namespace savorywick::steps
--- /dev/null
+++ b/src/lib/steps/jobtable.cpp
@@ -0,0 +1,190 @@
+#include "savorywick/steps/jobtable.h"
+
+#include <algorithm>
+
+namespace savorywick::steps {
+
+namespace {
+
+// A gang's run ends as a whole, so its failure counts once, on the first member.
+constexpr int gangLeader = 0;
+
+bool eraseRun(Task &task, int number)
+{
+    return std::erase_if(task.runs, [&](const ActiveRun &it) { return it.number == number; }) > 0;
+}
+
+} // namespace
+
+struct JobTable::Applier
+{
+    JobTable &table;
+
+    void operator()(const JobAccepted &it) const
+    {
+        Job job;
+        job.spec = it.spec;
+        job.acceptedWallMs = it.wallMs;
+        table.m_jobs.try_emplace(it.spec.id, std::move(job));
+    }
+
+    void operator()(const RunStarted &it) const
+    {
+        Job *job = table.findJob(it.task.job);
+        Task *task = job ? findTask(*job, it.task) : nullptr;
+        if (!task)
+            return;
+        task->lastRun = std::max(task->lastRun, it.run);
+        task->runs.push_back({it.run, it.worker});
+        if (job->state == JobState::Queued)
+            job->state = JobState::Running;
+    }
+
+    void operator()(const RunEnded &it) const
+    {
+        Job *job = table.findJob(it.task.job);
+        Task *task = job ? findTask(*job, it.task) : nullptr;
+        if (!task)
+            return;
+        const bool wasActive = eraseRun(*task, it.run);
+        if (!it.checkpoint.empty())
+            task->checkpoint = it.checkpoint;
+        const StepSpec &spec = job->spec.steps[it.task.step];
+        if (spec.gang)
+            return endGangRun(*job, it);
+        if (it.how == RunEnd::Done && !spec.standing)
+            return finishTask(*job, it.task, it.wallMs);
+        if (it.how != RunEnd::Failed || !wasActive)
+            return;
+        ++task->failures;
+        if (!spec.standing && !task->done && task->failures >= job->spec.policy.maxAttempts)
+            settle(*job, JobState::Failed, it.wallMs);
+    }
+
+    void operator()(const JobCancelled &it) const
+    {
+        if (Job *job = table.findJob(it.job))
+            settle(*job, JobState::Cancelled, it.wallMs);
+    }
+
+    void operator()(const JobForgotten &it) const { table.m_jobs.erase(it.job); }
+
+    void operator()(const TaskRestored &it) const
+    {
+        Job *job = table.findJob(it.task.job);
+        Task *task = job ? findTask(*job, it.task) : nullptr;
+        if (!task)
+            return;
+        if (it.state.done)
+            finishTask(*job, it.task, 0);
+        *task = it.state;
+    }
+
+    void operator()(const JobRestored &it) const
+    {
+        Job *job = table.findJob(it.job);
+        if (!job)
+            return;
+        job->state = it.state;
+        job->endedWallMs = it.endedWallMs;
+    }
+};
+
+void JobTable::apply(const Record &record)
+{
+    std::visit(Applier{*this}, record);
+}
+
+const Job *JobTable::find(std::string_view id) const
+{
+    const auto it = m_jobs.find(id);
+    return it == m_jobs.end() ? nullptr : &it->second;
+}
+
+Job *JobTable::findJob(std::string_view id)
+{
+    const auto it = m_jobs.find(id);
+    return it == m_jobs.end() ? nullptr : &it->second;
+}
+
+Task *JobTable::findTask(Job &job, const TaskRef &ref)
+{
+    const bool known = ref.occurrence >= 0 && ref.occurrence < job.occurrenceCount()
+        && ref.step >= 0 && ref.step < static_cast<int>(job.spec.steps.size()) && ref.index >= 0
+        && ref.index < job.spec.steps[ref.step].count;
+    if (!known)
+        return nullptr;
+    auto it = job.occurrences.find(ref.occurrence);
+    if (it == job.occurrences.end())
+        it = job.occurrences.emplace(ref.occurrence, emptyOccurrence(job.spec)).first;
+    return &it->second.steps[ref.step].tasks[ref.index];
+}
+
+void JobTable::finishTask(Job &job, const TaskRef &ref, std::int64_t wallMs)
+{
+    Occurrence &occurrence = job.occurrences.at(ref.occurrence);
+    Step &step = occurrence.steps[ref.step];
+    Task &task = step.tasks[ref.index];
+    if (task.done)
+        return;
+    task.done = true;
+    task.checkpoint.clear();
+    if (++step.doneTasks < static_cast<int>(step.tasks.size()))
+        return;
+    if (++occurrence.doneSteps < static_cast<int>(occurrence.steps.size()))
+        return;
+    if (++job.doneOccurrences == job.occurrenceCount())
+        settle(job, JobState::Completed, wallMs);
+}
+
+// The end of one member as done stands for all members of the same run.
+void JobTable::finishGang(Job &job, const RunEnded &end)
+{
+    std::vector<Task> &tasks = job.occurrences.at(end.task.occurrence).steps[end.task.step].tasks;
+    for (int i = 0; i < static_cast<int>(tasks.size()); ++i)
+        finishTask(job, {end.task.job, end.task.occurrence, end.task.step, i}, end.wallMs);
+}
+
+void JobTable::endGangRun(Job &job, const RunEnded &end)
+{
+    if (end.how == RunEnd::Done)
+        return finishGang(job, end);
+    std::vector<Task> &tasks = job.occurrences.at(end.task.occurrence).steps[end.task.step].tasks;
+    if (!end.checkpoint.empty()) {
+        for (Task &it : tasks)
+            it.checkpoint = end.checkpoint;
+    }
+    Task &leader = tasks[gangLeader];
+    if (end.how != RunEnd::Failed || end.run <= leader.lastFailedRun)
+        return;
+    leader.lastFailedRun = end.run;
+    if (++leader.failures >= job.spec.policy.maxAttempts && !leader.done)
+        settle(job, JobState::Failed, end.wallMs);
+}
+
+void JobTable::settle(Job &job, JobState state, std::int64_t wallMs)
+{
+    if (isFinal(job.state))
+        return;
+    job.state = state;
+    job.endedWallMs = wallMs;
+}
+
+std::vector<Record> JobTable::snapshot() const
+{
+    std::vector<Record> all;
+    for (const auto &[id, job] : m_jobs) {
+        all.emplace_back(JobAccepted{job.spec, job.acceptedWallMs});
+        for (const auto &[k, occurrence] : job.occurrences) {
+            for (int s = 0; s < static_cast<int>(occurrence.steps.size()); ++s) {
+                const std::vector<Task> &tasks = occurrence.steps[s].tasks;
+                for (int i = 0; i < static_cast<int>(tasks.size()); ++i)
+                    all.emplace_back(TaskRestored{{id, k, s, i}, tasks[i]});
+            }
+        }
+        all.emplace_back(JobRestored{id, job.state, job.endedWallMs});
+    }
+    return all;
+}
+
+} // namespace savorywick::steps
--- /dev/null
+++ b/src/lib/steps/placement.cpp
@@ -0,0 +1,155 @@
+#include "savorywick/steps/placement.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace savorywick::steps {
+
+namespace {
+
+// A job that is complete this many times its objective late is of no more use than a later one.
+constexpr std::int64_t uselessAfterObjectives = 3;
+
+// A fill-in task starts only where at least this share of its processors idles.
+constexpr int fillInIdlePercent = 60;
+
+int turnOf(const OpenStep &step)
+{
+    if (step.standing)
+        return 0;
+    if (step.laxity >= Millis{0})
+        return 1;
+    const bool useless = step.lateness >= step.objective * (uselessAfterObjectives - 1);
+    return useless ? 3 : 2;
+}
+
+bool allowed(const StepSpec &spec, const StepLoad &load, const Candidate &worker)
+{
+    const WorkerInfo &info = *worker.info;
+    if (info.service != load.service)
+        return false;
+    if (!spec.requiredLabel.empty()
+        && std::find(info.labels.begin(), info.labels.end(), spec.requiredLabel)
+            == info.labels.end())
+        return false;
+    if (spec.maxPerWorker == 0)
+        return true;
+    const auto it = load.tasksOn.find(info.life.id);
+    return it == load.tasksOn.end() || it->second < spec.maxPerWorker;
+}
+
+// Returns how many standing tasks on the worker are expected to be over their target at a time
+// because of this fill-in task. What an unknown image is taken to do counts as none.
+double harmDone(const StepSpec &spec, const StepLoad &load, const Candidate &worker)
+{
+    constexpr double negligible = 0.03; // As standing tasks show it without any fill-in task.
+    double sum = 0;
+    if (!load.pairs)
+        return sum;
+    for (const std::string &it : worker.servingImages)
+        sum += std::max(0.0, load.pairs->harm(it, spec.image) - negligible);
+    return sum;
+}
+
+bool fits(const StepSpec &spec, const Candidate &worker)
+{
+    if (!spec.fillIn)
+        return spec.demand.fitsIn(worker.room);
+    return spec.demand.memoryMb <= worker.room.memoryMb
+        && spec.demand.accelerators <= worker.room.accelerators
+        && worker.idleCores * 100LL >= std::int64_t{spec.demand.milliCores} * fillInIdlePercent;
+}
+
+// Ranks the workers for one task; the smallest is the best.
+struct Rank
+{
+    bool failedBefore = false;
+    bool otherRack = false;
+    double harm = 0; // For fill-in tasks.
+    int otherImages = 0; // For standing tasks with a latency target.
+    int accelerators = 0; // Left after it; work without need of them leaves them free.
+    int cores = 0; // Left after it; for fill-in tasks what idles, negative.
+
+    auto key() const
+    {
+        return std::tie(failedBefore, otherRack, harm, otherImages, accelerators, cores);
+    }
+};
+
+Rank rankOf(const StepSpec &spec, const StepLoad &load, const Candidate &worker)
+{
+    const WorkerInfo &info = *worker.info;
+    const std::string &rack = spec.colocated && !load.rack.empty() ? load.rack : spec.preferredRack;
+    Rank rank;
+    rank.failedBefore =
+        std::find(load.avoid.begin(), load.avoid.end(), info.life.id) != load.avoid.end();
+    rank.otherRack = !rack.empty() && rack != info.rack;
+    rank.accelerators = worker.room.accelerators - spec.demand.accelerators;
+    rank.cores = worker.room.milliCores - spec.demand.milliCores;
+    if (spec.fillIn) {
+        rank.harm = harmDone(spec, load, worker);
+        rank.cores = -worker.idleCores;
+    }
+    if (spec.standing && spec.latencyTarget > Millis{0}) {
+        rank.otherImages = static_cast<int>(
+            std::count_if(worker.servingImages.begin(), worker.servingImages.end(),
+                          [&](const std::string &it) { return it != spec.image; }));
+    }
+    return rank;
+}
+
+} // namespace
+
+bool comesBefore(const OpenStep &a, const OpenStep &b)
+{
+    const int turnA = turnOf(a);
+    const int turnB = turnOf(b);
+    if (turnA != turnB)
+        return turnA < turnB;
+    const int priorityA = a.job->spec.policy.priority;
+    const int priorityB = b.job->spec.policy.priority;
+    if (priorityA != priorityB)
+        return priorityA < priorityB;
+    return std::tie(a.laxity, a.ref) < std::tie(b.laxity, b.ref);
+}
+
+std::vector<Millis> chainsFrom(std::span<const StepSpec> steps)
+{
+    std::vector<Millis> chains(steps.size());
+    for (std::size_t i = steps.size(); i-- > 0;) {
+        chains[i] = chains[i] + steps[i].estimate;
+        for (const int before : steps[i].after)
+            chains[before] = std::max(chains[before], chains[i]);
+    }
+    return chains;
+}
+
+Millis objectiveOf(const JobSpec &spec)
+{
+    Millis longest;
+    for (const Millis it : chainsFrom(spec.steps))
+        longest = std::max(longest, it);
+    const double work = spec.policy.slackFactor * static_cast<double>(longest.count());
+    return Millis{static_cast<std::int64_t>(work)} + spec.policy.targetDuration;
+}
+
+std::optional<std::size_t> chooseWorker(const StepSpec &spec, const StepLoad &load,
+                                        std::span<const Candidate> workers)
+{
+    std::optional<std::size_t> best;
+    Rank bestRank;
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+        if (!fits(spec, workers[i]) || !allowed(spec, load, workers[i]))
+            continue;
+        const Rank rank = rankOf(spec, load, workers[i]);
+        if (rank.harm > load.mostHarm)
+            continue;
+        if (best && bestRank.key() <= rank.key())
+            continue;
+        best = i;
+        bestRank = rank;
+    }
+    return best;
+}
+
+} // namespace savorywick::steps
