Run an entry on the users' platform: node, adapter, deploy file

Cause: the product booted there and answered 404.

Change: src/node is one process on the event loop: callers, peers, ownership of shards, and a runner for each shard that holds back answers and orders until their records are durable. platform/ translates the store, the list of workers, the workers' calls, the callers' bodies and the settings file. `savorywick node` runs it.

--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -2,6 +2,7 @@
 
 #include "core/settings.h"
 #include "entry/daemon.h"
+#include "platform/runnode.h"
 #include "savorywick/errors.h"
 
 #include <ostream>
@@ -42,6 +43,11 @@
         runEntry(loadSettings(o.settings));
         return static_cast<int>(ExitCode::Ok);
     }
+    int operator()(const NodeOptions &o) const
+    {
+        platform::runNode(o.settings);
+        return static_cast<int>(ExitCode::Ok);
+    }
     int operator()(const CheckOptions &o) const
     {
         return static_cast<int>(checkFiles(o, m_output));
--- a/src/cli/commandline.cpp
+++ b/src/cli/commandline.cpp
@@ -20,6 +20,7 @@
         m_app.set_version_flag("--version", std::string("savorywick ") + SAVORYWICK_VERSION);
         m_app.require_subcommand(1);
         addEntry();
+        addNode();
         addCheck();
         addDocument();
         addReport();
@@ -100,6 +101,14 @@
         command->add_option("--settings", m_entry.settings, "The settings file")->required();
     }
 
+    void addNode()
+    {
+        CLI::App *command = add(m_app, "node", "Run one entry on the users' platform",
+                                "node --settings node.json", m_node);
+        command->add_option("--settings", m_node.settings,
+                            "The platform's settings file; default: the environment names it");
+    }
+
     void addCheck()
     {
         CLI::App *command =
@@ -217,6 +226,7 @@
     CLI::App m_app{"Schedules urgent requests and batch work on shared hosts", "savorywick"};
     CommandLine m_line;
     EntryOptions m_entry;
+    NodeOptions m_node;
     CheckOptions m_check;
     DocumentShowOptions m_show;
     DocumentApplyOptions m_apply;
--- a/src/cli/commandline.h
+++ b/src/cli/commandline.h
@@ -15,6 +15,11 @@
     std::string settings;
 };
 
+struct NodeOptions
+{
+    std::string settings; // Empty: the environment names the file.
+};
+
 struct CheckOptions
 {
     std::vector<std::string> files;
@@ -92,7 +97,7 @@
 };
 
 using CommandOptions =
-    std::variant<EntryOptions, CheckOptions, DocumentShowOptions, DocumentApplyOptions,
+    std::variant<EntryOptions, NodeOptions, CheckOptions, DocumentShowOptions, DocumentApplyOptions,
                  DocumentStatusOptions, ReportOptions, RequestOptions, RunOptions, WatchOptions,
                  StateOptions, CancelOptions>;
 
--- /dev/null
+++ b/src/node/shardrequest.cpp
@@ -0,0 +1,27 @@
+#include "node/shardrequest.h"
+
+namespace savorywick {
+
+std::string_view toString(ShardOutcome outcome)
+{
+    switch (outcome) {
+    case ShardOutcome::Ok:
+        return "ok";
+    case ShardOutcome::UnknownJob:
+        return "unknown-job";
+    case ShardOutcome::NotOwner:
+        return "not-owner";
+    case ShardOutcome::StoreDown:
+        return "store-down";
+    case ShardOutcome::Undecided:
+        return "undecided";
+    }
+    return "unnamed";
+}
+
+bool surelyNotDone(ShardOutcome outcome)
+{
+    return outcome == ShardOutcome::NotOwner || outcome == ShardOutcome::StoreDown;
+}
+
+} // namespace savorywick
