Keep fill-in tasks off a worker whose standing runs are harmed; test steps/

Ruled out: slow reaction (each of the runs was stopped 1 to 2 s after its start); wrong pairs alone, since unknown pairs have to be tried.

Change: a worker takes no fill-in tasks while its standing runs are over their target and for 1.5 s after.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -51,6 +51,7 @@
     double suspectHarm = 0.06; // A fill-in run from which on it is slowed as soon as harm is seen.
     Millis paceEvery{450}; // From one change of a run's pace to the next.
     Millis calmBeforeFaster{900}; // Without harm, before a slowed run gets faster.
+    Millis calmBeforeFillIns{1'500}; // Without harm, before a worker gets further fill-in tasks.
     Millis watchedWait{400}; // As holdWait, where fill-in runs are slowed or do harm.
     int standingUsePercent = 35; // Of its processors, that a standing task is taken to use.
     Millis standingStart{6'000}; // A standing task that is not at work by then is moved.
@@ -222,7 +223,7 @@
     void speedUp(Worker &worker, std::span<const RunKey> keys, Now now);
     void setPace(const Worker &worker, Run &run, int percent, std::string_view why, Now now);
     bool mustWatch(const Worker &worker) const;
-    void describeSharing(const std::string &id, Candidate &candidate) const;
+    void describeSharing(const std::string &id, Candidate &candidate, Instant now) const;
 
     // Placement (coordinatorplacing.cpp).
     bool usable(const Worker &worker, Instant now) const;
--- a/include/savorywick/steps/placement.h
+++ b/include/savorywick/steps/placement.h
@@ -21,6 +21,7 @@
     // have booked and leave idle, less what fill-in runs use.
     int idleCores = 0;
     std::vector<std::string> servingImages; // Of each standing run with a latency target.
+    bool takesFillIns = true; // False while its standing runs are, or were lately, harmed.
 };
 
 // What limits where a step's further tasks may go.
--- a/src/lib/steps/coordinatorplacing.cpp
+++ b/src/lib/steps/coordinatorplacing.cpp
@@ -45,7 +45,7 @@
         const int unused =
             m_runs.standingCores(id) / allPercent * (allPercent - m_settings.standingUsePercent);
         c.idleCores = c.room.milliCores + unused - m_runs.fillInCores(id);
-        describeSharing(id, c);
+        describeSharing(id, c, now);
         all.push_back(c);
     }
     return all;
--- a/src/lib/steps/coordinatorsharing.cpp
+++ b/src/lib/steps/coordinatorsharing.cpp
@@ -127,8 +127,11 @@
 }
 
 // Fills in what the standing runs on a worker mean for fill-in tasks.
-void Coordinator::describeSharing(const std::string &id, Candidate &candidate) const
+void Coordinator::describeSharing(const std::string &id, Candidate &candidate, Instant now) const
 {
+    const Worker &worker = m_workers.at(id);
+    candidate.takesFillIns = !worker.harmedSince
+        && (worker.harmedAt == Instant{} || now - worker.harmedAt >= m_settings.calmBeforeFillIns);
     for (const RunKey &key : m_runs.onWorker(id)) {
         const Run &run = *m_runs.find(key);
         if (run.standing && run.latencyTarget > Millis{0})
--- a/src/lib/steps/placement.cpp
+++ b/src/lib/steps/placement.cpp
@@ -55,7 +55,7 @@
 {
     if (!spec.fillIn)
         return spec.demand.fitsIn(worker.room);
-    return spec.demand.memoryMb <= worker.room.memoryMb
+    return worker.takesFillIns && spec.demand.memoryMb <= worker.room.memoryMb
         && spec.demand.accelerators <= worker.room.accelerators
         && worker.idleCores * 100LL >= std::int64_t{spec.demand.milliCores} * fillInIdlePercent;
 }
--- a/src/node/ownership.cpp
+++ b/src/node/ownership.cpp
@@ -141,6 +141,7 @@
     m_observing = true;
     m_nextObservation = m_clock.now() + m_settings.observeEvery;
     std::vector<std::string> keys;
+    keys.reserve(static_cast<std::size_t>(m_settings.lease.shards));
     for (int shard = 0; shard < m_settings.lease.shards; ++shard)
         keys.push_back(shardKey(shard));
     // The shards first: see LeaseKeeper::observe().
--- a/src/node/ownership.h
+++ b/src/node/ownership.h
@@ -18,7 +18,7 @@
 {
     LeaseSettings lease{
         .shards = 1, .term = Millis{2'500}, .margin = Millis{300}, .renewEvery = Millis{700}};
-    Millis observeEvery{500};
+    Millis observeEvery{700};
     Millis stepEvery{100};
     // A claim waits for this many round trips to the store, so that an entry near it comes first.
     int claimDelayRoundTrips = 10;
