--- /dev/null
+++ b/tests/adapter/callerwire_test.cpp
@@ -0,0 +1,92 @@
+#include "platform/callerwire.h"
+
+#include <doctest/doctest.h>
+
+using namespace savorywick;
+using namespace savorywick::platform;
+
+namespace {
+
+constexpr std::string_view id = "5c0e7a21d94b36f8";
+
+std::optional<steps::JobSpec> decode(const std::string &body, std::string &error)
+{
+    return CallerWire().decodeJob(body, id, {}, error);
+}
+
+} // namespace
+
+TEST_CASE("A submission becomes a job with its steps")
+{
+    std::string error;
+    const auto spec = decode(
+        R"({"spec":"text","stepSpecs":[
+            {"count":4,"cpu":500,"memMb":256,"estimateMs":900,"preferredRack":"r1-3"},
+            {"count":20,"cpu":2000,"memMb":1024,"gpu":1,"estimateMs":7000,"after":[0],
+             "checkpointing":true,"gang":true,"colocated":true,"requiredLabel":"b",
+             "maxPerServer":2,"allowDuplicates":true,"longRunning":true,"image":"m",
+             "targetMs":50,"fills":true,"maxUnavailable":3}],
+            "repeatCount":3,"firstMs":1700000000000,"intervalMs":500
+})",
+        error);
+    REQUIRE_MESSAGE(spec.has_value(), error);
+    CHECK(spec->id == id);
+    CHECK(spec->payload == "text");
+    REQUIRE(spec->steps.size() == 2);
+    CHECK(spec->steps[0].preferredRack == "r1-3");
+    CHECK((spec->steps[0].demand == steps::Demand{500, 256, 0}));
+    const steps::StepSpec &second = spec->steps[1];
+    CHECK(second.after == std::vector<int>{0});
+    CHECK(second.demand.accelerators == 1);
+    CHECK(second.checkpointing);
+    CHECK(second.gang);
+    CHECK(second.colocated);
+    CHECK(second.allowDuplicates);
+    CHECK(second.standing);
+    CHECK(second.fillIn);
+    CHECK(second.requiredLabel == "b");
+    CHECK(second.maxPerWorker == 2);
+    CHECK(second.latencyTarget == Millis{50});
+    CHECK(second.maxUnavailable == 3);
+    CHECK(spec->schedule.count == 3);
+    CHECK(spec->schedule.interval == Millis{500});
+}
+
+TEST_CASE("A body that is no submission is refused with what is wrong")
+{
+    const std::string tooLong(4'001, 'x');
+    for (const std::string &body :
+         {std::string(), std::string("[]"), std::string(R"({"spec":"a"})"),
+          std::string(R"({"spec":"a","stepSpecs":[]})"),
+          std::string(R"({"spec":7,"stepSpecs":[{"count":1}]})"),
+          std::string(R"({"spec":"a","stepSpecs":[{"count":0}]})"),
+          std::string(R"({"spec":"a","stepSpecs":[{"count":"1"}]})"),
+          std::string(R"({"spec":"a","stepSpecs":[{"count":1,"cpu":-1}]})"),
+          std::string(R"({"spec":"a","stepSpecs":[{"count":1,"after":[0]}]})"),
+          R"({"spec":")" + tooLong + R"(","stepSpecs":[{"count":1}]})"}) {
+        CAPTURE(body.substr(0, 80));
+        std::string error;
+        CHECK_FALSE(decode(body, error).has_value());
+        CHECK_FALSE(error.empty());
+    }
+}
+
+TEST_CASE("An id is sixteen hexadecimal digits")
+{
+    const CallerWire wire;
+    CHECK(wire.isJobId(id));
+    CHECK_FALSE(wire.isJobId(""));
+    CHECK_FALSE(wire.isJobId("5c0e7a21d94b36f"));
+    CHECK_FALSE(wire.isJobId("5c0e7a21d94b36f8/x"));
+    CHECK_FALSE(wire.isJobId("5c0e7a21d94b36fg"));
+}
+
+TEST_CASE("Answers and the caller's patience are spelled as callers expect")
+{
+    const CallerWire wire;
+    CHECK(wire.encodeState(steps::JobState::Completed) == R"({"state":"completed"})");
+    CHECK(wire.encodePending(12) == R"({"pending":12})");
+    CHECK(wire.patience({{"x-savorywick-deadline-ms", "2500"}}) == Millis{2'500});
+    CHECK_FALSE(wire.patience({{"X-Savorywick-Deadline-Ms", "soon"}}).has_value());
+    CHECK_FALSE(wire.patience({}).has_value());
+}
--- /dev/null
+++ b/tests/adapter/clusterfeed_test.cpp
@@ -0,0 +1,75 @@
+#include "platform/clusterfeed.h"
+
+#include <doctest/doctest.h>
+
+using namespace savorywick;
+using namespace savorywick::platform;
+
+namespace {
+
+constexpr const char *configuration = R"({"version":7,"routes":[
+    {"name":"r1","host":"jobs.example","pathPrefix":"/fits/","kind":"unsafe","timeoutMs":3000,
+     "targetDurationMs":500,"priority":2,"service":"matching","maxAttempts":4,"slackFactor":1.5},
+    {"name":"broken","host":"jobs.example"}],
+    "services":[],"limits":{"maxHeaderBytes":8000,"maxBodyBytes":0,"idleTimeoutMs":9000}})";
+
+constexpr const char *workerEntry =
+    R"({"service":"matching","address":"10.0.0.9:80","zone":"hobart",
+    "state":"draining","born":1700000000123,"remainingMs":4000,
+    "capacity":{"cpu":16000,"memMb":32768},"labels":["a","r1-3"],"sequence":4})";
+
+} // namespace
+
+TEST_CASE("A configuration row becomes queues")
+{
+    const auto c = parseConfiguration(configuration);
+    REQUIRE(c.has_value());
+    CHECK(c->version == 7);
+    REQUIRE(c->queues.size() == 1);
+    const steps::Queue &queue = c->queues.front();
+    CHECK(queue.pathPrefix == "/fits/");
+    CHECK(queue.policy.service == "matching");
+    CHECK(queue.policy.maxAttempts == 4);
+    CHECK(queue.policy.slackFactor == 1.5);
+    CHECK(queue.policy.targetDuration == Millis{500});
+    CHECK(c->maxHeaderBytes == 8'000);
+    CHECK(c->maxBodyBytes == 262'144); // 0 is no limit to use.
+    CHECK(c->idleTimeout == Millis{9'000});
+}
+
+TEST_CASE("A row that is no configuration is none")
+{
+    for (const char *text :
+         {"", "7", "{}", R"({"version":"7","routes":[]})", R"({"version":7,"routes":{}})"}) {
+        CAPTURE(text);
+        CHECK_FALSE(parseConfiguration(text).has_value());
+    }
+}
+
+TEST_CASE("An entry becomes a worker in its present life")
+{
+    const auto info = parseWorkerEntry("i-1", workerEntry);
+    REQUIRE(info.has_value());
+    CHECK((info->life == steps::WorkerLife{"i-1", 1'700'000'000'123}));
+    CHECK((info->capacity == steps::Demand{16'000, 32'768, 0}));
+    CHECK(info->rack == "r1-3");
+    CHECK(info->draining);
+    CHECK(info->remaining == Millis{4'000});
+}
+
+TEST_CASE("An entry with fields missing or of another type names no worker")
+{
+    const std::string whole = workerEntry;
+    const auto with = [&](const std::string &from, const std::string &to) {
+        std::string text = whole;
+        text.replace(text.find(from), from.size(), to);
+        return text;
+    };
+    for (const std::string &text :
+         {std::string("\xff\x00 no json", 10), std::string("[]"), with(R"("draining")", R"("odd")"),
+          with(R"("service":"matching")", R"("service":7)"), with(R"("10.0.0.9:80")", "null"),
+          with("16000", R"("16000")"), with(R"("capacity")", R"("room")")}) {
+        CAPTURE(text);
+        CHECK_FALSE(parseWorkerEntry("i-1", text).has_value());
+    }
+}
--- /dev/null
+++ b/tests/adapter/nodefile_test.cpp
@@ -0,0 +1,45 @@
+#include "platform/nodefile.h"
+
+#include "savorywick/errors.h"
+
+#include <doctest/doctest.h>
+
+using namespace savorywick;
+using namespace savorywick::platform;
+
+namespace {
+
+constexpr const char *whole = R"({"nodeName":"edge-1","ip":"10.1.0.13","zone":"hobart",
+    "bindAddresses":{"frontend":"10.1.0.13:8161","readiness":"10.1.0.13:8167"},
+    "internalPorts":[7720,7735],"bounds":{"holdMaxMs":5000,"status_s":120},
+    "platform":{"address":"10.200.1.7:8169","rowBytes":1000},"unheardOf":{}})";
+
+} // namespace
+
+TEST_CASE("The settings file becomes the node's settings")
+{
+    const NodeFile file = parseNodeFile(whole);
+    CHECK(file.node.name == "edge-1");
+    CHECK(file.node.callersAddress == "10.1.0.13:8161");
+    CHECK(file.node.readinessAddress == "10.1.0.13:8167");
+    CHECK(file.node.peersAddress == "10.1.0.13:7720");
+    CHECK(file.storeAddress == "10.200.1.7:8169");
+    CHECK(file.node.shards.journal.maxSegmentBytes == 900);
+    CHECK(file.node.shards.coordinator.workers.longestLease == Millis{5'000});
+    CHECK(file.node.shards.coordinator.workers.lease == Millis{5'000});
+    CHECK(file.node.shards.coordinator.retention == Millis{150'000});
+}
+
+TEST_CASE("Settings that lack something are refused by name")
+{
+    const std::string text = whole;
+    for (const std::string key :
+         {"nodeName", "ip", "frontend", "readiness", "internalPorts", "address"}) {
+        CAPTURE(key);
+        std::string broken = text;
+        broken.replace(broken.find("\"" + key + "\""), key.size() + 2, "\"other\"");
+        CHECK_THROWS_WITH_AS(parseNodeFile(broken), doctest::Contains(key.c_str()), Error);
+    }
+    CHECK_THROWS_AS(parseNodeFile("no json"), Error);
+    CHECK_THROWS_AS(loadNodeFile("no-such-file.json"), Error);
+}
--- /dev/null
+++ b/tests/adapter/workerwire_test.cpp
@@ -0,0 +1,79 @@
+#include "platform/workerwire.h"
+
+#include <doctest/doctest.h>
+
+using namespace savorywick;
+using namespace savorywick::platform;
+using savorywick::steps::OrderOutcome;
+
+TEST_CASE("A task's name is read and other names are none")
+{
+    const auto task = parseTask("5c0e7a21d94b36f8.2.1.17");
+    REQUIRE(task.has_value());
+    CHECK((*task == steps::TaskRef{"5c0e7a21d94b36f8", 2, 1, 17}));
+    CHECK(steps::toString(*task) == "5c0e7a21d94b36f8.2.1.17");
+    for (const char *name : {"", "a", "a.1.2", "a.1.2.3.4", "a.1.x.3", ".1.2.3", "a.1.-2.3"}) {
+        CAPTURE(name);
+        CHECK_FALSE(parseTask(name).has_value());
+    }
+}
+
+TEST_CASE("A worker's lists are read and rows that are none of ours left out")
+{
+    const auto report = parseHoldReport(
+        R"({"clockMs":482113,"born":1700000000001,
+            "active":[["a.0.1.17",2,"00ff",41,30],["a.0.1.18",1,"",0],["odd",1,"",0],[1]],
+            "finished":[[58,"a.0.1.9",1,"done",""],[59,"a.0.1.10",3,"broken","c"],
+                        [60,"a.0.1.11",1,"unheard",""]]})");
+    REQUIRE(report.has_value());
+    CHECK(report->clockMs == 482'113);
+    CHECK(report->bornWallMs == 1'700'000'000'001);
+    REQUIRE(report->running.size() == 2);
+    CHECK(report->running[0].checkpoint == "00ff");
+    CHECK(report->running[0].percent == 41);
+    CHECK(report->running[0].figure == 30);
+    CHECK_FALSE(report->running[1].figure.has_value());
+    REQUIRE(report->ended.size() == 2);
+    CHECK(report->ended[0].number == 58);
+    CHECK((report->ended[1].how == steps::RunEnd::Broken));
+}
+
+TEST_CASE("A body without lists is no report")
+{
+    for (const char *body : {"", "{}", R"({"clockMs":1})", R"({"clockMs":1,"active":[]})",
+                             R"({"clockMs":"1","active":[],"finished":[]})"}) {
+        CAPTURE(body);
+        CHECK_FALSE(parseHoldReport(body).has_value());
+    }
+}
+
+TEST_CASE("Each answer to an order has one meaning")
+{
+    struct Case
+    {
+        HttpOutcome http;
+        int status;
+        const char *body;
+        OrderOutcome outcome;
+    };
+    for (const Case &it :
+         {Case{HttpOutcome::Answered, 200, R"({"clockMs":5})", OrderOutcome::Done},
+          Case{HttpOutcome::Answered, 409, R"({"reason":"fence"})", OrderOutcome::Fenced},
+          Case{HttpOutcome::Answered, 409, R"({"reason":"old"})", OrderOutcome::OldRun},
+          Case{HttpOutcome::Answered, 409, R"({"reason":"late"})", OrderOutcome::TooLate},
+          Case{HttpOutcome::Answered, 409, R"({"reason":"room"})", OrderOutcome::NoRoom},
+          Case{HttpOutcome::Answered, 409, "", OrderOutcome::Rejected},
+          Case{HttpOutcome::Answered, 421, "", OrderOutcome::OtherLife},
+          Case{HttpOutcome::Answered, 400, "", OrderOutcome::Rejected},
+          Case{HttpOutcome::Answered, 503, "", OrderOutcome::Rejected},
+          Case{HttpOutcome::Answered, 500, "", OrderOutcome::Unknown},
+          Case{HttpOutcome::NotSent, 0, "", OrderOutcome::NotSent},
+          Case{HttpOutcome::Broken, 0, "", OrderOutcome::Unknown},
+          Case{HttpOutcome::TimedOut, 0, "", OrderOutcome::Unknown}}) {
+        CAPTURE(it.status);
+        CAPTURE(it.body);
+        const steps::OrderReply reply = parseOrderReply({it.http, it.status, {}, it.body});
+        CHECK((reply.outcome == it.outcome));
+    }
+    CHECK(parseOrderReply({HttpOutcome::Answered, 200, {}, R"({"clockMs":5})"}).clockMs == 5);
+}
