Let a silent worker lapse however often it is asked

The log has worker-silent at 3.8 s and no worker-lapsed: each hold sent again while the worker was silent granted a lease anew, so the lease could never be known as over. A second finding of that log: a run that was not sent yet counted as lapsed, with a line for each pass.

Ruled out: the quarantine and the room (the tasks were never waiting).

Change: holds to a silent worker ask without a lease until it answers.

Test: "A worker that stays silent lapses however often it is asked" failed first, 20 leases granted; passes.

--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -308,12 +308,15 @@
     for (auto &[id, worker] : m_workers) {
         if (!worker.session.lapsed(now.at))
             continue;
-        if (m_runs.hasRuns(id))
+        // A run whose start is not sent has no lease to lose.
+        std::vector<RunKey> over = m_runs.onWorker(id);
+        std::erase_if(over, [this](const RunKey &key) {
+            return m_runs.find(key)->phase == RunPhase::Recorded;
+        });
+        if (!over.empty())
             noteWorker(NoteKind::WorkerLapsed, id, "lease-over", now.at - worker.session.heardAt());
-        for (const RunKey &key : m_runs.onWorker(id)) {
-            if (m_runs.find(key)->phase != RunPhase::Recorded)
-                endRun(key, RunEnd::Lapsed, {}, now);
-        }
+        for (const RunKey &key : over)
+            endRun(key, RunEnd::Lapsed, {}, now);
         if (worker.unlistedSince && !m_runs.hasRuns(id))
             gone.push_back(id);
     }
--- a/src/lib/steps/workersession.cpp
+++ b/src/lib/steps/workersession.cpp
@@ -72,7 +72,8 @@
     m_sentAt = now;
     m_sentFence = m_fence;
     HoldOrder hold{target(), m_durableEnds, {}, {}};
-    if (m_clockMs && hasRuns)
+    // A hold without an answer may still renew the lease, which could then never be known as over.
+    if (m_clockMs && hasRuns && !m_silent)
         hold.untilClockMs = grantLease(now);
     const bool waits = hasRuns && m_answeredFence == m_fence && m_durableEnds == m_takenEnds;
     if (waits)
--- a/tests/steps/workersession_test.cpp
+++ b/tests/steps/workersession_test.cpp
@@ -86,6 +86,24 @@
     CHECK(s.lapsed(owned + Millis{27'200}));
 }
 
+TEST_CASE("A worker that stays silent lapses however often it is asked")
+{
+    WorkerSession s = session();
+    s.nextHold(true, Millis{1'000}, owned);
+    s.holdAnswered(report(1'000), owned);
+    Instant now = owned + Millis{20'000};
+    REQUIRE(s.nextHold(true, Millis{1'000}, now)->untilClockMs.has_value());
+    const Instant lastGrant = now;
+    while (!s.lapsed(now) && now < lastGrant + Millis{20'000}) {
+        s.holdFailed(now);
+        now = now + Millis{1'000};
+        const auto hold = s.nextHold(true, Millis{1'000}, now);
+        REQUIRE(hold.has_value());
+        CHECK_FALSE(hold->untilClockMs.has_value()); // It would be a lease that nobody confirms.
+    }
+    CHECK(now <= lastGrant + Millis{8'000});
+}
+
 TEST_CASE("What an earlier owner granted ends a longest lease after the shard was taken")
 {
     const WorkerSession s = session();
