--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -52,7 +52,7 @@
     Millis paceEvery{450}; // From one change of a run's pace to the next.
     Millis calmBeforeFaster{900}; // Without harm, before a slowed run gets faster.
     Millis calmBeforeFillIns{1'500}; // Without harm, before a worker gets further fill-in tasks.
-    Millis watchedWait{400}; // As holdWait, where fill-in runs are slowed or do harm.
+    Millis watchedWait{400}; // As renewalWait, where fill-in runs are slowed or do harm.
     int standingUsePercent = 35; // Of its processors, that a standing task is taken to use.
     Millis standingStart{6'000}; // A standing task that is not at work by then is moved.
     int orderedJobsPerPass = 2'000; // Steps that one placement pass looks at.
@@ -85,8 +85,8 @@
 //   coordinator.landed(journal.landed(), now);
 //   for (const Order &it : coordinator.takeOrders(now)) send(it);
 //
-// Every HoldOrder and StartOrder must be answered by its reply function, as Unknown if no answer
-// came. While the shard's lease is in doubt call takeHolds() instead of takeOrders(). Not
+// Every RenewOrder and StartOrder must be answered by its reply function, as Unknown if no answer
+// came. While the shard's lease is in doubt call takeRenewals() instead of takeOrders(). Not
 // thread-safe.
 class Coordinator
 {
@@ -112,7 +112,7 @@
 
     // Takes in the list of the shard's workers.
     void setWorkers(std::span<const WorkerInfo> workers, Now now);
-    void holdReply(const HoldOrder &order, const HoldReply &reply, Now now);
+    void renewReply(const RenewOrder &order, const RenewReply &reply, Now now);
     void startReply(const StartOrder &order, const OrderReply &reply, Now now);
     void stopReply(const StopOrder &order, const OrderReply &reply, Now now);
 
@@ -130,9 +130,9 @@
     void landed(Ticket ticket, Now now);
     // Returns the orders that may be sent now.
     std::vector<Order> takeOrders(Now now);
-    // Returns only the holds among them. They promise nothing that a record could contradict, so
+    // Returns only the renewals among them. They promise nothing that a record could contradict, so
     // they may go out while the shard's lease is in doubt, and running tasks keep their leases.
-    std::vector<Order> takeHolds(Now now);
+    std::vector<Order> takeRenewals(Now now);
 
     // Returns what was decided since the last call, for the log.
     std::vector<Note> takeNotes();
@@ -198,10 +198,10 @@
 
     // Workers and their runs (coordinatorworkers.cpp).
     Worker &session(const WorkerInfo &info, Now now);
-    void takeEnds(Worker &worker, const HoldReport &report, Now now);
-    void takeRunning(Worker &worker, const HoldReport &report, Now now);
+    void takeEnds(Worker &worker, const WorkerReport &report, Now now);
+    void takeRunning(Worker &worker, const WorkerReport &report, Now now);
     void takeUnknownRun(const Worker &worker, const RunningReport &report);
-    void settleMissing(Worker &worker, const HoldReport &report, Now now);
+    void settleMissing(Worker &worker, const WorkerReport &report, Now now);
     void adoptRun(const Job &job, const TaskRef &task, const ActiveRun &active);
     void doubt(const RunKey &key, Now now);
     void endRun(const RunKey &key, RunEnd how, const std::string &checkpoint, Now now);
--- a/include/savorywick/steps/job.h
+++ b/include/savorywick/steps/job.h
@@ -35,7 +35,7 @@
     std::vector<int> after; // Earlier steps, counted from 0.
     bool checkpointing = false; // Its tasks save their progress as they go and when stopped.
     bool gang = false; // Its tasks work only all together, and end together.
-    bool colocated = false; // Its tasks take longer on more than one rack.
+    bool sameRack = false; // Its tasks take longer on more than one rack.
     bool allowDuplicates = false; // Copies of a task may run; the first to finish counts.
     bool standing = false; // Its tasks run until the job is cancelled.
     bool fillIn = false; // Its tasks use the processors that others leave unused.
--- a/include/savorywick/steps/orders.h
+++ b/include/savorywick/steps/orders.h
@@ -39,7 +39,7 @@
 };
 
 // Renews the lease on all that runs on the worker and asks for its lists.
-struct HoldOrder
+struct RenewOrder
 {
     OrderTarget target;
     std::int64_t seenEnds = 0; // The worker may forget ends up to this number.
@@ -73,7 +73,7 @@
     int percent = 100;
 };
 
-using Order = std::variant<HoldOrder, StartOrder, StopOrder, PaceOrder>;
+using Order = std::variant<RenewOrder, StartOrder, StopOrder, PaceOrder>;
 
 // How the sending of an order ended.
 enum class OrderOutcome {
@@ -117,8 +117,8 @@
     std::string checkpoint;
 };
 
-// A worker's answer to a HoldOrder.
-struct HoldReport
+// A worker's answer to a RenewOrder.
+struct WorkerReport
 {
     std::int64_t clockMs = 0;
     std::int64_t bornWallMs = 0; // Of the life that answers.
@@ -126,10 +126,10 @@
     std::vector<EndReport> ended; // Not forgotten yet; the earliest first, not always all.
 };
 
-struct HoldReply
+struct RenewReply
 {
     OrderOutcome outcome = OrderOutcome::Unknown;
-    HoldReport report; // Set if and only if the outcome is Done.
+    WorkerReport report; // Set if and only if the outcome is Done.
 };
 
 } // namespace savorywick::steps
--- a/include/savorywick/steps/placement.h
+++ b/include/savorywick/steps/placement.h
@@ -30,7 +30,7 @@
     std::string service; // Only its workers may run the step.
     std::map<std::string, int> tasksOn; // Its running tasks by worker.
     std::vector<std::string> avoid; // Workers that its job has failed on.
-    std::string rack; // Of its running tasks, for co-located steps; empty if there are none.
+    std::string rack; // Of its running tasks, for same-rack steps; empty if there are none.
     const ImagePairs *pairs = nullptr; // What fill-in tasks do to standing ones; may be absent.
     double mostHarm = 0; // Of fill-in tasks: sum over standing tasks, as of ImagePairs::harm().
 };
--- a/include/savorywick/steps/workersession.h
+++ b/include/savorywick/steps/workersession.h
@@ -12,11 +12,11 @@
 {
     Millis lease{6'000}; // Longer than a takeover of the shard takes, so that runs outlive it.
     Millis longestLease{10'000}; // What a worker shortens a longer lease to.
-    Millis holdWait{1'000}; // How long a worker with runs waits for an end before it answers.
-    Millis holdGap{60}; // From an answer to the next hold, so that ends are gathered.
-    Millis idleHold{2'500}; // From one hold of a worker without runs to the next.
-    Millis unackedHold{1'000}; // The longest wait for ends to become durable before a hold.
-    Millis retryAfter{250}; // From a hold without an answer to the next.
+    Millis renewalWait{1'000}; // How long a worker with runs waits for an end before it answers.
+    Millis renewalGap{60}; // From an answer to the next renewal, so that ends are gathered.
+    Millis idleRenewal{2'500}; // From one renewal of a worker without runs to the next.
+    Millis unackedRenewal{1'000}; // The longest wait for ends to become durable before a renewal.
+    Millis retryAfter{250}; // From a renewal without an answer to the next.
     Millis lapseMargin{250}; // Added before a lease counts as surely over.
     int slowestClockPercent = 97; // A worker's clock may be that slow.
 };
@@ -24,12 +24,12 @@
 // One owner's dealings with one worker: fence, lease, clock and which ends it has acknowledged.
 //
 // It knows nothing of tasks. A fence that is raised makes all orders sent before it void on the
-// worker once a hold with it is answered. Not thread-safe.
+// worker once a renewal with it is answered. Not thread-safe.
 //
 // Example:
-//   if (const auto hold = session.nextHold(hasRuns, wait, now))
-//       send(*hold);
-//   session.holdAnswered(report, now);
+//   if (const auto renewal = session.nextRenewal(hasRuns, wait, now))
+//       send(*renewal);
+//   session.renewalAnswered(report, now);
 class WorkerSession
 {
 public:
@@ -42,25 +42,25 @@
     void update(const WorkerLife &life, std::string address, Instant now);
     const WorkerLife &life() const { return m_life; }
 
-    // Returns the hold to send now, if one is due. At most one is in flight. `wait` is how long a
-    // worker with runs may wait for an end before it answers.
-    std::optional<HoldOrder> nextHold(bool hasRuns, Millis wait, Instant now);
-    // Returns when nextHold() is worth a call; nothing while a hold is in flight.
-    std::optional<Instant> nextHoldAt(bool hasRuns) const;
-    // Takes the answer to the hold in flight. Returns false, and changes nothing, if it comes from
-    // another life than the one that was asked; call update() then.
-    bool holdAnswered(const HoldReport &report, Instant now);
-    void holdFailed(Instant now);
+    // Returns the renewal to send now, if one is due. At most one is in flight. `wait` is how long
+    // a worker with runs may wait for an end before it answers.
+    std::optional<RenewOrder> nextRenewal(bool hasRuns, Millis wait, Instant now);
+    // Returns when nextRenewal() is worth a call; nothing while a renewal is in flight.
+    std::optional<Instant> nextRenewalAt(bool hasRuns) const;
+    // Takes the answer to the renewal in flight. Returns false, and changes nothing, if it comes
+    // from another life than the one that was asked; call update() then.
+    bool renewalAnswered(const WorkerReport &report, Instant now);
+    void renewalFailed(Instant now);
     // Takes in a clock reading that came with another answer.
     void noteClock(std::int64_t clockMs, Instant now);
 
-    // Makes every order sent until now void, from the next answered hold on.
+    // Makes every order sent until now void, from the next answered renewal on.
     void raiseFence(Instant now);
     Fence fence() const { return m_fence; }
-    // Returns the fence that the latest answered hold carried; 0 before the first.
+    // Returns the fence that the latest answered renewal carried; 0 before the first.
     Fence answeredFence() const { return m_answeredFence; }
-    // Returns when the latest answered hold was sent. Call only after one was answered.
-    Instant answeredHoldSentAt() const { return m_answeredSentAt; }
+    // Returns when the latest answered renewal was sent. Call only after one was answered.
+    Instant answeredRenewalSentAt() const { return m_answeredSentAt; }
 
     // Returns what an order to the worker carries now.
     OrderTarget target() const { return {m_life, m_address, m_fence}; }
@@ -68,10 +68,10 @@
     // Call only if answered() is true.
     std::int64_t grantLease(Instant now);
 
-    // Returns true if and only if this life has answered a hold.
+    // Returns true if and only if this life has answered a renewal.
     bool answered() const { return m_answeredFence != 0; }
-    // Returns true if and only if this life has answered a hold with the present fence and no call
-    // to it has failed since its last answer.
+    // Returns true if and only if this life has answered a renewal with the present fence and no
+    // call to it has failed since its last answer.
     bool responsive() const { return m_answeredFence == m_fence && !m_silent; }
     // Notes that an order got no answer.
     void noteSilence() { m_silent = true; }
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -278,9 +278,9 @@
     std::vector<Order> all = std::exchange(m_orders, {});
     takeStarts(all, now);
     takeStops(all, now);
-    std::vector<Order> holds = takeHolds(now);
-    all.insert(all.end(), std::make_move_iterator(holds.begin()),
-               std::make_move_iterator(holds.end()));
+    std::vector<Order> renewals = takeRenewals(now);
+    all.insert(all.end(), std::make_move_iterator(renewals.begin()),
+               std::make_move_iterator(renewals.end()));
     return all;
 }
 
@@ -322,14 +322,14 @@
     }
 }
 
-std::vector<Order> Coordinator::takeHolds(Now now)
+std::vector<Order> Coordinator::takeRenewals(Now now)
 {
     std::vector<Order> all;
     for (auto &[id, worker] : m_workers) {
         const Millis wait =
-            mustWatch(worker) ? m_settings.watchedWait : m_settings.workers.holdWait;
-        if (auto hold = worker.session.nextHold(m_runs.hasRuns(id), wait, now.at))
-            all.emplace_back(std::move(*hold));
+            mustWatch(worker) ? m_settings.watchedWait : m_settings.workers.renewalWait;
+        if (auto renewal = worker.session.nextRenewal(m_runs.hasRuns(id), wait, now.at))
+            all.emplace_back(std::move(*renewal));
     }
     return all;
 }
@@ -339,7 +339,7 @@
     constexpr Millis longestSleep{500}; // Lapses, stalls, schedules and repeated stops.
     Instant at = now + longestSleep;
     for (const auto &[id, worker] : m_workers) {
-        if (const auto due = worker.session.nextHoldAt(m_runs.hasRuns(id)))
+        if (const auto due = worker.session.nextRenewalAt(m_runs.hasRuns(id)))
             at = std::min(at, *due);
     }
     return at;
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -76,7 +76,7 @@
     m_workers.emplace(run.worker, std::move(worker));
 }
 
-void Coordinator::holdReply(const HoldOrder &order, const HoldReply &reply, Now now)
+void Coordinator::renewReply(const RenewOrder &order, const RenewReply &reply, Now now)
 {
     const auto it = m_workers.find(order.target.worker.id);
     if (it == m_workers.end() || it->second.session.life() != order.target.worker)
@@ -88,12 +88,12 @@
     if (reply.outcome != OrderOutcome::Done) {
         if (wasResponsive)
             noteWorker(NoteKind::WorkerSilent, id, toString(reply.outcome), silence);
-        worker.session.holdFailed(now.at);
+        worker.session.renewalFailed(now.at);
         if (reply.outcome == OrderOutcome::Fenced)
             worker.session.raiseFence(now.at);
         return;
     }
-    if (!worker.session.holdAnswered(reply.report, now.at)) {
+    if (!worker.session.renewalAnswered(reply.report, now.at)) {
         worker.info.life.bornWallMs = reply.report.bornWallMs;
         worker.session.update(worker.info.life, worker.info.address, now.at);
         return;
@@ -107,7 +107,7 @@
     m_mustPlace = true;
 }
 
-void Coordinator::takeEnds(Worker &worker, const HoldReport &report, Now now)
+void Coordinator::takeEnds(Worker &worker, const WorkerReport &report, Now now)
 {
     std::int64_t highest = worker.session.takenEnds();
     for (const EndReport &end : report.ended) {
@@ -125,7 +125,7 @@
     m_heldAcks.push_back({0, worker.session.life(), highest});
 }
 
-void Coordinator::takeRunning(Worker &worker, const HoldReport &report, Now now)
+void Coordinator::takeRunning(Worker &worker, const WorkerReport &report, Now now)
 {
     for (const RunningReport &it : report.running) {
         const RunKey key{it.task, it.run};
@@ -158,7 +158,7 @@
 }
 
 // Ends the runs that the worker neither runs nor lists as ended, where that is certain.
-void Coordinator::settleMissing(Worker &worker, const HoldReport &report, Now now)
+void Coordinator::settleMissing(Worker &worker, const WorkerReport &report, Now now)
 {
     std::set<RunKey> listed;
     for (const RunningReport &it : report.running)
@@ -168,8 +168,8 @@
         if (run.phase == RunPhase::Recorded || listed.contains(key))
             continue;
         const bool orderIsVoid = run.fence < worker.session.answeredFence();
-        const bool ranBefore =
-            run.phase == RunPhase::Running && run.confirmedAt < worker.session.answeredHoldSentAt();
+        const bool ranBefore = run.phase == RunPhase::Running
+            && run.confirmedAt < worker.session.answeredRenewalSentAt();
         if (run.phase == RunPhase::Running ? ranBefore : orderIsVoid)
             endRun(key, run.phase == RunPhase::Running ? RunEnd::Lapsed : RunEnd::NeverStarted, {},
                    now);
@@ -220,7 +220,7 @@
         worker->second.session.noteClock(*reply.clockMs, now.at);
 }
 
-// Nobody knows whether the worker has the run: a hold with a higher fence will tell.
+// Nobody knows whether the worker has the run: a renewal with a higher fence will tell.
 void Coordinator::doubt(const RunKey &key, Now now)
 {
     Run *run = m_runs.find(key);
--- a/src/lib/steps/placement.cpp
+++ b/src/lib/steps/placement.cpp
@@ -79,7 +79,7 @@
 Rank rankOf(const StepSpec &spec, const StepLoad &load, const Candidate &worker)
 {
     const WorkerInfo &info = *worker.info;
-    const std::string &rack = spec.colocated && !load.rack.empty() ? load.rack : spec.preferredRack;
+    const std::string &rack = spec.sameRack && !load.rack.empty() ? load.rack : spec.preferredRack;
     Rank rank;
     rank.failedBefore =
         std::find(load.avoid.begin(), load.avoid.end(), info.life.id) != load.avoid.end();
--- a/src/lib/steps/record.cpp
+++ b/src/lib/steps/record.cpp
@@ -186,7 +186,7 @@
     w.number(static_cast<std::int64_t>(s.after.size()));
     for (const int it : s.after)
         w.number(it);
-    w.number(s.checkpointing).number(s.gang).number(s.colocated).number(s.allowDuplicates);
+    w.number(s.checkpointing).number(s.gang).number(s.sameRack).number(s.allowDuplicates);
     w.number(s.standing).number(s.fillIn);
     w.text(s.requiredLabel).text(s.preferredRack).text(s.image);
     w.number(s.maxPerWorker).number(s.latencyTarget.count()).number(s.maxUnavailable);
@@ -204,7 +204,7 @@
         s.after.push_back(r.number<int>());
     s.checkpointing = r.flag();
     s.gang = r.flag();
-    s.colocated = r.flag();
+    s.sameRack = r.flag();
     s.allowDuplicates = r.flag();
     s.standing = r.flag();
     s.fillIn = r.flag();
--- a/src/lib/steps/workersession.cpp
+++ b/src/lib/steps/workersession.cpp
@@ -51,7 +51,7 @@
     m_dueAt = now;
 }
 
-std::optional<Instant> WorkerSession::nextHoldAt(bool hasRuns) const
+std::optional<Instant> WorkerSession::nextRenewalAt(bool hasRuns) const
 {
     if (m_inFlight)
         return {};
@@ -59,29 +59,30 @@
     if (urgent)
         return m_dueAt;
     if (m_durableEnds < m_takenEnds)
-        return m_heardAt + m_settings.unackedHold;
-    return hasRuns ? m_dueAt : m_dueAt + m_settings.idleHold;
+        return m_heardAt + m_settings.unackedRenewal;
+    return hasRuns ? m_dueAt : m_dueAt + m_settings.idleRenewal;
 }
 
-std::optional<HoldOrder> WorkerSession::nextHold(bool hasRuns, Millis wait, Instant now)
+std::optional<RenewOrder> WorkerSession::nextRenewal(bool hasRuns, Millis wait, Instant now)
 {
-    const auto due = nextHoldAt(hasRuns);
+    const auto due = nextRenewalAt(hasRuns);
     if (!due || now < *due)
         return {};
     m_inFlight = true;
     m_sentAt = now;
     m_sentFence = m_fence;
-    HoldOrder hold{target(), m_durableEnds, {}, {}};
-    // A hold without an answer may still renew the lease, which could then never be known as over.
+    RenewOrder renewal{target(), m_durableEnds, {}, {}};
+    // A renewal without an answer may still extend the lease, which could then never be known as
+    // over.
     if (m_clockMs && hasRuns && !m_silent)
-        hold.untilClockMs = grantLease(now);
+        renewal.untilClockMs = grantLease(now);
     const bool waits = hasRuns && m_answeredFence == m_fence && m_durableEnds == m_takenEnds;
     if (waits)
-        hold.wait = wait;
-    return hold;
+        renewal.wait = wait;
+    return renewal;
 }
 
-bool WorkerSession::holdAnswered(const HoldReport &report, Instant now)
+bool WorkerSession::renewalAnswered(const WorkerReport &report, Instant now)
 {
     m_inFlight = false;
     if (report.bornWallMs != m_life.bornWallMs)
@@ -90,11 +91,11 @@
     m_answeredSentAt = m_sentAt;
     noteClock(report.clockMs, now);
     const bool fenceRaised = m_fence != m_sentFence;
-    m_dueAt = fenceRaised ? now : now + m_settings.holdGap;
+    m_dueAt = fenceRaised ? now : now + m_settings.renewalGap;
     return true;
 }
 
-void WorkerSession::holdFailed(Instant now)
+void WorkerSession::renewalFailed(Instant now)
 {
     m_inFlight = false;
     m_silent = true;
@@ -129,7 +130,7 @@
     const std::int64_t passed =
         (now - m_clockAt).count() * m_settings.slowestClockPercent / percent;
     const bool ownOver = *m_clockMs + passed > m_grantedUntil + margin;
-    // Once a hold of ours was answered, its report tells what earlier owners left running; the
+    // Once a renewal of ours was answered, its report tells what earlier owners left running; the
     // lease on that may be theirs still.
     return ownOver && earlierOver;
 }
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -296,7 +296,7 @@
 {
     const bool mayStart = m_parts.mayAct() && !m_journal.releasing();
     for (const steps::Order &it :
-         mayStart ? m_coordinator.takeOrders(now()) : m_coordinator.takeHolds(now()))
+         mayStart ? m_coordinator.takeOrders(now()) : m_coordinator.takeRenewals(now()))
         send(it);
 }
 
@@ -312,10 +312,11 @@
             self->schedulePump();
         };
     };
-    if (const auto *hold = std::get_if<steps::HoldOrder>(&order)) {
-        m_parts.workers.hold(*hold, whenAlive([o = *hold](ShardRunner &r, const auto &reply) {
-            r.m_coordinator.holdReply(o, reply, r.now());
-        }));
+    if (const auto *renewal = std::get_if<steps::RenewOrder>(&order)) {
+        m_parts.workers.renew(*renewal,
+                              whenAlive([o = *renewal](ShardRunner &r, const auto &reply) {
+                                  r.m_coordinator.renewReply(o, reply, r.now());
+                              }));
     } else if (const auto *start = std::get_if<steps::StartOrder>(&order)) {
         m_parts.workers.start(*start, whenAlive([o = *start](ShardRunner &r, const auto &reply) {
             r.m_coordinator.startReply(o, reply, r.now());
--- a/src/node/workerlink.h
+++ b/src/node/workerlink.h
@@ -10,12 +10,12 @@
 class WorkerLink
 {
 public:
-    using HoldDone = std::function<void(const steps::HoldReply &)>;
+    using RenewDone = std::function<void(const steps::RenewReply &)>;
     using OrderDone = std::function<void(const steps::OrderReply &)>;
 
     virtual ~WorkerLink() = default;
 
-    virtual void hold(const steps::HoldOrder &order, HoldDone done) = 0;
+    virtual void renew(const steps::RenewOrder &order, RenewDone done) = 0;
     virtual void start(const steps::StartOrder &order, OrderDone done) = 0;
     virtual void stop(const steps::StopOrder &order, OrderDone done) = 0;
     virtual void pace(const steps::PaceOrder &order, OrderDone done) = 0;
--- a/tests/adapter/callerwire_test.cpp
+++ b/tests/adapter/callerwire_test.cpp
@@ -40,7 +40,7 @@
     CHECK(second.demand.accelerators == 1);
     CHECK(second.checkpointing);
     CHECK(second.gang);
-    CHECK(second.colocated);
+    CHECK(second.sameRack);
     CHECK(second.allowDuplicates);
     CHECK(second.standing);
     CHECK(second.fillIn);
--- a/tests/adapter/workerwire_test.cpp
+++ b/tests/adapter/workerwire_test.cpp
@@ -20,7 +20,7 @@
 
 TEST_CASE("A worker's lists are read and rows that are none of ours left out")
 {
-    const auto report = parseHoldReport(
+    const auto report = parseWorkerReport(
         R"({"clockMs":482113,"born":1700000000001,
             "active":[["a.0.1.17",2,"00ff",41,30],["a.0.1.18",1,"",0],["odd",1,"",0],[1]],
             "finished":[[58,"a.0.1.9",1,"done",""],[59,"a.0.1.10",3,"broken","c"],
@@ -43,7 +43,7 @@
     for (const char *body : {"", "{}", R"({"clockMs":1})", R"({"clockMs":1,"active":[]})",
                              R"({"clockMs":"1","active":[],"finished":[]})"}) {
         CAPTURE(body);
-        CHECK_FALSE(parseHoldReport(body).has_value());
+        CHECK_FALSE(parseWorkerReport(body).has_value());
     }
 }
 
--- a/tests/steps/stepplacement_test.cpp
+++ b/tests/steps/stepplacement_test.cpp
@@ -68,8 +68,8 @@
     rack.spec.preferredRack = "r1";
     Case failed{"failed before", task(4'000), load(), "middle"};
     failed.load.avoid = {"small"};
-    Case together{"co-located", task(4'000), load(), "middle"};
-    together.spec.colocated = true;
+    Case together{"same-rack", task(4'000), load(), "middle"};
+    together.spec.sameRack = true;
     together.load.rack = "r1";
     Case service{"other service", task(4'000), load(), "none"};
     service.load.service = "other";
--- a/tests/steps/stepworld.h
+++ b/tests/steps/stepworld.h
@@ -381,11 +381,11 @@
         });
     }
 
-    void unanswered(const HoldOrder &o) { m_owner->holdReply(o, {}, now()); }
+    void unanswered(const RenewOrder &o) { m_owner->renewReply(o, {}, now()); }
     void unanswered(const StartOrder &o) { m_owner->startReply(o, {}, now()); }
     void unanswered(const StopOrder &o) { m_owner->stopReply(o, {}, now()); }
     void unanswered(const PaceOrder &) { }
-    void answered(const HoldOrder &o, const HoldReply &r) { m_owner->holdReply(o, r, now()); }
+    void answered(const RenewOrder &o, const RenewReply &r) { m_owner->renewReply(o, r, now()); }
     void answered(const StartOrder &o, const OrderReply &r) { m_owner->startReply(o, r, now()); }
     void answered(const StopOrder &o, const OrderReply &r) { m_owner->stopReply(o, r, now()); }
     void answered(const PaceOrder &, const OrderReply &) { }
@@ -399,7 +399,7 @@
         return true;
     }
 
-    HoldReply carryOut(const HoldOrder &order)
+    RenewReply carryOut(const RenewOrder &order)
     {
         WorldWorker &worker = find(order.target.worker.id);
         if (!worker.up)
@@ -416,7 +416,7 @@
                       [&](const EndReport &it) { return it.number <= order.seenEnds; });
         if (order.untilClockMs)
             worker.leaseUntil = std::max(worker.leaseUntil, *order.untilClockMs);
-        HoldReply reply{OrderOutcome::Done, {}};
+        RenewReply reply{OrderOutcome::Done, {}};
         reply.report.clockMs = worker.clock(m_now);
         reply.report.bornWallMs = worker.info.life.bornWallMs;
         for (const auto &it : worker.running)
