Limit the connections to a peer, and say when a stop was not done

The log has run-stopped at 49.1 s and run-ended at 61.9 s, and nothing of the stop orders between: their failures were not logged.

Ruled out: the lease (it was renewed all the while), the owner's right to act (the job's other runs were stopped at once), late orders (their time was over at 21 s).

Change: at most 16 calls in flight to a peer, 4 connections kept; a peer that takes no connection within 300 ms has surely not seen the call; a stop that failed is logged (stop-not-done) and sent again after 250 ms.

Test: "A peer gets no more connections than allowed and further calls wait their turn".

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -35,7 +35,8 @@
     WorkerSessionSettings workers;
     QuarantineOptions quarantine;
     Millis retention{150'000}; // A job that has ended is kept this long.
-    Millis repeatStop{1'000}; // From a stop order to its repetition.
+    Millis repeatStop{1'000}; // From a stop order to its repetition ...
+    Millis retryStop{250}; // ... and from its failure.
     Millis afterNoRoom{500}; // A worker that refused a start gets no other one for so long.
     Millis unlistedGrace{2'500}; // A worker that answers stays usable so long without its entry.
     Millis stalledAfter{2'500}; // A run without progress for so long is moved ...
--- a/include/savorywick/steps/job.h
+++ b/include/savorywick/steps/job.h
@@ -83,6 +83,7 @@
     int occurrence = 0;
     int step = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the default.
     auto operator<=>(const StepRef &) const = default;
 };
 
@@ -94,6 +95,7 @@
     int step = 0;
     int index = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the default.
     auto operator<=>(const TaskRef &) const = default;
     StepRef stepRef() const { return {job, occurrence, step}; }
 };
@@ -107,6 +109,7 @@
     std::string id;
     std::int64_t bornWallMs = 0; // Time of day of its start, since 1970.
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the default.
     auto operator<=>(const WorkerLife &) const = default;
 };
 
--- a/include/savorywick/steps/runbook.h
+++ b/include/savorywick/steps/runbook.h
@@ -19,6 +19,7 @@
     TaskRef task;
     int number = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the default.
     auto operator<=>(const RunKey &) const = default;
 };
 
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -218,6 +218,11 @@
         return;
     if (reply.clockMs)
         worker->second.session.noteClock(*reply.clockMs, now.at);
+    Run *run = m_runs.find({order.task, order.run});
+    if (!run || reply.outcome == OrderOutcome::Done)
+        return;
+    noteRun(NoteKind::StopNotDone, *run, toString(reply.outcome), now.at - run->startedAt);
+    run->stopSentAt = now.at - m_settings.repeatStop + m_settings.retryStop;
 }
 
 // Nobody knows whether the worker has the run: a renewal with a higher fence will tell.
--- a/src/lib/steps/note.cpp
+++ b/src/lib/steps/note.cpp
@@ -13,6 +13,8 @@
         return "run-ended";
     case NoteKind::RunStopped:
         return "run-stopped";
+    case NoteKind::StopNotDone:
+        return "stop-not-done";
     case NoteKind::RunDoubted:
         return "run-doubted";
     case NoteKind::RunPaced:
--- a/src/lib/steps/record.cpp
+++ b/src/lib/steps/record.cpp
@@ -3,6 +3,7 @@
 #include "savorywick/errors.h"
 
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 
 namespace savorywick::steps {
@@ -228,7 +229,7 @@
         const QueuePolicy &p = it.spec.policy;
         w.text(it.spec.id).number(it.wallMs).text(p.queue).text(p.service);
         w.number(p.priority).number(p.maxAttempts);
-        w.number(static_cast<std::int64_t>(p.slackFactor * perThousand + 0.5));
+        w.number(std::llround(p.slackFactor * perThousand));
         w.number(p.targetDuration.count());
         const Schedule &s = it.spec.schedule;
         w.number(s.count).number(s.firstWallMs).number(s.interval.count());
--- a/src/net/asynchttpclient.cpp
+++ b/src/net/asynchttpclient.cpp
@@ -8,7 +8,9 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -25,6 +27,11 @@
 using Request = http::request<http::string_body>;
 using Parser = http::response_parser<http::string_body>;
 
+std::chrono::milliseconds toChrono(Millis span)
+{
+    return std::chrono::milliseconds(span.count());
+}
+
 Request toRequest(HttpCall &call)
 {
     Request request;
@@ -60,17 +67,35 @@
     class Connection;
     using ConnectionPtr = std::shared_ptr<Connection>;
 
-    explicit Impl(EventLoop &l)
+    struct Waiting
+    {
+        HttpCall call;
+        Done done;
+    };
+    // What is known of one address.
+    struct Peer
+    {
+        std::vector<ConnectionPtr> idle;
+        std::size_t busy = 0; // Connections with a call in flight.
+        std::deque<Waiting> waiting;
+    };
+
+    Impl(EventLoop &l, const AsyncHttpClientSettings &s)
         : loop(l)
+        , settings(s)
     { }
 
+    void exchange(HttpCall call, Done done);
+    void start(HttpCall call, Done done);
+    void callOver(const std::string &address);
     ConnectionPtr takeIdle(const std::string &address);
     void keepIdle(const ConnectionPtr &connection);
     void forget(const Connection *connection);
-    void dropIdle(const std::string &address) { idle.erase(address); }
+    void dropIdle(const std::string &address) { peers[address].idle.clear(); }
 
     EventLoop &loop;
-    std::unordered_map<std::string, std::vector<ConnectionPtr>> idle;
+    const AsyncHttpClientSettings settings;
+    std::unordered_map<std::string, Peer> peers;
     Counts counts;
 };
 
@@ -86,9 +111,10 @@
 
     const std::string &address() const { return m_address; }
 
-    void connectAndSend(HttpCall call, Done done)
+    void connectAndSend(HttpCall call, Done done, Millis connectTimeout)
     {
         begin(std::move(call), std::move(done));
+        m_stream.expires_after(toChrono(std::min(connectTimeout, m_timeout)));
         const std::optional<asio::ip::tcp::endpoint> endpoint = parseAddress(m_address);
         if (!endpoint)
             return finish({HttpOutcome::NotSent, 0, {}, {}});
@@ -97,6 +123,7 @@
                 return self->finish({HttpOutcome::NotSent, 0, {}, {}});
             error_code ignored; // Only a delay would follow from it.
             self->m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->m_stream.expires_after(toChrono(self->m_timeout));
             self->write();
         });
     }
@@ -125,7 +152,8 @@
     void begin(HttpCall call, Done done)
     {
         m_done = std::move(done);
-        m_stream.expires_after(std::chrono::milliseconds(call.timeout.count()));
+        m_timeout = call.timeout;
+        m_stream.expires_after(toChrono(m_timeout));
         m_maxAnswerBytes = call.maxAnswerBytes;
         m_request = toRequest(call);
     }
@@ -178,6 +206,7 @@
             pool->dropIdle(m_address);
         // The callback may start the next call on this very connection.
         const Done done = std::exchange(m_done, nullptr);
+        pool->callOver(m_address);
         pool->loop.post([done, answer, alive = m_pool] {
             if (!alive.expired())
                 done(answer);
@@ -211,48 +240,76 @@
     std::optional<Parser> m_parser;
     beast::flat_buffer m_buffer;
     std::size_t m_maxAnswerBytes = 0;
+    Millis m_timeout;
     bool m_idle = false;
 };
 
 AsyncHttpClient::Impl::ConnectionPtr AsyncHttpClient::Impl::takeIdle(const std::string &address)
 {
-    const auto it = idle.find(address);
-    if (it == idle.end() || it->second.empty())
+    std::vector<ConnectionPtr> &idle = peers[address].idle;
+    if (idle.empty())
         return nullptr;
     // The one used last is the least likely to have gone stale.
-    ConnectionPtr connection = std::move(it->second.back());
-    it->second.pop_back();
+    ConnectionPtr connection = std::move(idle.back());
+    idle.pop_back();
     return connection;
 }
 
 void AsyncHttpClient::Impl::keepIdle(const ConnectionPtr &connection)
 {
-    idle[connection->address()].push_back(connection);
+    std::vector<ConnectionPtr> &idle = peers[connection->address()].idle;
+    if (idle.size() >= settings.idlePerPeer)
+        return;
+    idle.push_back(connection);
     connection->watchWhileIdle();
 }
 
 void AsyncHttpClient::Impl::forget(const Connection *connection)
 {
-    const auto it = idle.find(connection->address());
-    if (it == idle.end())
+    std::erase_if(peers[connection->address()].idle,
+                  [&](const ConnectionPtr &c) { return c.get() == connection; });
+}
+
+void AsyncHttpClient::Impl::exchange(HttpCall call, Done done)
+{
+    Peer &peer = peers[call.address];
+    if (peer.busy >= settings.connectionsPerPeer) {
+        peer.waiting.push_back({std::move(call), std::move(done)});
         return;
-    std::erase_if(it->second, [&](const ConnectionPtr &c) { return c.get() == connection; });
+    }
+    start(std::move(call), std::move(done));
+}
+
+void AsyncHttpClient::Impl::start(HttpCall call, Done done)
+{
+    ++peers[call.address].busy;
+    if (const auto connection = takeIdle(call.address))
+        return connection->send(std::move(call), std::move(done));
+    ++counts.connections;
+    const auto fresh = std::make_shared<Connection>(loop, call.address, weak_from_this());
+    fresh->connectAndSend(std::move(call), std::move(done), settings.connectTimeout);
 }
 
-AsyncHttpClient::AsyncHttpClient(EventLoop &loop)
-    : m_impl(std::make_shared<Impl>(loop))
+void AsyncHttpClient::Impl::callOver(const std::string &address)
+{
+    Peer &peer = peers[address];
+    --peer.busy;
+    if (peer.waiting.empty())
+        return;
+    Waiting next = std::move(peer.waiting.front());
+    peer.waiting.pop_front();
+    start(std::move(next.call), std::move(next.done));
+}
+
+AsyncHttpClient::AsyncHttpClient(EventLoop &loop, const AsyncHttpClientSettings &settings)
+    : m_impl(std::make_shared<Impl>(loop, settings))
 { }
 
 AsyncHttpClient::~AsyncHttpClient() = default;
 
 void AsyncHttpClient::exchange(HttpCall call, Done done)
 {
-    if (const auto connection = m_impl->takeIdle(call.address))
-        return connection->send(std::move(call), std::move(done));
-    ++m_impl->counts.connections;
-    const auto fresh =
-        std::make_shared<Impl::Connection>(m_impl->loop, call.address, m_impl->weak_from_this());
-    fresh->connectAndSend(std::move(call), std::move(done));
+    m_impl->exchange(std::move(call), std::move(done));
 }
 
 void AsyncHttpClient::dropIdle(const std::string &address)
--- a/src/net/asynchttpclient.h
+++ b/src/net/asynchttpclient.h
@@ -10,6 +10,14 @@
 
 namespace savorywick {
 
+struct AsyncHttpClientSettings
+{
+    // A peer that takes no connection for so long has surely not seen the call.
+    Millis connectTimeout{300};
+    std::size_t connectionsPerPeer = 16; // Calls in flight to one peer; further ones wait.
+    std::size_t idlePerPeer = 4; // Connections kept for later; peers limit how many they take.
+};
+
 // Calls peers over kept-alive connections on an EventLoop, one call in flight a connection.
 //
 // A connection is reused only after a whole answer; one that its peer closes while idle is dropped.
@@ -35,7 +43,7 @@
         std::uint64_t timedOut = 0;
     };
 
-    explicit AsyncHttpClient(EventLoop &loop);
+    explicit AsyncHttpClient(EventLoop &loop, const AsyncHttpClientSettings &settings = {});
     ~AsyncHttpClient();
     AsyncHttpClient(const AsyncHttpClient &) = delete;
     AsyncHttpClient &operator=(const AsyncHttpClient &) = delete;
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -54,7 +54,7 @@
     boost::asio::post(m_impl->context, std::move(action));
 }
 
-void EventLoop::onSignal(int signal, Action action)
+void EventLoop::onSignal(int signal, const Action &action)
 {
     auto signals = std::make_unique<boost::asio::signal_set>(m_impl->context, signal);
     waitForSignal(*signals, action);
--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -36,7 +36,7 @@
     // Runs `action` as soon as the callback that runs now has returned.
     void post(Action action);
     // Runs `action` at each arrival of the signal.
-    void onSignal(int signal, Action action);
+    void onSignal(int signal, const Action &action);
 
     // Runs callbacks until stop() is called.
     void run();
--- a/tests/net/asynchttp_test.cpp
+++ b/tests/net/asynchttp_test.cpp
@@ -4,8 +4,10 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace savorywick;
@@ -100,6 +102,34 @@
     CHECK(pair.client().counts().connections == 2);
 }
 
+TEST_CASE("A peer gets no more connections than allowed and further calls wait their turn")
+{
+    std::vector<AsyncHttpServer::Responder> held;
+    std::size_t most = 0;
+    Pair pair([&](const HttpRequest &, const AsyncHttpServer::Responder &respond) {
+        held.push_back(respond);
+        most = std::max(most, held.size());
+        pair.loop().after(Millis{5}, [&] {
+            for (const auto &it : std::exchange(held, {}))
+                it({.status = 200, .headers = {}, .body = {}});
+        });
+    });
+    int answered = 0;
+    constexpr int calls = 40;
+    for (int i = 0; i < calls; ++i) {
+        pair.client().exchange({.address = pair.address()}, [&](const HttpAnswer &a) {
+            answered += a.status == 200 ? 1 : 0;
+            if (answered == calls)
+                pair.loop().stop();
+        });
+    }
+    pair.loop().run();
+    const AsyncHttpClientSettings limits;
+    CHECK(answered == calls);
+    CHECK(most <= limits.connectionsPerPeer);
+    CHECK(pair.client().counts().connections >= limits.connectionsPerPeer);
+}
+
 TEST_CASE("Only the first answer to a request is sent")
 {
     Pair pair([](const HttpRequest &, const AsyncHttpServer::Responder &respond) {
