--- a/src/entry/documentapi.cpp
+++ b/src/entry/documentapi.cpp
@@ -2,7 +2,7 @@
 
 #include "caller/problem.h"
 #include "core/hash.h"
-#include "platform/json.h"
+#include "store/json.h"
 #include "savorywick/errors.h"
 
 #include <charconv>
@@ -115,9 +115,9 @@
                                                "the document has " + std::to_string(list.size())
                                                    + " fault(s): " + faults.text("document"),
                                                "mend every fault listed and apply it again"});
-    Json::Value body = platform::fromText(response.body);
+    Json::Value body = store::fromText(response.body);
     body["faults"] = std::move(list);
-    response.body = platform::toText(body);
+    response.body = store::toText(body);
     return response;
 }
 
@@ -145,7 +145,7 @@
         const StoredDocument stored = m_documents.load(request.service, revision);
         if (stored.revision == 0)
             return unknownDocument(request.service);
-        return {200, {}, platform::toText(toJson(stored))};
+        return {200, {}, store::toText(toJson(stored))};
     } catch (const Error &) {
         return storeDown(RunStatus::NotRun);
     }
@@ -171,17 +171,17 @@
     case EditOutcome::Applied:
         body["revision"] = Json::UInt64(report.result.stored.revision);
         addAcceptance(body, report.acceptance);
-        return {200, {}, platform::toText(body)};
+        return {200, {}, store::toText(body)};
     case EditOutcome::Conflict: {
         HttpResponse response = toResponse(
             Problem{412, "revision-changed",
                     "the document is at revision " + std::to_string(report.result.present.revision)
                         + " now",
                     "read it with 'document show', put your change into it, apply it again"});
-        body = platform::fromText(response.body);
+        body = store::fromText(response.body);
         body["present"] = toJson(report.result.present);
         body["changed"] = changesJson(request.http.body, report.result.present.document);
-        response.body = platform::toText(body);
+        response.body = store::toText(body);
         return response;
     }
     case EditOutcome::NotOwner:
@@ -240,7 +240,7 @@
             entry["ageMs"] = Json::Int64(it.age.count());
             body["entries"].append(std::move(entry));
         }
-        return {200, {}, platform::toText(body)};
+        return {200, {}, store::toText(body)};
     } catch (const Error &) {
         return storeDown(RunStatus::NotRun);
     }
--- a/src/entry/documentservice.cpp
+++ b/src/entry/documentservice.cpp
@@ -1,7 +1,7 @@
 #include "entry/documentservice.h"
 
 #include "core/log.h"
-#include "platform/json.h"
+#include "store/json.h"
 #include "savorywick/errors.h"
 
 #include <algorithm>
@@ -19,7 +19,7 @@
     Json::Value parameters;
     parameters["service"] = revision.service;
     parameters["revision"] = Json::UInt64(revision.revision);
-    return platform::toText(parameters);
+    return store::toText(parameters);
 }
 
 // Returns at most `limit` rows under `prefix` after the key `after`, read in parts.
@@ -215,7 +215,7 @@
                 m_peers.call(address, "documentChanged", parameters, m_settings.peerTimeout);
             if (reply.outcome != PeerOutcome::Answered)
                 return;
-            const Json::Value result = platform::fromText(reply.result);
+            const Json::Value result = store::fromText(reply.result);
             said[i].revision = result["inForce"].asUInt64();
             said[i].age = Millis{result["inForceForMs"].asInt64()};
         });
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -1,6 +1,6 @@
 #include "entry/forwarder.h"
 
-#include "platform/json.h"
+#include "store/json.h"
 
 #include <boost/algorithm/hex.hpp>
 
@@ -56,11 +56,11 @@
     parameters["headers"] = headersJson(request.http.headers);
     parameters["body"] = toHex(request.http.body);
     parameters["requestId"] = request.requestId;
-    const PeerReply reply = m_peers.call(address, "forward", platform::toText(parameters), timeout);
+    const PeerReply reply = m_peers.call(address, "forward", store::toText(parameters), timeout);
     Result result{reply.outcome, {}, 0};
     if (reply.outcome != PeerOutcome::Answered)
         return result;
-    const Json::Value value = platform::fromText(reply.result);
+    const Json::Value value = store::fromText(reply.result);
     result.response.status = value["status"].asInt();
     result.response.headers = headersFrom(value["headers"]);
     result.response.body = fromHex(value["body"].asString());
@@ -71,7 +71,7 @@
 
 CallerRequest Forwarder::unpack(const std::string &parameters)
 {
-    const Json::Value value = platform::fromText(parameters);
+    const Json::Value value = store::fromText(parameters);
     CallerRequest request;
     request.http.method = value["method"].asString();
     request.http.path = value["path"].asString();
@@ -90,7 +90,7 @@
     value["body"] = toHex(response.body);
     value["contentType"] = response.contentType;
     value["freeSlots"] = freeSlots;
-    return platform::toText(value);
+    return store::toText(value);
 }
 
 } // namespace savorywick
--- a/src/entry/leaseloop.cpp
+++ b/src/entry/leaseloop.cpp
@@ -2,7 +2,7 @@
 
 #include "core/hash.h"
 #include "core/log.h"
-#include "platform/json.h"
+#include "store/json.h"
 #include "savorywick/errors.h"
 
 #include <future>
--- a/src/entry/runservice.cpp
+++ b/src/entry/runservice.cpp
@@ -2,7 +2,7 @@
 
 #include "caller/problem.h"
 #include "core/hash.h"
-#include "platform/json.h"
+#include "store/json.h"
 
 #include <cstdio>
 
@@ -146,7 +146,7 @@
     spec.key = headerValue(request.http.headers, "Idempotency-Key");
     if (auto refusal = checkKey(spec.key))
         return *refusal;
-    if (!platform::fromText(request.http.body).isObject())
+    if (!store::fromText(request.http.body).isObject())
         return badJson();
     spec.service = request.service;
     spec.runClass = request.name;
@@ -223,7 +223,7 @@
     spec.key = headerValue(request.http.headers, "Idempotency-Key");
     if (auto refusal = checkKey(spec.key))
         return *refusal;
-    const Json::Value body = platform::fromText(request.http.body);
+    const Json::Value body = store::fromText(request.http.body);
     if (!body.isObject())
         return badJson();
     const Json::Value &until = body["until"];
@@ -299,7 +299,7 @@
     Json::Value body;
     body["id"] = result.id;
     body["state"] = std::string(toString(result.state));
-    return {acceptedStatus, {{"X-Run-Status", "run"}}, platform::toText(body)};
+    return {acceptedStatus, {{"X-Run-Status", "run"}}, store::toText(body)};
 }
 
 HttpResponse RunService::await(const ReplySlotPtr<JobReply> &slot, bool watcher) const
@@ -311,7 +311,7 @@
         return notDurable(reply->refusal);
     if (!reply->job || reply->job->watcher != watcher)
         return unknownId();
-    return {200, {}, platform::toText(viewJson(*reply->job))};
+    return {200, {}, store::toText(viewJson(*reply->job))};
 }
 
 } // namespace savorywick
--- a/src/entry/topology.cpp
+++ b/src/entry/topology.cpp
@@ -1,6 +1,6 @@
 #include "entry/topology.h"
 
-#include "platform/json.h"
+#include "store/json.h"
 #include "savorywick/errors.h"
 
 namespace savorywick {
@@ -94,7 +94,7 @@
 
 PeerEntry parseEntryRow(const Row &row)
 {
-    const Json::Value value = platform::fromText(row.value);
+    const Json::Value value = store::fromText(row.value);
     if (!value.isObject() || row.key.size() <= entryPrefix.size())
         throw Error(ErrorKind::InvalidInput, "row '" + row.key + "' is no entry's row",
                     "remove the row from the table; entries write theirs anew");
@@ -120,7 +120,7 @@
     value["region"] = entry.region;
     value["documentsSeen"] = Json::UInt64(entry.documentsSeen);
     value["draining"] = entry.draining;
-    return platform::toText(value);
+    return store::toText(value);
 }
 
 std::string listViewText(const ListView &view)
@@ -128,12 +128,12 @@
     Json::Value value;
     value["digest"] = Json::UInt64(view.digest);
     value["entries"] = Json::UInt64(view.entries);
-    return platform::toText(value);
+    return store::toText(value);
 }
 
 std::optional<ListView> parseListView(std::string_view text)
 {
-    const Json::Value value = platform::fromText(text);
+    const Json::Value value = store::fromText(text);
     if (!value.isObject() || !value["digest"].isUInt64() || !value["entries"].isUInt64())
         return std::nullopt;
     return ListView{value["digest"].asUInt64(), value["entries"].asUInt64()};
--- a/src/platform/httpmembership.cpp
+++ b/src/store/httpmembership.cpp
@@ -1,6 +1,6 @@
-#include "platform/httpmembership.h"
+#include "store/httpmembership.h"
 
-#include "platform/json.h"
+#include "store/json.h"
 #include "savorywick/errors.h"
 
 namespace savorywick {
@@ -49,7 +49,7 @@
         throw Error(ErrorKind::Unavailable, "the membership list does not answer",
                     "go on with the last list and try again");
     std::vector<HostInfo> hosts;
-    const Json::Value body = platform::fromText(answer.body);
+    const Json::Value body = store::fromText(answer.body);
     for (const Json::Value &it : body["hosts"])
         hosts.push_back(hostFrom(it));
     return hosts;
--- a/src/platform/httpobjects.cpp
+++ b/src/store/httpobjects.cpp
@@ -1,4 +1,4 @@
-#include "platform/httpobjects.h"
+#include "store/httpobjects.h"
 
 #include "savorywick/errors.h"
 
--- a/src/platform/httptable.cpp
+++ b/src/store/httptable.cpp
@@ -1,12 +1,12 @@
-#include "platform/httptable.h"
+#include "store/httptable.h"
 
-#include "platform/json.h"
+#include "store/json.h"
 #include "savorywick/errors.h"
 
 namespace savorywick {
 
-using platform::fromText;
-using platform::toText;
+using store::fromText;
+using store::toText;
 
 namespace {
 
--- a/src/platform/json.h
+++ b/src/store/json.h
@@ -2,9 +2,9 @@
 
 #include "lib/jsontext.h"
 
-namespace savorywick::platform {
+namespace savorywick::store {
 
 using internal::fromText;
 using internal::toText;
 
-} // namespace savorywick::platform
+} // namespace savorywick::store
--- a/src/worker/workerclient.cpp
+++ b/src/worker/workerclient.cpp
@@ -1,11 +1,11 @@
 #include "worker/workerclient.h"
 
-#include "platform/json.h"
+#include "store/json.h"
 
 namespace savorywick {
 
-using platform::fromText;
-using platform::toText;
+using store::fromText;
+using store::toText;
 
 namespace {
 
--- a/tests/platform/httpmembership_test.cpp
+++ b/tests/store/httpmembership_test.cpp
@@ -1,5 +1,5 @@
 #include "core/httpserver.h"
-#include "platform/httpmembership.h"
+#include "store/httpmembership.h"
 
 #include <doctest/doctest.h>
 
