Keep more connections and ask workers less often

Change: 8 idle connections a peer; 120 ms instead of 60 from a worker's answer to the next renewal, so that more ends come with one.

--- a/include/savorywick/steps/workersession.h
+++ b/include/savorywick/steps/workersession.h
@@ -13,7 +13,7 @@
     Millis lease{6'000}; // Longer than a takeover of the shard takes, so that runs outlive it.
     Millis longestLease{10'000}; // What a worker shortens a longer lease to.
     Millis renewalWait{1'000}; // How long a worker with runs waits for an end before it answers.
-    Millis renewalGap{60}; // From an answer to the next renewal, so that ends are gathered.
+    Millis renewalGap{120}; // From an answer to the next renewal, so that ends are gathered.
     Millis idleRenewal{2'500}; // From one renewal of a worker without runs to the next.
     Millis unackedRenewal{1'000}; // The longest wait for ends to become durable before a renewal.
     Millis retryAfter{250}; // From a renewal without an answer to the next.
--- a/src/net/asynchttpclient.h
+++ b/src/net/asynchttpclient.h
@@ -15,7 +15,7 @@
     // A peer that takes no connection for so long has surely not seen the call.
     Millis connectTimeout{300};
     std::size_t connectionsPerPeer = 16; // Calls in flight to one peer; further ones wait.
-    std::size_t idlePerPeer = 4; // Connections kept for later; peers limit how many they take.
+    std::size_t idlePerPeer = 8; // Connections kept for later; peers limit how many they take.
 };
 
 // Calls peers over kept-alive connections on an EventLoop, one call in flight a connection.
