Let the session's test follow the gap between renewals

Change: the test takes the gap from the settings, and also checks that no renewal comes before it. workersession_test passes.

--- a/tests/steps/workersession_test.cpp
+++ b/tests/steps/workersession_test.cpp
@@ -9,6 +9,7 @@
 
 constexpr Fence firstFence = 100;
 constexpr Instant owned{50'000};
+const Millis gap = WorkerSessionSettings().renewalGap;
 const WorkerLife life{"w", 7};
 
 WorkerSession session()
@@ -35,9 +36,10 @@
     CHECK(first->wait == Millis{0});
     CHECK_FALSE(s.nextRenewal(true, Millis{1'000}, owned).has_value()); // One is in flight.
     REQUIRE(s.renewalAnswered(report(3'000), owned + Millis{10}));
-    const auto second = s.nextRenewal(true, Millis{1'000}, owned + Millis{110});
+    CHECK_FALSE(s.nextRenewal(true, Millis{1'000}, owned + Millis{9} + gap).has_value());
+    const auto second = s.nextRenewal(true, Millis{1'000}, owned + Millis{10} + gap);
     REQUIRE(second.has_value());
-    CHECK(*second->untilClockMs == 3'000 + 100 + 6'000);
+    CHECK(*second->untilClockMs == 3'000 + gap.count() + 6'000);
     CHECK(second->wait == Millis{1'000});
 }
 
@@ -72,7 +74,7 @@
     CHECK(renewal->wait == Millis{0});
     s.renewalAnswered(report(1'000), owned + Millis{1'001});
     s.endsDurable(5);
-    CHECK(s.nextRenewal(true, Millis{1'000}, owned + Millis{1'100})->seenEnds == 5);
+    CHECK(s.nextRenewal(true, Millis{1'000}, owned + Millis{1'001} + gap)->seenEnds == 5);
 }
 
 TEST_CASE("A lease lapses surely only after the slowest clock has passed its end")
