Say that the store is down when ownership can't be proved

Ruled out: that it runs the risk of hiding a new owner: an entry that was expired while it could not act learns so from its next renewal.

Change: store-down at once. shardrunner_test (new: acceptance after the commit, refusals, loss, release) failed first: 'An owner that does not reach the store refuses at once'.

--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -159,9 +159,10 @@
 
 void ShardRunner::handle(const ShardRequest &request, ShardAnswered answered)
 {
-    if (!m_restored || m_over || m_journal.releasing() || !m_parts.mayAct())
+    if (!m_restored || m_over || m_journal.releasing())
         return answered({ShardOutcome::NotOwner, {}, 0});
-    if (changesState(request) && storeInTrouble())
+    // An owner that can't prove that it still is one does not reach the store.
+    if (!m_parts.mayAct() || (changesState(request) && storeInTrouble()))
         return answered({ShardOutcome::StoreDown, {}, 0});
     const ShardAnswer answer = std::visit(RequestHandler(m_coordinator, now()), request);
     if (!changesState(request))
