Rename a step's label and the event of a stop order

Cause: both had the platform's words, which belong in platform/ only.

Change: neededLabel; the event stop-asked. coordinator, coordinatororders, callerwire, stepplacement and record tests pass as before.

--- a/include/savorywick/steps/job.h
+++ b/include/savorywick/steps/job.h
@@ -39,7 +39,7 @@
     bool allowDuplicates = false; // Copies of a task may run; the first to finish counts.
     bool standing = false; // Its tasks run until the job is cancelled.
     bool fillIn = false; // Its tasks use the processors that others leave unused.
-    std::string requiredLabel; // Empty if any worker will do.
+    std::string neededLabel; // Empty if any worker will do.
     std::string preferredRack; // Empty if every rack is alike.
     std::string image; // Tasks of one image behave alike.
     int maxPerWorker = 0; // Tasks of one occurrence on one worker; 0 for no limit.
--- a/include/savorywick/steps/note.h
+++ b/include/savorywick/steps/note.h
@@ -12,7 +12,7 @@
     RunPlaced, // A worker was chosen.
     RunConfirmed, // The worker has it.
     RunEnded,
-    RunStopped, // We ask for its end.
+    StopAsked, // We ask for its end.
     StopNotDone, // The worker refused the stop, or did not answer.
     RunDoubted, // Its start got no answer.
     RunPaced, // Its share of its speed was changed.
--- a/include/savorywick/steps/orders.h
+++ b/include/savorywick/steps/orders.h
@@ -18,7 +18,7 @@
     std::string address; // IP number and port.
     std::string availabilityZone;
     std::string rack;
-    std::vector<std::string> labels; // What a step's `requiredLabel` may name.
+    std::vector<std::string> labels; // What a step's `neededLabel` may name.
     Demand capacity;
     bool draining = false; // It will leave; it must get nothing new.
     Millis remaining; // While draining: how long it surely stays.
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -303,7 +303,7 @@
     const Run *run = m_runs.find(key);
     if (!run || run->stopping)
         return;
-    noteRun(NoteKind::RunStopped, *run, why, Millis{0}, run->percent);
+    noteRun(NoteKind::StopAsked, *run, why, Millis{0}, run->percent);
     m_runs.stop(key);
 }
 
--- a/src/lib/steps/note.cpp
+++ b/src/lib/steps/note.cpp
@@ -11,8 +11,8 @@
         return "run-confirmed";
     case NoteKind::RunEnded:
         return "run-ended";
-    case NoteKind::RunStopped:
-        return "run-stopped";
+    case NoteKind::StopAsked:
+        return "stop-asked";
     case NoteKind::StopNotDone:
         return "stop-not-done";
     case NoteKind::RunDoubted:
--- a/src/lib/steps/placement.cpp
+++ b/src/lib/steps/placement.cpp
@@ -28,9 +28,8 @@
     const WorkerInfo &info = *worker.info;
     if (info.service != load.service)
         return false;
-    if (!spec.requiredLabel.empty()
-        && std::find(info.labels.begin(), info.labels.end(), spec.requiredLabel)
-            == info.labels.end())
+    if (!spec.neededLabel.empty()
+        && std::find(info.labels.begin(), info.labels.end(), spec.neededLabel) == info.labels.end())
         return false;
     if (spec.maxPerWorker == 0)
         return true;
--- a/src/lib/steps/record.cpp
+++ b/src/lib/steps/record.cpp
@@ -189,7 +189,7 @@
         w.number(it);
     w.number(s.checkpointing).number(s.gang).number(s.sameRack).number(s.allowDuplicates);
     w.number(s.standing).number(s.fillIn);
-    w.text(s.requiredLabel).text(s.preferredRack).text(s.image);
+    w.text(s.neededLabel).text(s.preferredRack).text(s.image);
     w.number(s.maxPerWorker).number(s.latencyTarget.count()).number(s.maxUnavailable);
 }
 
@@ -209,7 +209,7 @@
     s.allowDuplicates = r.flag();
     s.standing = r.flag();
     s.fillIn = r.flag();
-    s.requiredLabel = r.text();
+    s.neededLabel = r.text();
     s.preferredRack = r.text();
     s.image = r.text();
     s.maxPerWorker = r.number<int>();
--- a/tests/adapter/callerwire_test.cpp
+++ b/tests/adapter/callerwire_test.cpp
@@ -44,7 +44,7 @@
     CHECK(second.allowDuplicates);
     CHECK(second.standing);
     CHECK(second.fillIn);
-    CHECK(second.requiredLabel == "b");
+    CHECK(second.neededLabel == "b");
     CHECK(second.maxPerWorker == 2);
     CHECK(second.latencyTarget == Millis{50});
     CHECK(second.maxUnavailable == 3);
--- a/tests/steps/record_test.cpp
+++ b/tests/steps/record_test.cpp
@@ -28,7 +28,7 @@
     s.gang = *rc::gen::arbitrary<bool>();
     s.standing = *rc::gen::arbitrary<bool>();
     s.fillIn = *rc::gen::arbitrary<bool>();
-    s.requiredLabel = anyText();
+    s.neededLabel = anyText();
     s.image = anyText();
     s.maxPerWorker = *rc::gen::inRange(0, 9);
     return s;
--- a/tests/steps/stepplacement_test.cpp
+++ b/tests/steps/stepplacement_test.cpp
@@ -60,7 +60,7 @@
         const char *chosen;
     };
     Case label{"label", task(4'000), load(), "middle"};
-    label.spec.requiredLabel = "a";
+    label.spec.neededLabel = "a";
     Case spread{"spread", task(4'000), load(), "middle"};
     spread.spec.maxPerWorker = 1;
     spread.load.tasksOn["small"] = 1;
