--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -9,11 +9,11 @@
 #include "entry/reportservice.h"
 #include "entry/workerpoll.h"
 #include "peer/peerserver.h"
+#include "savorywick/errors.h"
 #include "store/httpmembership.h"
 #include "store/httpobjects.h"
 #include "store/httptable.h"
 #include "store/json.h"
-#include "savorywick/errors.h"
 
 #include <csignal>
 #include <thread>
--- a/src/entry/documentapi.cpp
+++ b/src/entry/documentapi.cpp
@@ -2,8 +2,8 @@
 
 #include "caller/problem.h"
 #include "core/hash.h"
-#include "store/json.h"
 #include "savorywick/errors.h"
+#include "store/json.h"
 
 #include <charconv>
 #include <chrono>
--- a/src/entry/documentservice.cpp
+++ b/src/entry/documentservice.cpp
@@ -1,8 +1,8 @@
 #include "entry/documentservice.h"
 
 #include "core/log.h"
-#include "store/json.h"
 #include "savorywick/errors.h"
+#include "store/json.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/entry/leaseloop.cpp
+++ b/src/entry/leaseloop.cpp
@@ -2,8 +2,8 @@
 
 #include "core/hash.h"
 #include "core/log.h"
-#include "store/json.h"
 #include "savorywick/errors.h"
+#include "store/json.h"
 
 #include <future>
 
--- a/src/entry/topology.cpp
+++ b/src/entry/topology.cpp
@@ -1,7 +1,7 @@
 #include "entry/topology.h"
 
-#include "store/json.h"
 #include "savorywick/errors.h"
+#include "store/json.h"
 
 namespace savorywick {
 
--- a/src/store/httpmembership.cpp
+++ b/src/store/httpmembership.cpp
@@ -1,7 +1,7 @@
 #include "store/httpmembership.h"
 
-#include "store/json.h"
 #include "savorywick/errors.h"
+#include "store/json.h"
 
 namespace savorywick {
 
--- a/src/store/httptable.cpp
+++ b/src/store/httptable.cpp
@@ -1,7 +1,7 @@
 #include "store/httptable.h"
 
-#include "store/json.h"
 #include "savorywick/errors.h"
+#include "store/json.h"
 
 namespace savorywick {
 
