--- /dev/null
+++ b/tests/node/nodedrain_test.cpp
@@ -0,0 +1,260 @@
+#include "../lib/faketable.h"
+#include "core/bootclock.h"
+#include "node/node.h"
+#include "plaincodec.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <list>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace savorywick;
+using namespace savorywick::testing;
+
+namespace {
+
+constexpr Millis waitLimit{30'000}; // Generous; reached only if the entry never stops.
+
+// A table that replies before the call returns, except to the commits that the test holds back.
+class HoldingTable final : public AsyncTable
+{
+public:
+    void commit(const Transaction &t, CommitCallback done) override
+    {
+        if (committing)
+            committing(t);
+        if (holdsCommits)
+            m_held.push_back(std::move(done));
+        else
+            done(m_table.commit(t));
+    }
+    void read(const std::vector<std::string> &keys, ReadCallback done) override
+    {
+        done(m_table.read(keys));
+    }
+    void scan(const std::string &prefix, const std::string &after, std::size_t limit,
+              ReadCallback done) override
+    {
+        done(m_table.scan(prefix, after, limit));
+    }
+
+    // Makes the entry at `peer` the owner of shard 0.
+    void setOwner(const std::string &peer)
+    {
+        const ShardRow row{.owner = "other.1", .peer = peer, .epoch = 1};
+        m_table.commit({{{shardKey(0), 0}, {entryKey(row.owner), 0}},
+                        {{shardKey(0), serializeShardRow(row)},
+                         {entryKey(row.owner), R"({"peer":")" + peer + R"("})"}}});
+    }
+
+    bool holdsCommits = false;
+    std::function<void(const Transaction &)> committing; // Called before each commit.
+
+private:
+    FakeTable m_table;
+    std::vector<CommitCallback> m_held;
+};
+
+class EmptyObjectStore final : public AsyncObjectStore
+{
+public:
+    void put(const std::string &, const std::string &, PutCallback done) override { done(false); }
+    void fetch(const std::string &, FetchCallback done) override { done(std::nullopt); }
+    void remove(const std::string &) override { }
+};
+
+class NoWorkers final : public AsyncWorkerClient
+{
+public:
+    void renew(const steps::RenewLeaseCommand &, RenewCallback) override { }
+    void start(const steps::StartRunCommand &, OrderCallback) override { }
+    void stop(const steps::StopRunCommand &, OrderCallback) override { }
+    void throttle(const steps::ThrottleRunCommand &, OrderCallback) override { }
+};
+
+// A cluster with one queue and no workers.
+class OneQueueFeed final : public ClusterFeed
+{
+public:
+    void watchQueues(std::function<void(steps::QueueConfiguration)> listener) override
+    {
+        steps::QueueConfiguration configuration;
+        configuration.version = 1;
+        configuration.queues = {{"jobs.example", "/q/", {}}};
+        configuration.queues[0].policy.queue = "q";
+        listener(std::move(configuration));
+    }
+    void watchWorkers(std::function<void(std::vector<steps::WorkerInfo>)> listener) override
+    {
+        listener({});
+    }
+};
+
+// An entry, its callers and an owner of shard 0 that receives requests and never replies.
+class DrainFixture
+{
+public:
+    DrainFixture()
+        : m_http(m_loop)
+        , m_silentOwner(m_loop, {},
+                        [this](const HttpRequest &, const AsyncHttpServer::Responder &respond) {
+                            m_unanswered.push_back(respond);
+                        })
+        , m_node(settings(), m_loop, m_clock, m_http,
+                 {table, m_objects, m_workers, m_feed, m_codec})
+    { }
+    ~DrainFixture() { m_unanswered.clear(); } // Responders must not outlive the loop.
+    DrainFixture(const DrainFixture &) = delete;
+    DrainFixture &operator=(const DrainFixture &) = delete;
+
+    EventLoop &loop() { return m_loop; }
+
+    void giveShardToSilentOwner() { table.setOwner(m_silentOwner.listen("127.0.0.1:0")); }
+    void start() { m_callers = m_node.start().callers; }
+
+    // Sends a caller's request and returns its result, which is set once the request has ended.
+    const std::optional<HttpResult> &send(const std::string &method, const std::string &path,
+                                          const std::string &body = {})
+    {
+        std::optional<HttpResult> &result = m_results.emplace_back();
+        HttpCall call;
+        call.address = m_callers;
+        call.method = method;
+        call.path = path;
+        call.headers = {{"Host", "jobs.example"}};
+        call.body = body;
+        call.timeout = waitLimit;
+        m_http.exchange(std::move(call), [&result](const HttpResult &r) { result = r; });
+        return result;
+    }
+
+    void runFor(Millis span)
+    {
+        m_loop.runAfter(span, [this] { m_loop.stop(); });
+        m_loop.run();
+    }
+
+    // Drains the entry and returns once it has stopped the loop.
+    void drain()
+    {
+        m_node.drain();
+        const auto limit = m_loop.runAfter(waitLimit, [this] {
+            FAIL_CHECK("the entry has not stopped");
+            m_loop.stop();
+        });
+        m_loop.run();
+        m_loop.cancel(limit);
+    }
+
+    HoldingTable table;
+
+private:
+    static NodeSettings settings()
+    {
+        NodeSettings s;
+        s.name = "entry-a";
+        for (std::string *it : {&s.callersAddress, &s.readinessAddress, &s.peersAddress})
+            *it = "127.0.0.1:0";
+        return s;
+    }
+
+    EventLoop m_loop;
+    BootClock m_clock;
+    EmptyObjectStore m_objects;
+    NoWorkers m_workers;
+    OneQueueFeed m_feed;
+    PlainCodec m_codec;
+    std::list<std::optional<HttpResult>> m_results; // A list, since callbacks refer to elements.
+    std::vector<AsyncHttpServer::Responder> m_unanswered;
+    AsyncHttpClient m_http;
+    AsyncHttpServer m_silentOwner;
+    Node m_node;
+    std::string m_callers;
+};
+
+// Returns the status, 0 for a request that was certainly not read, or -1 for one that ended without
+// a response.
+int statusOf(const std::optional<HttpResult> &result)
+{
+    if (result && result->outcome == HttpOutcome::NotSent)
+        return 0;
+    return result && result->outcome == HttpOutcome::ResponseReceived ? result->status : -1;
+}
+
+} // namespace
+
+// Guards against requests that a stopping entry abandons: a caller that waits for 3 s sends one
+// shortly before the entry has to stop, and the shard's owner does not reply in time.
+TEST_CASE("A stopping entry answers requests whose owner does not reply")
+{
+    struct Case
+    {
+        Millis sentAt; // Since the stop signal.
+        const char *method;
+        const char *path;
+        const char *body;
+    };
+    const Case cases[] = {{Millis{0}, "POST", "/q/id1", "job"},
+                          {Millis{2'000}, "GET", "/q/id2", ""},
+                          {Millis{2'800}, "POST", "/q/id3", "job"},
+                          {Millis{4'000}, "DELETE", "/q/id4", ""},
+                          {Millis{4'800}, "POST", "/q/id5", "job"}};
+    DrainFixture fixture;
+    fixture.giveShardToSilentOwner();
+    fixture.start();
+    std::vector<const std::optional<HttpResult> *> results(std::size(cases));
+    for (std::size_t i = 0; i < std::size(cases); ++i) {
+        fixture.loop().runAfter(cases[i].sentAt, [&, i] {
+            results[i] = &fixture.send(cases[i].method, cases[i].path, cases[i].body);
+        });
+    }
+    fixture.drain();
+    for (std::size_t i = 0; i < std::size(cases); ++i) {
+        CAPTURE(std::string(cases[i].path));
+        REQUIRE(results[i]);
+        const int status = statusOf(*results[i]);
+        // An attempt that the silent owner has received may still take effect.
+        CHECK((status == 504 || (cases[i].sentAt >= Millis{4'000} && status == 503)));
+    }
+}
+
+// Guards against a submission that is abandoned because the store holds back its commit.
+TEST_CASE("A stopping owner answers a submission that it can't commit")
+{
+    DrainFixture fixture;
+    fixture.start();
+    fixture.runFor(Millis{1'000}); // Until the entry has claimed and restored its shard.
+    fixture.table.holdsCommits = true;
+    const auto &submitted = fixture.send("POST", "/q/id1", "job");
+    fixture.runFor(Millis{100});
+    const std::optional<HttpResult> *late = nullptr;
+    fixture.loop().runAfter(Millis{200}, [&] { late = &fixture.send("POST", "/q/id2", "job"); });
+    fixture.drain();
+    CHECK(statusOf(submitted) == 504);
+    CHECK(statusOf(*late) == 503);
+}
+
+// Guards against requests that are read after the entry has found itself idle, and then abandoned
+// while its session is being ended.
+TEST_CASE("A request that arrives while a stopping entry ends its session is answered or not read")
+{
+    DrainFixture fixture;
+    fixture.start();
+    fixture.runFor(Millis{1'000});
+    const std::optional<HttpResult> *result = nullptr;
+    fixture.table.committing = [&](const Transaction &t) {
+        const bool endsSession = t.writes.size() == 1 && !t.writes.front().value;
+        if (!endsSession)
+            return;
+        fixture.table.holdsCommits = true;
+        result = &fixture.send("POST", "/q/id1", "job");
+    };
+    fixture.drain();
+    REQUIRE(result);
+    const int status = statusOf(*result);
+    CHECK((status == 503 || status == 0));
+}
