Show that a shard's owner is chosen without regard to its host's capacity

Two tests fail: a weak entry near the store claims a free shard although an entry with four times the processor and twenty times the link is live, and it keeps the shard for good. Claims wait ten round trips to the store and for nothing else, and rows of entries say nothing of capacity.

--- a/tests/lib/shardlease_test.cpp
+++ b/tests/lib/shardlease_test.cpp
@@ -287,6 +287,47 @@
 
 namespace {
 
+constexpr const char *weakFields = R"({"capacity":{"milliCores":120,"linkKbps":10000}})";
+constexpr const char *strongFields = R"({"capacity":{"milliCores":500,"linkKbps":200000}})";
+
+} // namespace
+
+// Guards against an owner that can't serve the shard because a weak entry nearer to the store won.
+TEST_CASE("A shard goes to the entry with the most capacity although a weaker one is nearer")
+{
+    FakeTable table;
+    EntryProcess near(table, "weak.1", 1, 1);
+    EntryProcess far(table, "strong.1", 1, 1);
+    near.manager().setEntryFields(weakFields);
+    far.manager().setEntryFields(strongFields);
+    near.renew(Millis{0});
+    far.renew(Millis{0});
+    near.runOnce(Millis{50});
+    CHECK(near.ownedCount() == 0);
+    far.runOnce(Millis{450});
+    CHECK(far.ownedCount() == 1);
+}
+
+// Guards against a weak entry that keeps the shard since it was the first to start.
+TEST_CASE("A weak owner hands its shard to a stronger entry once")
+{
+    FakeTable table;
+    EntryProcess weak(table, "weak.1", 1, 1);
+    EntryProcess strong(table, "strong.1", 1, 1);
+    weak.manager().setEntryFields(weakFields);
+    strong.manager().setEntryFields(strongFields);
+    weak.runOnce(Millis{0});
+    CHECK(weak.ownedCount() == 1);
+    for (Millis at{1'000}; at <= Millis{60'000}; at = at + Millis{1'000}) {
+        weak.runOnce(at);
+        strong.runOnce(at + Millis{100});
+    }
+    CHECK(strong.ownedCount() == 1);
+    CHECK(parseShardRow(table.row(shardKey(0))).epoch == 2);
+}
+
+namespace {
+
 // Simulates three entries whose clocks drift within the margin, under random faults of the table
 // and random pauses of the processes, to find two entries that act on one shard at the same time.
 class LeaseSimulation
