Count the workers and runs examined, and show that one reply examines all

The owner of a shard with hundreds of workers answered callers and workers late as soon as its processor was short. After every event tick() examines each worker's lease and each run's progress, and takeOrders() each worker's renewal. Two counters, also shown as metrics, now count this.

The new test fails on the present code: one reply makes the coordinator examine 20 workers and 10 runs in a fleet of 10 workers with one run each, 400 and 200 in a fleet of 200.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -108,6 +108,10 @@
     std::uint64_t runsStalled = 0;
     std::uint64_t workersQuarantined = 0;
     std::uint64_t runsEvacuated = 0; // Runs moved off workers that are about to leave.
+    // How often tick(), takeOrders() and takeRenewals() looked at a worker, and at a run: what an
+    // event costs beyond the reply that it brought.
+    std::uint64_t workersExamined = 0;
+    std::uint64_t runsExamined = 0;
 };
 
 // Schedules the jobs of one shard: decides which tasks start where, what the workers are ordered to
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -315,6 +315,7 @@
 void Coordinator::addStopOrders(std::vector<WorkerCommand> &orders, ClockReading now)
 {
     for (const RunKey &key : m_runs.runsToStop()) {
+        ++m_counters.runsExamined;
         Run *run = m_runs.find(key);
         const bool due =
             !run->stopSentAt || now.monotonic - *run->stopSentAt >= m_settings.stopResendInterval;
@@ -330,6 +331,7 @@
 {
     std::vector<WorkerCommand> renewals;
     for (auto &[id, worker] : m_workers) {
+        ++m_counters.workersExamined;
         const Millis wait = needsMonitoring(worker) ? m_settings.monitoredRenewalWait
                                                     : m_settings.workerSessions.maxRenewalWait;
         if (auto renewal = worker.session.nextRenewal(m_runs.hasRunsOn(id), wait, now.monotonic))
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -115,6 +115,7 @@
     if (m_readySteps.empty())
         return;
     std::vector<CandidateWorker> workers = candidateWorkers(now.monotonic);
+    m_counters.workersExamined += m_workers.size();
     std::vector<ReadyStep> steps = sortedReadySteps(now);
     if (static_cast<int>(steps.size()) > m_settings.maxStepsPerPass)
         steps.resize(m_settings.maxStepsPerPass);
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -327,6 +327,7 @@
 {
     std::vector<std::string> removable;
     for (auto &[id, worker] : m_workers) {
+        ++m_counters.workersExamined;
         if (!worker.session.leaseExpired(now.monotonic))
             continue;
         // A run whose start order was not sent holds no lease.
@@ -365,6 +366,7 @@
 {
     std::vector<RunKey> stalledRuns;
     for (const auto &[key, run] : m_runs.all()) {
+        ++m_counters.runsExamined;
         if (isStalled(run, now))
             stalledRuns.push_back(key);
     }
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -17,6 +17,8 @@
     out.writeCounter("runs_stalled_total", c.runsStalled);
     out.writeCounter("runs_evacuated_total", c.runsEvacuated);
     out.writeCounter("workers_quarantined_total", c.workersQuarantined);
+    out.writeCounter("workers_examined_total", c.workersExamined);
+    out.writeCounter("runs_examined_total", c.runsExamined);
     for (const auto &[how, n] : c.runsEnded)
         out.writeCounter("runs_ended_total", "how", steps::toString(how), n);
     for (const auto &[outcome, n] : c.startReplies)
--- /dev/null
+++ b/tests/steps/coordinatorcost_test.cpp
@@ -0,0 +1,125 @@
+#include "savorywick/steps/coordinator.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace savorywick;
+using namespace savorywick::steps;
+
+namespace {
+
+// A Coordinator whose workers each have one long-running run, and hold the renewals of their
+// leases.
+class HeldFleet
+{
+public:
+    explicit HeldFleet(int workers)
+        : m_coordinator(1, m_now, {})
+    {
+        std::vector<WorkerInfo> listed;
+        for (int i = 0; i < workers; ++i) {
+            WorkerInfo info;
+            info.incarnation = {"w" + std::to_string(i), 1};
+            info.service = "matching";
+            info.capacity = {16'000, 32'000, 0};
+            listed.push_back(info);
+        }
+        m_coordinator.takeOver(now());
+        m_coordinator.setWorkers(listed, now());
+        answerAll(process());
+        submitOneRunForEach(workers);
+        answerAll(process());
+        m_now = m_now + Millis{1'000};
+        answerAll(process()); // They confirm the runs.
+        m_now = m_now + Millis{1'000};
+        for (const WorkerCommand &it : process())
+            m_held.push_back(std::get<RenewLeaseCommand>(it));
+    }
+
+    const Coordinator &coordinator() const { return m_coordinator; }
+    std::size_t heldCount() const { return m_held.size(); }
+
+    // Answers the renewal that one worker holds, and lets the coordinator decide.
+    void answerOne()
+    {
+        m_now = m_now + Millis{10};
+        answer(m_held.back());
+        m_held.pop_back();
+        process();
+    }
+
+private:
+    ClockReading now() const { return {m_now, m_now.count()}; }
+
+    void submitOneRunForEach(int workers)
+    {
+        JobSpec spec;
+        spec.id = "job";
+        spec.policy = {"q", "matching", 0, 2, 2.0, Millis{500}};
+        StepSpec step;
+        step.taskCount = workers;
+        step.maxTasksPerWorker = 1;
+        step.longRunning = true;
+        step.demand = {4'000, 1'000, 0};
+        spec.steps = {step};
+        m_coordinator.submit(spec, now());
+    }
+
+    // Does what follows every event, with a journal that commits at once.
+    std::vector<WorkerCommand> process()
+    {
+        m_coordinator.tick(now());
+        m_lsn += m_coordinator.takeRecords().size();
+        m_coordinator.recordsAppended(m_lsn);
+        m_coordinator.recordsDurable(m_lsn);
+        return m_coordinator.takeOrders(now());
+    }
+
+    void answerAll(const std::vector<WorkerCommand> &orders)
+    {
+        for (const WorkerCommand &it : orders) {
+            if (const auto *renewal = std::get_if<RenewLeaseCommand>(&it))
+                answer(*renewal);
+            if (const auto *start = std::get_if<StartRunCommand>(&it))
+                m_coordinator.handleStartReply(*start, {CommandOutcome::Done, m_now.count()},
+                                               now());
+        }
+    }
+
+    void answer(const RenewLeaseCommand &order)
+    {
+        RenewLeaseReply reply{CommandOutcome::Done, {}};
+        reply.report.clockMs = m_now.count();
+        reply.report.startedWallMs = 1;
+        for (const RunKey &it : m_coordinator.runs().onWorker(order.target.worker.workerId))
+            reply.report.running.push_back({it.task, it.number, "", 100, {}});
+        m_coordinator.handleRenewReply(order, reply, now());
+    }
+
+    Instant m_now{1'000'000};
+    Coordinator m_coordinator;
+    LogSequenceNumber m_lsn = 0;
+    std::vector<RenewLeaseCommand> m_held;
+};
+
+} // namespace
+
+// Guards against decisions that take ever more time as the fleet grows, until the owner of a shard
+// answers neither its callers nor its workers in time.
+TEST_CASE("The reply of one worker does not make the coordinator examine all workers and runs")
+{
+    constexpr std::uint64_t maxExaminedPerReply = 4;
+    for (const int workers : {10, 200}) {
+        CAPTURE(workers);
+        HeldFleet fleet(workers);
+        REQUIRE(fleet.coordinator().runs().all().size() == static_cast<std::size_t>(workers));
+        REQUIRE(fleet.heldCount() == static_cast<std::size_t>(workers));
+        const CoordinatorCounters before = fleet.coordinator().counters();
+        fleet.answerOne();
+        const CoordinatorCounters &after = fleet.coordinator().counters();
+        CHECK(after.workersExamined - before.workersExamined <= maxExaminedPerReply);
+        CHECK(after.runsExamined - before.runsExamined <= maxExaminedPerReply);
+    }
+}
