Report how late an entry's event loop is and what the owner of a shard does

Callers saw an owner that answered nothing in time, and neither logs nor metrics said whether its processor, the store or its session was the cause. A probe timer measures the event loop lag (event_loop_lag_ms, event-loop-late); an owner writes one line a second for each shard, with the process's processor time, the lag, its rounds, commits, orders and backlog (shard-load); entries that pass requests on count the owners' replies and their times by outcome.

No decision changes.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -38,6 +38,9 @@
     : m_settings(settings)
     , m_loop(loop)
     , m_clock(clock)
+    , m_loadReporter(
+          loop, clock,
+          [this](Millis processorTime, Millis maxLag) { reportShardLoads(processorTime, maxLag); })
     , m_platform(platform)
     , m_shardClient(http, m_clock)
     , m_shardServer(
@@ -105,6 +108,7 @@
     m_platform.feed.watchWorkers(
         [this](std::vector<steps::WorkerInfo> workers) { setWorkers(std::move(workers)); });
     m_ownership.start();
+    m_loadReporter.start();
     return bound;
 }
 
@@ -154,12 +158,14 @@
         m_ownership.observeNow();
         return onReply({ShardOutcome::NotOwner, {}, 0});
     }
-    m_shardClient.send(owner->peerAddress, shard, request, timeout,
-                       [this, onReply = std::move(onReply)](const ShardReply &reply) {
-                           if (reply.outcome == ShardOutcome::NotOwner)
-                               m_ownership.observeNow();
-                           onReply(reply);
-                       });
+    m_shardClient.send(
+        owner->peerAddress, shard, request, timeout,
+        [this, sentAt = m_clock.now(), onReply = std::move(onReply)](const ShardReply &reply) {
+            recordOwnerReply(reply.outcome, m_clock.now() - sentAt);
+            if (reply.outcome == ShardOutcome::NotOwner)
+                m_ownership.observeNow();
+            onReply(reply);
+        });
 }
 
 void Node::handleLocally(int shard, const ShardRequest &request, const ShardReplyCallback &onReply)
@@ -193,6 +199,20 @@
         m_shardClient.notifyShardsFreed(peer);
 }
 
+void Node::reportShardLoads(Millis processorTime, Millis maxLag)
+{
+    for (const auto &[shard, runner] : m_runners)
+        logShardLoad(shard, runner->takeLoad(), processorTime, maxLag);
+}
+
+void Node::recordOwnerReply(ShardOutcome outcome, Millis time)
+{
+    m_ownerReplies.times.record(time);
+    OwnerReplies::Total &total = m_ownerReplies.byOutcome[outcome];
+    ++total.count;
+    total.time = total.time + time;
+}
+
 void Node::applyQueues(steps::QueueConfiguration configuration)
 {
     const std::uint64_t version = configuration.version;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -6,6 +6,7 @@
 #include "node/asyncstore.h"
 #include "node/asyncworkerclient.h"
 #include "node/callerapi.h"
+#include "node/loadreporter.h"
 #include "node/ownership.h"
 #include "node/shardlink.h"
 #include "node/shardrunner.h"
@@ -72,6 +73,19 @@
     std::string metrics; // Empty if no metrics are served.
 };
 
+// What owners in other entries replied to requests that this one passed on.
+struct OwnerReplies
+{
+    struct Total
+    {
+        std::uint64_t count = 0;
+        Millis time; // Summed from passing a request on to its outcome.
+    };
+
+    LatencyHistogram times;
+    std::map<ShardOutcome, Total> byOutcome;
+};
+
 // Runs one entry on an event loop: serves callers, owns shards, and forwards requests for other
 // shards to their owners.
 //
@@ -112,6 +126,8 @@
 
     void openShard(const OwnedShard &owned);
     void shardEnded(int shard);
+    void reportShardLoads(Millis processorTime, Millis maxLag);
+    void recordOwnerReply(ShardOutcome outcome, Millis time);
     void applyQueues(steps::QueueConfiguration configuration);
     void setWorkers(std::vector<steps::WorkerInfo> workers);
     std::vector<steps::WorkerInfo> workersOf(int shard) const;
@@ -120,6 +136,7 @@
     const NodeSettings m_settings;
     EventLoop &m_loop;
     const Clock &m_clock;
+    LoadReporter m_loadReporter;
     NodePlatform m_platform;
     steps::QueueTable m_queues;
     std::vector<steps::WorkerInfo> m_workers;
@@ -135,6 +152,7 @@
     AsyncHttpServer m_metricsServer;
     bool m_draining = false;
     std::uint64_t m_callerRequestCount = 0;
+    OwnerReplies m_ownerReplies; // Of owners in other entries.
 };
 
 } // namespace savorywick
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -38,6 +38,13 @@
     out.writeHistogram("caller_answer_ms", m_callerApi.responseTimes());
     for (const auto &[outcome, n] : m_callerApi.refusals())
         out.writeCounter("caller_refusals_total", "why", toString(outcome), n);
+    out.writeHistogram("owner_reply_ms", m_ownerReplies.times);
+    for (const auto &[outcome, total] : m_ownerReplies.byOutcome)
+        out.writeCounter("owner_replies_total", "outcome", toString(outcome), total.count);
+    for (const auto &[outcome, total] : m_ownerReplies.byOutcome)
+        out.writeCounter("owner_reply_time_ms_total", "outcome", toString(outcome),
+                         static_cast<std::uint64_t>(total.time.count()));
+    m_loadReporter.writeMetrics(out);
     out.writeHistogram("submit_commit_ms", m_shardLatencies.submitCommit);
     out.writeHistogram("submit_first_start_ms", m_shardLatencies.submitFirstStart);
     out.writeHistogram("shard_restore_ms", m_shardLatencies.restore);
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -166,9 +166,12 @@
 {
     if (!m_restored || m_ended || m_journal.releasing())
         return onReply({ShardOutcome::NotOwner, {}, 0});
+    m_load.countRequest(request);
     // Without a valid lease, this entry's renewals did not reach the store.
-    if (!m_dependencies.hasValidLease() || (changesState(request) && storeUnhealthy()))
+    if (!m_dependencies.hasValidLease() || (changesState(request) && storeUnhealthy())) {
+        ++m_load.storeRefusals;
         return onReply({ShardOutcome::StoreDown, {}, 0});
+    }
     const ShardReply reply = std::visit(RequestHandler(m_coordinator, now()), request);
     if (!changesState(request))
         return onReply(reply);
@@ -221,6 +224,7 @@
     m_processingScheduled = false;
     if (m_ended || !m_restored)
         return;
+    const Instant beganAt = m_dependencies.clock.now();
     if (!m_journal.releasing())
         m_coordinator.tick(now());
     for (int round = 0; round < maxOrderRounds; ++round) {
@@ -230,14 +234,20 @@
         if (!m_coordinator.hasRecords())
             break;
     }
+    logDecisions();
+    storeSnapshot();
+    commitNext();
+    scheduleWakeUp();
+    m_load.countRound(m_dependencies.clock.now() - beganAt);
+}
+
+void ShardRunner::logDecisions()
+{
     for (const steps::SchedulerEvent &it : m_coordinator.takeNotes()) {
         log(it);
         if (it.kind == steps::SchedulerEventKind::JobStarted)
             m_dependencies.latencies.submitFirstStart.record(it.age);
     }
-    storeSnapshot();
-    commitNext();
-    scheduleWakeUp();
 }
 
 void ShardRunner::appendRecords()
@@ -252,11 +262,14 @@
     const auto t = m_journal.nextCommit(m_dependencies.clock.now());
     if (!t)
         return;
-    m_commitSentAt = m_dependencies.clock.now();
-    m_dependencies.table.commit(*t, [weak = weak_from_this()](const CommitResult &result) {
+    const Instant sentAt = m_dependencies.clock.now();
+    m_commitSentAt = sentAt;
+    m_dependencies.table.commit(*t, [weak = weak_from_this(), sentAt](const CommitResult &result) {
         const auto self = weak.lock();
         if (!self || self->m_ended)
             return;
+        self->m_load.countCommit(self->m_dependencies.clock.now() - sentAt,
+                                 result.outcome == CommitOutcome::Committed);
         self->m_lastCommitUnavailable = result.outcome == CommitOutcome::Unavailable;
         if (result.outcome != CommitOutcome::Unknown)
             self->m_commitSentAt.reset();
@@ -316,8 +329,21 @@
         sendOrder(it);
 }
 
+ShardLoad ShardRunner::takeLoad()
+{
+    ShardLoad load = std::exchange(m_load, {});
+    const LogSequenceNumber durable = m_journal.durableLsn();
+    load.committedRecords = durable - std::exchange(m_reportedLsn, durable);
+    load.pendingReplies = m_pendingReplies.size();
+    load.activeRuns = m_coordinator.runs().all().size();
+    load.readySteps = m_coordinator.readyStepCount();
+    load.workers = m_coordinator.workerCount();
+    return load;
+}
+
 void ShardRunner::sendOrder(const steps::WorkerCommand &order)
 {
+    m_load.countOrder(order);
     const auto weak = weak_from_this();
     const auto ifAlive = [weak](auto action) {
         return [weak, action](const auto &reply) {
--- a/src/node/shardrunner.h
+++ b/src/node/shardrunner.h
@@ -4,6 +4,7 @@
 #include "net/eventloop.h"
 #include "node/asyncstore.h"
 #include "node/asyncworkerclient.h"
+#include "node/shardload.h"
 #include "node/shardrequest.h"
 #include "savorywick/clock.h"
 #include "savorywick/journal.h"
@@ -80,6 +81,8 @@
     int shard() const { return m_owned.shard; }
     // Returns true if and only if the shard's state has been restored.
     bool isRestored() const { return m_restored; }
+    // Returns the shard's present backlog and the work since the last call.
+    ShardLoad takeLoad();
     // Returns the shard's decision logic, for reading its counters.
     const steps::Coordinator &coordinator() const { return m_coordinator; }
 
@@ -101,6 +104,7 @@
 
     void scheduleProcessing();
     void process();
+    void logDecisions();
     void appendRecords();
     void commitNext();
     void readBack();
@@ -129,6 +133,8 @@
     bool m_storingSnapshot = false;
     bool m_lastCommitUnavailable = false; // The store rejected the last commit without effect.
     std::optional<Instant> m_commitSentAt; // Set until the outcome of the commit is known.
+    ShardLoad m_load; // Since takeLoad() was called last, without the backlog.
+    LogSequenceNumber m_reportedLsn = 0; // The durable one when takeLoad() was called last.
     std::optional<Instant> m_wakeUpAt;
     EventLoop::TimerId m_wakeUpTimer = 0;
 };
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -248,6 +248,9 @@
     CHECK(containsSample(metrics, "submit_first_start_ms_count 1"));
     CHECK(containsSample(metrics, "shard_restore_ms_count 1"));
     CHECK(containsSample(metrics, "runs_ended_total{how=\"done\"} 1"));
+    CHECK(metrics.find("savorywick_event_loop_lag_ms_count") != std::string::npos);
+    CHECK(metrics.find("savorywick_process_cpu_ms_total") != std::string::npos);
+    CHECK(metrics.find("savorywick_process_peak_memory_bytes") != std::string::npos);
 }
 
 // A process that is killed and restarted immediately must not lose or repeat the run in progress.
--- a/tests/node/shardrunner_test.cpp
+++ b/tests/node/shardrunner_test.cpp
@@ -132,6 +132,28 @@
     CHECK((shard.reply->outcome == ShardOutcome::UnknownJob));
 }
 
+TEST_CASE("The load of a shard counts its work since the last report and its present backlog")
+{
+    ShardFixture shard;
+    shard.request(ShardFixture::job("j"));
+    shard.request(GetJobState{"j"});
+    CHECK(shard.runner->takeLoad().pendingReplies == 1);
+    shard.table.finishCommits(CommitOutcome::Committed);
+    shard.request(CancelJob{"j"});
+    shard.table.finishCommits(CommitOutcome::Unavailable);
+    shard.request(CancelJob{"j"});
+    const ShardLoad load = shard.runner->takeLoad();
+    CHECK(load.submissions == 0);
+    CHECK(load.cancels == 2);
+    CHECK(load.storeRefusals == 1);
+    CHECK(load.commits == 2);
+    CHECK(load.failedCommits == 1);
+    CHECK(load.committedRecords == 1);
+    CHECK(load.rounds > 0);
+    CHECK(load.pendingReplies == 1);
+    CHECK(load.readySteps == 0);
+}
+
 TEST_CASE("An owner without a valid lease refuses requests immediately")
 {
     ShardFixture shard;
