Add a failing test of an owner whose event loop is far behind

An owner that ran seconds late still took every new job. The test gives a shard's runner a loop lag of 2 s and hands in jobs; all 50 are accepted. For it the runner is told the loop lag, which shard-load now shows as well; no decision changes.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -180,10 +180,10 @@
 {
     const auto runner = std::make_shared<ShardRunner>(
         owned, m_settings.shardRunner,
-        ShardRunnerDependencies{m_loop, m_clock, m_platform.table, m_platform.objects,
-                                m_platform.workers, m_shardLatencies,
-                                [this] { return m_ownership.hasValidLease(); },
-                                [this](int shard) { shardEnded(shard); }});
+        ShardRunnerDependencies{
+            m_loop, m_clock, m_platform.table, m_platform.objects, m_platform.workers,
+            m_shardLatencies, [this] { return m_ownership.hasValidLease(); },
+            [this](int shard) { shardEnded(shard); }, [this] { return m_loadReporter.lag(); }});
     m_runners[owned.shard] = runner;
     runner->setWorkers(workersOf(owned.shard));
     runner->open();
--- a/src/node/shardload.cpp
+++ b/src/node/shardload.cpp
@@ -59,6 +59,7 @@
     logInfo("shard-load",
             {{"shard", shard},
              {"cpuMs", processorTime.count()},
+             {"lagMs", load.loopLag.count()},
              {"lagMaxMs", maxLag.count()},
              {"rounds", load.rounds},
              {"roundMaxMs", load.maxRoundTime.count()},
--- a/src/node/shardload.h
+++ b/src/node/shardload.h
@@ -34,6 +34,7 @@
     std::size_t activeRuns = 0;
     std::size_t readySteps = 0; // Steps with tasks that wait for a worker.
     std::size_t workers = 0;
+    Millis loopLag;
 
     void countRequest(const ShardRequest &request);
     void countRound(Millis time);
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -338,6 +338,7 @@
     load.activeRuns = m_coordinator.runs().all().size();
     load.readySteps = m_coordinator.readyStepCount();
     load.workers = m_coordinator.workerCount();
+    load.loopLag = m_dependencies.loopLag();
     return load;
 }
 
--- a/src/node/shardrunner.h
+++ b/src/node/shardrunner.h
@@ -48,6 +48,7 @@
     ShardLatencies &latencies;
     std::function<bool()> hasValidLease; // Whether this entry may act as owner now.
     std::function<void(int shard)> ended; // Called once, when the shard is lost or released.
+    std::function<Millis()> loopLag; // Returns how late the loop runs what is due now.
 };
 
 // Runs one owned shard on an event loop: restores its state from the store, then carries out the
--- a/tests/node/shardrunner_test.cpp
+++ b/tests/node/shardrunner_test.cpp
@@ -64,8 +64,8 @@
         : runner(std::make_shared<ShardRunner>(
             OwnedShard{0, {.owner = "a.1", .epoch = 1}, 10}, ShardRunnerSettings{},
             ShardRunnerDependencies{m_loop, m_clock, table, m_objects, m_workers, latencies,
-                                    [this] { return hasValidLease; },
-                                    [this](int) { ++endedCount; }}))
+                                    [this] { return hasValidLease; }, [this](int) { ++endedCount; },
+                                    [this] { return loopLag; }}))
     {
         runner->open();
     }
@@ -85,6 +85,25 @@
         m_loop.run();
     }
 
+    // Requests and makes the change durable, if there is one.
+    ShardOutcome durableRequest(const ShardRequest &r)
+    {
+        request(r);
+        table.finishCommits(CommitOutcome::Committed);
+        return reply.value().outcome;
+    }
+    // Hands in jobs until one is refused without effect. Returns that outcome, or Ok if none was.
+    ShardOutcome submitUntilRefused()
+    {
+        constexpr int maxJobs = 50;
+        for (int i = 0; i < maxJobs; ++i) {
+            const ShardOutcome outcome = durableRequest(job("refused-" + std::to_string(i)));
+            if (hadNoEffect(outcome))
+                return outcome;
+        }
+        return ShardOutcome::Ok;
+    }
+
     static SubmitJob job(const std::string &id)
     {
         SubmitJob submit;
@@ -96,6 +115,7 @@
 
     bool hasValidLease = true;
     int endedCount = 0;
+    Millis loopLag;
     ManualTable table;
     ShardLatencies latencies;
     std::optional<ShardReply> reply;
@@ -208,3 +228,18 @@
     shard.request(ShardFixture::job("k"));
     CHECK((shard.reply->outcome == ShardOutcome::NotOwner));
 }
+
+// An owner whose event loop was seconds behind took every new job, which put it further behind.
+TEST_CASE("An owner that is far behind refuses new jobs but serves all other requests")
+{
+    ShardFixture shard;
+    CHECK((shard.durableRequest(ShardFixture::job("known")) == ShardOutcome::Ok));
+    shard.loopLag = Millis{2'000};
+    const ShardOutcome refusal = shard.submitUntilRefused();
+    REQUIRE(hadNoEffect(refusal));
+    CHECK((refusal != ShardOutcome::StoreDown));
+    CHECK((shard.durableRequest(ShardFixture::job("known")) == ShardOutcome::Ok));
+    CHECK((shard.durableRequest(GetJobState{"known"}) == ShardOutcome::Ok));
+    CHECK((shard.durableRequest(CountPendingJobs{"q"}) == ShardOutcome::Ok));
+    CHECK((shard.durableRequest(CancelJob{"known"}) == ShardOutcome::Ok));
+}
