Answer a request by its deadline though the owner never replies

Callers whose job belonged to a shard of the entry that they had reached got no response at all while the store held back the commit: the deadline was only looked at when the owner replied, and an owner in the same entry has no timeout as one behind a connection has. At the stop of the entry the connection was then closed.

Every request now has a timer at its deadline. When it fires with an attempt still out, the response is 504, since the attempt may take effect; between two attempts it is decided as before. The timer leaves 20 ms to the timeout of the attempt itself, which knows more. A late reply is ignored and no longer keeps the connection.

--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -17,6 +17,9 @@
     Instant receivedAt;
     Instant deadline; // The response must be sent by then, even if the outcome is unknown.
     bool maybeApplied = false; // An earlier attempt may still take effect.
+    bool attemptInFlight = false; // The owner has not replied to the last attempt.
+    ShardOutcome lastOutcome = ShardOutcome::NotOwner; // Of the last attempt with a reply.
+    EventLoop::TimerId deadlineTimer = 0;
 };
 
 CallerApi::CallerApi(const CallerApiSettings &settings, Dependencies dependencies)
@@ -49,8 +52,11 @@
                                      .value_or(m_settings.defaultCallerTimeout);
     const Instant deadline =
         now + std::max(callerTimeout - m_settings.responseMargin, callerTimeout / 2);
-    sendToOwner(std::make_shared<PendingRequest>(
-        PendingRequest{std::move(key), std::move(*shardRequest), respond, now, deadline}));
+    const auto pending = std::make_shared<PendingRequest>(
+        PendingRequest{std::move(key), std::move(*shardRequest), respond, now, deadline});
+    m_pending.insert(pending);
+    armDeadline(pending);
+    sendToOwner(pending);
 }
 
 std::optional<ShardRequest> CallerApi::parseRequest(const HttpRequest &request,
@@ -87,7 +93,10 @@
 
 void CallerApi::sendToOwner(const std::shared_ptr<PendingRequest> &pending)
 {
+    if (!m_pending.contains(pending))
+        return;
     const Millis remaining = pending->deadline - m_dependencies.clock.now();
+    pending->attemptInFlight = true;
     m_dependencies.sendToOwner(
         pending->key, pending->request, std::min(remaining, m_settings.ownerTimeout),
         [this, pending](const ShardReply &reply) { handleReply(pending, reply); });
@@ -95,12 +104,16 @@
 
 void CallerApi::handleReply(const std::shared_ptr<PendingRequest> &pending, const ShardReply &reply)
 {
+    if (!m_pending.contains(pending))
+        return; // The reply came after the deadline.
+    pending->attemptInFlight = false;
+    pending->lastOutcome = reply.outcome;
     const bool settled =
         reply.outcome == ShardOutcome::Ok || reply.outcome == ShardOutcome::UnknownJob;
     const Instant now = m_dependencies.clock.now();
     if (settled) {
         m_responseTimes.record(now - pending->receivedAt);
-        return pending->respond(toResponse(*pending, reply));
+        return settle(pending, reply);
     }
     if (reply.outcome == ShardOutcome::Undecided)
         pending->maybeApplied = true;
@@ -115,13 +128,43 @@
                                      [this, pending] { sendToOwner(pending); });
         return;
     }
-    ++m_refusals[reply.outcome];
+    giveUp(pending, reply.outcome);
+}
+
+void CallerApi::armDeadline(const std::shared_ptr<PendingRequest> &pending)
+{
+    m_dependencies.loop.cancel(pending->deadlineTimer);
+    const Millis remaining = pending->deadline - m_dependencies.clock.now();
+    pending->deadlineTimer =
+        m_dependencies.loop.runAfter(std::max(remaining, Millis{0}) + m_settings.ownerTimeoutSlack,
+                                     [this, pending] { handleDeadline(pending); });
+}
+
+void CallerApi::handleDeadline(const std::shared_ptr<PendingRequest> &pending)
+{
+    if (pending->attemptInFlight)
+        pending->maybeApplied = true;
+    giveUp(pending, pending->attemptInFlight ? ShardOutcome::Undecided : pending->lastOutcome);
+}
+
+void CallerApi::giveUp(const std::shared_ptr<PendingRequest> &pending, ShardOutcome outcome)
+{
+    ++m_refusals[outcome];
     logInfo("request-refused",
             {{"requestId", pending->key},
-             {"why", toString(reply.outcome)},
+             {"why", toString(outcome)},
              {"undecided", pending->maybeApplied},
-             {"waitedMs", (now - pending->receivedAt).count()}});
-    pending->respond(toResponse(*pending, reply));
+             {"waitedMs", (m_dependencies.clock.now() - pending->receivedAt).count()}});
+    settle(pending, {outcome, {}, 0});
+}
+
+void CallerApi::settle(const std::shared_ptr<PendingRequest> &pending, const ShardReply &reply)
+{
+    m_pending.erase(pending);
+    m_dependencies.loop.cancel(pending->deadlineTimer);
+    // A late reply may keep the request alive, but must not keep the connection open.
+    const AsyncHttpServer::Responder respond = std::exchange(pending->respond, {});
+    respond(toResponse(*pending, reply));
 }
 
 HttpResponse CallerApi::toResponse(const PendingRequest &pending, const ShardReply &reply) const
--- a/src/node/callerapi.h
+++ b/src/node/callerapi.h
@@ -10,7 +10,9 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -47,6 +49,8 @@
     // A request that certainly had no effect is retried for this long, then refused with a 503.
     Millis maxRetryTime{450};
     Millis responseMargin{150}; // A response is sent this long before the caller's timeout.
+    // A request whose owner has not replied is answered this long after its last timeout.
+    Millis ownerTimeoutSlack{20};
     Millis defaultCallerTimeout{3'000}; // Applies if the caller states no timeout.
     int retryAfterSeconds = 1; // Another entry takes over an ownerless shard within a few seconds.
 };
@@ -55,7 +59,8 @@
 // and converts the reply to an HTTP response.
 //
 // A 404 or 503 response guarantees that the request had no effect. If the outcome is unknown, the
-// response is 504. Not thread-safe.
+// response is 504. Every request is answered before its caller's timeout, even if the owner never
+// replies. Not thread-safe.
 class CallerApi
 {
 public:
@@ -90,6 +95,10 @@
                                              HttpResponse &errorResponse, std::string &key) const;
     void sendToOwner(const std::shared_ptr<PendingRequest> &pending);
     void handleReply(const std::shared_ptr<PendingRequest> &pending, const ShardReply &reply);
+    void armDeadline(const std::shared_ptr<PendingRequest> &pending);
+    void handleDeadline(const std::shared_ptr<PendingRequest> &pending);
+    void giveUp(const std::shared_ptr<PendingRequest> &pending, ShardOutcome outcome);
+    void settle(const std::shared_ptr<PendingRequest> &pending, const ShardReply &reply);
     HttpResponse toResponse(const PendingRequest &pending, const ShardReply &reply) const;
     HttpResponse serviceUnavailable() const;
 
@@ -97,6 +106,7 @@
     Dependencies m_dependencies;
     LatencyHistogram m_responseTimes;
     std::map<ShardOutcome, std::uint64_t> m_refusals;
+    std::set<std::shared_ptr<PendingRequest>> m_pending;
 };
 
 } // namespace savorywick
--- a/tests/node/callerapi_test.cpp
+++ b/tests/node/callerapi_test.cpp
@@ -3,6 +3,9 @@
 
 #include <doctest/doctest.h>
 
+#include <memory>
+#include <optional>
+#include <utility>
 #include <vector>
 
 using namespace savorywick;
@@ -10,7 +13,10 @@
 
 namespace {
 
+constexpr Millis waitLimit{20'000}; // Generous; reached only if a request gets no response.
+
 // A CallerApi with an owner that sends the given replies in order and then repeats the last one.
+// Without any, the owner replies when the test calls replyToAttempts().
 class CallerApiFixture
 {
 public:
@@ -34,16 +40,26 @@
     HttpResponse request(const std::string &method, const std::string &path,
                          const std::string &body = {}, const std::string &patience = "long")
     {
-        std::optional<HttpResponse> response;
+        // Shared, since a response may come after this function has given up.
+        const auto response = std::make_shared<std::optional<HttpResponse>>();
         HttpRequest request{
             method, path, {{"Host", "jobs.example"}, {"Patience", patience}}, {}, body};
-        m_api.handle(request, [&](HttpResponse r) {
-            response = std::move(r);
+        m_api.handle(request, [this, response](HttpResponse r) {
+            *response = std::move(r);
             m_loop.stop();
         });
-        if (!response)
+        const auto limit = m_loop.runAfter(waitLimit, [this] { m_loop.stop(); });
+        if (!*response)
             m_loop.run();
-        return *response;
+        m_loop.cancel(limit);
+        return response->value_or(HttpResponse{.status = 0, .headers = {}, .body = {}});
+    }
+
+    // Replies to the attempts that had no reply so far.
+    void replyToAttempts(const ShardReply &reply)
+    {
+        for (const ShardReplyCallback &it : std::exchange(m_unanswered, {}))
+            it(reply);
     }
 
     const CallerApi &api() const { return m_api; }
@@ -55,6 +71,8 @@
     // Sends the owner's next reply after 100 ms of simulated time.
     void replyNext(const ShardReplyCallback &onReply)
     {
+        if (m_replies.empty())
+            return m_unanswered.push_back(onReply);
         m_clock.advance(Millis{100});
         const std::size_t i = std::min<std::size_t>(m_attempts++, m_replies.size() - 1);
         onReply(m_replies[i]);
@@ -65,6 +83,7 @@
     PlainCodec m_codec;
     steps::QueueTable m_queues;
     std::vector<ShardReply> m_replies;
+    std::vector<ShardReplyCallback> m_unanswered;
     std::size_t m_attempts = 0;
     Millis m_lastTimeout;
     CallerApi m_api;
@@ -151,3 +170,14 @@
     CHECK(fixture.api().refusals().at(ShardOutcome::StoreDown) == 1);
     CHECK(fixture.api().responseTimes().count() == 0);
 }
+
+// Guards against requests without a response: a store that holds back the commit keeps an owner in
+// the same entry from replying, and nothing else ends the wait.
+TEST_CASE("A request whose owner never replies is answered before the caller times out")
+{
+    CallerApiFixture fixture({});
+    CHECK(fixture.request("POST", "/q/id1", "job", "short").status == 504);
+    fixture.replyToAttempts(replyWith(ShardOutcome::Ok)); // Too late, so it must be ignored.
+    CHECK(fixture.api().responseTimes().count() == 0);
+    CHECK(fixture.api().refusals().at(ShardOutcome::Undecided) == 1);
+}
