Examine a worker or a run only when it is due

Callers of a shard with hundreds of workers were answered late, and tasks were started late, as soon as the owner's processor was short: the cost of each event grew with the fleet. After each event tick() compared the lease of every worker and the progress of every run with the time, and takeOrders() and wakeAt() asked every worker's session whether its renewal is due.

DueQueue keeps keys by due time. There is one for renewals, one for the ends of leases, one for runs that may have stalled and one for occurrences of scheduled jobs. What changes a session marks its worker, and the worker's due times are computed anew before the queues are used. A run's progress only puts its check off, which is seen when the check is due. Decisions stay the same, as does their order: due keys are sorted.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -3,6 +3,7 @@
 #include "savorywick/clock.h"
 #include "savorywick/journal.h"
 #include "savorywick/quarantine.h"
+#include "savorywick/steps/duequeue.h"
 #include "savorywick/steps/jobtable.h"
 #include "savorywick/steps/latencyheadroom.h"
 #include "savorywick/steps/placement.h"
@@ -171,7 +172,7 @@
     // are due, forgets ended jobs after their retention, and places ready steps.
     void tick(ClockReading now);
     // Returns when tick() and takeOrders() should be called next if no other event comes earlier.
-    Instant wakeAt(Instant now) const;
+    Instant wakeAt(Instant now);
 
     // Returns the records produced since the last call, in order. Append them to the journal and
     // pass the number that Journal::append() returns to recordsAppended(), even if there are none.
@@ -216,6 +217,7 @@
         // It gets no starts until then: it refused one for lack of resources, although it has free
         // capacity as far as is known.
         Instant blockedUntil;
+        bool dueTimesStale = false; // It is in `m_staleWorkers`.
     };
     // What is held back until its records are durable. The log sequence number is 0 until they are
     // appended.
@@ -272,10 +274,15 @@
     void stopGangMembers(const RunKey &key);
     void stopDuplicateRuns(const TaskRef &task);
     void requestStop(const RunKey &key, std::string_view why);
+    void markStale(Worker &worker);
+    void markStale(const std::string &workerId);
+    void refreshDueTimes();
     void expireWorkers(ClockReading now);
+    void endLapsedRuns(const std::string &id, ClockReading now);
+    std::optional<Instant> stalledAt(const Run &run) const;
+    void scheduleStallCheck(const Run &run);
     void stopStalledRuns(ClockReading now);
     void evacuate(const Worker &worker);
-    bool isStalled(const Run &run, ClockReading now) const;
     const StepSpec *findStepSpec(const TaskRef &task) const;
 
     // Interference of best-effort with latency-critical runs (coordinatorinterference.cpp).
@@ -318,9 +325,15 @@
     CoordinatorCounters m_counters;
 
     std::map<std::string, Worker, std::less<>> m_workers;
+    // Workers that have changed since their times in the two queues after it were set.
+    std::vector<Worker *> m_staleWorkers;
+    DueQueue<std::string> m_renewals;
+    DueQueue<std::string> m_leaseEnds; // Of workers that have runs or are unlisted.
+    DueQueue<RunKey> m_stallChecks; // At or before the run would count as stalled.
     std::map<StepRef, Instant> m_readySteps; // Steps with tasks that may start, and since when.
     // Of jobs with a schedule: the first occurrence that is not due yet.
     std::map<std::string, int> m_nextOccurrence;
+    DueQueue<std::string> m_dueOccurrences; // The same jobs, by the wall-clock time of that one.
     std::set<std::pair<std::int64_t, std::string>> m_endedJobs; // Time of the end in ms, and id.
 
     std::vector<SchedulerEvent> m_notes;
--- a/include/savorywick/steps/workersession.h
+++ b/include/savorywick/steps/workersession.h
@@ -99,7 +99,9 @@
     Instant lastAnswerAt() const { return m_lastAnswerAt; }
     // Returns true if and only if every lease on the worker has expired even by the slowest clock
     // that a worker may have, so that everything that ran there is over.
-    bool leaseExpired(Instant now) const;
+    bool leaseExpired(Instant now) const { return now >= leaseExpiresAt(); }
+    // Returns from when on leaseExpired() is true unless the session changes.
+    Instant leaseExpiresAt() const;
 
     // Records that ended runs up to `number` were applied to the state, but not durably yet.
     void recordAppliedEnds(std::int64_t number) { m_appliedEnds = number; }
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -137,6 +137,7 @@
     const std::string &id = job.spec.id;
     if (isFinal(job.state)) {
         m_nextOccurrence.erase(id);
+        m_dueOccurrences.cancel(id);
         for (auto it = m_readySteps.lower_bound({id, 0, 0});
              it != m_readySteps.end() && it->first.job == id;)
             it = m_readySteps.erase(it);
@@ -148,10 +149,13 @@
         k = next->second;
     for (; k < job.occurrenceCount() && job.dueWallMs(k) <= now.wallMs; ++k)
         refreshOccurrence(job, k, now);
-    if (k < job.occurrenceCount())
+    if (k < job.occurrenceCount()) {
         m_nextOccurrence[id] = k;
-    else
+        m_dueOccurrences.schedule(id, Instant{job.dueWallMs(k)});
+    } else {
         m_nextOccurrence.erase(id);
+        m_dueOccurrences.cancel(id);
+    }
 }
 
 void Coordinator::refreshOccurrence(const Job &job, int occurrence, ClockReading now)
@@ -225,10 +229,7 @@
 {
     expireWorkers(now);
     stopStalledRuns(now);
-    std::vector<std::string> scheduled;
-    for (const auto &[id, k] : m_nextOccurrence)
-        scheduled.push_back(id);
-    for (const std::string &id : scheduled)
+    for (const std::string &id : m_dueOccurrences.takeDue(Instant{now.wallMs}))
         openDueOccurrences(*m_table.find(id), now);
     forgetExpiredJobs(now);
     if (m_placementNeeded)
@@ -265,8 +266,10 @@
     while (isDurable(m_uncommittedAcks)) {
         const UncommittedAck &ack = m_uncommittedAcks.front();
         const auto it = m_workers.find(ack.worker.workerId);
-        if (it != m_workers.end() && it->second.session.incarnation() == ack.worker)
+        if (it != m_workers.end() && it->second.session.incarnation() == ack.worker) {
             it->second.session.recordDurableEnds(ack.endNumber);
+            markStale(it->second);
+        }
         m_uncommittedAcks.pop_front();
     }
     while (isDurable(m_uncommittedStarts)) {
@@ -309,6 +312,7 @@
         orders.emplace_back(StartRunCommand{session.target(), key.task, key.number,
                                             job->spec.payload, job->findTask(key.task)->checkpoint,
                                             session.grantLease(now.monotonic)});
+        markStale(it->second);
     }
 }
 
@@ -330,8 +334,11 @@
 std::vector<WorkerCommand> Coordinator::takeRenewals(ClockReading now)
 {
     std::vector<WorkerCommand> renewals;
-    for (auto &[id, worker] : m_workers) {
+    refreshDueTimes();
+    for (const std::string &id : m_renewals.takeDue(now.monotonic)) {
         ++m_counters.workersExamined;
+        Worker &worker = m_workers.at(id);
+        markStale(worker);
         const Millis wait = needsMonitoring(worker) ? m_settings.monitoredRenewalWait
                                                     : m_settings.workerSessions.maxRenewalWait;
         if (auto renewal = worker.session.nextRenewal(m_runs.hasRunsOn(id), wait, now.monotonic))
@@ -340,16 +347,13 @@
     return renewals;
 }
 
-Instant Coordinator::wakeAt(Instant now) const
+Instant Coordinator::wakeAt(Instant now)
 {
     // Bounds the delay of lapsed leases, stalled runs, due occurrences and repeated stop orders.
     constexpr Millis maxTickInterval{500};
-    Instant at = now + maxTickInterval;
-    for (const auto &[id, worker] : m_workers) {
-        if (const auto due = worker.session.nextRenewalAt(m_runs.hasRunsOn(id)))
-            at = std::min(at, *due);
-    }
-    return at;
+    refreshDueTimes();
+    const Instant latest = now + maxTickInterval;
+    return std::min(latest, m_renewals.nextAt().value_or(latest));
 }
 
 } // namespace savorywick::steps
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -181,7 +181,9 @@
 {
     const bool wasQueued = m_table.find(task.job)->state == JobState::Queued;
     const std::string &id = worker.info->incarnation.workerId;
-    const WorkerIncarnation life = m_workers.at(id).session.incarnation();
+    Worker &known = m_workers.at(id);
+    const WorkerIncarnation life = known.session.incarnation();
+    markStale(known);
     appendRecord(RunStarted{task, run, life});
     if (wasQueued)
         publishWhenDurable(task.job);
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace savorywick::steps {
 
@@ -20,6 +21,7 @@
     if (it != m_workers.end()) {
         it->second.session.update(info.incarnation, info.address, now.monotonic);
         it->second.info = info;
+        markStale(it->second);
         return it->second;
     }
     m_quarantine.addWorker(id);
@@ -27,7 +29,9 @@
                   WorkerSession(info.incarnation, info.address, m_firstFence, m_ownedSince,
                                 m_settings.workerSessions),
                   {}};
-    return m_workers.emplace(id, std::move(worker)).first->second;
+    Worker &added = m_workers.emplace(id, std::move(worker)).first->second;
+    markStale(added);
+    return added;
 }
 
 void Coordinator::setWorkers(std::span<const WorkerInfo> workers, ClockReading now)
@@ -42,8 +46,10 @@
             evacuate(worker);
     }
     for (auto &[id, worker] : m_workers) {
-        if (!listed.contains(id) && !worker.unlistedSince)
-            worker.unlistedSince = now.monotonic;
+        if (listed.contains(id) || worker.unlistedSince)
+            continue;
+        worker.unlistedSince = now.monotonic;
+        markStale(worker);
     }
     m_placementNeeded = true;
 }
@@ -57,7 +63,7 @@
     m_runs.add(std::move(run));
     const std::string &id = active.worker.workerId;
     if (m_workers.contains(id))
-        return;
+        return markStale(id);
     // The platform has not listed the worker yet. If it never does, the worker's lease lapses and
     // the run ends.
     Worker worker{
@@ -66,6 +72,7 @@
         m_ownedSince};
     m_quarantine.addWorker(id);
     m_workers.emplace(id, std::move(worker));
+    markStale(id);
 }
 
 void Coordinator::handleRenewReply(const RenewLeaseCommand &order, const RenewLeaseReply &reply,
@@ -75,6 +82,7 @@
     if (it == m_workers.end() || it->second.session.incarnation() != order.target.worker)
         return;
     Worker &worker = it->second;
+    markStale(worker);
     const std::string &id = worker.info.incarnation.workerId;
     const bool wasResponsive = worker.session.responsive();
     const Millis silence = now.monotonic - worker.session.lastAnswerAt();
@@ -133,7 +141,8 @@
         }
         if (run->incarnation != worker.session.incarnation())
             m_runs.setIncarnation(key, worker.session.incarnation());
-        if (run->phase != RunPhase::Running) {
+        const bool wasRunning = run->phase == RunPhase::Running;
+        if (!wasRunning) {
             if (run->startFence == 0)
                 ++m_counters.runsAdopted;
             noteRun(SchedulerEventKind::RunConfirmed, *run,
@@ -148,8 +157,11 @@
         if (run->longRunning && it.progressPercent == fullPercent
             && run->progressPercent < fullPercent)
             m_quarantine.recordSuccess(key.task.job, run->workerId, now.monotonic);
+        const bool fellBehind = it.progressPercent < run->progressPercent;
         run->progressPercent = it.progressPercent;
         run->measurement = it.measurement;
+        if (!wasRunning || fellBehind)
+            scheduleStallCheck(*run);
     }
 }
 
@@ -191,8 +203,10 @@
     const auto worker = m_workers.find(order.target.worker.workerId);
     const bool sameLife =
         worker != m_workers.end() && worker->second.session.incarnation() == order.target.worker;
-    if (sameLife && reply.clockMs)
+    if (sameLife && reply.clockMs) {
         worker->second.session.recordClock(*reply.clockMs, now.monotonic);
+        markStale(worker->second);
+    }
     const RunKey key{order.task, order.run};
     Run *run = m_runs.find(key);
     if (!run || run->phase != RunPhase::StartSent)
@@ -202,7 +216,7 @@
         run->phase = RunPhase::Running;
         run->confirmedAt = now.monotonic;
         run->lastProgressAt = now.monotonic;
-        return;
+        return scheduleStallCheck(*run);
     case CommandOutcome::Unknown:
     case CommandOutcome::StaleRun: // This run or a later one has ended there; the next report
                                    // tells.
@@ -227,8 +241,10 @@
     const auto worker = m_workers.find(order.target.worker.workerId);
     if (worker == m_workers.end() || worker->second.session.incarnation() != order.target.worker)
         return;
-    if (reply.clockMs)
+    if (reply.clockMs) {
         worker->second.session.recordClock(*reply.clockMs, now.monotonic);
+        markStale(worker->second);
+    }
     Run *run = m_runs.find({order.task, order.run});
     if (!run || reply.outcome == CommandOutcome::Done)
         return;
@@ -245,8 +261,10 @@
     run->phase = RunPhase::Unconfirmed;
     noteRun(SchedulerEventKind::RunUnconfirmed, *run, "no-answer", now.monotonic - run->startedAt);
     const auto worker = m_workers.find(run->workerId);
-    if (worker != m_workers.end() && worker->second.session.fence() == run->startFence)
+    if (worker != m_workers.end() && worker->second.session.fence() == run->startFence) {
         worker->second.session.raiseFence(now.monotonic);
+        markStale(worker->second);
+    }
 }
 
 void Coordinator::endRun(const RunKey &key, RunOutcome how, const std::string &checkpoint,
@@ -257,6 +275,8 @@
         return;
     const Run run = *known;
     m_runs.remove(key);
+    m_stallChecks.cancel(key);
+    markStale(run.workerId);
     m_placementNeeded = true;
     ++m_counters.runsEnded[how];
     noteRun(SchedulerEventKind::RunEnded, run, toString(how), now.monotonic - run.startedAt,
@@ -322,58 +342,105 @@
     m_runs.requestStop(key);
 }
 
+// Notes that the times at which the worker is due may have changed. Call it at every change of the
+// worker's session, of whether it has runs, or of whether it is listed.
+void Coordinator::markStale(Worker &worker)
+{
+    if (!std::exchange(worker.dueTimesStale, true))
+        m_staleWorkers.push_back(&worker);
+}
+
+void Coordinator::markStale(const std::string &workerId)
+{
+    const auto it = m_workers.find(workerId);
+    if (it != m_workers.end())
+        markStale(it->second);
+}
+
+// Sets when the workers that have changed are due in `m_renewals` and `m_leaseEnds`.
+void Coordinator::refreshDueTimes()
+{
+    for (Worker *worker : std::exchange(m_staleWorkers, {})) {
+        worker->dueTimesStale = false;
+        const std::string &id = worker->info.incarnation.workerId;
+        const bool hasRuns = m_runs.hasRunsOn(id);
+        if (const auto renewalAt = worker->session.nextRenewalAt(hasRuns))
+            m_renewals.schedule(id, *renewalAt);
+        else
+            m_renewals.cancel(id);
+        if (hasRuns || worker->unlistedSince)
+            m_leaseEnds.schedule(id, worker->session.leaseExpiresAt());
+        else
+            m_leaseEnds.cancel(id);
+    }
+}
+
 // Ends the runs of workers whose lease has lapsed, and removes such workers if they are unlisted.
 void Coordinator::expireWorkers(ClockReading now)
 {
-    std::vector<std::string> removable;
-    for (auto &[id, worker] : m_workers) {
+    refreshDueTimes();
+    for (const std::string &id : m_leaseEnds.takeDue(now.monotonic)) {
         ++m_counters.workersExamined;
-        if (!worker.session.leaseExpired(now.monotonic))
+        endLapsedRuns(id, now);
+        const auto it = m_workers.find(id);
+        if (!it->second.unlistedSince || m_runs.hasRunsOn(id))
             continue;
-        // A run whose start order was not sent holds no lease.
-        std::vector<RunKey> lapsedRuns = m_runs.onWorker(id);
-        std::erase_if(lapsedRuns, [this](const RunKey &key) {
-            return m_runs.find(key)->phase == RunPhase::StartPending;
-        });
-        if (!lapsedRuns.empty())
-            noteWorker(SchedulerEventKind::WorkerLeaseExpired, id, "lease-over",
-                       now.monotonic - worker.session.lastAnswerAt());
-        for (const RunKey &key : lapsedRuns)
-            endRun(key, RunOutcome::LeaseExpired, {}, now);
-        if (worker.unlistedSince && !m_runs.hasRunsOn(id))
-            removable.push_back(id);
-    }
-    for (const std::string &id : removable) {
-        m_workers.erase(id);
+        m_renewals.cancel(id);
+        std::erase(m_staleWorkers, &it->second);
         m_quarantine.removeWorker(id);
+        m_workers.erase(it);
     }
 }
 
-bool Coordinator::isStalled(const Run &run, ClockReading now) const
+// Ends the runs of a worker whose lease has lapsed. A run whose start order was not sent holds
+// none.
+void Coordinator::endLapsedRuns(const std::string &id, ClockReading now)
+{
+    std::vector<RunKey> lapsedRuns = m_runs.onWorker(id);
+    std::erase_if(lapsedRuns, [this](const RunKey &key) {
+        return m_runs.find(key)->phase == RunPhase::StartPending;
+    });
+    if (!lapsedRuns.empty())
+        noteWorker(SchedulerEventKind::WorkerLeaseExpired, id, "lease-over",
+                   now.monotonic - m_workers.at(id).session.lastAnswerAt());
+    for (const RunKey &key : lapsedRuns)
+        endRun(key, RunOutcome::LeaseExpired, {}, now);
+}
+
+// Returns from when on the run counts as stalled if it makes no progress until then, or nothing if
+// it can't stall.
+std::optional<Instant> Coordinator::stalledAt(const Run &run) const
 {
-    if (run.phase != RunPhase::Running || run.stopRequested || run.bestEffort)
-        return false;
-    const Millis withoutProgress = now.monotonic - run.lastProgressAt;
-    if (run.longRunning)
-        return run.progressPercent < fullPercent
-            && withoutProgress > m_settings.longRunningStartTimeout;
+    const bool atWork = run.longRunning && run.progressPercent >= fullPercent;
+    if (run.phase != RunPhase::Running || run.stopRequested || run.bestEffort || atWork)
+        return {};
     const Millis estimateShare =
         run.estimatedDuration * m_settings.stallEstimatePercent / fullPercent;
-    return withoutProgress > m_settings.stallTimeout && withoutProgress > estimateShare;
+    const Millis timeout = run.longRunning ? m_settings.longRunningStartTimeout
+                                           : std::max(m_settings.stallTimeout, estimateShare);
+    return run.lastProgressAt + timeout + Millis{1};
+}
+
+// Lets stopStalledRuns() look at the run when it may have stalled. Call it when a run starts to
+// work or falls behind; progress only puts the time off, which is seen by then.
+void Coordinator::scheduleStallCheck(const Run &run)
+{
+    if (const auto at = stalledAt(run))
+        m_stallChecks.schedule(run.key, *at);
 }
 
 void Coordinator::stopStalledRuns(ClockReading now)
 {
-    std::vector<RunKey> stalledRuns;
-    for (const auto &[key, run] : m_runs.all()) {
+    for (const RunKey &key : m_stallChecks.takeDue(now.monotonic)) {
         ++m_counters.runsExamined;
-        if (isStalled(run, now))
-            stalledRuns.push_back(key);
-    }
-    for (const RunKey &key : stalledRuns) {
+        const Run &run = *m_runs.find(key);
+        const auto at = stalledAt(run);
+        if (!at || now.monotonic < *at) {
+            scheduleStallCheck(run);
+            continue;
+        }
         ++m_counters.runsStalled;
-        m_quarantine.recordFailure(key.task.job, m_runs.find(key)->workerId, "stalled",
-                                   now.monotonic);
+        m_quarantine.recordFailure(key.task.job, run.workerId, "stalled", now.monotonic);
         requestStop(key, "stalled");
     }
 }
--- a/src/lib/steps/workersession.cpp
+++ b/src/lib/steps/workersession.cpp
@@ -120,21 +120,23 @@
     return until;
 }
 
-bool WorkerSession::leaseExpired(Instant now) const
+Instant WorkerSession::leaseExpiresAt() const
 {
     const std::int64_t margin = m_settings.expiryMargin.count();
+    // Returns the shortest time after which the slowest clock has advanced by `clockTime`.
+    const auto longestFor = [this](std::int64_t clockTime) {
+        const std::int64_t rate = m_settings.minClockRatePercent;
+        return Millis{std::max<std::int64_t>(0, (clockTime * fullPercent + rate - 1) / rate)};
+    };
     // A lease from an earlier owner expires, at the latest, the longest term after the takeover.
-    // Both sides are scaled by 100, so that no fraction is lost.
-    const std::int64_t ownedScaled = (now - m_ownedSince).count() * m_settings.minClockRatePercent;
-    const bool earlierLeasesExpired =
-        ownedScaled >= (m_settings.maxLeaseTerm.count() + margin) * std::int64_t{fullPercent};
+    const Instant earlierLeasesEnd =
+        m_ownedSince + longestFor(m_settings.maxLeaseTerm.count() + margin);
     if (!m_clockMs)
-        return earlierLeasesExpired;
-    const std::int64_t minElapsed =
-        (now - m_clockReadAt).count() * m_settings.minClockRatePercent / fullPercent;
-    const bool ownLeaseExpired = *m_clockMs + minElapsed > m_leaseUntilClockMs + margin;
+        return earlierLeasesEnd;
+    const Instant ownLeaseEnd =
+        m_clockReadAt + longestFor(m_leaseUntilClockMs + margin + 1 - *m_clockMs);
     // The worker's report may list runs of earlier owners, which may still run under their lease.
-    return ownLeaseExpired && earlierLeasesExpired;
+    return std::max(earlierLeasesEnd, ownLeaseEnd);
 }
 
 } // namespace savorywick::steps
