--- /dev/null
+++ b/bench/exchange_bench.cpp
@@ -0,0 +1,299 @@
+// Measures what one exchange with a worker costs the entry: the HTTP client, the JSON of commands
+// and reports, journal records, base64 and log lines. The workers are a child process on loopback,
+// so that only the entry's processor time counts. With --exchanges N, only N exchanges of each kind
+// are made, for counting system calls (strace -c).
+
+#include "report.h"
+
+#include "core/log.h"
+#include "net/asynchttpclient.h"
+#include "net/asynchttpserver.h"
+#include "platform/base64.h"
+#include "platform/httpworkerclient.h"
+#include "savorywick/steps/record.h"
+
+#include <cerrno>
+#include <csignal>
+#include <cstdlib>
+#include <deque>
+#include <functional>
+#include <string_view>
+
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+using namespace savorywick;
+using namespace savorywick::bench;
+
+namespace {
+
+constexpr const char *benchName = "exchange";
+constexpr int workerCount = 50;
+constexpr int defaultExchanges = 20'000;
+constexpr int callsPerRound = 20'000;
+constexpr int rounds = 3;
+constexpr int recordsPerCommit = 40;
+constexpr std::size_t addressBytes = 64; // Of one worker's address in the pipe, padded with NUL.
+
+// Returns the processor time that this process has used, in microseconds.
+double processorMicros()
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    const auto micros = [](const timeval &t) {
+        return static_cast<double>(t.tv_sec) * 1e6 + static_cast<double>(t.tv_usec);
+    };
+    return micros(usage.ru_utime) + micros(usage.ru_stime);
+}
+
+// Returns the processor microseconds per call of `work`, as the minimum of some rounds.
+double bestMicrosPerCall(const std::function<void()> &work)
+{
+    double best = 0;
+    for (int round = 0; round < rounds; ++round) {
+        const double start = processorMicros();
+        for (int i = 0; i < callsPerRound; ++i)
+            work();
+        const double perCall = (processorMicros() - start) / callsPerRound;
+        best = round == 0 ? perCall : std::min(best, perCall);
+    }
+    return best;
+}
+
+// Returns a worker's response to a renewal.
+std::string reportBody(int running, int ended)
+{
+    std::string body = R"({"active":[)";
+    for (int i = 0; i < running; ++i) {
+        body += i == 0 ? "" : ",";
+        body += R"(["5c0e7a21d94b36f8.0.1.)" + std::to_string(i) + R"(",1,"",37,812])";
+    }
+    body += R"(],"born":1796000000123,"clockMs":123456,"finished":[)";
+    for (int i = 0; i < ended; ++i) {
+        body += i == 0 ? "" : ",";
+        body += "[" + std::to_string(900 + i) + R"(,"5c0e7a21d94b36f8.0.2.)" + std::to_string(i)
+            + R"(",1,"done",""])";
+    }
+    return body + "]}";
+}
+
+void respondAsWorker(const HttpRequest &request, const AsyncHttpServer::Responder &respond)
+{
+    static const std::string report = reportBody(10, 2);
+    const bool renewal = request.path == "/api/hold";
+    respond({.status = 200, .headers = {}, .body = renewal ? report : R"({"clockMs":123456})"});
+}
+
+// Serves as all workers and writes their addresses to `pipe`. Does not return.
+[[noreturn]] void serveWorkers(int pipe)
+{
+    EventLoop loop;
+    std::deque<AsyncHttpServer> servers;
+    for (int i = 0; i < workerCount; ++i) {
+        std::string address = servers.emplace_back(loop, AsyncHttpServerLimits{}, respondAsWorker)
+                                  .listen("127.0.0.1:0");
+        address.resize(addressBytes);
+        if (write(pipe, address.data(), address.size()) != static_cast<ssize_t>(addressBytes))
+            std::exit(EXIT_FAILURE);
+    }
+    loop.run();
+    std::exit(EXIT_SUCCESS);
+}
+
+// The child process with the workers; ends it when destroyed.
+class WorkerProcess
+{
+public:
+    WorkerProcess()
+    {
+        int ends[2];
+        if (pipe(ends) != 0)
+            std::exit(EXIT_FAILURE);
+        m_child = fork();
+        if (m_child == 0)
+            serveWorkers(ends[1]);
+        for (int i = 0; i < workerCount; ++i) {
+            char buf[addressBytes] = {};
+            if (read(ends[0], buf, sizeof buf) != static_cast<ssize_t>(sizeof buf))
+                std::exit(EXIT_FAILURE);
+            m_addresses.emplace_back(buf);
+        }
+        close(ends[0]);
+        close(ends[1]);
+    }
+    ~WorkerProcess()
+    {
+        kill(m_child, SIGTERM);
+        waitpid(m_child, nullptr, 0);
+    }
+    WorkerProcess(const WorkerProcess &) = delete;
+    WorkerProcess &operator=(const WorkerProcess &) = delete;
+
+    const std::string &address(int worker) const
+    {
+        return m_addresses[static_cast<std::size_t>(worker)];
+    }
+
+private:
+    pid_t m_child = -1;
+    std::vector<std::string> m_addresses;
+};
+
+// Makes exchanges of one kind, a given number at a time, each with another worker.
+class ExchangeRun
+{
+public:
+    ExchangeRun(const WorkerProcess &workers, int concurrency, bool renewals)
+        : m_process(workers)
+        , m_http(m_loop)
+        , m_client(m_http)
+        , m_concurrency(concurrency)
+        , m_renewals(renewals)
+    { }
+
+    // Returns the processor microseconds per exchange.
+    double run(int exchanges)
+    {
+        makeExchanges(workerCount); // Opens the connections.
+        const double start = processorMicros();
+        makeExchanges(exchanges);
+        return (processorMicros() - start) / exchanges;
+    }
+
+private:
+    void makeExchanges(int count)
+    {
+        m_toStart = count;
+        m_toEnd = count;
+        for (int i = 0; i < m_concurrency; ++i)
+            startNext();
+        m_loop.run();
+    }
+
+    void startNext()
+    {
+        if (m_toStart == 0)
+            return;
+        const int worker = --m_toStart % workerCount;
+        const steps::CommandTarget target{
+            {"i-4c46480a0d", 1'796'000'000'123}, m_process.address(worker), 17};
+        if (m_renewals)
+            return m_client.renew({target, 899, 126'456, Millis{0}},
+                                  [this](const steps::RenewLeaseReply &reply) {
+                                      onDone(reply.outcome, reply.report.running.size() == 10);
+                                  });
+        const steps::TaskRef task{"5c0e7a21d94b36f8", 0, 1, m_toStart};
+        m_client.start({target, task, 1, std::string(200, 'x'), "", 126'456},
+                       [this](const steps::CommandReply &reply) { onDone(reply.outcome, true); });
+    }
+
+    void onDone(steps::CommandOutcome outcome, bool complete)
+    {
+        if (outcome != steps::CommandOutcome::Done || !complete) {
+            std::fprintf(stderr, "an exchange failed\n");
+            std::exit(EXIT_FAILURE);
+        }
+        startNext();
+        if (--m_toEnd == 0)
+            m_loop.stop();
+    }
+
+    const WorkerProcess &m_process;
+    EventLoop m_loop;
+    AsyncHttpClient m_http;
+    platform::HttpWorkerClient m_client;
+    const int m_concurrency;
+    const bool m_renewals;
+    int m_toStart = 0;
+    int m_toEnd = 0;
+};
+
+void measureExchanges(const WorkerProcess &workers, int exchanges)
+{
+    reportTableHeader("exchanges at a time", {"start us", "renewal us"});
+    for (const int concurrency : {1, workerCount}) {
+        report(benchName, std::to_string(concurrency) + " at a time",
+               {{"start us", ExchangeRun(workers, concurrency, false).run(exchanges)},
+                {"renewal us", ExchangeRun(workers, concurrency, true).run(exchanges)}});
+    }
+}
+
+void measureReports()
+{
+    reportTableHeader("rows of a report", {"parse us"});
+    for (const int rows : {5, 20}) {
+        const std::string body = reportBody(rows, 2);
+        report(benchName, std::to_string(rows) + " rows",
+               {{"parse us", bestMicrosPerCall([&] {
+                     if (!platform::parseWorkerReport(body))
+                         std::exit(EXIT_FAILURE);
+                 })}});
+    }
+}
+
+void measureRecords()
+{
+    const steps::TaskRef task{"5c0e7a21d94b36f8", 0, 1, 17};
+    const steps::Record started = steps::RunStarted{task, 1, {"i-4c46480a0d", 1'796'000'000'123}};
+    const std::string line = steps::encodeRecord(started);
+    std::string commit;
+    for (int i = 0; i < recordsPerCommit; ++i)
+        commit += line + "\n";
+    const std::string encoded = platform::encodeBase64(commit);
+    reportTableHeader("journal",
+                      {"encode record us", "decode record us", "encode commit's base64 us",
+                       "decode commit's base64 us"});
+    report(
+        benchName, "journal",
+        {{"encode record us", bestMicrosPerCall([&] { steps::encodeRecord(started); })},
+         {"decode record us", bestMicrosPerCall([&] { steps::decodeRecord(line); })},
+         {"encode commit's base64 us", bestMicrosPerCall([&] { platform::encodeBase64(commit); })},
+         {"decode commit's base64 us",
+          bestMicrosPerCall([&] { platform::decodeBase64(encoded); })}});
+}
+
+void measureLog()
+{
+    reportTableHeader("log", {"line us"});
+    report(benchName, "log", {{"line us", bestMicrosPerCall([] {
+                                   logInfo("run-placed",
+                                           {{"requestId", "5c0e7a21d94b36f8"},
+                                            {"task", "5c0e7a21d94b36f8.0.1.17"},
+                                            {"run", 1},
+                                            {"worker", "i-4c46480a0d"},
+                                            {"why", "room"},
+                                            {"ageMs", std::int64_t{214}},
+                                            {"value", 1500}});
+                               })}});
+}
+
+// Sends the log, which goes to standard output, elsewhere. Returns the former standard output.
+int redirectLog()
+{
+    const int former = dup(STDOUT_FILENO);
+    const int sink = open("/dev/null", O_WRONLY | O_CLOEXEC);
+    dup2(sink, STDOUT_FILENO);
+    close(sink);
+    configureLogging(LogLevel::Info, "edge-hobart-1", LogStream::StandardOutput);
+    return former;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const bool fixedCount = argc == 3 && std::string_view(argv[1]) == "--exchanges";
+    const WorkerProcess workers;
+    measureExchanges(workers, fixedCount ? std::atoi(argv[2]) : defaultExchanges);
+    if (fixedCount)
+        return EXIT_SUCCESS;
+    measureReports();
+    measureRecords();
+    std::fflush(stdout);
+    const int former = redirectLog();
+    measureLog();
+    dup2(former, STDOUT_FILENO);
+    return EXIT_SUCCESS;
+}
