Answer a request that changed nothing without waiting for a commit

A job that was handed in again, a cancel of an ended job and a cancel of an unknown one produce no record. Their replies were queued behind the last record and sent when the next commit ended, even if that record was durable already. On a shard without other changes no commit came: the entry asked again until the caller's time was over and answered 504.

A reply whose records are durable is now sent at once. Those before it in the queue are durable as well, so the order stays. The test failed before: none of its three requests had a reply.

--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -179,6 +179,7 @@
     m_pendingReplies.push_back({m_journal.append({}), m_dependencies.clock.now(),
                                 std::holds_alternative<SubmitJob>(request), reply,
                                 std::move(onReply)});
+    sendDurableReplies(m_journal.durableLsn()); // A request that changed nothing awaits no commit.
     scheduleProcessing();
 }
 
--- a/tests/node/shardrunner_test.cpp
+++ b/tests/node/shardrunner_test.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <optional>
+#include <string>
 #include <vector>
 
 using namespace savorywick;
@@ -174,6 +175,31 @@
     CHECK(load.readySteps == 0);
 }
 
+// On a quiet shard such a request waited for the next commit, which other requests had to cause.
+TEST_CASE("A request that changes nothing is answered although nothing is committed")
+{
+    struct Case
+    {
+        std::string what;
+        ShardRequest request;
+        ShardOutcome outcome;
+    };
+    for (const Case &it :
+         {Case{"repeated job", ShardFixture::job("j"), ShardOutcome::Ok},
+          Case{"cancel of an ended job", CancelJob{"cancelled"}, ShardOutcome::Ok},
+          Case{"cancel of an unknown job", CancelJob{"unknown"}, ShardOutcome::UnknownJob}}) {
+        CAPTURE(it.what);
+        ShardFixture shard;
+        CHECK((shard.durableRequest(ShardFixture::job("j")) == ShardOutcome::Ok));
+        CHECK((shard.durableRequest(ShardFixture::job("cancelled")) == ShardOutcome::Ok));
+        CHECK((shard.durableRequest(CancelJob{"cancelled"}) == ShardOutcome::Ok));
+        shard.request(it.request);
+        CHECK(shard.table.pendingCommits.empty());
+        REQUIRE(shard.reply.has_value());
+        CHECK((shard.reply->outcome == it.outcome));
+    }
+}
+
 TEST_CASE("An owner without a valid lease refuses requests immediately")
 {
     ShardFixture shard;
