Refuse new jobs at once while the owner's event loop is far behind

Callers of an owner whose processor was saturated got no answer to submissions, cancels or states in time. It took every new job, although each one added decisions and orders to a loop that was already late, and entries that got no reply asked again.

While it is closed the shard's runner answers a new job with the outcome "overloaded", which the caller gets as a 503 with Retry-After without further attempts. A job that is known, cancels, states and counts are served. Entries of an earlier version take the outcome for undecided and ask again, as they did before.

--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -106,8 +106,9 @@
         pending->maybeApplied = true;
     const Instant retryAt = now + m_settings.retryInterval;
     // A retry is safe: a job id is accepted only once, and the other requests are idempotent.
-    const bool mayRetry = reply.outcome != ShardOutcome::StoreDown
-        && retryAt < pending->receivedAt + m_settings.maxRetryTime;
+    const bool refused =
+        reply.outcome == ShardOutcome::StoreDown || reply.outcome == ShardOutcome::Overloaded;
+    const bool mayRetry = !refused && retryAt < pending->receivedAt + m_settings.maxRetryTime;
     // A request that may have taken effect is retried until its outcome is known, because the
     // caller has no way to find out.
     if ((mayRetry || pending->maybeApplied) && retryAt < pending->deadline) {
--- a/src/node/shardlink.cpp
+++ b/src/node/shardlink.cpp
@@ -20,13 +20,14 @@
 //   GET    /shards/N/pending/QUEUE   CountPendingJobs
 //   POST   /freed                    notification that shards have become free
 // The reply to a shard request is three words: the outcome, the job's state and the pending count.
+// An outcome that the requester's version does not know counts as undecided, which is safe for all.
 constexpr std::string_view shardsPath = "/shards/";
 constexpr std::string_view shardsFreedPath = "/freed";
 constexpr Millis notificationTimeout{500};
 
-constexpr ShardOutcome allOutcomes[] = {ShardOutcome::Ok, ShardOutcome::UnknownJob,
-                                        ShardOutcome::NotOwner, ShardOutcome::StoreDown,
-                                        ShardOutcome::Undecided};
+constexpr ShardOutcome allOutcomes[] = {ShardOutcome::Ok,         ShardOutcome::UnknownJob,
+                                        ShardOutcome::NotOwner,   ShardOutcome::StoreDown,
+                                        ShardOutcome::Overloaded, ShardOutcome::Undecided};
 constexpr steps::JobState allStates[] = {steps::JobState::Queued, steps::JobState::Running,
                                          steps::JobState::Completed, steps::JobState::Failed,
                                          steps::JobState::Cancelled};
--- a/src/node/shardload.cpp
+++ b/src/node/shardload.cpp
@@ -67,6 +67,7 @@
              {"cancels", load.cancels},
              {"reads", load.reads},
              {"storeRefusals", load.storeRefusals},
+             {"overloadRefusals", load.overloadRefusals},
              {"commits", load.commits},
              {"failedCommits", load.failedCommits},
              {"commitMaxMs", load.maxCommitTime.count()},
--- a/src/node/shardload.h
+++ b/src/node/shardload.h
@@ -19,6 +19,7 @@
     std::uint64_t cancels = 0;
     std::uint64_t reads = 0;
     std::uint64_t storeRefusals = 0; // Requests refused because the store can't persist changes.
+    std::uint64_t overloadRefusals = 0; // New jobs refused because the owner was too far behind.
     std::uint64_t rounds = 0; // Passes over the shard's decisions.
     Millis maxRoundTime;
     std::uint64_t commits = 0; // Commits whose outcome is known.
--- a/src/node/shardrequest.cpp
+++ b/src/node/shardrequest.cpp
@@ -13,6 +13,8 @@
         return "not-owner";
     case ShardOutcome::StoreDown:
         return "store-down";
+    case ShardOutcome::Overloaded:
+        return "overloaded";
     case ShardOutcome::Undecided:
         return "undecided";
     }
@@ -21,7 +23,8 @@
 
 bool hadNoEffect(ShardOutcome outcome)
 {
-    return outcome == ShardOutcome::NotOwner || outcome == ShardOutcome::StoreDown;
+    return outcome == ShardOutcome::NotOwner || outcome == ShardOutcome::StoreDown
+        || outcome == ShardOutcome::Overloaded;
 }
 
 } // namespace savorywick
--- a/src/node/shardrequest.h
+++ b/src/node/shardrequest.h
@@ -44,6 +44,7 @@
     UnknownJob,
     NotOwner, // The receiving entry can't be reached, or does not own or serve the shard now.
     StoreDown, // Nothing was done, because the store can't persist changes now.
+    Overloaded, // The job was not accepted: the owner is too far behind to take new ones.
     Undecided, // No reply was received; the request may or may not take effect.
 };
 
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -88,6 +88,7 @@
     , m_reader(owned)
     , m_journal(owned, settings.journal)
     , m_coordinator(owned.row.epoch, m_dependencies.clock.now(), settings.coordinator)
+    , m_overloadGate(settings.overload)
 { }
 
 steps::ClockReading ShardRunner::now() const
@@ -172,6 +173,11 @@
         ++m_load.storeRefusals;
         return onReply({ShardOutcome::StoreDown, {}, 0});
     }
+    observeLag();
+    if (m_overloadGate.isClosed() && isNewJob(request)) {
+        ++m_load.overloadRefusals;
+        return onReply({ShardOutcome::Overloaded, {}, 0});
+    }
     const ShardReply reply = std::visit(RequestHandler(m_coordinator, now()), request);
     if (!changesState(request))
         return onReply(reply);
@@ -226,6 +232,7 @@
     if (m_ended || !m_restored)
         return;
     const Instant beganAt = m_dependencies.clock.now();
+    observeLag();
     if (!m_journal.releasing())
         m_coordinator.tick(now());
     for (int round = 0; round < maxOrderRounds; ++round) {
@@ -431,6 +438,22 @@
     return m_lastCommitUnavailable || slow;
 }
 
+// A job that is known was accepted, so that refusing it would be wrong.
+bool ShardRunner::isNewJob(const ShardRequest &request) const
+{
+    const auto *submission = std::get_if<SubmitJob>(&request);
+    return submission && !m_coordinator.jobTable().find(submission->spec.id);
+}
+
+void ShardRunner::observeLag()
+{
+    const Millis lag = m_dependencies.loopLag();
+    if (!m_overloadGate.observe(lag, m_dependencies.clock.now()))
+        return;
+    logWarning(m_overloadGate.isClosed() ? "overload-begins" : "overload-ends",
+               {{"shard", shard()}, {"lagMs", lag.count()}});
+}
+
 void ShardRunner::end()
 {
     if (std::exchange(m_ended, true))
--- a/src/node/shardrunner.h
+++ b/src/node/shardrunner.h
@@ -4,6 +4,7 @@
 #include "net/eventloop.h"
 #include "node/asyncstore.h"
 #include "node/asyncworkerclient.h"
+#include "node/overloadgate.h"
 #include "node/shardload.h"
 #include "node/shardrequest.h"
 #include "savorywick/clock.h"
@@ -24,6 +25,7 @@
 {
     JournalSettings journal;
     steps::CoordinatorSettings coordinator;
+    OverloadGateSettings overload;
     Millis slowCommitThreshold{700}; // A commit in flight for longer marks the store as unhealthy.
     Millis restoreRetryDelay{150}; // The delay before a failed read is retried.
     std::size_t segmentsPerScan = 200;
@@ -55,7 +57,8 @@
 // decisions of its Coordinator.
 //
 // Create one as a shared_ptr for each shard that the entry acquires. A reply to a request that
-// changes state is sent when the change is durable. Not thread-safe.
+// changes state is sent when the change is durable. While the event loop is far behind, new jobs
+// are refused and all else is served. Not thread-safe.
 //
 // Example:
 //   runner->open();
@@ -117,6 +120,8 @@
     void removeOldSnapshot();
     void scheduleWakeUp();
     bool storeUnhealthy() const;
+    bool isNewJob(const ShardRequest &request) const;
+    void observeLag();
     void end();
 
     const OwnedShard m_owned;
@@ -125,6 +130,7 @@
     JournalReader m_reader;
     Journal m_journal;
     steps::Coordinator m_coordinator;
+    OverloadGate m_overloadGate;
     std::vector<steps::WorkerInfo> m_workers;
     std::deque<PendingReply> m_pendingReplies; // In the order of their `lsn`.
     bool m_restored = false;
--- a/tests/node/callerapi_test.cpp
+++ b/tests/node/callerapi_test.cpp
@@ -96,6 +96,7 @@
                            Case{"DELETE", "/q/id1", "", ShardOutcome::UnknownJob, 410, ""},
                            Case{"POST", "/q/id1", "job", ShardOutcome::NotOwner, 503, ""},
                            Case{"POST", "/q/id1", "job", ShardOutcome::StoreDown, 503, ""},
+                           Case{"POST", "/q/id1", "job", ShardOutcome::Overloaded, 503, ""},
                            Case{"POST", "/q/id1", "job", ShardOutcome::Undecided, 504, ""},
                            Case{"POST", "/q/id1", "no", ShardOutcome::Ok, 400, "no job\n"},
                            Case{"PUT", "/q/id1", "job", ShardOutcome::Ok, 405, ""},
@@ -143,6 +144,23 @@
     CHECK(fixture.attempts() < 6);
 }
 
+// The owner has said that it is behind; asking it again adds to that.
+TEST_CASE("A job that an overloaded owner refuses is refused immediately")
+{
+    CallerApiFixture fixture({replyWith(ShardOutcome::Overloaded)});
+    CHECK(fixture.request("POST", "/q/id1", "job").status == 503);
+    CHECK(fixture.attempts() == 1);
+    CHECK(fixture.api().refusals().at(ShardOutcome::Overloaded) == 1);
+}
+
+// The attempt without a reply may have been accepted, whatever a later one is told.
+TEST_CASE("A job that may have been accepted is not reported as refused by an overloaded owner")
+{
+    CallerApiFixture fixture(
+        {replyWith(ShardOutcome::Undecided), replyWith(ShardOutcome::Overloaded)});
+    CHECK(fixture.request("POST", "/q/id1", "job", "short").status == 504);
+}
+
 TEST_CASE("A request that the store can't persist is refused immediately")
 {
     CallerApiFixture fixture({replyWith(ShardOutcome::StoreDown)});
--- a/tests/node/shardlink_test.cpp
+++ b/tests/node/shardlink_test.cpp
@@ -116,7 +116,7 @@
 {
     for (const ShardOutcome outcome :
          {ShardOutcome::Ok, ShardOutcome::UnknownJob, ShardOutcome::NotOwner,
-          ShardOutcome::StoreDown, ShardOutcome::Undecided}) {
+          ShardOutcome::StoreDown, ShardOutcome::Overloaded, ShardOutcome::Undecided}) {
         PeerPair peers({outcome, steps::JobState::Cancelled, 12});
         const ShardReply response = peers.request(GetJobState{"j"});
         CAPTURE(toString(outcome));
@@ -126,6 +126,28 @@
     }
 }
 
+// While entries are replaced by a newer version, an owner may reply with words that others lack.
+TEST_CASE("An outcome of a newer version counts as undecided")
+{
+    EventLoop loop;
+    AsyncHttpServer server(
+        loop, {}, [](const HttpRequest &, const AsyncHttpServer::Responder &respond) {
+            respond({.status = 200, .headers = {}, .body = "later-outcome queued 0"});
+        });
+    AsyncHttpClient http(loop);
+    const ManualClock clock;
+    ShardClient client(http, clock);
+    std::optional<ShardReply> reply;
+    client.send(server.listen("127.0.0.1:0"), 0, GetJobState{"j"}, Millis{5'000},
+                [&](const ShardReply &r) {
+                    reply = r;
+                    loop.stop();
+                });
+    loop.run();
+    REQUIRE(reply.has_value());
+    CHECK((reply->outcome == ShardOutcome::Undecided));
+}
+
 TEST_CASE("A connection failure is reported as NotOwner")
 {
     PeerPair peers({});
