Leave a free shard to entries with clearly more capacity for a bounded time

What callers saw: with one owner for hundreds of workers, acknowledgements, cancels and first starts come late together when the owner is a small host. Cause: claims waited for nothing but ten round trips to the store, so the entry nearest to it owned the shard whatever its processor and link.

An entry's row may now hold its capacity and whether it drains; rows without them are read as before. ShardLeaseManager leaves a free shard to live entries that offer clearly more (no figure smaller, one larger by half) and have room for it: 0.7 s for one class of them, 1 s at most. It waits for none that drains or that missed three renewals. An entry that let a free shard pass is not preferred for 30 s, so a shard never waits twice for the same one. An owner beside a stronger entry that has renewed steadily for 5 s hands its shard over, once in 30 s at most and never between equals.

Claims, their conditions and the lease are unchanged: the preference only delays a claim or asks for a release.

--- a/include/savorywick/shardlease.h
+++ b/include/savorywick/shardlease.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "savorywick/clock.h"
+#include "savorywick/ownerpreference.h"
 #include "savorywick/platform.h"
 #include "savorywick/shardrow.h"
 
@@ -20,6 +21,16 @@
     Millis term{9'000}; // How long a renewal keeps the lease valid.
     Millis clockDriftMargin{1'000}; // Covers the relative drift of two clocks over one term.
     Millis renewalInterval{2'000}; // Interval from one renewal to the next.
+    OwnerPreferenceSettings preference;
+};
+
+// The session of an entry as another entry, or the entry itself, observes it.
+struct ObservedEntry
+{
+    std::uint64_t version = 0;
+    Instant unchangedSince; // When this version was first seen.
+    Instant steadySince; // Since when each change came soon after the one before.
+    EntryRow row;
 };
 
 // A claim on a shard without a live owner: the transaction that makes this process the owner.
@@ -61,7 +72,8 @@
     const std::string &session() const { return m_session; }
 
     // Sets the further fields that later renewals write to the session's row, as the text of one
-    // JSON object; the renewal's number is added as `beat`.
+    // JSON object; the renewal's number is added as `beat`. If parseEntryRow() finds a capacity in
+    // it, that is this entry's: it leaves shards to entries that offer clearly more.
     // Throws Error(InvalidInput) if the text is no JSON object.
     void setEntryFields(std::string_view json);
 
@@ -97,8 +109,12 @@
     std::vector<Transaction> expiryTransactions(Instant now) const;
     // Returns claims on shards without a live owner, until this entry has maxShards(). Each claim
     // touches the row of its shard only. Returns none without a valid lease. A shard is not claimed
-    // again before the result of its claim is reported by handleClaimResult().
+    // again before the result of its claim is reported by handleClaimResult(). A shard that is
+    // left to a stronger entry is not claimed either: see claimDeferrals().
     std::vector<ShardClaim> claimFreeShards(Instant now);
+    // Returns the shards that would be claimed now but are left to stronger entries for a time.
+    // Call claimFreeShards() again at the end of each deferral.
+    std::vector<ClaimDeferral> claimDeferrals(Instant now) const;
     // Takes in the result of a claim and returns the shard if the claim has committed. After an
     // Unknown outcome commit the same claim again, or leave it: a shard whose row names this
     // session is claimed again. If a repeated commit ends in a conflict, read the shard's row and
@@ -109,17 +125,24 @@
     std::optional<OwnedShard> handleClaimReadBack(const ShardClaim &claim, const Row &shardRow);
 
     // Returns the owned shards to release: all beyond maxShards(), or else one if this entry has
-    // more and another live entry has fewer than minShards(). Release each through its journal,
-    // then call forgetShard(). Returns none without a valid lease.
-    std::vector<int> shardsToRelease(Instant now) const;
+    // more and another live entry has fewer than minShards(), or else one that a stronger entry
+    // should own. Release each through its journal, then call forgetShard(). Returns none without a
+    // valid lease.
+    std::vector<int> shardsToRelease(Instant now);
+    // Returns the handover for which shardsToRelease() returned the shard, or nothing if it was
+    // for another reason.
+    std::optional<ShardHandover> handoverOf(int shard) const;
     // Forgets a shard that was released or lost.
-    void forgetShard(int shard) { m_owned.erase(shard); }
+    void forgetShard(int shard);
     // Stops claiming shards, for shutdown. The owned shards must be released through their
-    // journals.
-    void stopClaiming() { m_claiming = false; }
+    // journals. A renewal that says so in the session's row is due at once, so that no other entry
+    // leaves a shard to this one.
+    void stopClaiming();
     // Returns the transaction that ends the session. Commit it once no shard is owned any more.
     Transaction endSessionTransaction() const;
 
+    // Returns the entries as last observed, by session, this one included.
+    const std::map<std::string, ObservedEntry> &entries() const { return m_entries; }
     // Returns the numbers of the owned shards, in ascending order.
     std::vector<int> ownedShards() const;
     // Returns an equal share of the shards among the live entries, rounded up: the most that this
@@ -130,16 +153,16 @@
     std::size_t minShards() const;
 
 private:
-    struct ObservedEntry
-    {
-        std::uint64_t version = 0;
-        Instant unchangedSince; // When this version was first seen.
-    };
-
+    void observeEntries(std::span<const Row> entries, bool restart, Instant now);
+    std::map<std::string, std::size_t> shardCounts() const;
+    std::vector<StrongerEntry> strongerEntries(Instant now) const;
+    OwnedShard observedShard(int shard) const;
+    bool isOwnerless(const OwnedShard &seen) const;
     bool anotherEntryHasTooFew() const;
     std::size_t liveEntries() const;
     bool isEarlierSession(const std::string &session) const;
     bool isClaimable(const OwnedShard &seen) const;
+    bool mayClaim(int shard, std::span<const StrongerEntry> stronger, Instant now) const;
     ShardClaim makeClaim(const OwnedShard &seen);
     void confirmRenewal(std::uint64_t version);
 
@@ -147,6 +170,8 @@
     std::string m_peer;
     ShardLeaseSettings m_settings;
     std::string m_fields;
+    EntryCapacity m_capacity;
+    OwnerPreference m_preference;
 
     std::uint64_t m_heartbeat = 0; // The number of the last renewal.
     std::uint64_t m_rowVersion = 0; // Of the session's row, as last confirmed.
@@ -157,6 +182,7 @@
     bool m_needsReadBack = false;
     bool m_fenced = false;
     bool m_claiming = true;
+    bool m_renewAtOnce = false;
     std::optional<Instant> m_confirmedRenewalSentAt; // When it was first sent.
 
     std::optional<Instant> m_lastObservedAt;
--- a/src/lib/shardlease.cpp
+++ b/src/lib/shardlease.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::string_view entryPrefix = "entry/";
+// An entry whose row has not changed for this many renewal intervals is not waited for.
+constexpr int maxMissedRenewals = 3;
 
 Json::Value parseObject(std::string_view text)
 {
@@ -22,10 +24,12 @@
     return json;
 }
 
-std::string serializeEntry(std::string_view fields, std::uint64_t heartbeat)
+std::string serializeEntry(std::string_view fields, std::uint64_t heartbeat, bool draining)
 {
     Json::Value json = parseObject(fields);
     json["beat"] = Json::UInt64(heartbeat);
+    if (draining)
+        json["draining"] = true;
     return internal::toJsonText(json);
 }
 
@@ -48,12 +52,14 @@
     , m_peer(std::move(peer))
     , m_settings(settings)
     , m_fields("{}")
+    , m_preference(settings.preference)
 { }
 
 void ShardLeaseManager::setEntryFields(std::string_view json)
 {
     parseObject(json);
     m_fields = json;
+    m_capacity = parseEntryRow(json).capacity;
 }
 
 std::optional<Transaction> ShardLeaseManager::nextRenewal(Instant now)
@@ -61,14 +67,15 @@
     if (m_fenced || m_inFlight || m_needsReadBack)
         return {};
     if (!m_pendingRenewal) {
-        if (m_confirmedRenewalSentAt
+        if (m_confirmedRenewalSentAt && !m_renewAtOnce
             && now - *m_confirmedRenewalSentAt < m_settings.renewalInterval)
             return {};
         ++m_heartbeat;
         const std::string key = entryKey(m_session);
-        m_pendingRenewal =
-            Transaction{{{key, m_rowVersion}}, {{key, serializeEntry(m_fields, m_heartbeat)}}};
+        const std::string text = serializeEntry(m_fields, m_heartbeat, !m_claiming);
+        m_pendingRenewal = Transaction{{{key, m_rowVersion}}, {{key, text}}};
         m_renewalFirstSentAt = now;
+        m_renewAtOnce = false;
         m_renewalMayHaveCommitted = false;
     }
     m_inFlight = true;
@@ -123,21 +130,62 @@
     const bool restart = !m_lastObservedAt || now - *m_lastObservedAt > maxGap;
     m_lastObservedAt = now;
 
+    observeEntries(entries, restart, now);
+
+    m_shardRows.clear();
+    for (const Row &row : shards) {
+        const int shard = parseShardKey(row.key);
+        if (shard >= 0 && shard < m_settings.shardCount)
+            m_shardRows[shard] = {shard, parseShardRow(row), row.version};
+    }
+    for (int shard = 0; shard < m_settings.shardCount; ++shard)
+        m_preference.observeShard(shard, isOwnerless(observedShard(shard)), now);
+}
+
+void ShardLeaseManager::observeEntries(std::span<const Row> entries, bool restart, Instant now)
+{
+    const Millis maxSteadyGap = m_settings.renewalInterval * maxMissedRenewals;
     std::map<std::string, ObservedEntry> seen;
     for (const Row &row : entries) {
         const std::string session = row.key.substr(entryPrefix.size());
         const auto known = m_entries.find(session);
-        const bool unchanged = known != m_entries.end() && known->second.version == row.version;
-        seen[session] = {row.version, unchanged && !restart ? known->second.unchangedSince : now};
+        const bool isNew = known == m_entries.end();
+        if (!isNew && !restart && known->second.version == row.version) {
+            seen[session] = known->second;
+            continue;
+        }
+        const bool steady = !isNew && !restart && now - known->second.unchangedSince < maxSteadyGap;
+        seen[session] = {row.version, now, steady ? known->second.steadySince : now,
+                         parseEntryRow(row.value)};
     }
     m_entries = std::move(seen);
+}
 
-    m_shardRows.clear();
-    for (const Row &row : shards) {
-        const int shard = parseShardKey(row.key);
-        if (shard >= 0 && shard < m_settings.shardCount)
-            m_shardRows[shard] = {shard, parseShardRow(row), row.version};
+OwnedShard ShardLeaseManager::observedShard(int shard) const
+{
+    const auto it = m_shardRows.find(shard);
+    return it == m_shardRows.end() ? OwnedShard{shard, {}, 0} : it->second;
+}
+
+std::map<std::string, std::size_t> ShardLeaseManager::shardCounts() const
+{
+    std::map<std::string, std::size_t> counts;
+    for (const auto &[shard, seen] : m_shardRows)
+        ++counts[seen.row.owner];
+    return counts;
+}
+
+std::vector<StrongerEntry> ShardLeaseManager::strongerEntries(Instant now) const
+{
+    std::vector<StrongerEntry> stronger;
+    std::map<std::string, std::size_t> counts = shardCounts();
+    const Millis maxAge = m_settings.renewalInterval * maxMissedRenewals;
+    for (const auto &[session, it] : m_entries) {
+        const bool isLive = !it.row.draining && now - it.unchangedSince < maxAge;
+        if (isLive && clearlyExceeds(it.row.capacity, m_capacity) && counts[session] < maxShards())
+            stronger.push_back({session, it.row.capacity, it.steadySince});
     }
+    return stronger;
 }
 
 std::vector<Transaction> ShardLeaseManager::expiryTransactions(Instant now) const
@@ -162,12 +210,17 @@
         && session.compare(0, dot, m_session, 0, dot) == 0;
 }
 
+bool ShardLeaseManager::isOwnerless(const OwnedShard &seen) const
+{
+    const std::string &owner = seen.row.owner;
+    return owner.empty() || (owner != m_session && !m_entries.contains(owner));
+}
+
 bool ShardLeaseManager::isClaimable(const OwnedShard &seen) const
 {
     if (m_owned.contains(seen.shard) || m_pendingClaims.contains(seen.shard))
         return false;
-    const std::string &owner = seen.row.owner;
-    return owner.empty() || owner == m_session || !m_entries.contains(owner);
+    return seen.row.owner == m_session || isOwnerless(seen);
 }
 
 std::vector<ShardClaim> ShardLeaseManager::claimFreeShards(Instant now)
@@ -177,15 +230,41 @@
         return all;
     const std::size_t limit = maxShards();
     const std::size_t first = firstShardToTry(m_session, m_settings.shardCount);
+    const std::vector<StrongerEntry> stronger = strongerEntries(now);
     for (int n = 0; n < m_settings.shardCount; ++n) {
         const int shard = (static_cast<int>(first) + n) % m_settings.shardCount;
-        const auto it = m_shardRows.find(shard);
-        const OwnedShard seen = it == m_shardRows.end() ? OwnedShard{shard, {}, 0} : it->second;
+        const OwnedShard seen = observedShard(shard);
         // A shard whose row names this session (the reply to its claim was lost) is claimed even
         // beyond the limit: no other entry can claim it while this session lives.
+        const bool isOwn = seen.row.owner == m_session;
         const bool room = m_owned.size() + m_pendingClaims.size() < limit;
-        if (isClaimable(seen) && (room || seen.row.owner == m_session))
-            all.push_back(makeClaim(seen));
+        if (!isClaimable(seen) || !(isOwn || (room && mayClaim(shard, stronger, now))))
+            continue;
+        m_preference.noteClaim(shard, stronger, now);
+        all.push_back(makeClaim(seen));
+    }
+    return all;
+}
+
+// An entry claims its equal share of the shards whatever its capacity.
+bool ShardLeaseManager::mayClaim(int shard, std::span<const StrongerEntry> stronger,
+                                 Instant now) const
+{
+    return m_owned.size() + m_pendingClaims.size() < minShards()
+        || !m_preference.deferral(shard, stronger, now);
+}
+
+std::vector<ClaimDeferral> ShardLeaseManager::claimDeferrals(Instant now) const
+{
+    std::vector<ClaimDeferral> all;
+    const std::size_t claimed = m_owned.size() + m_pendingClaims.size();
+    if (!holdsLease(now) || !m_claiming || claimed < minShards() || claimed >= maxShards())
+        return all;
+    const std::vector<StrongerEntry> stronger = strongerEntries(now);
+    for (int shard = 0; shard < m_settings.shardCount; ++shard) {
+        const auto deferral = m_preference.deferral(shard, stronger, now);
+        if (deferral && isClaimable(observedShard(shard)))
+            all.push_back(*deferral);
     }
     return all;
 }
@@ -214,6 +293,7 @@
     OwnedShard owned = claim.owned;
     owned.version = result.version;
     m_owned[owned.shard] = owned.row.epoch;
+    m_preference.noteClaimCommitted(owned.shard);
     return owned;
 }
 
@@ -225,7 +305,7 @@
     return handleClaimResult(claim, {CommitOutcome::Committed, shardRow.version});
 }
 
-std::vector<int> ShardLeaseManager::shardsToRelease(Instant now) const
+std::vector<int> ShardLeaseManager::shardsToRelease(Instant now)
 {
     std::vector<int> all;
     if (!holdsLease(now))
@@ -238,19 +318,37 @@
         excess = 1;
     for (auto it = m_owned.rbegin(); all.size() < excess; ++it)
         all.push_back(it->first);
+    if (excess == 0 && m_owned.size() > minShards()
+        && m_preference.handover(m_owned.rbegin()->first, strongerEntries(now), now))
+        all.push_back(m_owned.rbegin()->first);
     return all;
 }
 
+std::optional<ShardHandover> ShardLeaseManager::handoverOf(int shard) const
+{
+    return m_preference.pendingHandover(shard);
+}
+
 bool ShardLeaseManager::anotherEntryHasTooFew() const
 {
-    std::map<std::string, std::size_t> counts;
-    for (const auto &[shard, seen] : m_shardRows)
-        ++counts[seen.row.owner];
+    std::map<std::string, std::size_t> counts = shardCounts();
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &it) {
         return it.first != m_session && counts[it.first] < minShards();
     });
 }
 
+void ShardLeaseManager::forgetShard(int shard)
+{
+    m_owned.erase(shard);
+    m_preference.noteReleased(shard);
+}
+
+void ShardLeaseManager::stopClaiming()
+{
+    m_renewAtOnce = m_renewAtOnce || m_claiming;
+    m_claiming = false;
+}
+
 Transaction ShardLeaseManager::endSessionTransaction() const
 {
     const std::string key = entryKey(m_session);
