Let an owner that observes seldom hand its shard over too

An owner whose loop stalls for more than two renewal intervals takes all entries as newly seen, so the 5 s of steadiness of a stronger one began afresh and a loaded weak owner never handed over. An entry whose row has changed during the gap did renew; it stays steady. The test failed before the change: nothing was released in 20 s.

--- a/src/lib/shardlease.cpp
+++ b/src/lib/shardlease.cpp
@@ -142,6 +142,8 @@
         m_preference.observeShard(shard, isOwnerless(observedShard(shard)), now);
 }
 
+// An entry that renewed during a gap in the observations of this one is taken to have been steady:
+// an owner that is too loaded to observe regularly is the one that should hand its shards over.
 void ShardLeaseManager::observeEntries(std::span<const Row> entries, bool restart, Instant now)
 {
     const Millis maxSteadyGap = m_settings.renewalInterval * maxMissedRenewals;
@@ -154,7 +156,9 @@
             seen[session] = known->second;
             continue;
         }
-        const bool steady = !isNew && !restart && now - known->second.unchangedSince < maxSteadyGap;
+        const bool changed = !isNew && known->second.version != row.version;
+        const bool steady =
+            changed && (restart || now - known->second.unchangedSince < maxSteadyGap);
         seen[session] = {row.version, now, steady ? known->second.steadySince : now,
                          parseEntryRow(row.value)};
     }
--- a/tests/lib/ownerpreference_test.cpp
+++ b/tests/lib/ownerpreference_test.cpp
@@ -214,3 +214,25 @@
         CHECK(pair.claimsOfWeak(start + Millis{6'200}) == it.claims);
     }
 }
+
+// Guards against a weak owner that is too loaded to observe regularly and so never hands over.
+TEST_CASE("An owner that observes seldom hands its shard to a stronger entry too")
+{
+    Pair pair;
+    pair.renew(pair.strong, start);
+    pair.renew(pair.weak, start);
+    pair.weak.observe({}, {}, start);
+    const auto claims = pair.weak.claimFreeShards(start);
+    REQUIRE(claims.size() == 1);
+    pair.weak.handleClaimResult(claims.front(), pair.table.commit(claims.front().transaction));
+    std::vector<int> released;
+    for (Millis at{1'000}; at <= Millis{20'000} && released.empty(); at = at + Millis{1'000}) {
+        pair.renew(pair.strong, start + at);
+        pair.renew(pair.weak, start + at);
+        if (at.count() % 5'000 != 0) // More than two renewal intervals apart.
+            continue;
+        CHECK(pair.claimsOfWeak(start + at) == 0);
+        released = pair.weak.shardsToRelease(start + at);
+    }
+    CHECK(released == std::vector<int>{0});
+}
