Publish each entry's capacity and choose the shard's owner by it

The settings' limits (processor share, speed, link) become the entry's capacity, which its row holds. Ownership waits out deferrals, then claims in the order of nearness as before; it asks for the release of a shard that a stronger entry should own. A draining entry says so in its row at once, before it releases its shards. An entry that expires another tells the rest, as one that releases a shard does: so that a stronger entry need not wait for its next look of up to 0.7 s while the others wait for it.

Log: claim-deferred once for each free shard, shard-handover, and the capacity in session-begins and shard-taken (which Ownership writes now).

ctest -R of shardlease, ownerpreference, ownership, node, nodefile, draining, takeover, jobsimulation, entrysettings, shardengine, shardrunner and storeoutage: 55 of 55 pass.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -64,7 +64,8 @@
                        [this] {
                            for (const auto &[shard, runner] : std::map(m_runners))
                                runner->drop();
-                       }})
+                       },
+                   .entryExpired = [this] { notifyShardsFreed(); }})
     , m_callerServer(loop, {},
                      [this](const HttpRequest &request, const AsyncHttpServer::Responder &respond) {
                          ++m_callerRequestCount;
@@ -189,6 +190,11 @@
     m_loop.post([runner = m_runners.at(shard)] {});
     m_runners.erase(shard);
     m_ownership.shardEnded(shard);
+    notifyShardsFreed();
+}
+
+void Node::notifyShardsFreed()
+{
     for (const std::string &peer : m_ownership.otherPeerAddresses())
         m_shardClient.notifyShardsFreed(peer);
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -112,6 +112,7 @@
 
     void openShard(const OwnedShard &owned);
     void shardEnded(int shard);
+    void notifyShardsFreed();
     void applyQueues(steps::QueueConfiguration configuration);
     void setWorkers(std::vector<steps::WorkerInfo> workers);
     std::vector<steps::WorkerInfo> workersOf(int shard) const;
--- a/src/node/ownership.cpp
+++ b/src/node/ownership.cpp
@@ -4,8 +4,6 @@
 #include "core/log.h"
 #include "savorywick/errors.h"
 
-#include <json/json.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -17,27 +15,6 @@
 constexpr std::size_t rowsPerScan = 500;
 constexpr int roundTripSmoothing = 4; // The newest sample weighs one part in this many.
 
-std::string encodePeerField(const std::string &peer)
-{
-    Json::Value json;
-    json["peer"] = peer;
-    return Json::writeString(Json::StreamWriterBuilder(), json);
-}
-
-// Returns the peer address in an entry's row, or an empty string if the row holds none.
-std::string parsePeerAddress(const Row &row)
-{
-    Json::Value json;
-    std::string parseErrors;
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    const char *begin = row.value.data();
-    if (!reader->parse(begin, begin + row.value.size(), &json, &parseErrors) || !json.isObject()) {
-        logWarning("entry-row-unreadable", {{"key", row.key}, {"why", parseErrors}});
-        return {};
-    }
-    return json["peer"].isString() ? json["peer"].asString() : std::string();
-}
-
 } // namespace
 
 Ownership::Ownership(const OwnershipSettings &settings, EventLoop &loop, const Clock &clock,
@@ -59,14 +36,18 @@
 {
     m_leaseManager = std::make_unique<ShardLeaseManager>(
         m_entryName + "." + randomHexDigits(sessionSuffixDigits), m_peerAddress, m_settings.lease);
-    m_leaseManager->setEntryFields(encodePeerField(m_peerAddress));
+    m_leaseManager->setEntryFields(serializeEntryFields(m_peerAddress, m_settings.capacity));
     if (m_draining)
         m_leaseManager->stopClaiming();
     m_sessionToken = std::make_shared<int>(0);
     m_observing = false;
     m_readingOwnRow = false;
     m_claimPending = false;
-    logInfo("session-begins", {{"session", m_leaseManager->session()}});
+    m_deferredClaimPending = false;
+    logInfo("session-begins",
+            {{"session", m_leaseManager->session()},
+             {"milliCores", m_settings.capacity.milliCores},
+             {"linkKbps", m_settings.capacity.linkKbps}});
 }
 
 void Ownership::start()
@@ -174,13 +155,14 @@
         if (row.version != 0)
             present.push_back(row);
     }
+    m_leaseManager->observe(entries, present, *m_lastObservedAt);
     m_otherPeerAddresses.clear();
-    for (const Row &row : entries) {
-        const std::string peer = parsePeerAddress(row);
-        if (!peer.empty() && peer != m_peerAddress)
-            m_otherPeerAddresses.push_back(peer);
+    for (const auto &[session, it] : m_leaseManager->entries()) {
+        if (!it.row.readable)
+            logWarning("entry-row-unreadable", {{"key", entryKey(session)}});
+        else if (!it.row.peer.empty() && it.row.peer != m_peerAddress)
+            m_otherPeerAddresses.push_back(it.row.peer);
     }
-    m_leaseManager->observe(entries, present, *m_lastObservedAt);
     expireDeadEntries();
     scheduleClaim();
     releaseExcessShards();
@@ -198,18 +180,23 @@
                     return;
                 logInfo("entry-expired", {{"row", key}});
                 observeNow();
+                m_listeners.entryExpired();
             });
     }
 }
 
+Millis Ownership::claimDelay() const
+{
+    return std::min(m_smoothedRoundTrip * m_settings.claimDelayRoundTrips,
+                    m_settings.maxClaimDelay);
+}
+
 void Ownership::scheduleClaim()
 {
     if (m_claimPending || m_draining)
         return;
     m_claimPending = true;
-    const Millis delay =
-        std::min(m_smoothedRoundTrip * m_settings.claimDelayRoundTrips, m_settings.maxClaimDelay);
-    m_loop.runAfter(delay, [this, session = std::weak_ptr<int>(m_sessionToken)] {
+    m_loop.runAfter(claimDelay(), [this, session = std::weak_ptr<int>(m_sessionToken)] {
         if (session.expired())
             return;
         m_claimPending = false;
@@ -227,6 +214,42 @@
                     finishClaim(it, result);
             });
     }
+    claimAfterDeferral();
+}
+
+// Of the entries whose deferral is over, the one nearest to the store claims first as well.
+void Ownership::claimAfterDeferral()
+{
+    const Instant now = m_clock.now();
+    std::optional<Instant> next;
+    for (const ClaimDeferral &it : m_leaseManager->claimDeferrals(now)) {
+        logDeferral(it);
+        next = next ? std::min(*next, it.until) : it.until;
+    }
+    if (!next || std::exchange(m_deferredClaimPending, true))
+        return;
+    m_loop.runAfter(*next - now + claimDelay(),
+                    [this, session = std::weak_ptr<int>(m_sessionToken)] {
+                        if (session.expired())
+                            return;
+                        m_deferredClaimPending = false;
+                        claimFreeShards();
+                    });
+}
+
+void Ownership::logDeferral(const ClaimDeferral &deferral)
+{
+    Instant &logged = m_loggedDeferrals[deferral.shard];
+    if (std::exchange(logged, deferral.since) == deferral.since)
+        return;
+    logInfo("claim-deferred",
+            {{"shard", deferral.shard},
+             {"to", deferral.to},
+             {"milliCores", deferral.capacity.milliCores},
+             {"linkKbps", deferral.capacity.linkKbps},
+             {"ownMilliCores", m_settings.capacity.milliCores},
+             {"ownLinkKbps", m_settings.capacity.linkKbps},
+             {"forMs", (deferral.until - deferral.since).count()}});
 }
 
 void Ownership::finishClaim(const ShardClaim &claim, const CommitResult &result)
@@ -235,6 +258,11 @@
     if (!owned)
         return observeNow();
     m_shardRows[owned->shard] = owned->row;
+    logInfo("shard-taken",
+            {{"shard", owned->shard},
+             {"epoch", owned->row.epoch},
+             {"milliCores", m_settings.capacity.milliCores},
+             {"linkKbps", m_settings.capacity.linkKbps}});
     m_listeners.shardAcquired(*owned);
     if (m_draining)
         m_listeners.releaseRequested(owned->shard);
@@ -244,8 +272,15 @@
 {
     if (m_draining)
         return;
-    for (const int shard : m_leaseManager->shardsToRelease(m_clock.now()))
+    for (const int shard : m_leaseManager->shardsToRelease(m_clock.now())) {
+        if (const auto handover = m_leaseManager->handoverOf(shard))
+            logInfo("shard-handover",
+                    {{"shard", shard},
+                     {"to", handover->to},
+                     {"milliCores", handover->capacity.milliCores},
+                     {"linkKbps", handover->capacity.linkKbps}});
         m_listeners.releaseRequested(shard);
+    }
 }
 
 std::optional<ShardOwnerLocation> Ownership::ownerOf(int shard) const
@@ -272,6 +307,7 @@
 {
     m_draining = true;
     m_leaseManager->stopClaiming();
+    renewLease(); // Tells the others not to wait for this entry.
     for (const int shard : m_leaseManager->ownedShards())
         m_listeners.releaseRequested(shard);
 }
--- a/src/node/ownership.h
+++ b/src/node/ownership.h
@@ -27,6 +27,7 @@
     // claims first.
     int claimDelayRoundTrips = 10;
     Millis maxClaimDelay{600}; // The upper limit of the claim delay.
+    EntryCapacity capacity; // What this entry's host offers to the owner of a shard.
 };
 
 // The location of a shard's owner.
@@ -39,8 +40,9 @@
 // Maintains this entry's lease and its share of the shards on an event loop.
 //
 // It runs a ShardLeaseManager against the store: renews the lease, observes the other entries,
-// claims free shards and requests the release of excess ones. If the lease is lost, it begins a new
-// session under a new name. Use one for each entry. Not thread-safe.
+// claims free shards and requests the release of excess ones and of those that a stronger entry
+// should own. If the lease is lost, it begins a new session under a new name. Use one for each
+// entry. Not thread-safe.
 //
 // Example:
 //   Ownership ownership(settings, loop, clock, table, "entry-a", "10.0.0.1:7720", listeners);
@@ -55,6 +57,8 @@
         std::function<void(const OwnedShard &)> shardAcquired; // This entry now owns the shard.
         std::function<void(int shard)> releaseRequested; // Release it, then call shardEnded().
         std::function<void()> sessionLost; // Drop all shards immediately.
+        // This entry has expired another one, whose shards are free now: tell the other entries.
+        std::function<void()> entryExpired;
     };
 
     // `entry` is the entry's name and `peer` the address for other entries. All references must
@@ -81,7 +85,7 @@
     void observeNow();
     // Records that this entry has lost or released the shard.
     void shardEnded(int shard);
-    // Stops claiming shards and requests the release of all owned ones.
+    // Stops claiming shards, says so in the store and requests the release of all owned ones.
     void drain();
     // Ends the session in the store, then calls `done` whatever the outcome. Call it when no shard
     // is owned any more.
@@ -97,6 +101,9 @@
     void expireDeadEntries();
     void scheduleClaim();
     void claimFreeShards();
+    void claimAfterDeferral();
+    void logDeferral(const ClaimDeferral &deferral);
+    Millis claimDelay() const;
     void finishClaim(const ShardClaim &claim, const CommitResult &result);
     void releaseExcessShards();
     void recordRoundTrip(Millis taken);
@@ -118,6 +125,8 @@
     bool m_observeAgain = false;
     bool m_readingOwnRow = false;
     bool m_claimPending = false;
+    bool m_deferredClaimPending = false;
+    std::map<int, Instant> m_loggedDeferrals; // By shard: since when it was free.
     bool m_draining = false;
     Millis m_smoothedRoundTrip{0}; // Round-trip time to the store.
     // Replaced with each session, so that callbacks of an earlier session have no effect.
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -97,7 +97,6 @@
 
 void ShardRunner::open()
 {
-    logInfo("shard-taken", {{"shard", shard()}, {"epoch", m_owned.row.epoch}});
     readSnapshot();
 }
 
--- a/tests/adapter/nodefile_test.cpp
+++ b/tests/adapter/nodefile_test.cpp
@@ -12,6 +12,7 @@
 constexpr const char *validFile = R"({"nodeName":"edge-1","ip":"10.1.0.13","zone":"hobart",
     "bindAddresses":{"frontend":"10.1.0.13:8161","readiness":"10.1.0.13:8167"},
     "internalPorts":[7720,7735],"bounds":{"holdMaxMs":5000,"status_s":120},
+    "limits":{"cpuShare":0.12,"cores":2,"memoryMb":260,"linkMbps":10.5},
     "platform":{"address":"10.200.1.7:8169","rowBytes":1000},"unknownKey":{}})";
 
 } // namespace
@@ -28,6 +29,14 @@
     CHECK(file.node.shardRunner.coordinator.workerSessions.maxLeaseTerm == Millis{5'000});
     CHECK(file.node.shardRunner.coordinator.workerSessions.leaseTerm == Millis{5'000});
     CHECK(file.node.shardRunner.coordinator.endedJobRetention == Millis{150'000});
+    CHECK(file.node.ownership.capacity == EntryCapacity{240, 10'500});
+}
+
+TEST_CASE("Without its limits a host's capacity is not known")
+{
+    std::string text = validFile;
+    text.replace(text.find("limits"), std::string("limits").size(), "other");
+    CHECK(parseNodeFile(text).node.ownership.capacity == EntryCapacity{});
 }
 
 TEST_CASE("A missing setting is reported by its key")
--- /dev/null
+++ b/tests/node/ownership_test.cpp
@@ -0,0 +1,154 @@
+#include "node/ownership.h"
+
+#include "../lib/faketable.h"
+#include "core/bootclock.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+
+using namespace savorywick;
+
+namespace {
+
+constexpr int maxPolls = 1'000; // Generous: only a hang reaches this limit.
+constexpr Millis pollInterval{20};
+constexpr EntryCapacity weakCapacity{120, 10'000};
+constexpr EntryCapacity strongCapacity{500, 200'000};
+
+// A table shared by all entries. It calls back before the call returns.
+class ImmediateTable final : public AsyncTable
+{
+public:
+    void commit(const Transaction &t, CommitCallback done) override { done(m_table.commit(t)); }
+    void read(const std::vector<std::string> &keys, ReadCallback done) override
+    {
+        done(m_table.read(keys));
+    }
+    void scan(const std::string &prefix, const std::string &after, std::size_t limit,
+              ReadCallback done) override
+    {
+        done(m_table.scan(prefix, after, limit));
+    }
+    FakeTable &rows() { return m_table; }
+
+private:
+    FakeTable m_table;
+};
+
+OwnershipSettings settings(const EntryCapacity &capacity)
+{
+    OwnershipSettings s;
+    s.lease.renewalInterval = Millis{200};
+    s.lease.preference.steadyBeforeHandover = Millis{500};
+    s.observeInterval = Millis{100};
+    s.tickInterval = Millis{20};
+    s.capacity = capacity;
+    return s;
+}
+
+// An entry that owns shards without running them: it releases each as soon as it is asked to.
+class OwningEntry
+{
+public:
+    OwningEntry(ImmediateTable &table, EventLoop &loop, const std::string &name,
+                const EntryCapacity &capacity)
+        : m_table(table)
+        , m_ownership(settings(capacity), loop, m_clock, table, name, name + ":1",
+                      {.shardAcquired = [this](const OwnedShard &it) { m_owned[it.shard] = it; },
+                       .releaseRequested = [this](int shard) { release(shard); },
+                       .sessionLost = [this] { m_owned.clear(); },
+                       .entryExpired = [this] { ++expiredCount; }})
+    { }
+
+    Ownership &ownership() { return m_ownership; }
+    bool owns(int shard) const { return m_owned.contains(shard); }
+
+    int expiredCount = 0;
+
+private:
+    void release(int shard)
+    {
+        OwnedShard ownerless = m_owned.at(shard);
+        ownerless.row.owner.clear();
+        const std::string key = shardKey(shard);
+        m_table.rows().commit(
+            {{{key, ownerless.version}}, {{key, serializeShardRow(ownerless.row)}}});
+        m_owned.erase(shard);
+        m_ownership.shardEnded(shard);
+    }
+
+    BootClock m_clock;
+    ImmediateTable &m_table;
+    std::map<int, OwnedShard> m_owned;
+    Ownership m_ownership;
+};
+
+// Returns true if and only if the entry owned the shard before the poll limit.
+bool becomesOwner(EventLoop &loop, const OwningEntry &entry, int shard)
+{
+    for (int i = 0; i < maxPolls && !entry.owns(shard); ++i) {
+        loop.runAfter(pollInterval, [&loop] { loop.stop(); });
+        loop.run();
+    }
+    return entry.owns(shard);
+}
+
+} // namespace
+
+// Guards against a weak entry that keeps the shard since it was the first to start.
+TEST_CASE("A weak owner releases its shard for a stronger entry that came later")
+{
+    ImmediateTable table;
+    EventLoop loop;
+    OwningEntry weak(table, loop, "weak", weakCapacity);
+    weak.ownership().start();
+    REQUIRE(becomesOwner(loop, weak, 0));
+    OwningEntry strong(table, loop, "strong", strongCapacity);
+    strong.ownership().start();
+    CHECK(becomesOwner(loop, strong, 0));
+    CHECK_FALSE(weak.owns(0));
+    CHECK(parseShardRow(table.rows().row(shardKey(0))).epoch == 2);
+}
+
+// Guards against a free shard that waits for good for an entry that does not take it.
+TEST_CASE("A weak entry claims a free shard that the stronger entry does not take")
+{
+    ImmediateTable table;
+    EventLoop loop;
+    const std::string fields = serializeEntryFields("strong:1", strongCapacity);
+    table.rows().commit({{}, {{entryKey("strong.1"), fields}}});
+    OwningEntry weak(table, loop, "weak", weakCapacity);
+    weak.ownership().start();
+    CHECK(becomesOwner(loop, weak, 0));
+}
+
+// Guards against entries that learn of a dead owner's shard only when they next look.
+TEST_CASE("An entry that expires a dead owner tells the others")
+{
+    ImmediateTable table;
+    EventLoop loop;
+    table.rows().commit({{}, {{entryKey("dead.1"), "{}"}}});
+    table.rows().commit({{}, {{shardKey(0), serializeShardRow({.owner = "dead.1"})}}});
+    OwningEntry successor(table, loop, "successor", weakCapacity);
+    successor.ownership().start();
+    CHECK(becomesOwner(loop, successor, 0));
+    CHECK(successor.expiredCount == 1);
+}
+
+// Guards against entries that leave a shard to one that is about to stop.
+TEST_CASE("A draining entry says so in its row at once")
+{
+    ImmediateTable table;
+    EventLoop loop;
+    OwningEntry entry(table, loop, "entry", strongCapacity);
+    entry.ownership().start();
+    REQUIRE(becomesOwner(loop, entry, 0));
+    entry.ownership().drain();
+    const auto rows = table.rows().scan("entry/", "", 10);
+    REQUIRE(rows.size() == 1);
+    CHECK(parseEntryRow(rows.front().value).draining);
+    CHECK(parseEntryRow(rows.front().value).capacity == strongCapacity);
+    CHECK_FALSE(entry.owns(0));
+}
