--- a/src/node/node.h
+++ b/src/node/node.h
@@ -128,6 +128,7 @@
     void shardEnded(int shard);
     void reportShardLoads(Millis processorTime, Millis maxLag);
     void recordOwnerReply(ShardOutcome outcome, Millis time);
+    void notifyShardsFreed();
     void applyQueues(steps::QueueConfiguration configuration);
     void setWorkers(std::vector<steps::WorkerInfo> workers);
     std::vector<steps::WorkerInfo> workersOf(int shard) const;
