Claim a first shard only once the first renewal is confirmed

A claim now waits for the first confirmed renewal, which tells the round trip, and is scheduled as soon as that is known.

ownership_test: The first owner of a shard is the entry nearest to the store failed before (the far entry owned the shard).

--- a/src/node/ownership.cpp
+++ b/src/node/ownership.cpp
@@ -79,18 +79,23 @@
         *t, [this, sentAt, session = std::weak_ptr<int>(m_sessionToken)](const auto &result) {
             if (session.expired())
                 return;
+            const bool firstRoundTrip = !m_smoothedRoundTrip;
             if (result.outcome == CommitOutcome::Committed)
                 recordRoundTrip(m_clock.now() - sentAt);
             m_leaseManager->handleRenewalResult(result, m_clock.now());
+            if (firstRoundTrip && m_lastObservedAt)
+                scheduleClaim();
             readOwnRow();
         });
 }
 
 void Ownership::recordRoundTrip(Millis taken)
 {
-    m_smoothedRoundTrip = m_smoothedRoundTrip == Millis{0}
-        ? taken
-        : (m_smoothedRoundTrip * (roundTripSmoothing - 1) + taken) / roundTripSmoothing;
+    if (!m_smoothedRoundTrip)
+        m_smoothedRoundTrip = taken;
+    else
+        m_smoothedRoundTrip =
+            (*m_smoothedRoundTrip * (roundTripSmoothing - 1) + taken) / roundTripSmoothing;
 }
 
 void Ownership::readOwnRow()
@@ -187,13 +192,14 @@
 
 Millis Ownership::claimDelay() const
 {
-    return std::min(m_smoothedRoundTrip * m_settings.claimDelayRoundTrips,
-                    m_settings.maxClaimDelay);
+    const Millis roundTrip = m_smoothedRoundTrip.value_or(Millis{0});
+    return std::min(roundTrip * m_settings.claimDelayRoundTrips, m_settings.maxClaimDelay);
 }
 
 void Ownership::scheduleClaim()
 {
-    if (m_claimPending || m_draining)
+    // Before the first renewal is confirmed there is neither a lease nor a claim delay.
+    if (m_claimPending || m_draining || !m_smoothedRoundTrip)
         return;
     m_claimPending = true;
     m_loop.runAfter(claimDelay(), [this, session = std::weak_ptr<int>(m_sessionToken)] {
--- a/src/node/ownership.h
+++ b/src/node/ownership.h
@@ -128,7 +128,8 @@
     bool m_deferredClaimPending = false;
     std::map<int, Instant> m_loggedDeferrals; // By shard: since when it was free.
     bool m_draining = false;
-    Millis m_smoothedRoundTrip{0}; // Round-trip time to the store.
+    // Round-trip time to the store; unset until the first renewal is confirmed.
+    std::optional<Millis> m_smoothedRoundTrip;
     // Replaced with each session, so that callbacks of an earlier session have no effect.
     std::shared_ptr<int> m_sessionToken = std::make_shared<int>(0);
 };
--- a/tests/node/ownership_test.cpp
+++ b/tests/node/ownership_test.cpp
@@ -37,6 +37,38 @@
     FakeTable m_table;
 };
 
+// A table that is reached over a network: commits take longer than reads.
+class RemoteTable final : public AsyncTable
+{
+public:
+    RemoteTable(ImmediateTable &table, EventLoop &loop, Millis readTime, Millis commitTime)
+        : m_table(table)
+        , m_loop(loop)
+        , m_readTime(readTime)
+        , m_commitTime(commitTime)
+    { }
+
+    void commit(const Transaction &t, CommitCallback done) override
+    {
+        m_loop.runAfter(m_commitTime, [this, t, done] { m_table.commit(t, done); });
+    }
+    void read(const std::vector<std::string> &keys, ReadCallback done) override
+    {
+        m_loop.runAfter(m_readTime, [this, keys, done] { m_table.read(keys, done); });
+    }
+    void scan(const std::string &prefix, const std::string &after, std::size_t limit,
+              ReadCallback done) override
+    {
+        m_loop.runAfter(m_readTime, [=, this] { m_table.scan(prefix, after, limit, done); });
+    }
+
+private:
+    ImmediateTable &m_table;
+    EventLoop &m_loop;
+    const Millis m_readTime;
+    const Millis m_commitTime;
+};
+
 OwnershipSettings settings(const EntryCapacity &capacity)
 {
     OwnershipSettings s;
@@ -54,8 +86,13 @@
 public:
     OwningEntry(ImmediateTable &table, EventLoop &loop, const std::string &name,
                 const EntryCapacity &capacity)
+        : OwningEntry(table, table, loop, name, settings(capacity))
+    { }
+    // Reaches the rows of `table` through `path`.
+    OwningEntry(ImmediateTable &table, AsyncTable &path, EventLoop &loop, const std::string &name,
+                const OwnershipSettings &ownershipSettings)
         : m_table(table)
-        , m_ownership(settings(capacity), loop, m_clock, table, name, name + ":1",
+        , m_ownership(ownershipSettings, loop, m_clock, path, name, name + ":1",
                       {.shardAcquired = [this](const OwnedShard &it) { m_owned[it.shard] = it; },
                        .releaseRequested = [this](int shard) { release(shard); },
                        .sessionLost = [this] { m_owned.clear(); },
@@ -152,3 +189,19 @@
     CHECK(parseEntryRow(rows.front().value).capacity == strongCapacity);
     CHECK_FALSE(entry.owns(0));
 }
+
+// Guards against a first owner far from the store: entries that observe before their first renewal
+// is confirmed claimed without a lease, and those that waited longest came first the second time.
+TEST_CASE("The first owner of a shard is the entry nearest to the store")
+{
+    ImmediateTable table;
+    EventLoop loop;
+    RemoteTable nearPath(table, loop, Millis{2}, Millis{10});
+    RemoteTable farPath(table, loop, Millis{40}, Millis{45});
+    OwningEntry far(table, farPath, loop, "far", OwnershipSettings{});
+    OwningEntry near(table, nearPath, loop, "near", OwnershipSettings{});
+    far.ownership().start();
+    near.ownership().start();
+    CHECK(becomesOwner(loop, near, 0));
+    CHECK_FALSE(far.owns(0));
+}
