--- a/bench/coordinator_bench.cpp
+++ b/bench/coordinator_bench.cpp
@@ -85,8 +85,10 @@
 class BusyShard
 {
 public:
-    explicit BusyShard(int workers)
+    // `load` is relative to what the fleet can carry with some room to spare.
+    BusyShard(int workers, double load)
         : m_share(static_cast<double>(workers) / fullFleet)
+        , m_load(load)
         , m_events(microsPerSecond)
         , m_owner(1, m_events.now(), {})
     {
@@ -108,7 +110,7 @@
     }
 
     // Runs the shard and reports what it cost from the end of the warm-up on.
-    void run()
+    void run(const std::string &caseName)
     {
         m_events.runUntil(m_events.nowMicros() + warmUpSeconds * microsPerSecond);
         m_cpuMicros = 0;
@@ -118,8 +120,9 @@
         const auto started = static_cast<double>(m_owner.counters().runsStarted - before);
         const auto events = static_cast<double>(m_eventCount);
         constexpr std::uint64_t shownChecksumRange = 1'000'000;
-        report(benchName, std::to_string(m_workers.size()) + " workers",
+        report(benchName, caseName,
                {{"runs", static_cast<double>(m_owner.runs().all().size())},
+                {"waiting_steps", static_cast<double>(m_owner.readyStepCount())},
                 {"events_per_s", events / measuredSeconds},
                 {"starts_per_s", started / measuredSeconds},
                 {"cpu_us_per_event", m_cpuMicros / events},
@@ -198,7 +201,8 @@
 
     void submitRepeatedly(double perSecond, const std::function<JobSpec(int)> &job, int i)
     {
-        const double interval = static_cast<double>(microsPerSecond) / (perSecond * m_share);
+        const double interval =
+            static_cast<double>(microsPerSecond) / (perSecond * m_share * m_load);
         m_events.scheduleAfter(static_cast<std::int64_t>(interval), [this, perSecond, job, i] {
             submit(job(i));
             submitRepeatedly(perSecond, job, i + 1);
@@ -323,7 +327,8 @@
         replyAfter(delay, [] {});
     }
 
-    double m_share; // Of the full load.
+    double m_share; // Of the full fleet.
+    double m_load;
     EventQueue m_events;
     Coordinator m_owner;
     std::map<std::string, std::unique_ptr<FakeWorker>> m_workers;
@@ -341,10 +346,12 @@
 
 int main()
 {
-    reportTableHeader(
-        "fleet",
-        {"runs", "events per s", "starts per s", "us per event", "us per start", "checksum"});
+    reportTableHeader("fleet",
+                      {"runs", "waiting", "events per s", "starts per s", "us per event",
+                       "us per start", "checksum"});
     for (const int workers : {120, 245, 490})
-        BusyShard(workers).run();
+        BusyShard(workers, 1).run(std::to_string(workers) + " workers");
+    constexpr double overload = 2;
+    BusyShard(fullFleet, overload).run("490 workers, twice the load");
     return 0;
 }
