Pause between placement passes that leave steps waiting

An overloaded owner of a shard fell ever further behind: as long as one step waited for room, each reply of a worker and each commit started a placement pass over the whole fleet, so that the owner had least time for its callers when it had most to do.

After a pass that left steps waiting the next one comes 20 ms later at the earliest, and wakeAt() says so. A pass that places everything is followed by none until there is a new step or room is asked for again, so that nothing is put off in a shard that has room.

The new test failed before: 40 replies in 40 ms examined 8,000 workers of a fleet of 200; at most 560 are allowed.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -89,6 +89,9 @@
     // A long-running task that is not at work after this time without progress is moved.
     Millis longRunningStartTimeout{6'000};
     int maxStepsPerPass = 2'000; // Bounds the duration of one placement pass.
+    // The shortest time from a placement pass that left steps waiting to the next one, so that under
+    // overload the time spent on placement does not grow with the number of events.
+    Millis placementInterval{20};
 };
 
 // The result of Coordinator::submit().
@@ -350,6 +353,7 @@
     std::unordered_map<std::string, DurableJob> m_durableJobs;
     std::map<std::string, int, std::less<>> m_queuedJobs; // Count of durable jobs by queue.
     bool m_placementNeeded = true;
+    Instant m_nextPlacementAt; // The earliest time of the next placement pass.
 };
 
 } // namespace savorywick::steps
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -232,7 +232,7 @@
     for (const std::string &id : m_dueOccurrences.takeDue(Instant{now.wallMs}))
         openDueOccurrences(*m_table.find(id), now);
     forgetExpiredJobs(now);
-    if (m_placementNeeded)
+    if (m_placementNeeded && now.monotonic >= m_nextPlacementAt)
         placeReadySteps(now);
 }
 
@@ -352,8 +352,9 @@
     // Bounds the delay of lapsed leases, stalled runs, due occurrences and repeated stop orders.
     constexpr Millis maxTickInterval{500};
     refreshDueTimes();
-    const Instant latest = now + maxTickInterval;
-    return std::min(latest, m_renewals.nextAt().value_or(latest));
+    Instant at = now + maxTickInterval;
+    at = std::min(at, m_renewals.nextAt().value_or(at));
+    return m_placementNeeded && !m_readySteps.empty() ? std::min(at, m_nextPlacementAt) : at;
 }
 
 } // namespace savorywick::steps
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -125,6 +125,8 @@
         if (allPlaced)
             m_readySteps.erase(step.ref);
     }
+    if (!m_readySteps.empty())
+        m_nextPlacementAt = now.monotonic + m_settings.placementInterval;
 }
 
 // Starts as many of the step's tasks as there are workers for. Returns true if and only if all are.
--- a/tests/steps/coordinatorcost_test.cpp
+++ b/tests/steps/coordinatorcost_test.cpp
@@ -41,15 +41,27 @@
     const Coordinator &coordinator() const { return m_coordinator; }
     std::size_t heldCount() const { return m_held.size(); }
 
-    // Answers the renewal that one worker holds, and lets the coordinator decide.
-    void answerOne()
+    // Answers the renewal that one worker holds, after some time, and lets the coordinator decide.
+    void answerOne(Millis after)
     {
-        m_now = m_now + Millis{10};
+        m_now = m_now + after;
         answer(m_held.back());
         m_held.pop_back();
         process();
     }
 
+    // Submits a job of one task that no worker has room for.
+    void submitUnplaceable()
+    {
+        JobSpec spec;
+        spec.id = "unplaceable";
+        spec.policy = {"q", "matching", 0, 2, 2.0, Millis{500}};
+        spec.steps.resize(1);
+        spec.steps[0].demand = {32'000, 1'000, 0};
+        m_coordinator.submit(spec, now());
+        process();
+    }
+
 private:
     ClockReading now() const { return {m_now, m_now.count()}; }
 
@@ -117,9 +129,29 @@
         REQUIRE(fleet.coordinator().runs().all().size() == static_cast<std::size_t>(workers));
         REQUIRE(fleet.heldCount() == static_cast<std::size_t>(workers));
         const CoordinatorCounters before = fleet.coordinator().counters();
-        fleet.answerOne();
+        fleet.answerOne(Millis{10});
         const CoordinatorCounters &after = fleet.coordinator().counters();
         CHECK(after.workersExamined - before.workersExamined <= maxExaminedPerReply);
         CHECK(after.runsExamined - before.runsExamined <= maxExaminedPerReply);
     }
 }
+
+// Guards against an overloaded owner that spends all its time on searching the fleet for room that
+// is not there, once for every reply of a worker, and therefore falls further behind.
+TEST_CASE("While steps wait for room the fleet is not searched again at each of many replies")
+{
+    constexpr int workers = 200;
+    constexpr int replies = 40;
+    const CoordinatorSettings settings;
+    HeldFleet fleet(workers);
+    fleet.submitUnplaceable();
+    REQUIRE(fleet.coordinator().readyStepCount() == 1);
+    const std::uint64_t before = fleet.coordinator().counters().workersExamined;
+    for (int i = 0; i < replies; ++i)
+        fleet.answerOne(Millis{1});
+    const std::uint64_t examined = fleet.coordinator().counters().workersExamined - before;
+    const auto passes = static_cast<std::uint64_t>(replies / settings.placementInterval.count());
+    constexpr std::uint64_t maxExaminedPerReply = 4;
+    CHECK(examined >= workers); // The step is tried again.
+    CHECK(examined <= passes * workers + replies * maxExaminedPerReply);
+}
