--- /dev/null
+++ b/tests/net/httpclientconnection_test.cpp
@@ -0,0 +1,220 @@
+#include "net/asynchttpclient.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace savorywick;
+
+namespace {
+
+constexpr Millis waitLimit{20'000}; // Generous; reached only if a request hangs.
+
+// A peer on a thread of its own that accepts connections one after the other and sends to each the
+// pieces of one script, each after it has received something or, within a script, at once.
+class ScriptedPeer
+{
+public:
+    using Script = std::vector<std::string>;
+
+    explicit ScriptedPeer(std::vector<Script> scripts, bool closeAfterScript)
+        : m_listener(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        REQUIRE(bind(m_listener, reinterpret_cast<sockaddr *>(&address), size) == 0);
+        REQUIRE(listen(m_listener, 8) == 0);
+        REQUIRE(getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size) == 0);
+        m_address = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+        m_thread = std::thread([this, scripts = std::move(scripts), closeAfterScript] {
+            for (const Script &it : scripts)
+                play(it, closeAfterScript);
+        });
+    }
+    ~ScriptedPeer()
+    {
+        join();
+        close(m_listener);
+    }
+    ScriptedPeer(const ScriptedPeer &) = delete;
+    ScriptedPeer &operator=(const ScriptedPeer &) = delete;
+
+    const std::string &address() const { return m_address; }
+    // Waits until every connection of the scripts has ended.
+    void join()
+    {
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+    // Returns what was received. Call it after join().
+    const std::string &received() const { return m_received; }
+
+private:
+    void play(const Script &script, bool closeAfterScript)
+    {
+        const int connection = accept(m_listener, nullptr, nullptr);
+        char buf[4'096];
+        const ssize_t n = recv(connection, buf, sizeof buf, 0);
+        m_received.append(buf, static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
+        for (const std::string &it : script) {
+            send(connection, it.data(), it.size(), MSG_NOSIGNAL);
+            std::this_thread::yield();
+        }
+        // Without a close of its own, waits for the client's.
+        while (!closeAfterScript && recv(connection, buf, sizeof buf, 0) > 0) { }
+        close(connection);
+    }
+
+    int m_listener;
+    std::string m_address;
+    std::string m_received;
+    std::thread m_thread;
+};
+
+HttpResult exchange(EventLoop &loop, AsyncHttpClient &client, HttpCall call)
+{
+    std::optional<HttpResult> result;
+    client.exchange(std::move(call), [&](const HttpResult &r) {
+        result = r;
+        loop.stop();
+    });
+    CHECK_FALSE(result.has_value()); // Never before exchange() has returned.
+    const auto limit = loop.runAfter(waitLimit, [&] { loop.stop(); });
+    loop.run();
+    loop.cancel(limit);
+    REQUIRE(result.has_value());
+    return *result;
+}
+
+} // namespace
+
+TEST_CASE("A response is read however the peer frames and splits it")
+{
+    struct Case
+    {
+        const char *name;
+        ScriptedPeer::Script script;
+        HttpOutcome outcome;
+        std::size_t bodyBytes;
+    };
+    const std::string large(300'000, 'x');
+    for (const Case &it : {
+             Case{"whole",
+                  {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"},
+                  HttpOutcome::ResponseReceived,
+                  2},
+             Case{"split",
+                  {"HTTP/1.", "1 200 OK\r\nConte", "nt-Length: 4\r\n", "\r", "\na", "bcd"},
+                  HttpOutcome::ResponseReceived,
+                  4},
+             Case{"chunked",
+                  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r", "\nabc\r\n",
+                   "2\r\nde\r\n0\r\n\r\n"},
+                  HttpOutcome::ResponseReceived,
+                  5},
+             Case{"until the end",
+                  {"HTTP/1.1 200 OK\r\n\r\n", "abc"},
+                  HttpOutcome::ResponseReceived,
+                  3},
+             Case{"large",
+                  {"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n", large},
+                  HttpOutcome::ResponseReceived,
+                  large.size()},
+             Case{"truncated",
+                  {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"},
+                  HttpOutcome::ConnectionLost,
+                  0},
+             Case{"empty", {}, HttpOutcome::ConnectionLost, 0},
+             Case{"no HTTP", {"hello\r\n\r\n"}, HttpOutcome::ConnectionLost, 0},
+             Case{"too large",
+                  {"HTTP/1.1 200 OK\r\nContent-Length: 300001\r\n\r\n"},
+                  HttpOutcome::ConnectionLost,
+                  0},
+         }) {
+        CAPTURE(it.name);
+        EventLoop loop;
+        AsyncHttpClient client(loop);
+        ScriptedPeer peer({it.script}, true);
+        const HttpResult result = exchange(
+            loop, client,
+            {.address = peer.address(), .timeout = waitLimit, .maxResponseBytes = large.size()});
+        CHECK((result.outcome == it.outcome));
+        CHECK(result.body.size() == it.bodyBytes);
+    }
+}
+
+TEST_CASE("A request is sent with the headers that its method and its call need")
+{
+    struct Case
+    {
+        HttpCall call;
+        std::string_view text; // ADDRESS stands for the peer's address.
+    };
+    for (const Case &it : {
+             Case{{.path = "/a?b=1"}, "GET /a?b=1 HTTP/1.1\r\nHost: ADDRESS\r\n\r\n"},
+             Case{{.method = "POST", .path = "/a", .headers = {{"X-One", "1"}}, .body = "{}"},
+                  "POST /a HTTP/1.1\r\nHost: ADDRESS\r\nX-One: 1\r\n"
+                  "Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"},
+             Case{{.method = "POST"},
+                  "POST / HTTP/1.1\r\nHost: ADDRESS\r\n"
+                  "Content-Type: application/json\r\nContent-Length: 0\r\n\r\n"},
+             Case{{.method = "DELETE"},
+                  "DELETE / HTTP/1.1\r\nHost: ADDRESS\r\nContent-Type: application/json\r\n\r\n"},
+             Case{{.headers = {{"host", "q.example"}}},
+                  "GET / HTTP/1.1\r\nhost: q.example\r\n\r\n"},
+         }) {
+        EventLoop loop;
+        AsyncHttpClient client(loop);
+        ScriptedPeer peer({{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}}, true);
+        HttpCall call = it.call;
+        call.address = peer.address();
+        CHECK(exchange(loop, client, std::move(call)).status == 200);
+        peer.join();
+        std::string expected(it.text);
+        if (const std::size_t at = expected.find("ADDRESS"); at != std::string::npos)
+            expected.replace(at, std::string_view("ADDRESS").size(), peer.address());
+        CHECK(peer.received() == expected);
+    }
+}
+
+// Guards against taking bytes that nobody asked for as the response to the next request.
+TEST_CASE("A connection with data after a response is not used again")
+{
+    EventLoop loop;
+    AsyncHttpClient client(loop);
+    const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
+    ScriptedPeer peer({{response + "a" + response + "b"}, {response + "c"}}, false);
+    CHECK(exchange(loop, client, {.address = peer.address()}).body == "a");
+    CHECK(exchange(loop, client, {.address = peer.address()}).body == "c");
+    client.dropIdle(peer.address());
+}
+
+// Guards against descriptors that stay open until the peer closes: idle connections that left the
+// pool kept their sockets, and a peer that was cut off never closes.
+TEST_CASE("Idle connections that leave the pool are closed")
+{
+    for (const bool destroyClient : {false, true}) {
+        CAPTURE(destroyClient);
+        EventLoop loop;
+        std::optional<AsyncHttpClient> client(std::in_place, loop);
+        ScriptedPeer peer({{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}}, false);
+        CHECK(exchange(loop, *client, {.address = peer.address()}).status == 200);
+        if (destroyClient)
+            client.reset();
+        else
+            client->dropIdle(peer.address());
+        peer.join(); // The peer's script ends when it sees the close.
+    }
+}
