Read the usual spelling of workers' reports without building a tree

Half of the user instructions of an exchange were jsoncpp's: each report became a tree of values, a node for each column of each row, though its form is known. The usual spelling, with strings without escapes and with plain numbers, is now read in one pass. Anything else, malformed rows included, is read by the tree as before, so what is accepted, skipped and logged stays the same; a test compares the two readers over spellings that they might take differently. A renewal's report has a file of its own now, apart from the client that asks for it.

--- a/bench/exchange_bench.cpp
+++ b/bench/exchange_bench.cpp
@@ -10,6 +10,7 @@
 #include "net/asynchttpserver.h"
 #include "platform/base64.h"
 #include "platform/httpworkerclient.h"
+#include "platform/workerreport.h"
 #include "savorywick/steps/record.h"
 
 #include <cerrno>
