Leave an owner's event loop time for messages between passes over its shard

Each reply of a worker, commit and request made the owner pass over all steps, runs and workers again (Coordinator::tick). With 490 workers full of runs a pass takes 2 to 8 ms on an unloaded core, so that a host with an eighth of a core spends nearly all its time in passes, while a request needs several turns of the loop to be answered.

A WorkPacer bounds the passes to a quarter of the loop's time, with a pause of 500 ms at most; one pass serves all events that came since the last. On a quiet shard passes take under a millisecond and are hardly put off. Commits, replies, renewals and orders go on in between. shard-load counts the passes.

The test failed before: 40 passes in 40 rounds.

--- a/src/node/shardload.cpp
+++ b/src/node/shardload.cpp
@@ -62,6 +62,7 @@
              {"lagMs", load.loopLag.count()},
              {"lagMaxMs", maxLag.count()},
              {"rounds", load.rounds},
+             {"passes", load.passes},
              {"roundMaxMs", load.maxRoundTime.count()},
              {"submissions", load.submissions},
              {"cancels", load.cancels},
--- a/src/node/shardload.h
+++ b/src/node/shardload.h
@@ -22,6 +22,7 @@
     std::uint64_t overloadRefusals = 0; // New jobs refused because the owner was too far behind.
     std::uint64_t rounds = 0; // Passes over the shard's decisions.
     Millis maxRoundTime;
+    std::uint64_t passes = 0; // Rounds that included the coordinator's own pass, such as placement.
     std::uint64_t commits = 0; // Commits whose outcome is known.
     std::uint64_t failedCommits = 0; // Those of them that were not applied.
     Millis maxCommitTime;
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -89,6 +89,7 @@
     , m_journal(owned, settings.journal)
     , m_coordinator(owned.row.epoch, m_dependencies.clock.now(), settings.coordinator)
     , m_overloadGate(settings.overload)
+    , m_passPacer(settings.passes)
 { }
 
 steps::ClockReading ShardRunner::now() const
@@ -233,8 +234,7 @@
         return;
     const Instant beganAt = m_dependencies.clock.now();
     observeLag();
-    if (!m_journal.releasing())
-        m_coordinator.tick(now());
+    tick();
     for (int round = 0; round < maxOrderRounds; ++round) {
         appendRecords();
         m_coordinator.recordsDurable(m_journal.durableLsn());
@@ -249,6 +249,19 @@
     m_load.countRound(m_dependencies.clock.now() - beganAt);
 }
 
+// The pass covers all steps, runs and workers, so it serves all events that came since the last
+// one.
+void ShardRunner::tick()
+{
+    const steps::ClockReading beganAt = now();
+    m_passDue = !m_journal.releasing() && !m_passPacer.mayBegin(beganAt.monotonic);
+    if (m_passDue || m_journal.releasing())
+        return;
+    ++m_load.passes;
+    m_coordinator.tick(beganAt);
+    m_passPacer.recordWork(beganAt.monotonic, m_dependencies.clock.now());
+}
+
 void ShardRunner::logDecisions()
 {
     for (const steps::SchedulerEvent &it : m_coordinator.takeNotes()) {
@@ -417,6 +430,8 @@
     Instant wakeUpAt = m_coordinator.wakeAt(currentTime);
     if (const auto commitAt = m_journal.nextCommitAt())
         wakeUpAt = std::min(wakeUpAt, *commitAt);
+    if (m_passDue)
+        wakeUpAt = std::min(wakeUpAt, m_passPacer.nextBeginAt());
     if (m_wakeUpAt && *m_wakeUpAt <= wakeUpAt && *m_wakeUpAt > currentTime)
         return;
     m_dependencies.loop.cancel(m_wakeUpTimer);
--- a/src/node/shardrunner.h
+++ b/src/node/shardrunner.h
@@ -7,6 +7,7 @@
 #include "node/overloadgate.h"
 #include "node/shardload.h"
 #include "node/shardrequest.h"
+#include "node/workpacer.h"
 #include "savorywick/clock.h"
 #include "savorywick/journal.h"
 #include "savorywick/steps/coordinator.h"
@@ -26,6 +27,7 @@
     JournalSettings journal;
     steps::CoordinatorSettings coordinator;
     OverloadGateSettings overload;
+    WorkPacerSettings passes;
     Millis slowCommitThreshold{700}; // A commit in flight for longer marks the store as unhealthy.
     Millis restoreRetryDelay{150}; // The delay before a failed read is retried.
     std::size_t segmentsPerScan = 200;
@@ -108,6 +110,7 @@
 
     void scheduleProcessing();
     void process();
+    void tick();
     void logDecisions();
     void appendRecords();
     void commitNext();
@@ -131,6 +134,8 @@
     Journal m_journal;
     steps::Coordinator m_coordinator;
     OverloadGate m_overloadGate;
+    WorkPacer m_passPacer;
+    bool m_passDue = false; // A pass was asked for and put off.
     std::vector<steps::WorkerInfo> m_workers;
     std::deque<PendingReply> m_pendingReplies; // In the order of their `lsn`.
     bool m_restored = false;
--- a/tests/node/shardrunner_test.cpp
+++ b/tests/node/shardrunner_test.cpp
@@ -57,14 +57,31 @@
     void throttle(const steps::ThrottleRunCommand &, OrderCallback) override { }
 };
 
+// A clock that runs ahead by `timePerReading` with each reading, so that all work seems slow.
+class SlowClock final : public Clock
+{
+public:
+    Instant now() const override
+    {
+        m_ahead = m_ahead + timePerReading;
+        return m_clock.now() + m_ahead;
+    }
+
+    Millis timePerReading;
+
+private:
+    BootClock m_clock;
+    mutable Millis m_ahead;
+};
+
 // A newly acquired shard without workers.
 class ShardFixture
 {
 public:
-    ShardFixture()
+    explicit ShardFixture(const ShardRunnerSettings &settings = {})
         : runner(std::make_shared<ShardRunner>(
-            OwnedShard{0, {.owner = "a.1", .epoch = 1}, 10}, ShardRunnerSettings{},
-            ShardRunnerDependencies{m_loop, m_clock, table, m_objects, m_workers, latencies,
+            OwnedShard{0, {.owner = "a.1", .epoch = 1}, 10}, settings,
+            ShardRunnerDependencies{m_loop, clock, table, m_objects, m_workers, latencies,
                                     [this] { return hasValidLease; }, [this](int) { ++endedCount; },
                                     [this] { return loopLag; }}))
     {
@@ -86,6 +103,12 @@
         m_loop.run();
     }
 
+    // Runs what was posted before the call.
+    void runPosted()
+    {
+        m_loop.post([this] { m_loop.stop(); });
+        m_loop.run();
+    }
     // Requests and makes the change durable, if there is one.
     ShardOutcome durableRequest(const ShardRequest &r)
     {
@@ -117,13 +140,13 @@
     bool hasValidLease = true;
     int endedCount = 0;
     Millis loopLag;
+    SlowClock clock;
     ManualTable table;
     ShardLatencies latencies;
     std::optional<ShardReply> reply;
 
 private:
     EventLoop m_loop;
-    BootClock m_clock;
     UnavailableObjectStore m_objects;
     UnresponsiveWorkers m_workers;
 
@@ -269,3 +292,32 @@
     CHECK((shard.durableRequest(CountPendingJobs{"q"}) == ShardOutcome::Ok));
     CHECK((shard.durableRequest(CancelJob{"known"}) == ShardOutcome::Ok));
 }
+
+// Each message caused a pass over all steps and workers, which left a slow host time for little
+// else.
+TEST_CASE("Slow passes over a shard's decisions leave time for messages between them")
+{
+    ShardRunnerSettings settings;
+    settings.passes.pausePerWork = 50; // Far above the readings of the clock between two passes.
+    ShardFixture shard(settings);
+    shard.runner->takeLoad();
+    shard.clock.timePerReading = Millis{1};
+    constexpr int requests = 20;
+    for (int i = 0; i < requests; ++i) {
+        shard.runner->handle(ShardFixture::job(std::to_string(i)), [](const ShardReply &) {});
+        shard.runPosted();
+    }
+    const ShardLoad load = shard.runner->takeLoad();
+    CHECK(load.rounds >= requests);
+    CHECK(load.passes >= 1);
+    CHECK(load.passes * 2 < load.rounds);
+    shard.clock.timePerReading = {};
+    // What was put off is done without another event.
+    std::uint64_t passes = 0;
+    constexpr int maxPolls = 200; // Generous: only a fault reaches this limit.
+    for (int i = 0; i < maxPolls && passes == 0; ++i) {
+        shard.runLoop();
+        passes += shard.runner->takeLoad().passes;
+    }
+    CHECK(passes >= 1);
+}
