Keep a connection open until the client has read its last response

Callers saw a connection reset instead of a response that the server had written: after the last response the server closed the connection at once, and closing with unread bytes (of a refused body, of a pipelined request) resets it, which discards what the client has not received.

The server now half-closes the connection and discards what arrives until the client closes it, for 1 s at most.

--- a/src/net/asynchttpserver.cpp
+++ b/src/net/asynchttpserver.cpp
@@ -228,10 +228,30 @@
             return;
         if (m_response.keep_alive())
             return awaitRequest();
+        halfClose();
+        m_stream.expires_after(toChrono(m_server->limits.lingerTimeout));
+        linger();
+    }
+
+    void halfClose()
+    {
         error_code ignored; // The client may have closed the connection first.
         m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
     }
 
+    // Reads and discards what the client still sends until it closes the connection or the time is
+    // up. Closing with unread bytes would reset the connection, and a reset may overtake the
+    // response.
+    void linger()
+    {
+        m_buffer.clear();
+        m_stream.async_read_some(m_buffer.prepare(firstReadBytes),
+                                 [self = shared_from_this()](const error_code &ec, std::size_t) {
+                                     if (!ec)
+                                         self->linger();
+                                 });
+    }
+
     beast::tcp_stream m_stream;
     std::shared_ptr<Impl> m_server;
     beast::flat_buffer m_buffer;
--- a/src/net/asynchttpserver.h
+++ b/src/net/asynchttpserver.h
@@ -20,6 +20,9 @@
     Millis requestTimeout{10'000}; // From the first byte of a request to its last.
     Millis idleTimeout{60'000}; // A connection that waits this long for a request is closed.
     Millis writeTimeout{10'000}; // Closes the connection to a client that stops reading.
+    // After its last response a connection is only half-closed for up to this long, until the
+    // client has closed it.
+    Millis lingerTimeout{1'000};
 };
 
 // Serves HTTP/1.1 on an EventLoop and passes every request to one handler.
--- a/tests/net/asynchttp_test.cpp
+++ b/tests/net/asynchttp_test.cpp
@@ -2,11 +2,18 @@
 #include "net/asynchttpserver.h"
 #include "savorywick/errors.h"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <functional>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -21,7 +28,12 @@
 {
 public:
     explicit HttpFixture(AsyncHttpServer::Handler handler, AsyncHttpServerLimits limits = {})
-        : m_server(m_loop, limits, std::move(handler))
+        : m_server(m_loop, limits,
+                   [this, handler = std::move(handler)](const HttpRequest &request,
+                                                        const AsyncHttpServer::Responder &respond) {
+                       ++m_handledRequests;
+                       handler(request, respond);
+                   })
         , m_client(m_loop)
         , m_address(m_server.listen("127.0.0.1:0"))
     { }
@@ -30,6 +42,19 @@
     AsyncHttpServer &server() { return m_server; }
     AsyncHttpClient &client() { return m_client; }
     const std::string &address() const { return m_address; }
+    int handledRequests() const { return m_handledRequests; }
+
+    // Runs the loop until the condition holds.
+    void runUntil(const std::function<bool()> &condition)
+    {
+        constexpr Millis pollInterval{1};
+        const int maxPolls = static_cast<int>(waitLimit.count() / pollInterval.count());
+        for (int i = 0; i < maxPolls && !condition(); ++i) {
+            m_loop.runAfter(pollInterval, [this] { m_loop.stop(); });
+            m_loop.run();
+        }
+        REQUIRE(condition());
+    }
 
     // Runs the loop until the response to `call` arrives. Sends to the server unless `call` names
     // another address.
@@ -50,12 +75,48 @@
     }
 
 private:
+    int m_handledRequests = 0;
     EventLoop m_loop;
     AsyncHttpServer m_server;
     AsyncHttpClient m_client;
     std::string m_address;
 };
 
+// A client with a small receive buffer that controls each byte that it sends and when it reads.
+class RawClient
+{
+public:
+    explicit RawClient(const std::string &address)
+        : m_socket(m_context)
+    {
+        constexpr int smallBufferBytes = 4'096;
+        m_socket.open(boost::asio::ip::tcp::v4());
+        m_socket.set_option(boost::asio::socket_base::receive_buffer_size(smallBufferBytes));
+        const std::size_t colon = address.find(':');
+        m_socket.connect({boost::asio::ip::make_address(address.substr(0, colon)),
+                          static_cast<unsigned short>(std::stoi(address.substr(colon + 1)))});
+    }
+
+    // Sends the bytes, or as many as the server accepts before it closes the connection.
+    void send(const std::string &bytes)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(m_socket, boost::asio::buffer(bytes), ignored);
+    }
+    // Returns the bytes that arrive before the server closes or resets the connection.
+    std::string readUntilClosed()
+    {
+        std::string bytes;
+        boost::system::error_code ignored;
+        boost::asio::read(m_socket, boost::asio::dynamic_buffer(bytes), ignored);
+        return bytes;
+    }
+
+private:
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::socket m_socket;
+};
+
 // Responds with the method, the path, the query parameters and the body of the request.
 void echo(const HttpRequest &request, const AsyncHttpServer::Responder &respond)
 {
@@ -178,6 +239,29 @@
     CHECK(fixture.exchange({.method = "POST", .body = std::string(100, 'x')}).status == 200);
 }
 
+// Guards against a response that a reset destroys: the server closes a connection on which the
+// client has sent more than the server has read, while the client has not read all of the response.
+TEST_CASE("A client that sends more than the server reads still gets the whole response")
+{
+    const std::string body(200'000, 'x'); // More than the client's receive buffer holds.
+    const std::string unread(20'000, 'y'); // More than the server reads with the request.
+    HttpFixture fixture([&](const HttpRequest &, const AsyncHttpServer::Responder &respond) {
+        respond({.status = 200, .headers = {}, .body = body});
+    });
+    RawClient client(fixture.address());
+    client.send("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n" + unread);
+    fixture.runUntil([&] { return fixture.handledRequests() == 1; });
+    fixture.runUntil([&] { return fixture.server().inFlight() == 0; });
+    std::string response;
+    std::thread thread([&] {
+        response = client.readUntilClosed();
+        fixture.loop().stop();
+    });
+    fixture.loop().run();
+    thread.join();
+    CHECK(response.ends_with("\r\n\r\n" + body));
+}
+
 TEST_CASE("A draining server asks its clients to close their connections")
 {
     HttpFixture fixture(echo);
