--- a/src/net/asynchttpserver.h
+++ b/src/net/asynchttpserver.h
@@ -20,6 +20,9 @@
     Millis requestTimeout{10'000}; // From the first byte of a request to its last.
     Millis idleTimeout{60'000}; // A connection that waits this long for a request is closed.
     Millis writeTimeout{10'000}; // Closes the connection to a client that stops reading.
+    // After its last response a connection is only half-closed for up to this long, until the
+    // client has closed it.
+    Millis lingerTimeout{1'000};
 };
 
 // Serves HTTP/1.1 on an EventLoop and passes every request to one handler.
@@ -60,8 +63,16 @@
     // Adds "Connection: close" to every further response, so that clients move elsewhere. New
     // connections are still accepted.
     void drain();
+    // Ends the server in order: accepts the connections that already wait, stops listening, and
+    // half-closes every connection that waits for a further request. Requests that have arrived are
+    // still handled, and so is the first request of a new connection. Implies drain().
+    void close();
+    // Half-closes every connection that waits for a request, also for its first one.
+    void closeIdle();
     // Returns the number of requests that were read and whose responses are not written yet.
     std::size_t inFlight() const;
+    // Returns the number of connections that are not closed by both sides yet.
+    std::size_t openConnections() const;
 
 private:
     struct Impl;
