--- a/tests/node/ownership_test.cpp
+++ b/tests/node/ownership_test.cpp
@@ -5,8 +5,11 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace savorywick;
 
@@ -21,7 +24,21 @@
 class ImmediateTable final : public AsyncTable
 {
 public:
-    void commit(const Transaction &t, CommitCallback done) override { done(m_table.commit(t)); }
+    void commit(const Transaction &t, CommitCallback done) override
+    {
+        if (!holdsReplies)
+            return done(m_table.commit(t));
+        m_heldReplies.push_back(
+            [done = std::move(done), result = m_table.commit(t)] { done(result); });
+    }
+    // Delivers the replies that were held so far. Returns how many there were.
+    std::size_t deliverReplies()
+    {
+        const auto held = std::exchange(m_heldReplies, {});
+        for (const auto &deliver : held)
+            deliver();
+        return held.size();
+    }
     void read(const std::vector<std::string> &keys, ReadCallback done) override
     {
         done(m_table.read(keys));
@@ -33,8 +50,11 @@
     }
     FakeTable &rows() { return m_table; }
 
+    bool holdsReplies = false; // Whether replies to commits wait for deliverReplies().
+
 private:
     FakeTable m_table;
+    std::vector<std::function<void()>> m_heldReplies;
 };
 
 OwnershipSettings settings(const EntryCapacity &capacity)
@@ -53,9 +73,9 @@
 {
 public:
     OwningEntry(ImmediateTable &table, EventLoop &loop, const std::string &name,
-                const EntryCapacity &capacity)
+                const OwnershipSettings &ownershipSettings)
         : m_table(table)
-        , m_ownership(settings(capacity), loop, m_clock, table, name, name + ":1",
+        , m_ownership(ownershipSettings, loop, m_clock, table, name, name + ":1",
                       {.shardAcquired = [this](const OwnedShard &it) { m_owned[it.shard] = it; },
                        .releaseRequested = [this](int shard) { release(shard); },
                        .sessionLost = [this] { m_owned.clear(); },
@@ -85,13 +105,17 @@
     Ownership m_ownership;
 };
 
+void runFor(EventLoop &loop, Millis span)
+{
+    loop.runAfter(span, [&loop] { loop.stop(); });
+    loop.run();
+}
+
 // Returns true if and only if the entry owned the shard before the poll limit.
 bool becomesOwner(EventLoop &loop, const OwningEntry &entry, int shard)
 {
-    for (int i = 0; i < maxPolls && !entry.owns(shard); ++i) {
-        loop.runAfter(pollInterval, [&loop] { loop.stop(); });
-        loop.run();
-    }
+    for (int i = 0; i < maxPolls && !entry.owns(shard); ++i)
+        runFor(loop, pollInterval);
     return entry.owns(shard);
 }
 
@@ -102,10 +126,10 @@
 {
     ImmediateTable table;
     EventLoop loop;
-    OwningEntry weak(table, loop, "weak", weakCapacity);
+    OwningEntry weak(table, loop, "weak", settings(weakCapacity));
     weak.ownership().start();
     REQUIRE(becomesOwner(loop, weak, 0));
-    OwningEntry strong(table, loop, "strong", strongCapacity);
+    OwningEntry strong(table, loop, "strong", settings(strongCapacity));
     strong.ownership().start();
     CHECK(becomesOwner(loop, strong, 0));
     CHECK_FALSE(weak.owns(0));
@@ -119,7 +143,7 @@
     EventLoop loop;
     const std::string fields = serializeEntryFields("strong:1", strongCapacity);
     table.rows().commit({{}, {{entryKey("strong.1"), fields}}});
-    OwningEntry weak(table, loop, "weak", weakCapacity);
+    OwningEntry weak(table, loop, "weak", settings(weakCapacity));
     weak.ownership().start();
     CHECK(becomesOwner(loop, weak, 0));
 }
@@ -131,7 +155,7 @@
     EventLoop loop;
     table.rows().commit({{}, {{entryKey("dead.1"), "{}"}}});
     table.rows().commit({{}, {{shardKey(0), serializeShardRow({.owner = "dead.1"})}}});
-    OwningEntry successor(table, loop, "successor", weakCapacity);
+    OwningEntry successor(table, loop, "successor", settings(weakCapacity));
     successor.ownership().start();
     CHECK(becomesOwner(loop, successor, 0));
     CHECK(successor.expiredCount == 1);
@@ -142,7 +166,7 @@
 {
     ImmediateTable table;
     EventLoop loop;
-    OwningEntry entry(table, loop, "entry", strongCapacity);
+    OwningEntry entry(table, loop, "entry", settings(strongCapacity));
     entry.ownership().start();
     REQUIRE(becomesOwner(loop, entry, 0));
     entry.ownership().drain();
@@ -152,3 +176,21 @@
     CHECK(parseEntryRow(rows.front().value).capacity == strongCapacity);
     CHECK_FALSE(entry.owns(0));
 }
+
+// Guards against an owner whose loop is slow and that loses its lease: a renewal whose reply came
+// late waited for the next check as well.
+TEST_CASE("The next renewal is sent as soon as a late reply to the one before arrives")
+{
+    ImmediateTable table;
+    EventLoop loop;
+    OwnershipSettings s = settings(strongCapacity);
+    s.lease.renewalInterval = pollInterval;
+    s.tickInterval = Millis{3'600'000}; // No second check within the test.
+    OwningEntry entry(table, loop, "entry", s);
+    table.holdsReplies = true;
+    entry.ownership().start();
+    for (int n = 0; n < 3; ++n) {
+        runFor(loop, pollInterval * 2);
+        CHECK(table.deliverReplies() == 1);
+    }
+}
