Revert "Send the next renewal as soon as a late reply to the one before arrives"

What does count: an exchange over a kept connection takes 4 passes of the loop (write done, reply readable, reply read, callback posted), so the lease of 2.2 s after sending, renewed every 0.7 s, has gaps from passes of 300 ms on. That is the HTTP client's, not the renewal's.

--- a/src/node/ownership.cpp
+++ b/src/node/ownership.cpp
@@ -79,11 +79,10 @@
         *t, [this, sentAt, session = std::weak_ptr<int>(m_sessionToken)](const auto &result) {
             if (session.expired())
                 return;
+            if (result.outcome == CommitOutcome::Committed)
+                recordRoundTrip(m_clock.now() - sentAt);
             m_leaseManager->handleRenewalResult(result, m_clock.now());
-            if (result.outcome != CommitOutcome::Committed)
-                return readOwnRow();
-            recordRoundTrip(m_clock.now() - sentAt);
-            renewLease(); // On a slow loop the next one is due already, and the tick is far.
+            readOwnRow();
         });
 }
 
