Do not take the store for slow when the owner's own event loop is behind

Callers of a saturated owner got 503 for submissions and cancels alike, with the reason "store-down", while the store answered in time. A commit in flight for over 700 ms marks the store as unhealthy, and requests that change state are then refused. The end of a commit is seen only when the loop gets to it: a loop that is 300 ms late at each of three turns makes every commit look slow.

The commit's age now counts beyond three times the present lag. A slow store is found as before on a prompt loop; on a late one it is the overload gate that refuses new jobs, and cancels are served.

The test failed before: the cancel was refused at a lag of 400 ms.

--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -448,9 +448,13 @@
 
 bool ShardRunner::storeUnhealthy() const
 {
-    const bool slow = m_commitSentAt
-        && m_dependencies.clock.now() - *m_commitSentAt > m_settings.slowCommitThreshold;
-    return m_lastCommitUnavailable || slow;
+    if (m_lastCommitUnavailable)
+        return true;
+    // Sending the commit, reading its result and handling it each wait for the loop.
+    constexpr int loopTurnsPerCommit = 3;
+    const Millis ownDelay = m_dependencies.loopLag() * loopTurnsPerCommit;
+    return m_commitSentAt
+        && m_dependencies.clock.now() - *m_commitSentAt > m_settings.slowCommitThreshold + ownDelay;
 }
 
 // A job that is known was accepted, so that refusing it would be wrong.
--- a/src/node/shardrunner.h
+++ b/src/node/shardrunner.h
@@ -28,7 +28,9 @@
     steps::CoordinatorSettings coordinator;
     OverloadGateSettings overload;
     WorkPacerSettings passes;
-    Millis slowCommitThreshold{700}; // A commit in flight for longer marks the store as unhealthy.
+    // A commit in flight for longer, beyond the delay by the loop's own lag, marks the store as
+    // unhealthy.
+    Millis slowCommitThreshold{700};
     Millis restoreRetryDelay{150}; // The delay before a failed read is retried.
     std::size_t segmentsPerScan = 200;
 };
--- a/tests/node/shardrunner_test.cpp
+++ b/tests/node/shardrunner_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <initializer_list>
 #include <optional>
 #include <string>
 #include <vector>
@@ -67,6 +68,8 @@
         return m_clock.now() + m_ahead;
     }
 
+    void advance(Millis span) { m_ahead = m_ahead + span; }
+
     Millis timePerReading;
 
 private:
@@ -278,6 +281,40 @@
     CHECK((shard.reply->outcome == ShardOutcome::NotOwner));
 }
 
+// An owner that was itself behind took the store for slow and refused cancels for it.
+TEST_CASE("A commit counts as slow only if the event loop would have seen its end")
+{
+    struct Case
+    {
+        Millis loopLag;
+        bool refused;
+    };
+    for (const Case &it :
+         {Case{Millis{0}, true}, Case{Millis{20}, true}, Case{Millis{400}, false}}) {
+        CAPTURE(it.loopLag.count());
+        ShardFixture shard;
+        CHECK((shard.durableRequest(ShardFixture::job("j")) == ShardOutcome::Ok));
+        shard.request(ShardFixture::job("k"));
+        REQUIRE(shard.table.pendingCommits.size() == 1);
+        shard.loopLag = it.loopLag;
+        shard.clock.advance(Millis{1'000});
+        shard.request(CancelJob{"j"});
+        REQUIRE(shard.reply.has_value() == it.refused);
+        if (it.refused) {
+            CHECK((shard.reply->outcome == ShardOutcome::StoreDown));
+            continue;
+        }
+        for (int i = 0; i < 2; ++i) { // The commit of the job, then that of the cancel.
+            shard.table.finishCommits(CommitOutcome::Committed);
+            shard.runLoop();
+        }
+        REQUIRE(shard.reply.has_value());
+        CHECK((shard.reply->outcome == ShardOutcome::Ok));
+        CHECK((shard.durableRequest(GetJobState{"j"}) == ShardOutcome::Ok));
+        CHECK((shard.reply->state == steps::JobState::Cancelled));
+    }
+}
+
 // An owner whose event loop was seconds behind took every new job, which put it further behind.
 TEST_CASE("An owner that is far behind refuses new jobs but serves all other requests")
 {
