Answer requests that change nothing while the store takes no commits

A caller that repeated an accepted job, or cancelled an ended or unknown one, got 503 with the reason "store-down" while the store was away or slow. That outcome says that the request certainly had no effect, which is false of a job that was accepted. The check looked at the kind of request only.

It now asks whether the request would add a record. Replies that rest on durable state alone are sent at once; a repetition of what is not durable yet waits for its commit.

--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -2,6 +2,7 @@
 
 #include "core/bootclock.h"
 #include "core/log.h"
+#include "node/jobrequests.h"
 #include "savorywick/errors.h"
 
 #include <algorithm>
@@ -15,47 +16,6 @@
 // Sending orders may produce new records, which may release further orders.
 constexpr int maxOrderRounds = 4;
 
-// Passes a request to the coordinator and returns the reply to send when its records are durable.
-class RequestHandler
-{
-public:
-    RequestHandler(steps::Coordinator &coordinator, steps::ClockReading now)
-        : m_coordinator(coordinator)
-        , m_now(now)
-    { }
-
-    ShardReply operator()(const SubmitJob &it) const
-    {
-        const auto result = m_coordinator.submit(it.spec, m_now);
-        logInfo(result == steps::SubmitResult::Accepted ? "job-accepted" : "job-repeated",
-                {{"requestId", it.spec.id},
-                 {"queue", it.spec.policy.queue},
-                 {"steps", static_cast<int>(it.spec.steps.size())}});
-        return {ShardOutcome::Ok, {}, 0};
-    }
-    ShardReply operator()(const CancelJob &it) const
-    {
-        const bool known = m_coordinator.cancel(it.jobId, m_now);
-        logInfo("job-cancelled", {{"requestId", it.jobId}, {"known", known}});
-        return {known ? ShardOutcome::Ok : ShardOutcome::UnknownJob, {}, 0};
-    }
-    ShardReply operator()(const GetJobState &it) const
-    {
-        const auto state = m_coordinator.durableState(it.jobId);
-        if (!state)
-            return {ShardOutcome::UnknownJob, {}, 0};
-        return {ShardOutcome::Ok, *state, 0};
-    }
-    ShardReply operator()(const CountPendingJobs &it) const
-    {
-        return {ShardOutcome::Ok, {}, m_coordinator.queuedJobCount(it.queue)};
-    }
-
-private:
-    steps::Coordinator &m_coordinator;
-    steps::ClockReading m_now;
-};
-
 void log(const steps::SchedulerEvent &note)
 {
     if (note.task.job.empty()) {
@@ -73,11 +33,6 @@
              {"value", note.value}});
 }
 
-bool changesState(const ShardRequest &request)
-{
-    return std::holds_alternative<SubmitJob>(request) || std::holds_alternative<CancelJob>(request);
-}
-
 } // namespace
 
 ShardRunner::ShardRunner(const OwnedShard &owned, const ShardRunnerSettings &settings,
@@ -170,17 +125,18 @@
         return onReply({ShardOutcome::NotOwner, {}, 0});
     m_load.countRequest(request);
     // Without a valid lease, this entry's renewals did not reach the store.
-    if (!m_dependencies.hasValidLease() || (changesState(request) && storeUnhealthy())) {
+    const bool changes = changesState(m_coordinator, request);
+    if (!m_dependencies.hasValidLease() || (changes && storeUnhealthy())) {
         ++m_load.storeRefusals;
         return onReply({ShardOutcome::StoreDown, {}, 0});
     }
     observeLag();
-    if (m_overloadGate.isClosed() && isNewJob(request)) {
+    if (m_overloadGate.isClosed() && changes && std::holds_alternative<SubmitJob>(request)) {
         ++m_load.overloadRefusals;
         return onReply({ShardOutcome::Overloaded, {}, 0});
     }
-    const ShardReply reply = std::visit(RequestHandler(m_coordinator, now()), request);
-    if (!changesState(request))
+    const ShardReply reply = applyRequest(m_coordinator, request, now());
+    if (!changes && !awaitsCommit(m_coordinator, request, reply))
         return onReply(reply);
     appendRecords();
     m_pendingReplies.push_back({m_journal.append({}), m_dependencies.clock.now(),
@@ -457,13 +413,6 @@
         && m_dependencies.clock.now() - *m_commitSentAt > m_settings.slowCommitThreshold + ownDelay;
 }
 
-// A job that is known was accepted, so that refusing it would be wrong.
-bool ShardRunner::isNewJob(const ShardRequest &request) const
-{
-    const auto *submission = std::get_if<SubmitJob>(&request);
-    return submission && !m_coordinator.jobTable().find(submission->spec.id);
-}
-
 void ShardRunner::observeLag()
 {
     const Millis lag = m_dependencies.loopLag();
--- a/src/node/shardrunner.h
+++ b/src/node/shardrunner.h
@@ -125,7 +125,6 @@
     void removeOldSnapshot();
     void scheduleWakeUp();
     bool storeUnhealthy() const;
-    bool isNewJob(const ShardRequest &request) const;
     void observeLag();
     void end();
 
