Close the overload gate before the owner can no longer renew its lease

An entry's lease is valid for 2.2 s from the sending of a renewal (2.5 s less 0.3 s for the clocks), and renewals are 0.7 s apart. The timer, the sending and the two parts of the answer each wait for the loop, so above a lag of 375 ms the lease ends before the next renewal is seen; the owner then refuses cancels and states as well. The gate closed at 500 ms; it closes at 350 ms and opens below 150 ms now.

--- a/src/node/overloadgate.h
+++ b/src/node/overloadgate.h
@@ -9,11 +9,12 @@
 // The thresholds of an OverloadGate. A lag is how late an event loop runs what is due.
 struct OverloadGateSettings
 {
-    // New work is refused once the lag has been this high for `closeAfter`. A request passes the
-    // loop several times before it is answered, so it takes a multiple of the lag.
-    Millis closeLag{500};
+    // New work is refused once the lag has been this high for `closeAfter`. Whatever is exchanged
+    // with a peer takes about four turns of the loop. The renewal of an entry's lease must fit into
+    // the lease's term beside the renewal interval, which leaves four turns of this lag.
+    Millis closeLag{350};
     Millis closeAfter{500}; // Longer than a single stall shows, after which the loop catches up.
-    Millis openLag{200}; // New work is taken again once the lag has been lower for `openAfter`.
+    Millis openLag{150}; // New work is taken again once the lag has been lower for `openAfter`.
     Millis openAfter{300};
 };
 
