Answer requests on connections over the limit with status 503

Callers over the limit of connections saw their connection closed without a response, and could not tell whether the request had an effect. Such a connection now gets status 503 with Retry-After for its first request and is closed in order; 256 of them may wait for that. The test failed before: the response was empty.

A second test shows that a request that arrives before the idle timeout is answered though the loop reads it later. It passed before, too.

--- a/src/net/asynchttpserver.cpp
+++ b/src/net/asynchttpserver.cpp
@@ -138,9 +138,11 @@
 class AsyncHttpServer::Impl::Session : public std::enable_shared_from_this<Session>
 {
 public:
-    Session(Tcp::socket socket, std::shared_ptr<Impl> server)
+    // If `rejects` is set, the first request gets status 503, and the connection is closed.
+    Session(Tcp::socket socket, std::shared_ptr<Impl> server, bool rejects)
         : m_stream(std::move(socket))
         , m_server(std::move(server))
+        , m_rejects(rejects)
     {
         m_server->sessions.insert(this);
     }
@@ -162,7 +164,8 @@
         m_parser->body_limit(m_server->limits.maxBodyBytes);
         if (m_buffer.size() > 0)
             return read();
-        m_stream.expires_after(toChrono(m_server->limits.idleTimeout));
+        m_stream.expires_after(
+            toChrono(m_rejects ? m_server->limits.rejectionTimeout : m_server->limits.idleTimeout));
         m_isIdle = true;
         m_stream.async_read_some(m_buffer.prepare(firstReadBytes),
                                  [self = shared_from_this()](const error_code &ec, std::size_t n) {
@@ -208,6 +211,8 @@
 
     void handle()
     {
+        if (m_rejects)
+            return reject();
         m_stream.expires_never();
         m_keepAlive = m_parser->keep_alive();
         m_awaitsResponse = true;
@@ -221,6 +226,12 @@
         m_server->handler(toRequest(*m_parser), respond);
     }
 
+    void reject()
+    {
+        m_keepAlive = false;
+        writeResponse({.status = 503, .headers = {{"Retry-After", "1"}}, .body = {}});
+    }
+
     void writeResponse(HttpResponse response)
     {
         m_response = Response(static_cast<http::status>(response.status), 11);
@@ -284,6 +295,7 @@
     std::optional<Parser> m_parser;
     Response m_response;
     bool m_keepAlive = true;
+    const bool m_rejects;
     bool m_isIdle = false; // Waits for the first byte of a request.
     bool m_hasServed = false; // A request was read before.
     bool m_isHalfClosed = false;
@@ -312,11 +324,12 @@
 
 void AsyncHttpServer::Impl::admit(Tcp::socket socket)
 {
-    if (sessions.size() >= limits.maxConnections)
+    if (sessions.size() >= limits.maxConnections + limits.maxRejections)
         return;
+    const bool rejects = sessions.size() >= limits.maxConnections;
     error_code ignored; // Without the option, responses are only slower.
     socket.set_option(Tcp::no_delay(true), ignored);
-    std::make_shared<Session>(std::move(socket), shared_from_this())->awaitRequest();
+    std::make_shared<Session>(std::move(socket), shared_from_this(), rejects)->awaitRequest();
 }
 
 // Accepts the connections that wait: closing the acceptor would reset them.
--- a/src/net/asynchttpserver.h
+++ b/src/net/asynchttpserver.h
@@ -13,8 +13,11 @@
 
 struct AsyncHttpServerLimits
 {
-    // Limit of open connections. A further one is closed as soon as it is accepted.
+    // Limit of connections that are served. A further one gets status 503 and is closed.
     std::size_t maxConnections = 3'000;
+    // Limit of connections that wait for status 503. A further one is closed without a response.
+    std::size_t maxRejections = 256;
+    Millis rejectionTimeout{2'000}; // Closes a connection over the limit that sends no request.
     std::size_t maxHeaderBytes = 16'384; // Larger headers get status 431.
     std::size_t maxBodyBytes = 1U << 20U; // A larger body gets status 413.
     Millis requestTimeout{10'000}; // From the first byte of a request to its last.
--- a/tests/net/asynchttp_test.cpp
+++ b/tests/net/asynchttp_test.cpp
@@ -1,3 +1,4 @@
+#include "core/bootclock.h"
 #include "net/asynchttpclient.h"
 #include "net/asynchttpserver.h"
 #include "savorywick/errors.h"
@@ -277,6 +278,45 @@
     CHECK(response.ends_with("\r\n\r\n" + body));
 }
 
+// Guards against requests that get no response because the server closes a connection over its
+// limit at once.
+TEST_CASE("A request on a connection over the limit gets status 503")
+{
+    AsyncHttpServerLimits limits;
+    limits.maxConnections = 1;
+    HttpFixture fixture(echo, limits);
+    const std::string request = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+    RawClient served(fixture.address());
+    served.send(request);
+    fixture.runUntil([&] { return fixture.handledRequests() == 1; });
+    RawClient rejected(fixture.address());
+    rejected.send(request);
+    const std::string response = fixture.readAll(rejected);
+    CHECK(countOf("HTTP/1.1 503", response) == 1);
+    CHECK(countOf("Retry-After: ", response) == 1);
+    CHECK(fixture.handledRequests() == 1);
+}
+
+// Guards against a request that is cut off because it arrives while the loop is too busy to read it
+// before the connection's idle timeout.
+TEST_CASE("A request that arrives before the idle timeout is answered though it is read later")
+{
+    constexpr Millis idleTimeout{50};
+    AsyncHttpServerLimits limits;
+    limits.idleTimeout = idleTimeout;
+    HttpFixture fixture(echo, limits);
+    const std::string request = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+    RawClient client(fixture.address());
+    client.send(request);
+    fixture.runUntil(
+        [&] { return fixture.handledRequests() == 1 && fixture.server().inFlight() == 0; });
+    client.send(request);
+    const BootClock clock;
+    for (const Instant sentAt = clock.now(); clock.now() - sentAt <= idleTimeout;)
+        std::this_thread::yield(); // The loop is busy until then.
+    CHECK(countOf("HTTP/1.1 200", fixture.readAll(client)) == 2);
+}
+
 TEST_CASE("A draining server asks its clients to close their connections")
 {
     HttpFixture fixture(echo);
