--- a/src/node/node.h
+++ b/src/node/node.h
@@ -35,7 +35,7 @@
     // new callers for a while.
     Millis minDrainTime{2'300};
     // The platform kills the process this long after the stop signal. All requests are answered
-    // after three quarters of it, so that a loaded host has time left to end the connections.
+    // after 65 % of it, so that a loaded host has time left to end the connections.
     Millis gracePeriod{6'000};
     // With older ownership data this node reports not ready, so that the load balancer prefers
     // other entries.
--- a/src/node/nodedrain.cpp
+++ b/src/node/nodedrain.cpp
@@ -18,8 +18,8 @@
 
 // The parts of the grace period after which answers are due and the loop stops. Timers fire late on
 // a loaded host; the rest of the period covers that.
-constexpr std::int64_t answersDuePercent = 75;
-constexpr std::int64_t stopPercent = 90;
+constexpr std::int64_t answersDuePercent = 65;
+constexpr std::int64_t stopPercent = 85;
 constexpr std::int64_t wholePercent = 100;
 
 constexpr Millis drainPollInterval{100};
