Keep what a worker's runs mean for placement between passes

Each placement pass looked up all runs of all workers to learn what they leave free and which of them are latency-critical. A worker's summary of this is now kept until its runs, their speeds or its capacity change. Headroom depends on the time and on what was learned since, so it is still estimated in each pass, but only for workers that a best-effort task of the pass may fit on, and images are listed only if a task of the pass heeds them. Looking up a cost in the estimator and the state of a quarantine that holds nobody no longer copies or compares names. Decisions stay the same.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -89,8 +89,8 @@
     // A long-running task that is not at work after this time without progress is moved.
     Millis longRunningStartTimeout{6'000};
     int maxStepsPerPass = 2'000; // Bounds the duration of one placement pass.
-    // The shortest time from a placement pass that left steps waiting to the next one, so that under
-    // overload the time spent on placement does not grow with the number of events.
+    // The shortest time from a placement pass that left steps waiting to the next one, so that
+    // under overload the time spent on placement does not grow with the number of events.
     Millis placementInterval{20};
 };
 
@@ -206,6 +206,21 @@
     std::size_t workerCount() const { return m_workers.size(); }
 
 private:
+    // A latency-critical run, as placement sees it.
+    struct CriticalRun
+    {
+        std::string job;
+        std::string image;
+    };
+    // What the runs on a worker mean for placement, as long as neither they nor the worker's
+    // capacity change.
+    struct RunSummary
+    {
+        ResourceVector available;
+        int idleMilliCores = 0;
+        std::vector<CriticalRun> criticalRuns;
+        std::vector<BestEffortLoad> plannedLoads;
+    };
     struct Worker
     {
         WorkerInfo info;
@@ -221,6 +236,15 @@
         // capacity as far as is known.
         Instant blockedUntil;
         bool dueTimesStale = false; // It is in `m_staleWorkers`.
+        RunSummary runSummary;
+        bool runSummaryStale = true; // It must be computed anew before use.
+    };
+    // What placement passes need, of the steps that they place, to know of the workers.
+    struct PassNeeds
+    {
+        bool images = false; // Of the latency-critical runs.
+        // The least that a best-effort task requests; nothing if there are no such tasks.
+        std::optional<int> bestEffortMilliCores;
     };
     // What is held back until its records are durable. The log sequence number is 0 until they are
     // appended.
@@ -278,7 +302,7 @@
     void stopDuplicateRuns(const TaskRef &task);
     void requestStop(const RunKey &key, std::string_view why);
     void markStale(Worker &worker);
-    void markStale(const std::string &workerId);
+    void noteRunsChanged(const std::string &workerId);
     void refreshDueTimes();
     void expireWorkers(ClockReading now);
     void endLapsedRuns(const std::string &id, ClockReading now);
@@ -302,13 +326,16 @@
     void setSpeed(const Worker &worker, Run &run, int percent, std::string_view why,
                   ClockReading now);
     bool needsMonitoring(const Worker &worker) const;
-    void addInterferenceState(const std::string &id, CandidateWorker &candidate, Instant now) const;
+    void addInterferenceState(const Worker &worker, CandidateWorker &candidate, Instant now) const;
     void accountForStart(CandidateWorker &candidate, const StepSpec &started,
                          const std::string &job, Instant now) const;
 
     // Placement (coordinatorplacement.cpp).
     bool isUsable(const Worker &worker, Instant now) const;
-    std::vector<CandidateWorker> candidateWorkers(Instant now) const;
+    static PassNeeds needsOf(std::span<const ReadyStep> steps);
+    void summarizeRuns(Worker &worker) const;
+    bool acceptsBestEffort(const Worker &worker, Instant now) const;
+    std::vector<CandidateWorker> candidateWorkers(const PassNeeds &needs, Instant now);
     std::vector<ReadyStep> sortedReadySteps(ClockReading now) const;
     void placeReadySteps(ClockReading now);
     bool placeStep(const ReadyStep &step, std::vector<CandidateWorker> &workers, ClockReading now);
--- a/include/savorywick/steps/latencyheadroom.h
+++ b/include/savorywick/steps/latencyheadroom.h
@@ -6,7 +6,6 @@
 #include <span>
 #include <string>
 #include <string_view>
-#include <utility>
 
 namespace savorywick::steps {
 
@@ -78,7 +77,7 @@
 
         double levelAt(Instant now) const;
     };
-    using ImagePair = std::pair<std::string, std::string>; // Long-running and best-effort image.
+    using CostsByImage = std::map<std::string, double, std::less<>>; // By best-effort image.
 
     double costPerCore(std::string_view longRunning, std::string_view bestEffort) const;
     HeadroomTrend &findOrAddTrend(const Observation &observation, double headroomAlone,
@@ -88,7 +87,8 @@
                      std::span<const BestEffortLoad> bestEffort);
 
     std::map<std::string, HeadroomTrend, std::less<>> m_jobs;
-    std::map<ImagePair, double> m_costPerCore; // Headroom lost per best-effort processor.
+    // Headroom lost per best-effort processor, by long-running image.
+    std::map<std::string, CostsByImage, std::less<>> m_costPerCore;
     double m_typicalLowest; // Moving average of the jobs' lowest headroom.
 };
 
--- a/include/savorywick/steps/placement.h
+++ b/include/savorywick/steps/placement.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace savorywick::steps {
@@ -15,7 +16,7 @@
 // A long-running run with a latency target, on a worker that is considered for a task.
 struct LatencyCriticalRun
 {
-    std::string image;
+    std::string_view image; // Must outlive this object.
     double expectedHeadroom = 0; // Beside the best-effort runs that are on the worker already.
 };
 
@@ -44,6 +45,10 @@
     double minHeadroom = 0; // That a best-effort task must leave to every latency-critical run.
 };
 
+// Returns true if and only if enough of the worker's processors are idle for a best-effort task
+// that requests `milliCores`.
+bool hasIdleProcessors(const CandidateWorker &worker, int milliCores);
+
 // A step whose predecessors are done and that has tasks to start, with what decides its precedence.
 struct ReadyStep
 {
--- a/src/lib/quarantine.cpp
+++ b/src/lib/quarantine.cpp
@@ -169,6 +169,8 @@
 
 WorkerAvailability Quarantine::availability(std::string_view worker, Instant now) const
 {
+    if (m_quarantinedCount == 0)
+        return WorkerAvailability::Available;
     const auto it = m_workers.find(worker);
     if (it == m_workers.end() || !it->second.quarantined)
         return WorkerAvailability::Available;
--- a/src/lib/steps/coordinatorinterference.cpp
+++ b/src/lib/steps/coordinatorinterference.cpp
@@ -228,7 +228,9 @@
 {
     run.speedPercent = percent;
     run.speedChangedAt = now.monotonic;
-    m_workers.at(run.workerId).hasThrottledRuns = true;
+    Worker &changed = m_workers.at(run.workerId);
+    changed.hasThrottledRuns = true;
+    changed.runSummaryStale = true;
     m_immediateOrders.emplace_back(
         ThrottleRunCommand{worker.session.target(), run.key.task, run.key.number, percent});
     noteRun(SchedulerEventKind::RunThrottled, run, why, now.monotonic - run.startedAt, percent);
@@ -242,24 +244,25 @@
             && m_runs.bestEffortMilliCores(worker.info.incarnation.workerId) > 0);
 }
 
-// Sets whether the worker accepts best-effort tasks, and adds its latency-critical runs with the
-// headroom that they are expected to keep beside the best-effort runs on the worker.
-void Coordinator::addInterferenceState(const std::string &id, CandidateWorker &candidate,
-                                       Instant now) const
+// Returns false while a long-running run on the worker misses its latency target, or did recently.
+bool Coordinator::acceptsBestEffort(const Worker &worker, Instant now) const
 {
-    const Worker &worker = m_workers.at(id);
-    candidate.acceptsBestEffort = !worker.targetMissedSince
+    return !worker.targetMissedSince
         && (worker.lastTargetMissAt == Instant{}
             || now - worker.lastTargetMissAt >= m_settings.bestEffortDelay);
-    const std::vector<RunKey> keys = m_runs.onWorker(id);
-    const std::vector<BestEffortLoad> loads = plannedBestEffortLoads(keys);
-    for (const RunKey &key : keys) {
-        const Run &run = *m_runs.find(key);
-        if (!run.longRunning || run.latencyTarget == Millis{0})
-            continue;
-        const double expected = m_headroomEstimator.expectedHeadroom(key.task.job, now)
-            - m_headroomEstimator.headroomCost(run.image, loads);
-        candidate.latencyCriticalRuns.push_back({run.image, expected});
+}
+
+// Adds the worker's latency-critical runs with the headroom that they are expected to keep beside
+// the best-effort runs on the worker.
+void Coordinator::addInterferenceState(const Worker &worker, CandidateWorker &candidate,
+                                       Instant now) const
+{
+    const RunSummary &summary = worker.runSummary;
+    candidate.latencyCriticalRuns.reserve(summary.criticalRuns.size());
+    for (const CriticalRun &it : summary.criticalRuns) {
+        const double expected = m_headroomEstimator.expectedHeadroom(it.job, now)
+            - m_headroomEstimator.headroomCost(it.image, summary.plannedLoads);
+        candidate.latencyCriticalRuns.push_back({it.image, expected});
     }
 }
 
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -32,21 +32,61 @@
     return false;
 }
 
-std::vector<CandidateWorker> Coordinator::candidateWorkers(Instant now) const
+Coordinator::PassNeeds Coordinator::needsOf(std::span<const ReadyStep> steps)
+{
+    PassNeeds needs;
+    for (const ReadyStep &it : steps) {
+        const int milliCores = it.spec->demand.milliCores;
+        needs.images = needs.images || (it.spec->longRunning && it.spec->latencyTarget > Millis{0});
+        if (it.spec->bestEffort)
+            needs.bestEffortMilliCores =
+                std::min(milliCores, needs.bestEffortMilliCores.value_or(milliCores));
+    }
+    return needs;
+}
+
+void Coordinator::summarizeRuns(Worker &worker) const
+{
+    const std::string &id = worker.info.incarnation.workerId;
+    RunSummary &summary = worker.runSummary;
+    summary.available = worker.info.capacity;
+    summary.available -= m_runs.allocated(id);
+    const int unusedMilliCores = m_runs.longRunningMilliCores(id) / fullPercent
+        * (fullPercent - m_settings.longRunningUsagePercent);
+    summary.idleMilliCores =
+        summary.available.milliCores + unusedMilliCores - m_runs.bestEffortMilliCores(id);
+    const std::vector<RunKey> keys = m_runs.onWorker(id);
+    summary.plannedLoads = plannedBestEffortLoads(keys);
+    summary.criticalRuns.clear();
+    for (const RunKey &key : keys) {
+        const Run &run = *m_runs.find(key);
+        if (run.longRunning && run.latencyTarget != Millis{0})
+            summary.criticalRuns.push_back({key.task.job, run.image});
+    }
+    worker.runSummaryStale = false;
+}
+
+// Returns the workers that may be given tasks. Their latency-critical runs are left out where the
+// pass has no use for them.
+std::vector<CandidateWorker> Coordinator::candidateWorkers(const PassNeeds &needs, Instant now)
 {
     std::vector<CandidateWorker> candidates;
-    for (const auto &[id, worker] : m_workers) {
+    candidates.reserve(m_workers.size());
+    for (auto &[id, worker] : m_workers) {
         if (!isUsable(worker, now))
             continue;
-        CandidateWorker candidate{&worker.info, worker.info.capacity, 0, {}};
-        candidate.available -= m_runs.allocated(id);
-        const int unusedMilliCores = m_runs.longRunningMilliCores(id) / fullPercent
-            * (fullPercent - m_settings.longRunningUsagePercent);
-        candidate.idleMilliCores =
-            candidate.available.milliCores + unusedMilliCores - m_runs.bestEffortMilliCores(id);
-        addInterferenceState(id, candidate, now);
-        candidates.push_back(candidate);
+        if (worker.runSummaryStale)
+            summarizeRuns(worker);
+        const RunSummary &summary = worker.runSummary;
+        CandidateWorker candidate{&worker.info, summary.available, summary.idleMilliCores, {}};
+        candidate.acceptsBestEffort = acceptsBestEffort(worker, now);
+        const bool fitsBestEffort = candidate.acceptsBestEffort && needs.bestEffortMilliCores
+            && hasIdleProcessors(candidate, *needs.bestEffortMilliCores);
+        if (fitsBestEffort || needs.images)
+            addInterferenceState(worker, candidate, now);
+        candidates.push_back(std::move(candidate));
     }
+    m_counters.workersExamined += m_workers.size();
     return candidates;
 }
 
@@ -114,11 +154,10 @@
     m_placementNeeded = false;
     if (m_readySteps.empty())
         return;
-    std::vector<CandidateWorker> workers = candidateWorkers(now.monotonic);
-    m_counters.workersExamined += m_workers.size();
     std::vector<ReadyStep> steps = sortedReadySteps(now);
     if (static_cast<int>(steps.size()) > m_settings.maxStepsPerPass)
         steps.resize(m_settings.maxStepsPerPass);
+    std::vector<CandidateWorker> workers = candidateWorkers(needsOf(steps), now.monotonic);
     for (const ReadyStep &step : steps) {
         const bool allPlaced =
             step.spec->gang ? placeGang(step, workers, now) : placeStep(step, workers, now);
@@ -185,6 +224,7 @@
     const std::string &id = worker.info->incarnation.workerId;
     Worker &known = m_workers.at(id);
     const WorkerIncarnation life = known.session.incarnation();
+    known.runSummaryStale = true;
     markStale(known);
     appendRecord(RunStarted{task, run, life});
     if (wasQueued)
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -21,6 +21,7 @@
     if (it != m_workers.end()) {
         it->second.session.update(info.incarnation, info.address, now.monotonic);
         it->second.info = info;
+        it->second.runSummaryStale = true;
         markStale(it->second);
         return it->second;
     }
@@ -63,7 +64,7 @@
     m_runs.add(std::move(run));
     const std::string &id = active.worker.workerId;
     if (m_workers.contains(id))
-        return markStale(id);
+        return noteRunsChanged(id);
     // The platform has not listed the worker yet. If it never does, the worker's lease lapses and
     // the run ends.
     Worker worker{
@@ -72,7 +73,7 @@
         m_ownedSince};
     m_quarantine.addWorker(id);
     m_workers.emplace(id, std::move(worker));
-    markStale(id);
+    noteRunsChanged(id);
 }
 
 void Coordinator::handleRenewReply(const RenewLeaseCommand &order, const RenewLeaseReply &reply,
@@ -276,7 +277,7 @@
     const Run run = *known;
     m_runs.remove(key);
     m_stallChecks.cancel(key);
-    markStale(run.workerId);
+    noteRunsChanged(run.workerId);
     m_placementNeeded = true;
     ++m_counters.runsEnded[how];
     noteRun(SchedulerEventKind::RunEnded, run, toString(how), now.monotonic - run.startedAt,
@@ -340,6 +341,7 @@
         return;
     noteRun(SchedulerEventKind::StopRequested, *run, why, Millis{0}, run->progressPercent);
     m_runs.requestStop(key);
+    noteRunsChanged(run->workerId);
 }
 
 // Notes that the times at which the worker is due may have changed. Call it at every change of the
@@ -350,11 +352,14 @@
         m_staleWorkers.push_back(&worker);
 }
 
-void Coordinator::markStale(const std::string &workerId)
+// Notes that the runs on the worker, if it is known, have changed.
+void Coordinator::noteRunsChanged(const std::string &workerId)
 {
     const auto it = m_workers.find(workerId);
-    if (it != m_workers.end())
-        markStale(it->second);
+    if (it == m_workers.end())
+        return;
+    it->second.runSummaryStale = true;
+    markStale(it->second);
 }
 
 // Sets when the workers that have changed are due in `m_renewals` and `m_leaseEnds`.
--- a/src/lib/steps/latencyheadroom.cpp
+++ b/src/lib/steps/latencyheadroom.cpp
@@ -42,8 +42,11 @@
 double LatencyHeadroomEstimator::costPerCore(std::string_view longRunning,
                                              std::string_view bestEffort) const
 {
-    const auto it = m_costPerCore.find({std::string(longRunning), std::string(bestEffort)});
-    return it == m_costPerCore.end() ? unknownPairCost : it->second;
+    const auto costs = m_costPerCore.find(longRunning);
+    if (costs == m_costPerCore.end())
+        return unknownPairCost;
+    const auto it = costs->second.find(bestEffort);
+    return it == costs->second.end() ? unknownPairCost : it->second;
 }
 
 double LatencyHeadroomEstimator::headroomCost(std::string_view longRunning,
@@ -111,7 +114,7 @@
     for (const BestEffortLoad &it : bestEffort) {
         const double cost = costPerCore(observation.image, it.image);
         const double share = (cost + unknownPairCost) * it.cores / power;
-        m_costPerCore[{std::string(observation.image), it.image}] =
+        m_costPerCore[std::string(observation.image)][it.image] =
             std::clamp(cost + costLearningRate * weightedError * share, 0.0, maxCostPerCore);
     }
 }
--- a/src/lib/steps/placement.cpp
+++ b/src/lib/steps/placement.cpp
@@ -77,8 +77,7 @@
         return spec.demand.fitsIn(worker.available);
     return worker.acceptsBestEffort && spec.demand.memoryMb <= worker.available.memoryMb
         && spec.demand.accelerators <= worker.available.accelerators
-        && worker.idleMilliCores * 100LL
-        >= std::int64_t{spec.demand.milliCores} * minBestEffortIdlePercent;
+        && hasIdleProcessors(worker, spec.demand.milliCores);
 }
 
 // Orders the workers for one task by key(); the smallest is the best.
@@ -130,6 +129,11 @@
 
 } // namespace
 
+bool hasIdleProcessors(const CandidateWorker &worker, int milliCores)
+{
+    return worker.idleMilliCores * 100LL >= std::int64_t{milliCores} * minBestEffortIdlePercent;
+}
+
 bool comesBefore(const ReadyStep &a, const ReadyStep &b)
 {
     const int groupA = groupOf(a);
