Rank the workers once for all tasks of a step

The search for a worker ranked the whole fleet anew for each task, with the cost in headroom of every latency-critical run on every worker. WorkerChooser ranks the workers once for a step and after a task only the one that took it, or all if the rack that the step prefers has changed. Decisions stay the same; a property test compares each choice with one made afresh.

--- a/include/savorywick/steps/placement.h
+++ b/include/savorywick/steps/placement.h
@@ -86,13 +86,53 @@
 // Returns the time from when a job is due to start until it should be complete.
 Millis relativeDeadlineOf(const JobSpec &spec);
 
-// Returns the index of the worker that a task should start on, or nothing if none can take it now.
+// Chooses workers for the tasks of one step, one after the other. A worker's rank for the step is
+// computed once and again only when the worker changes, so that many tasks cost little more than
+// one.
 //
 // Prefers workers that the job has not failed on, then the preferred rack, then the tightest fit,
 // which keeps free resources in large pieces for large tasks. Long-running tasks with a latency
 // target prefer workers with few other images, so that few pairs of images share a worker.
 // Best-effort tasks go where they cost latency-critical runs the least headroom, then where the
 // most processors are idle.
+//
+// The arguments of the constructor must outlive the object. Not thread-safe.
+//
+// Example:
+//   WorkerChooser chooser(step, constraints, workers);
+//   while (const auto index = chooser.choose()) {
+//       start(workers[*index]); // Updates the worker and `constraints.tasksPerWorker`.
+//       chooser.noteTask(*index);
+//   }
+class WorkerChooser
+{
+public:
+    WorkerChooser(const StepSpec &spec, const PlacementConstraints &constraints,
+                  std::span<const CandidateWorker> workers);
+    ~WorkerChooser();
+    WorkerChooser(const WorkerChooser &) = delete;
+    WorkerChooser &operator=(const WorkerChooser &) = delete;
+
+    // Returns the index of the worker that a task should start on, or nothing if none can take it
+    // now.
+    std::optional<std::size_t> choose() const;
+    // Notes that a task of the step was given to the worker: that worker, its entry in
+    // `tasksPerWorker` and `currentRack` may have changed, nothing else.
+    void noteTask(std::size_t index);
+
+private:
+    struct Rank;
+
+    void rankAll();
+
+    const StepSpec &m_spec;
+    const PlacementConstraints &m_constraints;
+    std::span<const CandidateWorker> m_workers;
+    std::string m_rankedRack; // The `currentRack` that the ranks are for.
+    std::vector<Rank> m_ranks; // By index of the worker.
+};
+
+// Returns what a WorkerChooser chooses for a single task.
 std::optional<std::size_t> chooseWorker(const StepSpec &spec,
                                         const PlacementConstraints &constraints,
                                         std::span<const CandidateWorker> workers);
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -175,8 +175,9 @@
     PlacementConstraints constraints = constraintsFor(step.ref);
     const bool relaxed = now.monotonic - m_readySteps.at(step.ref) >= m_settings.relaxHeadroomAfter;
     constraints.minHeadroom = relaxed ? m_settings.relaxedMinHeadroom : m_settings.minHeadroom;
+    WorkerChooser chooser(*step.spec, constraints, workers);
     for (const int index : tasksToStart(step.ref)) {
-        const auto chosen = chooseWorker(*step.spec, constraints, workers);
+        const auto chosen = chooser.choose();
         if (!chosen)
             return false;
         const TaskRef task{step.ref.job, step.ref.occurrence, step.ref.step, index};
@@ -185,6 +186,7 @@
         startRun(task, (known ? known->lastRunNumber : 0) + 1, *step.spec, worker, now);
         ++constraints.tasksPerWorker[worker.info->incarnation.workerId];
         constraints.currentRack = worker.info->rack;
+        chooser.noteTask(*chosen);
     }
     return true;
 }
@@ -197,16 +199,18 @@
     if (!constraints.tasksPerWorker.empty())
         return false; // Members of the previous run have not ended yet.
     std::vector<CandidateWorker> remaining = workers;
+    WorkerChooser chooser(*step.spec, constraints, remaining);
     std::vector<std::size_t> chosen;
     int run = 0;
     for (int i = 0; i < step.spec->taskCount; ++i) {
-        const auto it = chooseWorker(*step.spec, constraints, remaining);
+        const auto it = chooser.choose();
         if (!it)
             return false;
         chosen.push_back(*it);
         remaining[*it].available -= allocationFor(*step.spec);
         ++constraints.tasksPerWorker[remaining[*it].info->incarnation.workerId];
         constraints.currentRack = remaining[*it].info->rack;
+        chooser.noteTask(*it);
         const Task *known =
             step.job->findTask({step.ref.job, step.ref.occurrence, step.ref.step, i});
         run = std::max(run, known ? known->lastRunNumber : 0);
--- a/src/lib/steps/placement.cpp
+++ b/src/lib/steps/placement.cpp
@@ -80,9 +80,54 @@
         && hasIdleProcessors(worker, spec.demand.milliCores);
 }
 
+} // namespace
+
+bool hasIdleProcessors(const CandidateWorker &worker, int milliCores)
+{
+    return worker.idleMilliCores * 100LL >= std::int64_t{milliCores} * minBestEffortIdlePercent;
+}
+
+bool comesBefore(const ReadyStep &a, const ReadyStep &b)
+{
+    const int groupA = groupOf(a);
+    const int groupB = groupOf(b);
+    if (groupA != groupB)
+        return groupA < groupB;
+    const int priorityA = a.job->spec.policy.priority;
+    const int priorityB = b.job->spec.policy.priority;
+    if (priorityA != priorityB)
+        return priorityA < priorityB;
+    if (a.longRunning != b.longRunning)
+        return b.longRunning;
+    if (a.occurrenceStarted != b.occurrenceStarted && groupA <= bestEffortGroup && !a.longRunning)
+        return a.occurrenceStarted;
+    return std::tie(a.laxity, a.ref) < std::tie(b.laxity, b.ref);
+}
+
+std::vector<Millis> criticalPathLengths(std::span<const StepSpec> steps)
+{
+    std::vector<Millis> lengths(steps.size());
+    for (std::size_t i = steps.size(); i-- > 0;) {
+        lengths[i] = lengths[i] + steps[i].estimatedDuration;
+        for (const int predecessor : steps[i].dependsOn)
+            lengths[predecessor] = std::max(lengths[predecessor], lengths[i]);
+    }
+    return lengths;
+}
+
+Millis relativeDeadlineOf(const JobSpec &spec)
+{
+    Millis longest;
+    for (const Millis it : criticalPathLengths(spec.steps))
+        longest = std::max(longest, it);
+    const double scaled = spec.policy.slackFactor * static_cast<double>(longest.count());
+    return Millis{static_cast<std::int64_t>(scaled)} + spec.policy.targetDuration;
+}
+
 // Orders the workers for one task by key(); the smallest is the best.
-struct Rank
+struct WorkerChooser::Rank
 {
+    bool eligible = false; // The worker can take the task.
     bool failedBefore = false;
     bool otherRack = false;
     int headroomCostSteps = 0; // Of best-effort tasks; 0 for others.
@@ -90,23 +135,29 @@
     // Accelerators left free, so that tasks that need none stay off workers that have some.
     int accelerators = 0;
     int milliCores = 0; // Processors left free, or for best-effort tasks the idle ones, negated.
-    bool rejected = false; // The interference is excessive.
 
     auto key() const
     {
         return std::tie(failedBefore, otherRack, headroomCostSteps, otherImages, accelerators,
                         milliCores);
     }
+
+    static Rank of(const StepSpec &spec, const PlacementConstraints &constraints,
+                   const CandidateWorker &worker);
 };
 
-Rank rankOf(const StepSpec &spec, const PlacementConstraints &constraints,
-            const CandidateWorker &worker)
+WorkerChooser::Rank WorkerChooser::Rank::of(const StepSpec &spec,
+                                            const PlacementConstraints &constraints,
+                                            const CandidateWorker &worker)
 {
+    Rank rank;
+    if (!fits(spec, worker) || !mayRun(spec, constraints, worker))
+        return rank;
+    rank.eligible = true;
     const WorkerInfo &info = *worker.info;
     const std::string &rack = spec.preferSameRack && !constraints.currentRack.empty()
         ? constraints.currentRack
         : spec.preferredRack;
-    Rank rank;
     rank.failedBefore = std::find(constraints.avoidedWorkers.begin(),
                                   constraints.avoidedWorkers.end(), info.incarnation.workerId)
         != constraints.avoidedWorkers.end();
@@ -115,7 +166,7 @@
     rank.milliCores = worker.available.milliCores - spec.demand.milliCores;
     if (spec.bestEffort) {
         const Interference interference = interferenceOf(spec, constraints, worker);
-        rank.rejected = interference.excessive;
+        rank.eligible = !interference.excessive;
         rank.headroomCostSteps = static_cast<int>(interference.headroomCost / headroomCostStep);
         rank.milliCores = -worker.idleMilliCores;
     }
@@ -127,68 +178,47 @@
     return rank;
 }
 
-} // namespace
-
-bool hasIdleProcessors(const CandidateWorker &worker, int milliCores)
+WorkerChooser::WorkerChooser(const StepSpec &spec, const PlacementConstraints &constraints,
+                             std::span<const CandidateWorker> workers)
+    : m_spec(spec)
+    , m_constraints(constraints)
+    , m_workers(workers)
+    , m_ranks(workers.size())
 {
-    return worker.idleMilliCores * 100LL >= std::int64_t{milliCores} * minBestEffortIdlePercent;
+    rankAll();
 }
 
-bool comesBefore(const ReadyStep &a, const ReadyStep &b)
+WorkerChooser::~WorkerChooser() = default;
+
+void WorkerChooser::rankAll()
 {
-    const int groupA = groupOf(a);
-    const int groupB = groupOf(b);
-    if (groupA != groupB)
-        return groupA < groupB;
-    const int priorityA = a.job->spec.policy.priority;
-    const int priorityB = b.job->spec.policy.priority;
-    if (priorityA != priorityB)
-        return priorityA < priorityB;
-    if (a.longRunning != b.longRunning)
-        return b.longRunning;
-    if (a.occurrenceStarted != b.occurrenceStarted && groupA <= bestEffortGroup && !a.longRunning)
-        return a.occurrenceStarted;
-    return std::tie(a.laxity, a.ref) < std::tie(b.laxity, b.ref);
+    m_rankedRack = m_constraints.currentRack;
+    for (std::size_t i = 0; i < m_workers.size(); ++i)
+        m_ranks[i] = Rank::of(m_spec, m_constraints, m_workers[i]);
 }
 
-std::vector<Millis> criticalPathLengths(std::span<const StepSpec> steps)
+void WorkerChooser::noteTask(std::size_t index)
 {
-    std::vector<Millis> lengths(steps.size());
-    for (std::size_t i = steps.size(); i-- > 0;) {
-        lengths[i] = lengths[i] + steps[i].estimatedDuration;
-        for (const int predecessor : steps[i].dependsOn)
-            lengths[predecessor] = std::max(lengths[predecessor], lengths[i]);
-    }
-    return lengths;
+    if (m_spec.preferSameRack && m_rankedRack != m_constraints.currentRack)
+        return rankAll();
+    m_ranks[index] = Rank::of(m_spec, m_constraints, m_workers[index]);
 }
 
-Millis relativeDeadlineOf(const JobSpec &spec)
+std::optional<std::size_t> WorkerChooser::choose() const
 {
-    Millis longest;
-    for (const Millis it : criticalPathLengths(spec.steps))
-        longest = std::max(longest, it);
-    const double scaled = spec.policy.slackFactor * static_cast<double>(longest.count());
-    return Millis{static_cast<std::int64_t>(scaled)} + spec.policy.targetDuration;
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < m_ranks.size(); ++i) {
+        if (m_ranks[i].eligible && !(best && m_ranks[*best].key() <= m_ranks[i].key()))
+            best = i;
+    }
+    return best;
 }
 
 std::optional<std::size_t> chooseWorker(const StepSpec &spec,
                                         const PlacementConstraints &constraints,
                                         std::span<const CandidateWorker> workers)
 {
-    std::optional<std::size_t> best;
-    Rank bestRank;
-    for (std::size_t i = 0; i < workers.size(); ++i) {
-        if (!fits(spec, workers[i]) || !mayRun(spec, constraints, workers[i]))
-            continue;
-        const Rank rank = rankOf(spec, constraints, workers[i]);
-        if (rank.rejected)
-            continue;
-        if (best && bestRank.key() <= rank.key())
-            continue;
-        best = i;
-        bestRank = rank;
-    }
-    return best;
+    return WorkerChooser(spec, constraints, workers).choose();
 }
 
 } // namespace savorywick::steps
--- a/tests/steps/stepplacement_test.cpp
+++ b/tests/steps/stepplacement_test.cpp
@@ -1,6 +1,7 @@
 #include "savorywick/steps/placement.h"
 
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
 using namespace savorywick;
 using namespace savorywick::steps;
@@ -203,3 +204,46 @@
     CHECK(relativeDeadlineOf(spec) == Millis{2 * 450 + 500});
     CHECK(criticalPathLengths(spec.steps)[0] == Millis{350});
 }
+
+// Guards against ranks that are not computed anew when a task changes them, so that tasks go where
+// another worker is better, or where there is no room any more.
+TEST_CASE("Each task of a step goes where it would go if the workers were ranked for it alone")
+{
+    CHECK(rc::check("random workers and steps", [] {
+        const auto below = [](int n) { return *rc::gen::inRange(0, n); };
+        std::vector<WorkerInfo> infos;
+        const int workers = 1 + below(6);
+        infos.reserve(workers);
+        for (int i = 0; i < workers; ++i)
+            infos.push_back(info("w" + std::to_string(i), "r" + std::to_string(below(3))));
+        const LatencyHeadroomEstimator estimator;
+        std::vector<CandidateWorker> candidates;
+        for (const WorkerInfo &it : infos) {
+            const int milliCores = 4'000 * below(5);
+            candidates.push_back({&it, {milliCores, 64'000, below(2)}, milliCores, {}});
+            if (below(2) == 0)
+                candidates.back().latencyCriticalRuns.push_back({"quotes", 1.0 + 0.1 * below(5)});
+        }
+        StepSpec spec = task(4'000);
+        spec.image = "refresh";
+        spec.bestEffort = below(2) == 0;
+        spec.preferSameRack = below(2) == 0;
+        spec.maxTasksPerWorker = below(3);
+        PlacementConstraints c = constraints();
+        c.headroomEstimator = &estimator;
+        c.minHeadroom = 1;
+        WorkerChooser chooser(spec, c, candidates);
+        for (auto chosen = chooser.choose(); chosen; chosen = chooser.choose()) {
+            RC_ASSERT(chosen == chooseWorker(spec, c, candidates));
+            CandidateWorker &worker = candidates[*chosen];
+            worker.available.milliCores -= spec.bestEffort ? 0 : spec.demand.milliCores;
+            worker.idleMilliCores -= spec.demand.milliCores;
+            for (LatencyCriticalRun &it : worker.latencyCriticalRuns)
+                it.expectedHeadroom -= 0.05;
+            ++c.tasksPerWorker[worker.info->incarnation.workerId];
+            c.currentRack = worker.info->rack;
+            chooser.noteTask(*chosen);
+        }
+        RC_ASSERT(!chooseWorker(spec, c, candidates));
+    }));
+}
