Do not try like steps in vain within one placement pass

While hundreds of steps wait for room, a pass ranked all workers for each of them: with 947 waiting steps and 490 workers about 10 ms a pass. A pass only takes room and headroom away, so a step that is no easier to place than one that found no worker in the same pass is now passed over. Decisions stay the same.

coordinator_bench gets a case with six times the load.

--- a/bench/coordinator_bench.cpp
+++ b/bench/coordinator_bench.cpp
@@ -351,7 +351,7 @@
                        "us per start", "checksum"});
     for (const int workers : {120, 245, 490})
         BusyShard(workers, 1).run(std::to_string(workers) + " workers");
-    constexpr double overload = 2;
-    BusyShard(fullFleet, overload).run("490 workers, twice the load");
+    for (const int load : {2, 6})
+        BusyShard(fullFleet, load).run("490 workers, load x " + std::to_string(load));
     return 0;
 }
--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -9,6 +9,7 @@
 #include "savorywick/steps/placement.h"
 #include "savorywick/steps/runtable.h"
 #include "savorywick/steps/schedulerevent.h"
+#include "savorywick/steps/unplaceablesteps.h"
 #include "savorywick/steps/workercommands.h"
 #include "savorywick/steps/workersession.h"
 
@@ -239,6 +240,12 @@
         RunSummary runSummary;
         bool runSummaryStale = true; // It must be computed anew before use.
     };
+    // A placement pass in progress.
+    struct PlacementPass
+    {
+        std::vector<CandidateWorker> workers;
+        UnplaceableSteps unplaceable;
+    };
     // What placement passes need, of the steps that they place, to know of the workers.
     struct PassNeeds
     {
@@ -338,8 +345,9 @@
     std::vector<CandidateWorker> candidateWorkers(const PassNeeds &needs, Instant now);
     std::vector<ReadyStep> sortedReadySteps(ClockReading now) const;
     void placeReadySteps(ClockReading now);
-    bool placeStep(const ReadyStep &step, std::vector<CandidateWorker> &workers, ClockReading now);
-    bool placeGang(const ReadyStep &step, std::vector<CandidateWorker> &workers, ClockReading now);
+    double minHeadroomFor(const ReadyStep &step, ClockReading now) const;
+    bool placeStep(const ReadyStep &step, PlacementPass &pass, ClockReading now);
+    bool placeGang(const ReadyStep &step, PlacementPass &pass, ClockReading now);
     void startRun(const TaskRef &task, int run, const StepSpec &spec, CandidateWorker &worker,
                   ClockReading now);
     std::vector<int> tasksToStart(const StepRef &ref) const;
--- a/include/savorywick/steps/placement.h
+++ b/include/savorywick/steps/placement.h
@@ -55,6 +55,7 @@
     StepRef ref;
     const Job *job = nullptr;
     const StepSpec *spec = nullptr;
+    Instant since; // When its predecessors were done.
     bool longRunning = false;
     bool starved = false; // Long-running, and has waited too long.
     bool occurrenceStarted = false; // Some task of its occurrence has been started.
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -119,6 +119,7 @@
         step.job = job;
         step.spec = &job->spec.steps[ref.step];
         step.longRunning = step.spec->longRunning;
+        step.since = since;
         step.occurrenceStarted = job->occurrences.contains(ref.occurrence);
         step.relativeDeadline = relativeDeadlineOf(job->spec);
         step.lateness = Millis{now.wallMs - job->dueWallMs(ref.occurrence)} - step.relativeDeadline;
@@ -157,10 +158,13 @@
     std::vector<ReadyStep> steps = sortedReadySteps(now);
     if (static_cast<int>(steps.size()) > m_settings.maxStepsPerPass)
         steps.resize(m_settings.maxStepsPerPass);
-    std::vector<CandidateWorker> workers = candidateWorkers(needsOf(steps), now.monotonic);
+    PlacementPass pass{candidateWorkers(needsOf(steps), now.monotonic), {}};
     for (const ReadyStep &step : steps) {
+        if (pass.unplaceable.covers(*step.spec, step.job->spec.policy.service,
+                                    minHeadroomFor(step, now)))
+            continue;
         const bool allPlaced =
-            step.spec->gang ? placeGang(step, workers, now) : placeStep(step, workers, now);
+            step.spec->gang ? placeGang(step, pass, now) : placeStep(step, pass, now);
         if (allPlaced)
             m_readySteps.erase(step.ref);
     }
@@ -168,21 +172,28 @@
         m_nextPlacementAt = now.monotonic + m_settings.placementInterval;
 }
 
+// Returns the headroom that a best-effort task of the step must leave to latency-critical runs.
+double Coordinator::minHeadroomFor(const ReadyStep &step, ClockReading now) const
+{
+    const bool relaxed = now.monotonic - step.since >= m_settings.relaxHeadroomAfter;
+    return relaxed ? m_settings.relaxedMinHeadroom : m_settings.minHeadroom;
+}
+
 // Starts as many of the step's tasks as there are workers for. Returns true if and only if all are.
-bool Coordinator::placeStep(const ReadyStep &step, std::vector<CandidateWorker> &workers,
-                            ClockReading now)
+bool Coordinator::placeStep(const ReadyStep &step, PlacementPass &pass, ClockReading now)
 {
     PlacementConstraints constraints = constraintsFor(step.ref);
-    const bool relaxed = now.monotonic - m_readySteps.at(step.ref) >= m_settings.relaxHeadroomAfter;
-    constraints.minHeadroom = relaxed ? m_settings.relaxedMinHeadroom : m_settings.minHeadroom;
-    WorkerChooser chooser(*step.spec, constraints, workers);
+    constraints.minHeadroom = minHeadroomFor(step, now);
+    WorkerChooser chooser(*step.spec, constraints, pass.workers);
     for (const int index : tasksToStart(step.ref)) {
         const auto chosen = chooser.choose();
-        if (!chosen)
+        if (!chosen) {
+            pass.unplaceable.add(*step.spec, constraints.service, constraints.minHeadroom);
             return false;
+        }
         const TaskRef task{step.ref.job, step.ref.occurrence, step.ref.step, index};
         const Task *known = step.job->findTask(task);
-        CandidateWorker &worker = workers[*chosen];
+        CandidateWorker &worker = pass.workers[*chosen];
         startRun(task, (known ? known->lastRunNumber : 0) + 1, *step.spec, worker, now);
         ++constraints.tasksPerWorker[worker.info->incarnation.workerId];
         constraints.currentRack = worker.info->rack;
@@ -192,13 +203,12 @@
 }
 
 // Starts all tasks of the gang under one run number, or none. Returns true if and only if it did.
-bool Coordinator::placeGang(const ReadyStep &step, std::vector<CandidateWorker> &workers,
-                            ClockReading now)
+bool Coordinator::placeGang(const ReadyStep &step, PlacementPass &pass, ClockReading now)
 {
     PlacementConstraints constraints = constraintsFor(step.ref);
     if (!constraints.tasksPerWorker.empty())
         return false; // Members of the previous run have not ended yet.
-    std::vector<CandidateWorker> remaining = workers;
+    std::vector<CandidateWorker> remaining = pass.workers;
     WorkerChooser chooser(*step.spec, constraints, remaining);
     std::vector<std::size_t> chosen;
     int run = 0;
@@ -217,7 +227,7 @@
     }
     for (int i = 0; i < step.spec->taskCount; ++i)
         startRun({step.ref.job, step.ref.occurrence, step.ref.step, i}, run + 1, *step.spec,
-                 workers[chosen[i]], now);
+                 pass.workers[chosen[i]], now);
     return true;
 }
 
