--- a/include/savorywick/steps/placement.h
+++ b/include/savorywick/steps/placement.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace savorywick::steps {
@@ -15,7 +16,7 @@
 // A long-running run with a latency target, on a worker that is considered for a task.
 struct LatencyCriticalRun
 {
-    std::string image;
+    std::string_view image; // Must outlive this object.
     double expectedHeadroom = 0; // Beside the best-effort runs that are on the worker already.
 };
 
@@ -44,12 +45,17 @@
     double minHeadroom = 0; // That a best-effort task must leave to every latency-critical run.
 };
 
+// Returns true if and only if enough of the worker's processors are idle for a best-effort task
+// that requests `milliCores`.
+bool hasIdleProcessors(const CandidateWorker &worker, int milliCores);
+
 // A step whose predecessors are done and that has tasks to start, with what decides its precedence.
 struct ReadyStep
 {
     StepRef ref;
     const Job *job = nullptr;
     const StepSpec *spec = nullptr;
+    Instant since; // When its predecessors were done.
     bool longRunning = false;
     bool starved = false; // Long-running, and has waited too long.
     bool occurrenceStarted = false; // Some task of its occurrence has been started.
@@ -81,13 +87,53 @@
 // Returns the time from when a job is due to start until it should be complete.
 Millis relativeDeadlineOf(const JobSpec &spec);
 
-// Returns the index of the worker that a task should start on, or nothing if none can take it now.
+// Chooses workers for the tasks of one step, one after the other. A worker's rank for the step is
+// computed once and again only when the worker changes, so that many tasks cost little more than
+// one.
 //
 // Prefers workers that the job has not failed on, then the preferred rack, then the tightest fit,
 // which keeps free resources in large pieces for large tasks. Long-running tasks with a latency
 // target prefer workers with few other images, so that few pairs of images share a worker.
 // Best-effort tasks go where they cost latency-critical runs the least headroom, then where the
 // most processors are idle.
+//
+// The arguments of the constructor must outlive the object. Not thread-safe.
+//
+// Example:
+//   WorkerChooser chooser(step, constraints, workers);
+//   while (const auto index = chooser.choose()) {
+//       start(workers[*index]); // Updates the worker and `constraints.tasksPerWorker`.
+//       chooser.noteTask(*index);
+//   }
+class WorkerChooser
+{
+public:
+    WorkerChooser(const StepSpec &spec, const PlacementConstraints &constraints,
+                  std::span<const CandidateWorker> workers);
+    ~WorkerChooser();
+    WorkerChooser(const WorkerChooser &) = delete;
+    WorkerChooser &operator=(const WorkerChooser &) = delete;
+
+    // Returns the index of the worker that a task should start on, or nothing if none can take it
+    // now.
+    std::optional<std::size_t> choose() const;
+    // Notes that a task of the step was given to the worker: that worker, its entry in
+    // `tasksPerWorker` and `currentRack` may have changed, nothing else.
+    void noteTask(std::size_t index);
+
+private:
+    struct Rank;
+
+    void rankAll();
+
+    const StepSpec &m_spec;
+    const PlacementConstraints &m_constraints;
+    std::span<const CandidateWorker> m_workers;
+    std::string m_rankedRack; // The `currentRack` that the ranks are for.
+    std::vector<Rank> m_ranks; // By index of the worker.
+};
+
+// Returns what a WorkerChooser chooses for a single task.
 std::optional<std::size_t> chooseWorker(const StepSpec &spec,
                                         const PlacementConstraints &constraints,
                                         std::span<const CandidateWorker> workers);
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -32,21 +32,61 @@
     return false;
 }
 
-std::vector<CandidateWorker> Coordinator::candidateWorkers(Instant now) const
+Coordinator::PassNeeds Coordinator::needsOf(std::span<const ReadyStep> steps)
+{
+    PassNeeds needs;
+    for (const ReadyStep &it : steps) {
+        const int milliCores = it.spec->demand.milliCores;
+        needs.images = needs.images || (it.spec->longRunning && it.spec->latencyTarget > Millis{0});
+        if (it.spec->bestEffort)
+            needs.bestEffortMilliCores =
+                std::min(milliCores, needs.bestEffortMilliCores.value_or(milliCores));
+    }
+    return needs;
+}
+
+void Coordinator::summarizeRuns(Worker &worker) const
+{
+    const std::string &id = worker.info.incarnation.workerId;
+    RunSummary &summary = worker.runSummary;
+    summary.available = worker.info.capacity;
+    summary.available -= m_runs.allocated(id);
+    const int unusedMilliCores = m_runs.longRunningMilliCores(id) / fullPercent
+        * (fullPercent - m_settings.longRunningUsagePercent);
+    summary.idleMilliCores =
+        summary.available.milliCores + unusedMilliCores - m_runs.bestEffortMilliCores(id);
+    const std::vector<RunKey> keys = m_runs.onWorker(id);
+    summary.plannedLoads = plannedBestEffortLoads(keys);
+    summary.criticalRuns.clear();
+    for (const RunKey &key : keys) {
+        const Run &run = *m_runs.find(key);
+        if (run.longRunning && run.latencyTarget != Millis{0})
+            summary.criticalRuns.push_back({key.task.job, run.image});
+    }
+    worker.runSummaryStale = false;
+}
+
+// Returns the workers that may be given tasks. Their latency-critical runs are left out where the
+// pass has no use for them.
+std::vector<CandidateWorker> Coordinator::candidateWorkers(const PassNeeds &needs, Instant now)
 {
     std::vector<CandidateWorker> candidates;
-    for (const auto &[id, worker] : m_workers) {
+    candidates.reserve(m_workers.size());
+    for (auto &[id, worker] : m_workers) {
         if (!isUsable(worker, now))
             continue;
-        CandidateWorker candidate{&worker.info, worker.info.capacity, 0, {}};
-        candidate.available -= m_runs.allocated(id);
-        const int unusedMilliCores = m_runs.longRunningMilliCores(id) / fullPercent
-            * (fullPercent - m_settings.longRunningUsagePercent);
-        candidate.idleMilliCores =
-            candidate.available.milliCores + unusedMilliCores - m_runs.bestEffortMilliCores(id);
-        addInterferenceState(id, candidate, now);
-        candidates.push_back(candidate);
+        if (worker.runSummaryStale)
+            summarizeRuns(worker);
+        const RunSummary &summary = worker.runSummary;
+        CandidateWorker candidate{&worker.info, summary.available, summary.idleMilliCores, {}};
+        candidate.acceptsBestEffort = acceptsBestEffort(worker, now);
+        const bool fitsBestEffort = candidate.acceptsBestEffort && needs.bestEffortMilliCores
+            && hasIdleProcessors(candidate, *needs.bestEffortMilliCores);
+        if (fitsBestEffort || needs.images)
+            addInterferenceState(worker, candidate, now);
+        candidates.push_back(std::move(candidate));
     }
+    m_counters.workersExamined += m_workers.size();
     return candidates;
 }
 
@@ -79,6 +119,7 @@
         step.job = job;
         step.spec = &job->spec.steps[ref.step];
         step.longRunning = step.spec->longRunning;
+        step.since = since;
         step.occurrenceStarted = job->occurrences.contains(ref.occurrence);
         step.relativeDeadline = relativeDeadlineOf(job->spec);
         step.lateness = Millis{now.wallMs - job->dueWallMs(ref.occurrence)} - step.relativeDeadline;
@@ -114,14 +155,16 @@
     m_placementNeeded = false;
     if (m_readySteps.empty())
         return;
-    std::vector<CandidateWorker> workers = candidateWorkers(now.monotonic);
-    m_counters.workersExamined += m_workers.size();
     std::vector<ReadyStep> steps = sortedReadySteps(now);
     if (static_cast<int>(steps.size()) > m_settings.maxStepsPerPass)
         steps.resize(m_settings.maxStepsPerPass);
+    PlacementPass pass{candidateWorkers(needsOf(steps), now.monotonic), {}};
     for (const ReadyStep &step : steps) {
+        if (pass.unplaceable.covers(*step.spec, step.job->spec.policy.service,
+                                    minHeadroomFor(step, now)))
+            continue;
         const bool allPlaced =
-            step.spec->gang ? placeGang(step, workers, now) : placeStep(step, workers, now);
+            step.spec->gang ? placeGang(step, pass, now) : placeStep(step, pass, now);
         if (allPlaced)
             m_readySteps.erase(step.ref);
     }
@@ -129,52 +172,62 @@
         m_nextPlacementAt = now.monotonic + m_settings.placementInterval;
 }
 
+// Returns the headroom that a best-effort task of the step must leave to latency-critical runs.
+double Coordinator::minHeadroomFor(const ReadyStep &step, ClockReading now) const
+{
+    const bool relaxed = now.monotonic - step.since >= m_settings.relaxHeadroomAfter;
+    return relaxed ? m_settings.relaxedMinHeadroom : m_settings.minHeadroom;
+}
+
 // Starts as many of the step's tasks as there are workers for. Returns true if and only if all are.
-bool Coordinator::placeStep(const ReadyStep &step, std::vector<CandidateWorker> &workers,
-                            ClockReading now)
+bool Coordinator::placeStep(const ReadyStep &step, PlacementPass &pass, ClockReading now)
 {
     PlacementConstraints constraints = constraintsFor(step.ref);
-    const bool relaxed = now.monotonic - m_readySteps.at(step.ref) >= m_settings.relaxHeadroomAfter;
-    constraints.minHeadroom = relaxed ? m_settings.relaxedMinHeadroom : m_settings.minHeadroom;
+    constraints.minHeadroom = minHeadroomFor(step, now);
+    WorkerChooser chooser(*step.spec, constraints, pass.workers);
     for (const int index : tasksToStart(step.ref)) {
-        const auto chosen = chooseWorker(*step.spec, constraints, workers);
-        if (!chosen)
+        const auto chosen = chooser.choose();
+        if (!chosen) {
+            pass.unplaceable.add(*step.spec, constraints.service, constraints.minHeadroom);
             return false;
+        }
         const TaskRef task{step.ref.job, step.ref.occurrence, step.ref.step, index};
         const Task *known = step.job->findTask(task);
-        CandidateWorker &worker = workers[*chosen];
+        CandidateWorker &worker = pass.workers[*chosen];
         startRun(task, (known ? known->lastRunNumber : 0) + 1, *step.spec, worker, now);
         ++constraints.tasksPerWorker[worker.info->incarnation.workerId];
         constraints.currentRack = worker.info->rack;
+        chooser.noteTask(*chosen);
     }
     return true;
 }
 
 // Starts all tasks of the gang under one run number, or none. Returns true if and only if it did.
-bool Coordinator::placeGang(const ReadyStep &step, std::vector<CandidateWorker> &workers,
-                            ClockReading now)
+bool Coordinator::placeGang(const ReadyStep &step, PlacementPass &pass, ClockReading now)
 {
     PlacementConstraints constraints = constraintsFor(step.ref);
     if (!constraints.tasksPerWorker.empty())
         return false; // Members of the previous run have not ended yet.
-    std::vector<CandidateWorker> remaining = workers;
+    std::vector<CandidateWorker> remaining = pass.workers;
+    WorkerChooser chooser(*step.spec, constraints, remaining);
     std::vector<std::size_t> chosen;
     int run = 0;
     for (int i = 0; i < step.spec->taskCount; ++i) {
-        const auto it = chooseWorker(*step.spec, constraints, remaining);
+        const auto it = chooser.choose();
         if (!it)
             return false;
         chosen.push_back(*it);
         remaining[*it].available -= allocationFor(*step.spec);
         ++constraints.tasksPerWorker[remaining[*it].info->incarnation.workerId];
         constraints.currentRack = remaining[*it].info->rack;
+        chooser.noteTask(*it);
         const Task *known =
             step.job->findTask({step.ref.job, step.ref.occurrence, step.ref.step, i});
         run = std::max(run, known ? known->lastRunNumber : 0);
     }
     for (int i = 0; i < step.spec->taskCount; ++i)
         startRun({step.ref.job, step.ref.occurrence, step.ref.step, i}, run + 1, *step.spec,
-                 workers[chosen[i]], now);
+                 pass.workers[chosen[i]], now);
     return true;
 }
 
@@ -185,6 +238,7 @@
     const std::string &id = worker.info->incarnation.workerId;
     Worker &known = m_workers.at(id);
     const WorkerIncarnation life = known.session.incarnation();
+    known.runSummaryStale = true;
     markStale(known);
     appendRecord(RunStarted{task, run, life});
     if (wasQueued)
