--- a/tests/steps/coordinatororders_test.cpp
+++ b/tests/steps/coordinatororders_test.cpp
@@ -39,13 +39,19 @@
     ClockReading now() const { return {m_now, m_now.count()}; }
 
     void submit(const std::string &id, const StepSpec &stepSpec)
+    {
+        submitFor("matching", id, stepSpec);
+        step();
+    }
+
+    // Submits a job for the workers of a service. It is placed at the next step().
+    void submitFor(const std::string &service, const std::string &id, const StepSpec &stepSpec)
     {
         JobSpec spec;
         spec.id = id;
-        spec.policy = {"q", "matching", 0, 2, 2.0, Millis{500}};
+        spec.policy = {"q", service, 0, 2, 2.0, Millis{500}};
         spec.steps = {stepSpec};
         m_coordinator.submit(spec, now());
-        step();
     }
 
     void setDraining(int worker)
@@ -320,3 +326,20 @@
     CHECK(harness.workersStartedOn("younger").size() == 1);
     CHECK(harness.workersStartedOn("older").size() == 1);
 }
+
+// Guards against jobs that wait although workers of their service have room, because a like job of
+// another service without room comes before them in the same placement pass.
+TEST_CASE("Jobs of one service do not wait because those of another one find no room")
+{
+    CoordinatorHarness harness(1);
+    const std::vector<std::string> ids = {"b", "c", "d"};
+    harness.submitFor("indexing", "a", task(1'000)); // No worker runs it.
+    for (const std::string &it : ids)
+        harness.submitFor("matching", it, task(1'000));
+    harness.step();
+    CHECK(harness.workersStartedOn("a").empty());
+    for (const std::string &it : ids) {
+        CAPTURE(it);
+        CHECK(harness.workersStartedOn(it).size() == 1);
+    }
+}
