Parse only the entries of workers that have changed

Each worker writes its entry about once a second, and an entry of the scheduler reads the changes every 300 ms; each time it parsed the entries of all workers anew, about a quarter of which had changed. Every entry of an installation does this, also those on the smallest hosts. The entries of the last list are now kept, and only those whose text differs are parsed; the list that is passed on is the same as before, after every change. A test counts the entries that are parsed.

--- a/bench/exchange_bench.cpp
+++ b/bench/exchange_bench.cpp
@@ -1,7 +1,7 @@
 // Measures what one exchange with a worker costs the entry: the HTTP client, the JSON of commands
-// and reports, journal records, base64 and log lines. The workers are a child process on loopback,
-// so that only the entry's processor time counts. With --exchanges N, only N exchanges of each kind
-// are made, for counting system calls (strace -c).
+// and reports, the list of workers, journal records, base64 and log lines. The workers are a child
+// process on loopback, so that only the entry's processor time counts. With --exchanges N, only N
+// exchanges of each kind are made, for counting system calls (strace -c).
 
 #include "report.h"
 
@@ -10,7 +10,9 @@
 #include "net/asynchttpclient.h"
 #include "net/asynchttpserver.h"
 #include "platform/base64.h"
+#include "platform/clusterfeed.h"
 #include "platform/httpworkerclient.h"
+#include "platform/rows.h"
 #include "platform/workerreport.h"
 #include "savorywick/steps/record.h"
 
@@ -36,7 +38,10 @@
 constexpr int workerCount = 50;
 constexpr int defaultExchanges = 20'000;
 constexpr int callsPerRound = 20'000;
+constexpr int feedCallsPerRound = 100;
 constexpr int rounds = 3;
+constexpr int listedWorkers = 490;
+constexpr int changedWorkers = 130; // Between two pages of the change feed.
 constexpr int recordsPerCommit = 40;
 constexpr std::size_t addressBytes = 64; // Of one worker's address in the pipe, padded with NUL.
 
@@ -52,14 +57,14 @@
 }
 
 // Returns the processor microseconds per call of `work`, as the minimum of some rounds.
-double bestMicrosPerCall(const std::function<void()> &work)
+double bestMicrosPerCall(int calls, const std::function<void()> &work)
 {
     double best = 0;
     for (int round = 0; round < rounds; ++round) {
         const double start = processorMicros();
-        for (int i = 0; i < callsPerRound; ++i)
+        for (int i = 0; i < calls; ++i)
             work();
-        const double perCall = (processorMicros() - start) / callsPerRound;
+        const double perCall = (processorMicros() - start) / calls;
         best = round == 0 ? perCall : std::min(best, perCall);
     }
     return best;
@@ -229,13 +234,59 @@
     for (const int rows : {5, 20}) {
         const std::string body = reportBody(rows, 2);
         report(benchName, std::to_string(rows) + " rows",
-               {{"parse us", bestMicrosPerCall([&] {
+               {{"parse us", bestMicrosPerCall(callsPerRound, [&] {
                      if (!platform::parseWorkerReport(body))
                          std::exit(EXIT_FAILURE);
                  })}});
     }
 }
 
+std::string workerEntry(int sequence)
+{
+    return R"({"service":"matching","address":"10.200.3.14:7101","zone":"hobart","version":"1.4.2",)"
+           R"("slots":16,"state":"ready","coldRemainingMs":0,"born":1796000000123,"remainingMs":0,)"
+           R"("capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],"sequence":)"
+        + std::to_string(sequence) + "}";
+}
+
+// A page of the change feed: the rows of the workers that said since the last page that they live.
+std::string changePage(int rows)
+{
+    std::string page = R"({"hasMore":false,"rows":[)";
+    for (int i = 0; i < rows; ++i) {
+        page += i == 0 ? "" : ",";
+        page += R"({"key":"i-4c46480a)" + std::to_string(1'000 + i) + R"(","value":")"
+            + platform::encodeBase64(workerEntry(i)) + R"(","ver":)" + std::to_string(90'000 + i)
+            + "}";
+    }
+    return page + R"(],"ver":99999})";
+}
+
+void measureWorkerFeed()
+{
+    const std::string page = changePage(changedWorkers);
+    platform::TableFeed::Rows rows;
+    for (int i = 0; i < listedWorkers; ++i) {
+        const std::string key = "i-4c46480a" + std::to_string(1'000 + i);
+        rows[key] = {key, workerEntry(0), 1, false};
+    }
+    platform::WorkerEntries entries;
+    int sequence = 0;
+    const double update = bestMicrosPerCall(feedCallsPerRound, [&] {
+        ++sequence;
+        int changed = 0;
+        for (auto &[key, row] : rows) {
+            if (++changed <= changedWorkers)
+                row.value = workerEntry(sequence);
+        }
+        entries.update(rows);
+    });
+    const double parsePage =
+        bestMicrosPerCall(feedCallsPerRound, [&] { platform::parsePage(page); });
+    reportTableHeader("changes of workers", {"page us", "list us"});
+    report(benchName, "workers", {{"parse page us", parsePage}, {"update list us", update}});
+}
+
 void measureRecords()
 {
     const steps::TaskRef task{"5c0e7a21d94b36f8", 0, 1, 17};
@@ -250,11 +301,13 @@
                        "decode commit's base64 us"});
     report(
         benchName, "journal",
-        {{"encode record us", bestMicrosPerCall([&] { steps::encodeRecord(started); })},
-         {"decode record us", bestMicrosPerCall([&] { steps::decodeRecord(line); })},
-         {"encode commit's base64 us", bestMicrosPerCall([&] { platform::encodeBase64(commit); })},
+        {{"encode record us",
+          bestMicrosPerCall(callsPerRound, [&] { steps::encodeRecord(started); })},
+         {"decode record us", bestMicrosPerCall(callsPerRound, [&] { steps::decodeRecord(line); })},
+         {"encode commit's base64 us",
+          bestMicrosPerCall(callsPerRound, [&] { platform::encodeBase64(commit); })},
          {"decode commit's base64 us",
-          bestMicrosPerCall([&] { platform::decodeBase64(encoded); })}});
+          bestMicrosPerCall(callsPerRound, [&] { platform::decodeBase64(encoded); })}});
 }
 
 using WriteLine = void (*)(std::string_view event, std::initializer_list<LogField> fields);
@@ -262,7 +315,7 @@
 // Returns the microseconds per line.
 double logMicros(WriteLine write)
 {
-    return bestMicrosPerCall([write] {
+    return bestMicrosPerCall(callsPerRound, [write] {
         write("run-placed",
               {{"requestId", "5c0e7a21d94b36f8"},
                {"task", "5c0e7a21d94b36f8.0.1.17"},
@@ -327,6 +380,7 @@
     if (fixedCount)
         return EXIT_SUCCESS;
     measureReports();
+    measureWorkerFeed();
     measureRecords();
     measureLog();
     return EXIT_SUCCESS;
--- a/tests/adapter/clusterfeed_test.cpp
+++ b/tests/adapter/clusterfeed_test.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+#include <utility>
+
 using namespace savorywick;
 using namespace savorywick::platform;
 
@@ -75,3 +78,37 @@
         CHECK_FALSE(parseWorkerEntry("i-1", text).has_value());
     }
 }
+
+// Guards against parsing the entries of all workers whenever one of them says that it is alive.
+TEST_CASE("Only the entries of workers that changed are parsed again")
+{
+    const auto rowOf = [](const std::string &key, std::string text) {
+        return std::pair(key, StoredRow{key, std::move(text), 1, false});
+    };
+    TableFeed::Rows rows;
+    for (const char *id : {"i-1", "i-2", "i-3"})
+        rows.insert(rowOf(id, workerEntry));
+    rows.insert(rowOf("i-4", "malformed"));
+    WorkerEntries entries;
+    CHECK(entries.update(rows).size() == 3);
+    CHECK(entries.parsedCount() == 4);
+    CHECK(entries.update(rows).size() == 3);
+    CHECK(entries.parsedCount() == 4);
+
+    std::string moved = workerEntry;
+    moved.replace(moved.find("hobart"), 6, "burnie");
+    rows["i-2"].value = moved;
+    rows["i-4"].value = workerEntry;
+    rows.erase("i-1");
+    const auto workers = entries.update(rows);
+    CHECK(entries.parsedCount() == 6);
+    REQUIRE(workers.size() == 3);
+    CHECK(workers[0].incarnation.workerId == "i-2");
+    CHECK(workers[0].availabilityZone == "burnie");
+    CHECK(workers[1].availabilityZone == "hobart");
+    CHECK(workers[2].incarnation.workerId == "i-4");
+
+    rows.insert(rowOf("i-1", moved)); // Listed again with another text.
+    CHECK(entries.update(rows).front().availabilityZone == "burnie");
+    CHECK(entries.parsedCount() == 7);
+}
