--- a/tests/adapter/tablestore_test.cpp
+++ b/tests/adapter/tablestore_test.cpp
@@ -36,6 +36,26 @@
     CHECK_FALSE(decodeBase64("a").has_value());
     CHECK_FALSE(decodeBase64("a$==").has_value());
     CHECK_FALSE(decodeBase64("====").has_value());
+    CHECK_FALSE(decodeBase64("ab=cdefg").has_value());
+    CHECK_FALSE(decodeBase64("ab\xff/").has_value());
+}
+
+TEST_CASE("Base64 has the text of the standard for each length and for all bits")
+{
+    struct Case
+    {
+        std::string bytes;
+        const char *text;
+    };
+    // The first are the examples of RFC 4648, section 10.
+    for (const Case &it :
+         {Case{"", ""}, Case{"f", "Zg=="}, Case{"fo", "Zm8="}, Case{"foo", "Zm9v"},
+          Case{"foob", "Zm9vYg=="}, Case{"fooba", "Zm9vYmE="}, Case{"foobar", "Zm9vYmFy"},
+          Case{"\xfb\xef\xff", "++//"}, Case{std::string(3, '\0'), "AAAA"}}) {
+        CAPTURE(it.text);
+        CHECK(encodeBase64(it.bytes) == it.text);
+        CHECK(decodeBase64(it.text) == it.bytes);
+    }
 }
 
 TEST_CASE("A page of rows is parsed and malformed rows are skipped")
