--- a/bench/exchange_bench.cpp
+++ b/bench/exchange_bench.cpp
@@ -10,9 +10,9 @@
 #include "net/asynchttpclient.h"
 #include "net/asynchttpserver.h"
 #include "platform/base64.h"
-#include "platform/clusterfeed.h"
 #include "platform/httpworkerclient.h"
 #include "platform/rows.h"
+#include "platform/workerentry.h"
 #include "platform/workerreport.h"
 #include "savorywick/steps/record.h"
 
