Do not wake up each millisecond while a placement pass is put off

An owner that was behind spent its spare time on processing the shard again and again, up to a thousand times a second, instead of on its messages. The same happened while a shard was released, until the store had the release.

A pass that follows a slow one is put off, and none is made while the shard is released. But the wake-up was still set to when the Coordinator wanted to place its waiting steps, which was in the past, so it came after 1 ms, and nothing was placed then either. The Coordinator now also says when it is due without tick(); the wake-up is set to this, or to the end of the pause.

The new test failed before: in 60 ms without any event the shard was processed 48 times while a pass was put off and 55 times while it was released, now at most 10 times.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -177,6 +177,9 @@
     void tick(ClockReading now);
     // Returns when tick() and takeOrders() should be called next if no other event comes earlier.
     Instant wakeAt(Instant now);
+    // Returns when takeOrders() or takeRenewals() should be called next if tick() is not called
+    // meanwhile.
+    Instant ordersDueAt(Instant now);
 
     // Returns the records produced since the last call, in order. Append them to the journal and
     // pass the number that Journal::append() returns to recordsAppended(), even if there are none.
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -348,13 +348,18 @@
 }
 
 Instant Coordinator::wakeAt(Instant now)
+{
+    const Instant at = ordersDueAt(now);
+    return m_placementNeeded && !m_readySteps.empty() ? std::min(at, m_nextPlacementAt) : at;
+}
+
+Instant Coordinator::ordersDueAt(Instant now)
 {
     // Bounds the delay of lapsed leases, stalled runs, due occurrences and repeated stop orders.
     constexpr Millis maxTickInterval{500};
     refreshDueTimes();
-    Instant at = now + maxTickInterval;
-    at = std::min(at, m_renewals.nextAt().value_or(at));
-    return m_placementNeeded && !m_readySteps.empty() ? std::min(at, m_nextPlacementAt) : at;
+    const Instant at = now + maxTickInterval;
+    return std::min(at, m_renewals.nextAt().value_or(at));
 }
 
 } // namespace savorywick::steps
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -366,7 +366,9 @@
 void ShardRunner::scheduleWakeUp()
 {
     const Instant currentTime = m_dependencies.clock.now();
-    Instant wakeUpAt = m_coordinator.wakeAt(currentTime);
+    const bool mayTick = !m_passDue && !m_journal.releasing();
+    Instant wakeUpAt =
+        mayTick ? m_coordinator.wakeAt(currentTime) : m_coordinator.ordersDueAt(currentTime);
     if (const auto commitAt = m_journal.nextCommitAt())
         wakeUpAt = std::min(wakeUpAt, *commitAt);
     if (m_passDue)
--- a/tests/node/shardrunner_test.cpp
+++ b/tests/node/shardrunner_test.cpp
@@ -387,3 +387,33 @@
     }
     CHECK(passes >= 1);
 }
+
+// Guards against an owner that, while it is too busy to place steps, wakes up each millisecond to
+// put the placement off again, which keeps it busy.
+TEST_CASE("While steps wait for a pass that is put off the shard is not processed over and over")
+{
+    struct Case
+    {
+        std::string what;
+        bool releasing = false;
+    };
+    for (const Case &it : {Case{"slow pass", false}, Case{"shard that is being released", true}}) {
+        CAPTURE(it.what);
+        ShardRunnerSettings settings;
+        settings.passes = {.pausePerWork = 1'000, .maxPause = Millis{60'000}};
+        ShardFixture shard(settings);
+        shard.clock.timePerReading = Millis{20};
+        shard.runner->handle(ShardFixture::job("a"), [](const ShardReply &) {});
+        shard.runPosted();
+        shard.clock.timePerReading = {};
+        shard.runner->handle(ShardFixture::job("b"), [](const ShardReply &) {});
+        if (it.releasing)
+            shard.runner->release();
+        shard.runner->takeLoad();
+        shard.runLoop();
+        const ShardLoad load = shard.runner->takeLoad();
+        CHECK(load.passes == 0);
+        constexpr std::uint64_t maxRounds = 10; // For the job, the commits and the renewals.
+        CHECK(load.rounds <= maxRounds);
+    }
+}
