Keep the service's name in the steps that a pass passes over

UnplaceableSteps referred to the name in the constraints of the step that failed, which end before the pass does. The address sanitizer reported it in coordinator_test, coordinatororders_test and coordinator_bench: a read of the stack beyond its frame. The name is now copied, and the three run without a report, with the same sums over all orders as before.

--- a/include/savorywick/steps/unplaceablesteps.h
+++ b/include/savorywick/steps/unplaceablesteps.h
@@ -2,6 +2,7 @@
 
 #include "savorywick/steps/job.h"
 
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -20,8 +21,8 @@
 public:
     // Notes that no worker of the service can take a task of the step that leaves each
     // latency-critical run `minHeadroom`. Does nothing for a step that limits its tasks per worker,
-    // as that may be the reason, or if many steps are remembered already. `step` and `service` must
-    // outlive this object.
+    // as that may be the reason, or if many steps are remembered already. `step` must outlive this
+    // object.
     void add(const StepSpec &step, std::string_view service, double minHeadroom);
     // Returns true if it is certain that no worker can take a task of the step.
     bool covers(const StepSpec &step, std::string_view service, double minHeadroom) const;
@@ -30,7 +31,7 @@
     struct Entry
     {
         const StepSpec *step = nullptr;
-        std::string_view service;
+        std::string service;
         double minHeadroom = 0;
     };
 
--- a/src/lib/steps/unplaceablesteps.cpp
+++ b/src/lib/steps/unplaceablesteps.cpp
@@ -13,7 +13,7 @@
 void UnplaceableSteps::add(const StepSpec &step, std::string_view service, double minHeadroom)
 {
     if (step.maxTasksPerWorker == 0 && m_entries.size() < maxEntries)
-        m_entries.push_back({&step, service, minHeadroom});
+        m_entries.push_back({&step, std::string(service), minHeadroom});
 }
 
 bool UnplaceableSteps::covers(const StepSpec &step, std::string_view service,
