Do not wake up each millisecond for a placement pass that is overdue

While a shard is released its owner makes no placement passes. wakeAt() then named the time of the pass that was put off, which lay in the past, so that the owner would have been woken every millisecond until the release was durable. An overdue pass is now waited for in steps of the placement interval.

--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -354,7 +354,11 @@
     refreshDueTimes();
     Instant at = now + maxTickInterval;
     at = std::min(at, m_renewals.nextAt().value_or(at));
-    return m_placementNeeded && !m_readySteps.empty() ? std::min(at, m_nextPlacementAt) : at;
+    if (!m_placementNeeded || m_readySteps.empty())
+        return at;
+    // A pass is overdue only while tick() is not called, as when the shard is being released.
+    const bool overdue = m_nextPlacementAt <= now;
+    return std::min(at, overdue ? now + m_settings.placementInterval : m_nextPlacementAt);
 }
 
 } // namespace savorywick::steps
--- a/tests/steps/coordinatorcost_test.cpp
+++ b/tests/steps/coordinatorcost_test.cpp
@@ -50,6 +50,13 @@
         process();
     }
 
+    // Returns how long the coordinator lets its user wait if it is not ticked for some time.
+    Millis waitAfter(Millis withoutTick)
+    {
+        const Instant later = m_now + withoutTick;
+        return m_coordinator.wakeAt(later) - later;
+    }
+
     // Submits a job of one task that no worker has room for.
     void submitUnplaceable()
     {
@@ -155,3 +162,16 @@
     CHECK(examined >= workers); // The step is tried again.
     CHECK(examined <= passes * workers + replies * maxExaminedPerReply);
 }
+
+// Guards against an owner that is woken every millisecond while it releases its shard, when it
+// places no tasks any more.
+TEST_CASE("A placement pass that is overdue is waited for no more often than passes are made")
+{
+    const CoordinatorSettings settings;
+    HeldFleet fleet(1);
+    fleet.submitUnplaceable();
+    fleet.answerOne(Millis{1});
+    const Millis overdue = settings.placementInterval * 2;
+    CHECK(fleet.waitAfter(Millis{0}) < settings.placementInterval);
+    CHECK(fleet.waitAfter(overdue) == settings.placementInterval);
+}
