--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -350,7 +350,11 @@
 Instant Coordinator::wakeAt(Instant now)
 {
     const Instant at = ordersDueAt(now);
-    return m_placementNeeded && !m_readySteps.empty() ? std::min(at, m_nextPlacementAt) : at;
+    if (!m_placementNeeded || m_readySteps.empty())
+        return at;
+    // A pass is overdue only while tick() is not called.
+    const bool overdue = m_nextPlacementAt <= now;
+    return std::min(at, overdue ? now + m_settings.placementInterval : m_nextPlacementAt);
 }
 
 Instant Coordinator::ordersDueAt(Instant now)
