Destroy the held responders of a test before its loop

The address sanitizer reported a use after free in the test 'A request without a response times out and the next one opens a new connection': its responders outlived the event loop, which the server's contract forbids. The checks are the same as before.

--- a/tests/net/asynchttp_test.cpp
+++ b/tests/net/asynchttp_test.cpp
@@ -186,6 +186,7 @@
     CHECK(fixture.server().inFlight() == 1);
     CHECK(fixture.exchange({.path = "/now"}).status == 200);
     CHECK(fixture.client().counters().connectionsOpened == 2);
+    held.clear(); // Responders must not outlive the loop.
 }
 
 TEST_CASE("Requests beyond the connection limit of a peer are queued until a connection is free")
