Share the stand-ins of the platform among the tests of an entry

The table that replies at once stood in three test files, the unavailable object store and the unresponsive workers in two.

--- /dev/null
+++ b/tests/node/fakeplatform.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "../lib/faketable.h"
+#include "node/asyncstore.h"
+#include "node/asyncworkerclient.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace savorywick::testing {
+
+// A table shared by all entries of a test. It calls back before the call returns.
+class ImmediateTable : public AsyncTable
+{
+public:
+    void commit(const Transaction &t, CommitCallback done) override { done(m_rows.commit(t)); }
+    void read(const std::vector<std::string> &keys, ReadCallback done) override
+    {
+        done(m_rows.read(keys));
+    }
+    void scan(const std::string &prefix, const std::string &after, std::size_t limit,
+              ReadCallback done) override
+    {
+        done(m_rows.scan(prefix, after, limit));
+    }
+    FakeTable &rows() { return m_rows; }
+
+private:
+    FakeTable m_rows;
+};
+
+// An object store that fails every request.
+class UnavailableObjectStore final : public AsyncObjectStore
+{
+public:
+    void put(const std::string &, const std::string &, PutCallback done) override { done(false); }
+    void fetch(const std::string &, FetchCallback done) override { done(std::nullopt); }
+    void remove(const std::string &) override { }
+};
+
+// A worker connection that never replies.
+class UnresponsiveWorkers final : public AsyncWorkerClient
+{
+public:
+    void renew(const steps::RenewLeaseCommand &, RenewCallback) override { }
+    void start(const steps::StartRunCommand &, OrderCallback) override { }
+    void stop(const steps::StopRunCommand &, OrderCallback) override { }
+    void throttle(const steps::ThrottleRunCommand &, OrderCallback) override { }
+};
+
+} // namespace savorywick::testing
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -1,7 +1,7 @@
 #include "node/node.h"
 
-#include "../lib/faketable.h"
 #include "core/bootclock.h"
+#include "fakeplatform.h"
 #include "plaincodec.h"
 
 #include <doctest/doctest.h>
@@ -19,25 +19,6 @@
 constexpr int maxPolls = 1'000; // Generous: only a hang reaches this limit.
 constexpr Millis pollInterval{20};
 
-// A table shared by all entries. It calls back before the call returns.
-class ImmediateTable final : public AsyncTable
-{
-public:
-    void commit(const Transaction &t, CommitCallback done) override { done(m_table.commit(t)); }
-    void read(const std::vector<std::string> &keys, ReadCallback done) override
-    {
-        done(m_table.read(keys));
-    }
-    void scan(const std::string &prefix, const std::string &after, std::size_t limit,
-              ReadCallback done) override
-    {
-        done(m_table.scan(prefix, after, limit));
-    }
-
-private:
-    FakeTable m_table;
-};
-
 // An object store shared by all entries. It calls back before the call returns.
 class ImmediateObjectStore final : public AsyncObjectStore
 {
--- a/tests/node/nodedrain_test.cpp
+++ b/tests/node/nodedrain_test.cpp
@@ -1,5 +1,5 @@
-#include "../lib/faketable.h"
 #include "core/bootclock.h"
+#include "fakeplatform.h"
 #include "node/node.h"
 #include "plaincodec.h"
 #include "savorywick/steps/record.h"
@@ -21,7 +21,7 @@
 constexpr Millis waitLimit{30'000}; // Generous; reached only if the entry never stops.
 
 // A table that replies before the call returns, except to the commits that the test holds back.
-class HoldingTable final : public AsyncTable
+class HoldingTable final : public ImmediateTable
 {
 public:
     void commit(const Transaction &t, CommitCallback done) override
@@ -31,52 +31,25 @@
         if (holdsCommits)
             m_held.push_back(std::move(done));
         else
-            done(m_table.commit(t));
-    }
-    void read(const std::vector<std::string> &keys, ReadCallback done) override
-    {
-        done(m_table.read(keys));
-    }
-    void scan(const std::string &prefix, const std::string &after, std::size_t limit,
-              ReadCallback done) override
-    {
-        done(m_table.scan(prefix, after, limit));
+            ImmediateTable::commit(t, std::move(done));
     }
 
     // Makes the entry at `peer` the owner of shard 0.
     void setOwner(const std::string &peer)
     {
         const ShardRow row{.owner = "other.1", .peer = peer, .epoch = 1};
-        m_table.commit({{{shardKey(0), 0}, {entryKey(row.owner), 0}},
-                        {{shardKey(0), serializeShardRow(row)},
-                         {entryKey(row.owner), R"({"peer":")" + peer + R"("})"}}});
+        rows().commit({{{shardKey(0), 0}, {entryKey(row.owner), 0}},
+                       {{shardKey(0), serializeShardRow(row)},
+                        {entryKey(row.owner), R"({"peer":")" + peer + R"("})"}}});
     }
 
     bool holdsCommits = false;
     std::function<void(const Transaction &)> committing; // Called before each commit.
 
 private:
-    FakeTable m_table;
     std::vector<CommitCallback> m_held;
 };
 
-class EmptyObjectStore final : public AsyncObjectStore
-{
-public:
-    void put(const std::string &, const std::string &, PutCallback done) override { done(false); }
-    void fetch(const std::string &, FetchCallback done) override { done(std::nullopt); }
-    void remove(const std::string &) override { }
-};
-
-class NoWorkers final : public AsyncWorkerClient
-{
-public:
-    void renew(const steps::RenewLeaseCommand &, RenewCallback) override { }
-    void start(const steps::StartRunCommand &, OrderCallback) override { }
-    void stop(const steps::StopRunCommand &, OrderCallback) override { }
-    void throttle(const steps::ThrottleRunCommand &, OrderCallback) override { }
-};
-
 // A cluster with one queue and no workers.
 class OneQueueFeed final : public ClusterFeed
 {
@@ -191,8 +164,8 @@
     EventLoop m_loop;
     const std::string m_peers = freeAddress();
     BootClock m_clock;
-    EmptyObjectStore m_objects;
-    NoWorkers m_workers;
+    UnavailableObjectStore m_objects;
+    UnresponsiveWorkers m_workers;
     OneQueueFeed m_feed;
     PlainCodec m_codec;
     std::list<std::optional<HttpResult>> m_results; // A list, since callbacks refer to elements.
--- a/tests/node/ownership_test.cpp
+++ b/tests/node/ownership_test.cpp
@@ -1,7 +1,7 @@
 #include "node/ownership.h"
 
-#include "../lib/faketable.h"
 #include "core/bootclock.h"
+#include "fakeplatform.h"
 
 #include <doctest/doctest.h>
 
@@ -9,6 +9,7 @@
 #include <string>
 
 using namespace savorywick;
+using namespace savorywick::testing;
 
 namespace {
 
@@ -17,26 +18,6 @@
 constexpr EntryCapacity weakCapacity{120, 10'000};
 constexpr EntryCapacity strongCapacity{500, 200'000};
 
-// A table shared by all entries. It calls back before the call returns.
-class ImmediateTable final : public AsyncTable
-{
-public:
-    void commit(const Transaction &t, CommitCallback done) override { done(m_table.commit(t)); }
-    void read(const std::vector<std::string> &keys, ReadCallback done) override
-    {
-        done(m_table.read(keys));
-    }
-    void scan(const std::string &prefix, const std::string &after, std::size_t limit,
-              ReadCallback done) override
-    {
-        done(m_table.scan(prefix, after, limit));
-    }
-    FakeTable &rows() { return m_table; }
-
-private:
-    FakeTable m_table;
-};
-
 // A table that is reached over a network: commits take longer than reads.
 class RemoteTable final : public AsyncTable
 {
--- a/tests/node/shardrunner_test.cpp
+++ b/tests/node/shardrunner_test.cpp
@@ -1,6 +1,7 @@
 #include "node/shardrunner.h"
 
 #include "core/bootclock.h"
+#include "fakeplatform.h"
 
 #include <doctest/doctest.h>
 
@@ -10,6 +11,7 @@
 #include <vector>
 
 using namespace savorywick;
+using namespace savorywick::testing;
 
 namespace {
 
@@ -39,25 +41,6 @@
     std::uint64_t m_version = 10;
 };
 
-// An object store that fails every request.
-class UnavailableObjectStore final : public AsyncObjectStore
-{
-public:
-    void put(const std::string &, const std::string &, PutCallback done) override { done(false); }
-    void fetch(const std::string &, FetchCallback done) override { done(std::nullopt); }
-    void remove(const std::string &) override { }
-};
-
-// A worker connection that never replies.
-class UnresponsiveWorkers final : public AsyncWorkerClient
-{
-public:
-    void renew(const steps::RenewLeaseCommand &, RenewCallback) override { }
-    void start(const steps::StartRunCommand &, OrderCallback) override { }
-    void stop(const steps::StopRunCommand &, OrderCallback) override { }
-    void throttle(const steps::ThrottleRunCommand &, OrderCallback) override { }
-};
-
 // A clock that runs ahead by `timePerReading` with each reading, so that all work seems slow.
 class SlowClock final : public Clock
 {
