Use an owner's reply that comes after another attempt was made

Callers of an owner that took longer than 0.9 s to reply got 504 shortly before their timeout of 3 s, although the owner had replied to each attempt: an entry gave up an attempt after 0.9 s, sent the request again and ignored the reply. An owner that is somewhat too slow thus served nobody from other entries, and got each request three times.

Another attempt is still made after 0.9 s, since the owner may have gone, but a reply counts if it comes within 1.8 s of its own attempt. At most two attempts are under way at a time. Without a reply in time the outcome stays unknown, as before.

--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -17,9 +17,11 @@
     Instant receivedAt;
     Instant deadline; // The response must be sent by then, even if the outcome is unknown.
     bool maybeApplied = false; // An earlier attempt may still take effect.
+    int attempt = 0; // The number of the last attempt.
     bool attemptInFlight = false; // The owner has not replied to the last attempt.
     ShardOutcome lastOutcome = ShardOutcome::NotOwner; // Of the last attempt with a reply.
     EventLoop::TimerId deadlineTimer = 0;
+    EventLoop::TimerId silenceTimer = 0; // Ends the wait before another attempt.
 };
 
 CallerApi::CallerApi(const CallerApiSettings &settings, Dependencies dependencies)
@@ -125,18 +127,37 @@
     if (!m_pending.contains(pending))
         return;
     const Millis remaining = pending->deadline - m_dependencies.clock.now();
+    const int attempt = ++pending->attempt;
     pending->attemptInFlight = true;
-    m_dependencies.sendToOwner(
-        pending->key, pending->request, std::min(remaining, m_settings.ownerTimeout),
-        [this, pending](const ShardReply &reply) { handleReply(pending, reply); });
+    pending->silenceTimer = m_dependencies.loop.runAfter(
+        m_settings.ownerTimeout, [this, pending] { handleSilence(pending); });
+    m_dependencies.sendToOwner(pending->key, pending->request,
+                               std::min(remaining, m_settings.attemptTimeout),
+                               [this, pending, attempt](const ShardReply &reply) {
+                                   handleReply(pending, attempt, reply);
+                               });
 }
 
-void CallerApi::handleReply(const std::shared_ptr<PendingRequest> &pending, const ShardReply &reply)
+// Makes another attempt, for the owner may have gone. A reply to the last one still counts.
+void CallerApi::handleSilence(const std::shared_ptr<PendingRequest> &pending)
+{
+    pending->maybeApplied = true;
+    ++pending->attempt;
+    if (m_dependencies.clock.now() + m_settings.retryInterval < pending->deadline)
+        retryLater(pending);
+}
+
+void CallerApi::retryLater(const std::shared_ptr<PendingRequest> &pending)
+{
+    m_dependencies.loop.runAfter(m_settings.retryInterval,
+                                 [this, pending] { sendToOwner(pending); });
+}
+
+void CallerApi::handleReply(const std::shared_ptr<PendingRequest> &pending, int attempt,
+                            const ShardReply &reply)
 {
     if (!m_pending.contains(pending))
         return; // The reply came after the deadline.
-    pending->attemptInFlight = false;
-    pending->lastOutcome = reply.outcome;
     const bool settled =
         reply.outcome == ShardOutcome::Ok || reply.outcome == ShardOutcome::UnknownJob;
     const Instant now = m_dependencies.clock.now();
@@ -144,6 +165,11 @@
         m_responseTimes.record(now - pending->receivedAt);
         return settle(pending, reply);
     }
+    if (attempt != pending->attempt)
+        return; // A later attempt decides.
+    m_dependencies.loop.cancel(pending->silenceTimer);
+    pending->attemptInFlight = false;
+    pending->lastOutcome = reply.outcome;
     if (reply.outcome == ShardOutcome::Undecided)
         pending->maybeApplied = true;
     const Instant retryAt = now + m_settings.retryInterval;
@@ -153,11 +179,8 @@
     const bool mayRetry = !refused && retryAt < pending->receivedAt + m_settings.maxRetryTime;
     // A request that may have taken effect is retried until its outcome is known, because the
     // caller has no way to find out.
-    if ((mayRetry || pending->maybeApplied) && retryAt < pending->deadline) {
-        m_dependencies.loop.runAfter(m_settings.retryInterval,
-                                     [this, pending] { sendToOwner(pending); });
-        return;
-    }
+    if ((mayRetry || pending->maybeApplied) && retryAt < pending->deadline)
+        return retryLater(pending);
     giveUp(pending, reply.outcome);
 }
 
@@ -192,6 +215,7 @@
 {
     m_pending.erase(pending);
     m_dependencies.loop.cancel(pending->deadlineTimer);
+    m_dependencies.loop.cancel(pending->silenceTimer);
     // A late reply may keep the request alive, but must not keep the connection open.
     const AsyncHttpServer::Responder respond = std::exchange(pending->respond, {});
     respond(toResponse(*pending, reply));
--- a/src/node/callerapi.h
+++ b/src/node/callerapi.h
@@ -44,7 +44,10 @@
 // Timeouts and retry limits of a CallerApi.
 struct CallerApiSettings
 {
-    Millis ownerTimeout{900}; // The timeout of one request to a shard owner.
+    // Another attempt is made if the owner has not replied by then. The reply still counts if it
+    // comes within `attemptTimeout`.
+    Millis ownerTimeout{900};
+    Millis attemptTimeout{1'800}; // Of one request to a shard owner.
     Millis retryInterval{120}; // Applies while the owner is unknown or does not reply.
     // A request that certainly had no effect is retried for this long, then refused with a 503.
     Millis maxRetryTime{450};
@@ -112,7 +115,10 @@
                                              const steps::QueueMatch &match,
                                              HttpResponse &errorResponse, std::string &key) const;
     void sendToOwner(const std::shared_ptr<PendingRequest> &pending);
-    void handleReply(const std::shared_ptr<PendingRequest> &pending, const ShardReply &reply);
+    void handleReply(const std::shared_ptr<PendingRequest> &pending, int attempt,
+                     const ShardReply &reply);
+    void handleSilence(const std::shared_ptr<PendingRequest> &pending);
+    void retryLater(const std::shared_ptr<PendingRequest> &pending);
     void armDeadline(const std::shared_ptr<PendingRequest> &pending);
     void handleDeadline(const std::shared_ptr<PendingRequest> &pending);
     void giveUp(const std::shared_ptr<PendingRequest> &pending, ShardOutcome outcome);
--- a/tests/node/callerapi_test.cpp
+++ b/tests/node/callerapi_test.cpp
@@ -16,18 +16,22 @@
 constexpr Millis waitLimit{20'000}; // Generous; reached only if a request gets no response.
 
 // A CallerApi with an owner that sends the given replies in order and then repeats the last one.
-// Without any, the owner replies when the test calls replyToAttempts().
+// Without any, the owner replies when the test calls replyToAttempts(), or after `replyDelay`.
 class CallerApiFixture
 {
 public:
-    explicit CallerApiFixture(std::vector<ShardReply> replies)
+    explicit CallerApiFixture(std::vector<ShardReply> replies,
+                              const CallerApiSettings &settings = {})
         : m_replies(std::move(replies))
-        , m_api({},
+        , m_api(settings,
                 {m_loop, m_clock, m_codec, m_queues,
                  [this](const std::string &, const ShardRequest &, Millis timeout,
                         const ShardReplyCallback &onReply) {
                      m_lastTimeout = timeout;
-                     replyNext(onReply);
+                     if (replyDelay)
+                         replyLate(timeout, onReply);
+                     else
+                         replyNext(onReply);
                  }})
     {
         steps::QueueConfiguration configuration;
@@ -67,7 +71,19 @@
     // Returns the timeout of the last request to the owner.
     Millis lastTimeout() const { return m_lastTimeout; }
 
+    std::optional<Millis> replyDelay; // How long the owner takes for each attempt.
+
 private:
+    // Replies Ok after `replyDelay`, unless the attempt ends without a reply before.
+    void replyLate(Millis timeout, const ShardReplyCallback &onReply)
+    {
+        ++m_attempts;
+        const bool inTime = *replyDelay < timeout;
+        const ShardOutcome outcome = inTime ? ShardOutcome::Ok : ShardOutcome::Undecided;
+        m_loop.runAfter(std::min(*replyDelay, timeout), [outcome, onReply] {
+            onReply({outcome, steps::JobState::Running, 3});
+        });
+    }
     // Sends the owner's next reply after 100 ms of simulated time.
     void replyNext(const ShardReplyCallback &onReply)
     {
@@ -199,3 +215,19 @@
     CHECK(fixture.api().responseTimes().count() == 0);
     CHECK(fixture.api().refusals().at(ShardOutcome::Undecided) == 1);
 }
+
+// Guards against an owner that is slow, does all that it is asked for, and still serves nobody:
+// each attempt was given up just before its reply, and the next one caused the same work again.
+TEST_CASE("The reply to an attempt counts although another attempt has been made since")
+{
+    CallerApiSettings settings;
+    settings.ownerTimeout = Millis{100};
+    settings.retryInterval = Millis{20};
+    for (const int delayMs : {50, 150}) {
+        CAPTURE(delayMs);
+        CallerApiFixture fixture({}, settings);
+        fixture.replyDelay = Millis{delayMs};
+        CHECK(fixture.request("POST", "/q/id1", "job", "short").status == 200);
+        CHECK(fixture.attempts() == (delayMs < settings.ownerTimeout.count() ? 1 : 2));
+    }
+}
