--- a/tests/adapter/workerentry_test.cpp
+++ b/tests/adapter/workerentry_test.cpp
@@ -77,6 +77,8 @@
              with("\"sequence\":4", "\"sequence\":4,\"capacity\":{\"cpu\":5,\"memMb\":6}"),
              with("\"sequence\":4", "\"sequence\":4,"),
              with("\"sequence\":4}", "\"sequence\":4"),
+             with("\"sequence\":4", "\"sequence\":\"4"),
+             with("\"sequence\":4", "\"sequence\":\"true"),
              usual + " tail",
              std::string("{}"),
              std::string("[]"),
