Follow the list of workers only while owning a shard

Each of the 36 entries polled the list of 350 workers every 300 ms, although only the shard's owner uses it. Eighteen of them did so over the link between the regions, of 60 Mbit/s, which the configuration of 3,046 to 4,446 queues needs too. Their reads timed out (131 of 132 lost feeds of workers were in that region) and were made again from the start.

An entry now follows the list when it takes its first shard and stops when it has ended its last.

node_test: An entry follows the list of workers only while it owns a shard failed with a feed that is followed from the start.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -106,8 +106,6 @@
              {"peers", m_settings.peersAddress},
              {"shards", m_ownership.shardCount()}});
     m_platform.feed.watchQueues([this](steps::QueueConfiguration c) { applyQueues(std::move(c)); });
-    m_platform.feed.watchWorkers(
-        [this](std::vector<steps::WorkerInfo> workers) { setWorkers(std::move(workers)); });
     m_ownership.start();
     m_loadReporter.start();
     return bound;
@@ -186,6 +184,8 @@
             m_shardLatencies, [this] { return m_ownership.hasValidLease(); },
             [this](int shard) { shardEnded(shard); }, [this] { return m_loadReporter.lag(); }});
     m_runners[owned.shard] = runner;
+    if (m_runners.size() == 1)
+        watchWorkers();
     runner->setWorkers(workersOf(owned.shard));
     runner->open();
 }
@@ -195,6 +195,8 @@
     // The runner is still on the call stack, so its destruction is deferred to the event loop.
     m_loop.post([runner = m_runners.at(shard)] {});
     m_runners.erase(shard);
+    if (m_runners.empty())
+        unwatchWorkers();
     m_ownership.shardEnded(shard);
     notifyShardsFreed();
 }
@@ -234,6 +236,19 @@
             {{"version", version}, {"queues", static_cast<int>(current.queues.size())}});
 }
 
+// The list changes many times a second and grows with the fleet, and only owners of shards use it.
+void Node::watchWorkers()
+{
+    m_platform.feed.watchWorkers(
+        [this](std::vector<steps::WorkerInfo> workers) { setWorkers(std::move(workers)); });
+}
+
+void Node::unwatchWorkers()
+{
+    m_platform.feed.unwatchWorkers();
+    m_workers.clear();
+}
+
 void Node::setWorkers(std::vector<steps::WorkerInfo> workers)
 {
     m_workers = std::move(workers);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -54,8 +54,10 @@
 
     // Registers the listener for the queue configuration.
     virtual void watchQueues(std::function<void(steps::QueueConfiguration)> listener) = 0;
-    // Registers the listener for the complete list of workers.
+    // Registers the listener for the complete list of workers, until unwatchWorkers() is called.
     virtual void watchWorkers(std::function<void(std::vector<steps::WorkerInfo>)> listener) = 0;
+    // Stops following the list of workers. The listener is not called any more.
+    virtual void unwatchWorkers() = 0;
 };
 
 // The services that a platform adapter provides to a Node. All of them must outlive the node.
@@ -142,6 +144,8 @@
     void recordOwnerReply(ShardOutcome outcome, Millis time);
     void notifyShardsFreed();
     void applyQueues(steps::QueueConfiguration configuration);
+    void watchWorkers();
+    void unwatchWorkers();
     void setWorkers(std::vector<steps::WorkerInfo> workers);
     std::vector<steps::WorkerInfo> workersOf(int shard) const;
     void serveUntilDrained();
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -91,11 +91,11 @@
 class TestEntry final : public AsyncWorkerClient, public ClusterFeed
 {
 public:
-    TestEntry(TestCluster &cluster, bool configured)
+    TestEntry(TestCluster &cluster, bool configured, const std::string &name = "entry-a")
         : m_cluster(cluster)
         , m_configured(configured)
         , m_http(m_loop)
-        , m_node(settings(), m_loop, m_clock, m_http,
+        , m_node(settings(name), m_loop, m_clock, m_http,
                  {cluster.table, cluster.objects, *this, *this, cluster.codec})
         , m_addresses(m_node.start())
     { }
@@ -146,6 +146,8 @@
         return false;
     }
 
+    void drain() { m_node.drain(); }
+
     void runFor(Millis span)
     {
         m_loop.runAfter(span, [this] { m_loop.stop(); });
@@ -184,14 +186,18 @@
     }
     void watchWorkers(std::function<void(std::vector<steps::WorkerInfo>)> listener) override
     {
+        watchesWorkers = true;
         listener({m_cluster.worker.info()});
     }
+    void unwatchWorkers() override { watchesWorkers = false; }
+
+    bool watchesWorkers = false;
 
 private:
-    static NodeSettings settings()
+    static NodeSettings settings(const std::string &name)
     {
         NodeSettings s;
-        s.name = "entry-a";
+        s.name = name;
         for (std::string *it :
              {&s.callersAddress, &s.readinessAddress, &s.peersAddress, &s.metricsAddress})
             *it = "127.0.0.1:0";
@@ -259,3 +265,21 @@
     CHECK(a.status == 503);
     CHECK_FALSE(headerValue(a.headers, "Retry-After").empty());
 }
+
+// Guards against a link between regions that is full of changes to the list of workers, which every
+// entry followed although only owners of shards need it.
+TEST_CASE("An entry follows the list of workers only while it owns a shard")
+{
+    TestCluster cluster;
+    TestEntry owner(cluster, true, "entry-a");
+    REQUIRE(owner.becomesReady());
+    REQUIRE(owner.callerRequest("POST", "/q/id1", "job").status == 200);
+    CHECK(owner.watchesWorkers);
+    TestEntry other(cluster, true, "entry-b");
+    REQUIRE(other.becomesReady());
+    CHECK_FALSE(other.watchesWorkers);
+    owner.drain();
+    for (int i = 0; i < maxPolls && owner.watchesWorkers; ++i)
+        owner.runFor(pollInterval);
+    CHECK_FALSE(owner.watchesWorkers);
+}
--- a/tests/node/nodedrain_test.cpp
+++ b/tests/node/nodedrain_test.cpp
@@ -66,6 +66,7 @@
     {
         listener({});
     }
+    void unwatchWorkers() override { }
 };
 
 // An entry, its callers and an owner of shard 0 that receives requests and never replies.
