Do not cut off a page of the store that is still arriving

Each read began again from the start, which kept the link full.

A call may now state how long its response may pause.

httpclientconnection_test: With a stall timeout a response may take long as long as it goes on. The case without a stall timeout shows the earlier behaviour.

--- a/src/core/httpclient.h
+++ b/src/core/httpclient.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,7 +23,10 @@
     HttpHeaders headers;
     std::string body;
     std::string contentType = "application/json"; // Of the request's body.
-    Millis timeout{2'000}; // For the whole call.
+    Millis timeout{2'000}; // For the whole call, unless `stallTimeout` is set.
+    // If set, `timeout` is for the first byte of the response, and this for each pause after it: a
+    // long response over a slow link is not cut off. Only AsyncHttpClient supports it.
+    std::optional<Millis> stallTimeout;
     std::size_t maxResponseBytes = 64U << 20U; // Of the response's body; a larger one is an error.
     // If its name is not empty, the response must have this header with this value. Servers return
     // the request's id in such a header, which detects a response that belongs to another request.
--- a/src/net/httpclientconnection.cpp
+++ b/src/net/httpclientconnection.cpp
@@ -96,6 +96,7 @@
 void HttpClientConnection::begin(const HttpCall &call, Callback callback)
 {
     m_callback = std::move(callback);
+    m_stallTimeout = call.stallTimeout;
     m_request.clear();
     appendRequest(m_request, call);
     m_parser.emplace();
@@ -164,6 +165,10 @@
         return complete(peerClosed);
     if (ec || parseError)
         return failLater(HttpOutcome::ConnectionLost);
+    if (m_stallTimeout) {
+        endTimeLimit();
+        limitTime(*m_stallTimeout, HttpOutcome::TimedOut);
+    }
     readSome();
 }
 
--- a/src/net/httpclientconnection.h
+++ b/src/net/httpclientconnection.h
@@ -79,6 +79,7 @@
     const std::string m_address;
     const std::weak_ptr<Listener> m_listener;
     std::optional<DeadlineTimer::Handle> m_deadline;
+    std::optional<Millis> m_stallTimeout; // Of the present request.
     Callback m_callback;
     std::string m_request;
     bool m_writing = false; // A part of the request is still to be written.
--- a/tests/net/httpclientconnection_test.cpp
+++ b/tests/net/httpclientconnection_test.cpp
@@ -27,8 +27,10 @@
 public:
     using Script = std::vector<std::string>;
 
-    explicit ScriptedPeer(std::vector<Script> scripts, bool closeAfterScript)
+    explicit ScriptedPeer(std::vector<Script> scripts, bool closeAfterScript,
+                          std::chrono::milliseconds pieceDelay = {})
         : m_listener(socket(AF_INET, SOCK_STREAM, 0))
+        , m_pieceDelay(pieceDelay)
     {
         sockaddr_in address{};
         address.sin_family = AF_INET;
@@ -71,6 +73,7 @@
         for (const std::string &it : script) {
             send(connection, it.data(), it.size(), MSG_NOSIGNAL);
             std::this_thread::yield();
+            std::this_thread::sleep_for(m_pieceDelay);
         }
         // Without a close of its own, waits for the client's.
         while (!closeAfterScript && recv(connection, buf, sizeof buf, 0) > 0) { }
@@ -78,6 +81,7 @@
     }
 
     int m_listener;
+    const std::chrono::milliseconds m_pieceDelay; // After each piece.
     std::string m_address;
     std::string m_received;
     std::thread m_thread;
@@ -218,3 +222,32 @@
         peer.join(); // The peer's script ends when it sees the close.
     }
 }
+
+// Guards against a long response over a slow link that is cut off and asked for again from its
+// start, which keeps the link full.
+TEST_CASE("With a stall timeout a response may take long as long as it goes on")
+{
+    const ScriptedPeer::Script slowResponse{"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n", "12",
+                                            "34", "56", "78"};
+    struct Case
+    {
+        std::optional<Millis> stallTimeout;
+        HttpOutcome outcome;
+    };
+    for (const Case &it :
+         {Case{{}, HttpOutcome::TimedOut}, Case{Millis{10'000}, HttpOutcome::ResponseReceived},
+          Case{Millis{50}, HttpOutcome::TimedOut}}) {
+        CAPTURE(it.stallTimeout.value_or(Millis{0}).count());
+        ScriptedPeer peer({slowResponse}, false, std::chrono::milliseconds(400));
+        EventLoop loop;
+        HttpResult result;
+        {
+            AsyncHttpClient client(loop);
+            HttpCall call{.address = peer.address()};
+            call.timeout = Millis{1'000};
+            call.stallTimeout = it.stallTimeout;
+            result = exchange(loop, client, std::move(call));
+        }
+        CHECK((result.outcome == it.outcome));
+    }
+}
