--- a/src/node/nodedrain.cpp
+++ b/src/node/nodedrain.cpp
@@ -1,7 +1,7 @@
 // Implements Node::drain(). A stop has four phases:
 //   1. The entry serves as usual, but reports not ready and asks callers to close their
-//   connections,
-//      until the balancer sends no new callers and no request is open, or until answers are due.
+//      connections. This ends when the balancer sends no new callers and no request is open, or
+//      when answers are due.
 //   2. Answers are due: whatever still waits gets the response that is true now.
 //   3. The connections end in order. Requests that arrive meanwhile are answered.
 //   4. The session ends, and the loop stops.
