Say again why an entry's row can't be read

Operators who found entry-row-unreadable in a log saw which row it was, but no longer why: the field "why" was lost when the reading of rows moved to parseEntryRow(), which caught the parser's error and dropped it.

EntryRow now keeps the error in place of a flag, and the line has its "why" again.

--- a/include/savorywick/entryrow.h
+++ b/include/savorywick/entryrow.h
@@ -27,7 +27,8 @@
     std::string peer; // The address at which other entries reach it. May be empty.
     EntryCapacity capacity; // Not known if the row was written by an earlier version.
     bool draining = false; // It claims no shards any more.
-    bool readable = true; // False if the row holds no JSON object; then no other field is set.
+    // Why the row can't be read; then no other field is set. Empty if it holds a JSON object.
+    std::string error;
 };
 
 // Returns the fields in the text of an entry's row. A missing field or one of another type has its
--- a/src/lib/entryrow.cpp
+++ b/src/lib/entryrow.cpp
@@ -46,16 +46,18 @@
 
 EntryRow parseEntryRow(std::string_view text)
 {
+    EntryRow row;
     Json::Value json;
     try {
         json = internal::parseJsonText(text);
-    } catch (const Error &) {
-        json = Json::Value();
+    } catch (const Error &e) {
+        row.error = e.what();
+        return row;
     }
-    EntryRow row;
-    row.readable = json.isObject();
-    if (!row.readable)
+    if (!json.isObject()) {
+        row.error = "the text is no JSON object";
         return row;
+    }
     if (json["peer"].isString())
         row.peer = json["peer"].asString();
     row.capacity = parseCapacity(json["capacity"]);
--- a/src/node/ownership.cpp
+++ b/src/node/ownership.cpp
@@ -163,8 +163,8 @@
     m_leaseManager->observe(entries, present, *m_lastObservedAt);
     m_otherPeerAddresses.clear();
     for (const auto &[session, it] : m_leaseManager->entries()) {
-        if (!it.row.readable)
-            logWarning("entry-row-unreadable", {{"key", entryKey(session)}});
+        if (!it.row.error.empty())
+            logWarning("entry-row-unreadable", {{"key", entryKey(session)}, {"why", it.row.error}});
         else if (!it.row.peer.empty() && it.row.peer != m_peerAddress)
             m_otherPeerAddresses.push_back(it.row.peer);
     }
--- a/tests/lib/ownerpreference_test.cpp
+++ b/tests/lib/ownerpreference_test.cpp
@@ -104,7 +104,7 @@
         CHECK(row.peer == it.peer);
         CHECK(row.capacity == it.capacity);
         CHECK(row.draining == it.draining);
-        CHECK(row.readable == it.readable);
+        CHECK(row.error.empty() == it.readable);
     }
 }
 
