Count what a server reads and does not answer

Callers reported whole requests that got neither an answer nor a refusal around a stop. The log could not tell apart a request that was read and abandoned, one that was read and thrown away after the last response of its connection, one whose bytes were never read, and one that never came.

AsyncHttpServer counts requests whose response was not written whole and bytes that it discards, and says how many connections hold bytes that it has not read. Two of the counts are metrics as well.

No behaviour towards callers changes. asynchttp_test, nodedrain_test and node_test passed.

--- a/src/net/asynchttpserver.cpp
+++ b/src/net/asynchttpserver.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <set>
@@ -93,6 +94,16 @@
     return request;
 }
 
+// Returns the client's address, or an empty text if the connection has failed.
+std::string remoteAddress(const Tcp::socket &socket)
+{
+    error_code ec;
+    const Tcp::endpoint client = socket.remote_endpoint(ec);
+    if (ec)
+        return {};
+    return client.address().to_string() + ":" + std::to_string(client.port());
+}
+
 // Returns the status code for a request that could not be read, or 0 if no response is due because
 // the connection failed or was closed.
 int errorStatus(const error_code &ec)
@@ -130,6 +141,7 @@
     Tcp::acceptor acceptor;
     std::set<Session *> sessions; // Of all open connections.
     std::size_t inFlight = 0;
+    AsyncHttpServerCounts counts;
     bool draining = false;
     bool closing = false;
 };
@@ -148,8 +160,9 @@
     }
     ~Session()
     {
-        if (m_awaitsResponse)
-            --m_server->inFlight;
+        endRequest(m_awaitsResponse);
+        if (m_discardedBytes > 0)
+            logInfo("request-bytes-discarded", {{"client", m_client}, {"bytes", m_discardedBytes}});
         m_server->sessions.erase(this);
     }
     Session(const Session &) = delete;
@@ -173,7 +186,7 @@
                                      if (ec)
                                          return;
                                      if (self->m_isHalfClosed)
-                                         return self->linger();
+                                         return self->discard(n);
                                      self->m_buffer.commit(n);
                                      self->read();
                                  });
@@ -187,6 +200,13 @@
             halfClose();
     }
 
+    // Returns true if and only if bytes have arrived that the server has not read.
+    bool hasArrivedBytes()
+    {
+        error_code ignored; // A failed connection has no bytes.
+        return m_stream.socket().available(ignored) > 0;
+    }
+
 private:
     static constexpr std::size_t firstReadBytes = 4'096;
 
@@ -252,8 +272,7 @@
 
     void onWritten(const error_code &ec)
     {
-        if (std::exchange(m_awaitsResponse, false))
-            --m_server->inFlight;
+        endRequest(ec.failed());
         if (ec)
             return;
         if (m_response.keep_alive())
@@ -263,12 +282,16 @@
         linger();
     }
 
-    bool hasUnreadBytes()
+    void endRequest(bool unanswered)
     {
-        error_code ignored; // A failed connection has no bytes.
-        return m_buffer.size() > 0 || m_stream.socket().available(ignored) > 0;
+        if (!std::exchange(m_awaitsResponse, false))
+            return;
+        --m_server->inFlight;
+        m_server->counts.unanswered += unanswered ? 1 : 0;
     }
 
+    bool hasUnreadBytes() { return m_buffer.size() > 0 || hasArrivedBytes(); }
+
     void halfClose()
     {
         m_isHalfClosed = true;
@@ -283,12 +306,21 @@
     {
         m_buffer.clear();
         m_stream.async_read_some(m_buffer.prepare(firstReadBytes),
-                                 [self = shared_from_this()](const error_code &ec, std::size_t) {
+                                 [self = shared_from_this()](const error_code &ec, std::size_t n) {
                                      if (!ec)
-                                         self->linger();
+                                         self->discard(n);
                                  });
     }
 
+    void discard(std::size_t bytes)
+    {
+        if (m_discardedBytes == 0)
+            m_client = remoteAddress(m_stream.socket());
+        m_discardedBytes += bytes;
+        m_server->counts.discardedBytes += bytes;
+        linger();
+    }
+
     beast::tcp_stream m_stream;
     std::shared_ptr<Impl> m_server;
     beast::flat_buffer m_buffer;
@@ -296,6 +328,8 @@
     Response m_response;
     bool m_keepAlive = true;
     const bool m_rejects;
+    std::uint64_t m_discardedBytes = 0;
+    std::string m_client; // The address, known once bytes have been discarded.
     bool m_isIdle = false; // Waits for the first byte of a request.
     bool m_hasServed = false; // A request was read before.
     bool m_isHalfClosed = false;
@@ -420,4 +454,16 @@
     return m_impl->sessions.size();
 }
 
+std::size_t AsyncHttpServer::unreadConnections() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_impl->sessions.begin(), m_impl->sessions.end(),
+                      [](Impl::Session *it) { return it->hasArrivedBytes(); }));
+}
+
+const AsyncHttpServerCounts &AsyncHttpServer::counts() const
+{
+    return m_impl->counts;
+}
+
 } // namespace savorywick
--- a/src/net/asynchttpserver.h
+++ b/src/net/asynchttpserver.h
@@ -4,6 +4,7 @@
 #include "net/eventloop.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -28,6 +29,15 @@
     Millis lingerTimeout{1'000};
 };
 
+// What a server read and did not answer, since its start.
+struct AsyncHttpServerCounts
+{
+    // Requests that were read and whose connection ended before the whole response was written.
+    std::uint64_t unanswered = 0;
+    // Bytes that were read and discarded because they came after the last response of a connection.
+    std::uint64_t discardedBytes = 0;
+};
+
 // Serves HTTP/1.1 on an EventLoop and passes every request to one handler.
 //
 // Use it to serve many clients from one thread: the handler may keep the responder and respond
@@ -76,6 +86,9 @@
     std::size_t inFlight() const;
     // Returns the number of connections that are not closed by both sides yet.
     std::size_t openConnections() const;
+    // Returns the number of connections in which bytes have arrived that the server has not read.
+    std::size_t unreadConnections() const;
+    const AsyncHttpServerCounts &counts() const;
 
 private:
     struct Impl;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -152,6 +152,7 @@
     void closeConnections();
     void awaitClosedConnections(Instant closingAt);
     void stop();
+    void leave();
     void logStop() const;
 
     const NodeSettings m_settings;
--- a/src/node/nodedrain.cpp
+++ b/src/node/nodedrain.cpp
@@ -89,14 +89,19 @@
 
 void Node::stop()
 {
-    logStop();
     // What is read from now on is refused at once.
     m_callerApi.limitDeadlines(m_clock.now());
     m_callerServer.closeIdle();
     m_peerServer.closeIdle();
-    m_ownership.endSession([this] { m_loop.stop(); });
+    m_ownership.endSession([this] { leave(); });
     // Stop after this time at the latest, even if the store does not answer.
-    m_loop.runAfter(maxEndSessionTime, [this] { m_loop.stop(); });
+    m_loop.runAfter(maxEndSessionTime, [this] { leave(); });
+}
+
+void Node::leave()
+{
+    logStop();
+    m_loop.stop();
 }
 
 void Node::logStop() const
@@ -108,6 +113,10 @@
              {"peersInFlight", static_cast<int>(m_peerServer.inFlight())},
              {"connections", static_cast<int>(m_callerServer.openConnections())},
              {"peerConnections", static_cast<int>(m_peerServer.openConnections())},
+             {"unread", static_cast<int>(m_callerServer.unreadConnections())},
+             {"peersUnread", static_cast<int>(m_peerServer.unreadConnections())},
+             {"unanswered", m_callerServer.counts().unanswered},
+             {"discardedBytes", m_callerServer.counts().discardedBytes},
              {"shards", static_cast<int>(m_runners.size())},
              {"answered", counts.conclusive - before.conclusive},
              {"refused", counts.refused - before.refused},
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -34,6 +34,8 @@
 {
     PrometheusWriter out;
     out.writeCounter("caller_requests_total", m_callerRequestCount);
+    out.writeCounter("caller_requests_unanswered_total", m_callerServer.counts().unanswered);
+    out.writeCounter("caller_bytes_discarded_total", m_callerServer.counts().discardedBytes);
     out.writeGauge("owned_shards", m_runners.size());
     out.writeGauge("ready", isReady() ? 1 : 0);
     out.writeGauge("configuration_version", m_queues.configuration().version);
--- a/tests/net/asynchttp_test.cpp
+++ b/tests/net/asynchttp_test.cpp
@@ -279,6 +279,28 @@
     CHECK(response.ends_with("\r\n\r\n" + body));
 }
 
+TEST_CASE("A server counts what it reads after the last response of a connection")
+{
+    const std::string late = "GET /b HTTP/1.1\r\nHost: a\r\n\r\n";
+    HttpFixture fixture(echo);
+    RawClient client(fixture.address());
+    client.send("GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    fixture.runUntil([&] { return fixture.handledRequests() == 1; });
+    fixture.runUntil([&] { return fixture.server().inFlight() == 0; });
+    client.send(late);
+    fixture.runUntil([&] { return fixture.server().counts().discardedBytes == late.size(); });
+    CHECK(fixture.server().counts().unanswered == 0);
+}
+
+TEST_CASE("A server counts a request whose handler drops the responder")
+{
+    HttpFixture fixture([](const HttpRequest &, const AsyncHttpServer::Responder &) {});
+    RawClient client(fixture.address());
+    client.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(fixture.readAll(client).empty());
+    CHECK(fixture.server().counts().unanswered == 1);
+}
+
 // Guards against requests that get no response because the server closes a connection over its
 // limit at once.
 TEST_CASE("A request on a connection over the limit gets status 503")
