Log why a step waits and why a worker refuses a start

The log could not tell the hypotheses on a step that could run and doesn't apart: a run that ended as never-started looks the same whether the worker refused it for room, was not healthy or could not be reached, and a step that is never placed leaves no line at all.

start-refused names the worker and the outcome of each refused start order. step-waiting names, for steps that have waited for 2 s, what the step waits for and how many workers may be given tasks; at most five steps a second, in turn, so that overload doesn't fill the log.

The three new tests cover the events.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -93,6 +93,10 @@
     // The shortest time from a placement pass that left steps waiting to the next one, so that
     // under overload the time spent on placement does not grow with the number of events.
     Millis placementInterval{20};
+
+    // A step that has waited for this time is noted as waiting, a few steps at this interval.
+    Millis minNotedWait{2'000};
+    Millis waitNoteInterval{1'000};
 };
 
 // The result of Coordinator::submit().
@@ -348,11 +352,13 @@
     std::vector<CandidateWorker> candidateWorkers(const PassNeeds &needs, Instant now);
     std::vector<ReadyStep> sortedReadySteps(ClockReading now) const;
     void placeReadySteps(ClockReading now);
-    double minHeadroomFor(const ReadyStep &step, ClockReading now) const;
+    double minHeadroomAfter(Millis waited) const;
     bool placeStep(const ReadyStep &step, PlacementPass &pass, ClockReading now);
     bool placeGang(const ReadyStep &step, PlacementPass &pass, ClockReading now);
     void startRun(const TaskRef &task, int run, const StepSpec &spec, CandidateWorker &worker,
                   ClockReading now);
+    std::vector<StepRef> nextStepsToNote(Instant now) const;
+    void noteWaitingSteps(ClockReading now);
     std::vector<int> tasksToStart(const StepRef &ref) const;
     PlacementConstraints constraintsFor(const StepRef &ref) const;
 
@@ -392,6 +398,8 @@
     std::map<std::string, int, std::less<>> m_queuedJobs; // Count of durable jobs by queue.
     bool m_placementNeeded = true;
     Instant m_nextPlacementAt; // The earliest time of the next placement pass.
+    Instant m_nextWaitNotesAt; // The earliest time of the next StepWaiting events.
+    StepRef m_lastNotedStep; // The last step that a StepWaiting event told of.
 };
 
 } // namespace savorywick::steps
--- a/include/savorywick/steps/placement.h
+++ b/include/savorywick/steps/placement.h
@@ -133,6 +133,23 @@
     std::vector<Rank> m_ranks; // By index of the worker.
 };
 
+// Why a step has a task that may start and no worker for it.
+enum class WaitReason {
+    NoUsableWorker, // No worker has the step's service and label.
+    WorkerLimit, // All those have as many tasks of the step as it allows.
+    NoRoom, // All others have too little room.
+    Headroom, // Some have room, but long-running tasks there would keep too little headroom.
+    GangIncomplete, // There is room for some members of a gang.
+    Room, // There is room for a task.
+};
+
+// Returns the reason's name for logs, such as "no-room".
+std::string_view toString(WaitReason reason);
+
+// Returns why the step waits if these are the workers that may be given tasks now.
+WaitReason waitReasonOf(const StepSpec &spec, const PlacementConstraints &constraints,
+                        std::span<const CandidateWorker> workers);
+
 // Returns what a WorkerChooser chooses for a single task.
 std::optional<std::size_t> chooseWorker(const StepSpec &spec,
                                         const PlacementConstraints &constraints,
--- a/include/savorywick/steps/schedulerevent.h
+++ b/include/savorywick/steps/schedulerevent.h
@@ -13,6 +13,7 @@
     JobStarted, // The first run of the job was placed.
     RunPlaced, // A worker was chosen for the run.
     RunConfirmed, // The worker reported that it has the run.
+    StartRefused, // The worker refused the start command, or the command did not reach it.
     RunEnded, // The run ended.
     StopRequested, // The run is to be stopped.
     StopFailed, // The worker refused to stop the run, or did not answer.
@@ -24,6 +25,7 @@
     WorkerRecovered, // The worker answers renewals again.
     WorkerLeaseExpired, // The worker's lease expired, so all its runs are over.
     WorkerQuarantined, // The worker was quarantined because too many runs fail on it.
+    StepWaiting, // A step has had a task that may start, and no worker for it, for long.
 };
 
 // Returns the name of the log event, such as "run-placed".
@@ -41,13 +43,15 @@
     std::string worker;
     // One of a fixed set of words, such as "gang-broken".
     std::string_view reason;
-    // The time since the occurrence was due for JobStarted, RunPlaced and JobEnded, and since the
-    // worker last answered for events of workers' leases. StopRequested and WorkerQuarantined have
-    // 0; other events have the time since the run was started.
+    // The time since the occurrence was due for JobStarted, RunPlaced and JobEnded, since the
+    // worker last answered for events of workers' leases, and since the step has waited for
+    // StepWaiting. StopRequested and WorkerQuarantined have 0; other events have the time since the
+    // run was started.
     Millis age;
     // The processors left on the worker, in thousandths of a core, for RunPlaced; the new speed in
     // percent for RunThrottled; the progress in percent for RunConfirmed, RunEnded and
-    // StopRequested; 0 for other events.
+    // StopRequested; the number of workers that may be given tasks for StepWaiting; 0 for other
+    // events.
     int value = 0;
 };
 
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -234,6 +234,7 @@
     forgetExpiredJobs(now);
     if (m_placementNeeded && now.monotonic >= m_nextPlacementAt)
         placeReadySteps(now);
+    noteWaitingSteps(now);
 }
 
 std::vector<std::string> Coordinator::takeRecords()
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -161,7 +161,7 @@
     PlacementPass pass{candidateWorkers(needsOf(steps), now.monotonic), {}};
     for (const ReadyStep &step : steps) {
         if (pass.unplaceable.covers(*step.spec, step.job->spec.policy.service,
-                                    minHeadroomFor(step, now)))
+                                    minHeadroomAfter(now.monotonic - step.since)))
             continue;
         const bool allPlaced =
             step.spec->gang ? placeGang(step, pass, now) : placeStep(step, pass, now);
@@ -172,10 +172,11 @@
         m_nextPlacementAt = now.monotonic + m_settings.placementInterval;
 }
 
-// Returns the headroom that a best-effort task of the step must leave to latency-critical runs.
-double Coordinator::minHeadroomFor(const ReadyStep &step, ClockReading now) const
+// Returns the headroom that a best-effort task must leave to latency-critical runs if its step has
+// waited for this time.
+double Coordinator::minHeadroomAfter(Millis waited) const
 {
-    const bool relaxed = now.monotonic - step.since >= m_settings.relaxHeadroomAfter;
+    const bool relaxed = waited >= m_settings.relaxHeadroomAfter;
     return relaxed ? m_settings.relaxedMinHeadroom : m_settings.minHeadroom;
 }
 
@@ -183,7 +184,7 @@
 bool Coordinator::placeStep(const ReadyStep &step, PlacementPass &pass, ClockReading now)
 {
     PlacementConstraints constraints = constraintsFor(step.ref);
-    constraints.minHeadroom = minHeadroomFor(step, now);
+    constraints.minHeadroom = minHeadroomAfter(now.monotonic - step.since);
     WorkerChooser chooser(*step.spec, constraints, pass.workers);
     for (const int index : tasksToStart(step.ref)) {
         const auto chosen = chooser.choose();
@@ -231,6 +232,48 @@
     return true;
 }
 
+// Returns the steps to note next of those that have waited for long. All have their turn.
+std::vector<StepRef> Coordinator::nextStepsToNote(Instant now) const
+{
+    constexpr std::size_t maxSteps = 5; // Bounds the log.
+    std::vector<StepRef> steps;
+    auto it = m_readySteps.upper_bound(m_lastNotedStep);
+    for (std::size_t i = 0; i < m_readySteps.size() && steps.size() < maxSteps; ++i, ++it) {
+        if (it == m_readySteps.end())
+            it = m_readySteps.begin();
+        if (now - it->second >= m_settings.minNotedWait)
+            steps.push_back(it->first);
+    }
+    return steps;
+}
+
+// Notes why steps wait that have done so for long.
+void Coordinator::noteWaitingSteps(ClockReading now)
+{
+    if (now.monotonic < m_nextWaitNotesAt)
+        return;
+    m_nextWaitNotesAt = now.monotonic + m_settings.waitNoteInterval;
+    const std::vector<StepRef> steps = nextStepsToNote(now.monotonic);
+    if (steps.empty())
+        return;
+    const std::vector<CandidateWorker> workers = candidateWorkers({true, 0}, now.monotonic);
+    for (const StepRef &ref : steps) {
+        const Millis waited = now.monotonic - m_readySteps.at(ref);
+        PlacementConstraints constraints = constraintsFor(ref);
+        constraints.minHeadroom = minHeadroomAfter(waited);
+        const StepSpec &spec = m_table.find(ref.job)->spec.steps[ref.step];
+        const WaitReason reason = waitReasonOf(spec, constraints, workers);
+        m_notes.push_back({SchedulerEventKind::StepWaiting,
+                           {ref.job, ref.occurrence, ref.step, 0},
+                           0,
+                           {},
+                           toString(reason),
+                           waited,
+                           static_cast<int>(workers.size())});
+    }
+    m_lastNotedStep = steps.back();
+}
+
 void Coordinator::startRun(const TaskRef &task, int run, const StepSpec &spec,
                            CandidateWorker &worker, ClockReading now)
 {
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -228,6 +228,8 @@
     case CommandOutcome::WrongIncarnation:
     case CommandOutcome::Rejected:
     case CommandOutcome::NotSent:
+        noteRun(SchedulerEventKind::StartRefused, *run, toString(reply.outcome),
+                now.monotonic - run->startedAt);
         if (sameLife && reply.outcome == CommandOutcome::NotSent)
             worker->second.session.markUnresponsive();
         if (sameLife && reply.outcome == CommandOutcome::NoRoom)
--- a/src/lib/steps/placement.cpp
+++ b/src/lib/steps/placement.cpp
@@ -33,21 +33,31 @@
     return useless ? uselessGroup : lateGroup;
 }
 
-bool mayRun(const StepSpec &spec, const PlacementConstraints &constraints,
-            const CandidateWorker &worker)
+bool hasServiceAndLabel(const StepSpec &spec, const PlacementConstraints &constraints,
+                        const WorkerInfo &info)
 {
-    const WorkerInfo &info = *worker.info;
     if (info.service != constraints.service)
         return false;
-    if (!spec.neededLabel.empty()
-        && std::find(info.labels.begin(), info.labels.end(), spec.neededLabel) == info.labels.end())
-        return false;
+    return spec.neededLabel.empty()
+        || std::find(info.labels.begin(), info.labels.end(), spec.neededLabel) != info.labels.end();
+}
+
+bool isBelowWorkerLimit(const StepSpec &spec, const PlacementConstraints &constraints,
+                        const WorkerInfo &info)
+{
     if (spec.maxTasksPerWorker == 0)
         return true;
     const auto it = constraints.tasksPerWorker.find(info.incarnation.workerId);
     return it == constraints.tasksPerWorker.end() || it->second < spec.maxTasksPerWorker;
 }
 
+bool mayRun(const StepSpec &spec, const PlacementConstraints &constraints,
+            const CandidateWorker &worker)
+{
+    return hasServiceAndLabel(spec, constraints, *worker.info)
+        && isBelowWorkerLimit(spec, constraints, *worker.info);
+}
+
 // The effect that a best-effort task would have on the latency-critical runs of a worker.
 struct Interference
 {
@@ -71,15 +81,35 @@
     return total;
 }
 
-bool fits(const StepSpec &spec, const CandidateWorker &worker)
+bool hasRoom(const StepSpec &spec, const CandidateWorker &worker)
 {
     if (!spec.bestEffort)
         return spec.demand.fitsIn(worker.available);
-    return worker.acceptsBestEffort && spec.demand.memoryMb <= worker.available.memoryMb
+    return spec.demand.memoryMb <= worker.available.memoryMb
         && spec.demand.accelerators <= worker.available.accelerators
         && hasIdleProcessors(worker, spec.demand.milliCores);
 }
 
+bool fits(const StepSpec &spec, const CandidateWorker &worker)
+{
+    return hasRoom(spec, worker) && (!spec.bestEffort || worker.acceptsBestEffort);
+}
+
+// Returns what keeps the worker from taking a task of the step, or Room if nothing does.
+WaitReason obstacleOn(const CandidateWorker &worker, const StepSpec &spec,
+                      const PlacementConstraints &constraints)
+{
+    if (!hasServiceAndLabel(spec, constraints, *worker.info))
+        return WaitReason::NoUsableWorker;
+    if (!isBelowWorkerLimit(spec, constraints, *worker.info))
+        return WaitReason::WorkerLimit;
+    if (!hasRoom(spec, worker))
+        return WaitReason::NoRoom;
+    const bool harms = spec.bestEffort
+        && (!worker.acceptsBestEffort || interferenceOf(spec, constraints, worker).excessive);
+    return harms ? WaitReason::Headroom : WaitReason::Room;
+}
+
 } // namespace
 
 bool hasIdleProcessors(const CandidateWorker &worker, int milliCores)
@@ -214,6 +244,36 @@
     return best;
 }
 
+std::string_view toString(WaitReason reason)
+{
+    switch (reason) {
+    case WaitReason::NoUsableWorker:
+        return "no-usable-worker";
+    case WaitReason::WorkerLimit:
+        return "worker-limit";
+    case WaitReason::NoRoom:
+        return "no-room";
+    case WaitReason::Headroom:
+        return "headroom";
+    case WaitReason::GangIncomplete:
+        return "gang-incomplete";
+    case WaitReason::Room:
+        return "room";
+    }
+    return "unnamed";
+}
+
+// The reasons are in the order of what a worker must have, so the last obstacle of any worker is
+// what the step waits for.
+WaitReason waitReasonOf(const StepSpec &spec, const PlacementConstraints &constraints,
+                        std::span<const CandidateWorker> workers)
+{
+    WaitReason reason = WaitReason::NoUsableWorker;
+    for (const CandidateWorker &it : workers)
+        reason = std::max(reason, obstacleOn(it, spec, constraints));
+    return spec.gang && reason == WaitReason::Room ? WaitReason::GangIncomplete : reason;
+}
+
 std::optional<std::size_t> chooseWorker(const StepSpec &spec,
                                         const PlacementConstraints &constraints,
                                         std::span<const CandidateWorker> workers)
--- a/src/lib/steps/schedulerevent.cpp
+++ b/src/lib/steps/schedulerevent.cpp
@@ -11,6 +11,8 @@
         return "run-placed";
     case SchedulerEventKind::RunConfirmed:
         return "run-confirmed";
+    case SchedulerEventKind::StartRefused:
+        return "start-refused";
     case SchedulerEventKind::RunEnded:
         return "run-ended";
     case SchedulerEventKind::StopRequested:
@@ -31,6 +33,8 @@
         return "worker-lapsed";
     case SchedulerEventKind::WorkerQuarantined:
         return "worker-suspected";
+    case SchedulerEventKind::StepWaiting:
+        return "step-waiting";
     }
     return "unnamed";
 }
--- a/src/node/schedulerlog.cpp
+++ b/src/node/schedulerlog.cpp
@@ -20,6 +20,7 @@
     case SchedulerEventKind::JobEnded:
     case SchedulerEventKind::WorkerLeaseExpired:
     case SchedulerEventKind::WorkerQuarantined:
+    case SchedulerEventKind::StepWaiting:
         return logInfo;
     case SchedulerEventKind::RunPlaced:
         return note.run > 1 ? logNotable : logRoutine;
@@ -28,6 +29,7 @@
     case SchedulerEventKind::RunConfirmed:
     case SchedulerEventKind::RunThrottled:
         return logRoutine;
+    case SchedulerEventKind::StartRefused:
     case SchedulerEventKind::StopRequested:
     case SchedulerEventKind::StopFailed:
     case SchedulerEventKind::RunUnconfirmed:
--- /dev/null
+++ b/tests/steps/coordinatorharness.h
@@ -0,0 +1,222 @@
+#pragma once
+
+#include "savorywick/steps/coordinator.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace savorywick::steps::testing {
+
+// Runs a Coordinator in virtual time against workers whose behaviour the test sets, and with a
+// journal that commits at once. Use it to check which orders the Coordinator sends in a given
+// situation.
+class CoordinatorHarness
+{
+public:
+    explicit CoordinatorHarness(int workers, const CoordinatorSettings &settings = {})
+        : m_coordinator(1, m_now, settings)
+    {
+        for (int i = 0; i < workers; ++i) {
+            WorkerInfo info;
+            info.incarnation = {"w" + std::to_string(i), 1};
+            info.service = "matching";
+            info.address = "10.0.0.1:1";
+            info.capacity = {16'000, 32'000, 0};
+            m_workers.push_back(info);
+            m_startedWallMs[info.incarnation.workerId] = info.incarnation.startedWallMs;
+        }
+        m_coordinator.takeOver(now());
+        m_coordinator.setWorkers(m_workers, now());
+        step();
+    }
+
+    Coordinator &coordinator() { return m_coordinator; }
+    ClockReading now() const { return {m_now, m_now.count()}; }
+
+    void submit(const std::string &id, const StepSpec &stepSpec)
+    {
+        submitFor("matching", id, stepSpec);
+        step();
+    }
+
+    // Submits a job for the workers of a service. It is placed at the next step().
+    void submitFor(const std::string &service, const std::string &id, const StepSpec &stepSpec)
+    {
+        JobSpec spec;
+        spec.id = id;
+        spec.policy = {"q", service, 0, 2, 2.0, Millis{500}};
+        spec.steps = {stepSpec};
+        m_coordinator.submit(spec, now());
+    }
+
+    // Lists only these workers from now on.
+    void listWorkers(const std::set<int> &indexes)
+    {
+        std::vector<WorkerInfo> listed;
+        listed.reserve(indexes.size());
+        for (const int it : indexes)
+            listed.push_back(m_workers[it]);
+        m_coordinator.setWorkers(listed, now());
+    }
+
+    // Starts a new life of the worker, without runs. The list still shows the one before.
+    void restartUnlisted(int worker)
+    {
+        const std::string &id = m_workers[worker].incarnation.workerId;
+        ++m_startedWallMs[id];
+        m_fences[id] = 0;
+        std::erase_if(starts, [&](const auto &it) { return it.target.worker.workerId == id; });
+    }
+
+    // Returns the highest fence that this life of the worker has seen.
+    Fence highestFence(const std::string &worker) const { return m_fences.at(worker); }
+
+    void setDraining(int worker)
+    {
+        m_workers[worker].draining = true;
+        m_coordinator.setWorkers(m_workers, now());
+    }
+
+    // Advances the time in small steps. Every renewal is answered with the runs that were started.
+    void advance(Millis span)
+    {
+        for (Millis t{0}; t < span; t = t + Millis{20}) {
+            m_now = m_now + Millis{20};
+            step();
+        }
+    }
+
+    // Lets the coordinator decide, commits its records, and answers its orders. Orders are
+    // recorded; stop orders are answered with `stopOutcome`.
+    void step()
+    {
+        m_coordinator.tick(now());
+        for (int round = 0; round < 3; ++round) {
+            m_lsn += m_coordinator.takeRecords().size();
+            m_coordinator.recordsAppended(m_lsn);
+            m_coordinator.recordsDurable(m_lsn);
+            for (const WorkerCommand &it : m_coordinator.takeOrders(now()))
+                std::visit([this](const auto &order) { respond(order); }, it);
+        }
+    }
+
+    // Returns the workers that tasks of the job were started on, in order.
+    std::vector<std::string> workersStartedOn(const std::string &job) const
+    {
+        std::vector<std::string> all;
+        for (const StartRunCommand &it : starts) {
+            if (it.task.job == job)
+                all.push_back(it.target.worker.workerId);
+        }
+        return all;
+    }
+
+    // Makes the worker report that the run of this start order has failed.
+    void reportFailure(const StartRunCommand &order)
+    {
+        std::vector<RunEndReport> &ended = m_endReports[order.target.worker.workerId];
+        const auto number = static_cast<std::int64_t>(ended.size()) + 1;
+        ended.push_back({number, order.task, order.run, RunOutcome::Failed, ""});
+        m_failedRuns.insert({order.task, order.run});
+    }
+
+    std::vector<StartRunCommand> starts;
+    std::vector<StopRunCommand> stops;
+    std::vector<ThrottleRunCommand> throttles;
+    CommandOutcome stopOutcome = CommandOutcome::Done;
+    int tailLatencyMs = 10; // That long-running runs report.
+    std::set<std::string> failingWorkers; // They fail every run that is started from now on.
+    // How these workers answer start orders. Unless it is Done, they don't start the run.
+    std::map<std::string, CommandOutcome> startOutcomes;
+    std::vector<StartRunCommand> refusedStarts;
+    std::set<std::string> silentWorkers; // They answer no renewals.
+    int fencedRenewals = 0; // That a worker refused, since it had seen a higher fence.
+
+private:
+    static constexpr int milliCoresInUse = 4'000; // That other runs report.
+
+    void respond(const RenewLeaseCommand &order)
+    {
+        if (silentWorkers.contains(order.target.worker.workerId))
+            return m_coordinator.handleRenewReply(order, {}, now());
+        Fence &highest = m_fences[order.target.worker.workerId];
+        if (order.target.fence < highest)
+            return refuseRenewal(order);
+        highest = order.target.fence;
+        RenewLeaseReply reply{CommandOutcome::Done, {}};
+        reply.report.clockMs = m_now.count();
+        reply.report.startedWallMs = m_startedWallMs[order.target.worker.workerId];
+        if (const auto it = m_endReports.find(order.target.worker.workerId);
+            it != m_endReports.end())
+            reply.report.ended = it->second;
+        for (const StartRunCommand &it : starts) {
+            if (it.target.worker != order.target.worker || m_failedRuns.contains({it.task, it.run}))
+                continue;
+            const Run *run = m_coordinator.runs().find({it.task, it.run});
+            const int measurement = run && run->longRunning ? tailLatencyMs : milliCoresInUse;
+            reply.report.running.push_back({it.task, it.run, "", 100, measurement});
+        }
+        m_coordinator.handleRenewReply(order, reply, now());
+    }
+    void refuseRenewal(const RenewLeaseCommand &order)
+    {
+        ++fencedRenewals;
+        m_coordinator.handleRenewReply(order, {CommandOutcome::Fenced, {}}, now());
+    }
+    void respond(const StartRunCommand &order)
+    {
+        const auto outcome = startOutcomes.find(order.target.worker.workerId);
+        if (outcome != startOutcomes.end() && outcome->second != CommandOutcome::Done) {
+            refusedStarts.push_back(order);
+            return m_coordinator.handleStartReply(order, {outcome->second, {}}, now());
+        }
+        starts.push_back(order);
+        if (failingWorkers.contains(order.target.worker.workerId))
+            reportFailure(order);
+        m_coordinator.handleStartReply(order, {CommandOutcome::Done, m_now.count()}, now());
+    }
+    void respond(const StopRunCommand &order)
+    {
+        stops.push_back(order);
+        m_coordinator.handleStopReply(order, {stopOutcome, {}}, now());
+    }
+    void respond(const ThrottleRunCommand &order) { throttles.push_back(order); }
+
+    Instant m_now{1'000'000};
+    std::vector<WorkerInfo> m_workers;
+    Coordinator m_coordinator;
+    LogSequenceNumber m_lsn = 0;
+    std::map<std::string, std::vector<RunEndReport>> m_endReports;
+    std::set<RunKey> m_failedRuns;
+    std::map<std::string, Fence> m_fences; // The highest that each worker has seen.
+    std::map<std::string, std::int64_t> m_startedWallMs; // When each worker's life began.
+};
+
+inline StepSpec task(int milliCores)
+{
+    StepSpec s;
+    s.demand = {milliCores, 1'000, 0};
+    s.estimatedDuration = Millis{60'000};
+    return s;
+}
+
+inline StepSpec longRunningTask()
+{
+    StepSpec s = task(4'000);
+    s.longRunning = true;
+    s.latencyTarget = Millis{50};
+    s.image = "quotes";
+    return s;
+}
+
+inline StepSpec bestEffortTask()
+{
+    StepSpec s = task(2'000);
+    s.bestEffort = true;
+    s.image = "refresh";
+    return s;
+}
+
+} // namespace savorywick::steps::testing
--- /dev/null
+++ b/tests/steps/coordinatorprogress_test.cpp
@@ -0,0 +1,100 @@
+#include "savorywick/steps/coordinator.h"
+
+#include "coordinatorharness.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace savorywick;
+using namespace savorywick::steps;
+using namespace savorywick::steps::testing;
+
+namespace {
+
+// Returns the reasons of the StepWaiting events since the last call.
+std::vector<std::string> waitReasons(CoordinatorHarness &harness)
+{
+    std::vector<std::string> reasons;
+    for (const SchedulerEvent &it : harness.coordinator().takeNotes()) {
+        if (it.kind == SchedulerEventKind::StepWaiting)
+            reasons.emplace_back(it.reason);
+    }
+    return reasons;
+}
+
+} // namespace
+
+// Guards against a job that waits for long without a trace of the reason in the log.
+TEST_CASE("A step that has waited for long is noted with the reason")
+{
+    struct Case
+    {
+        std::string reason;
+        std::string service;
+        StepSpec step;
+    };
+    StepSpec labelled = task(1'000);
+    labelled.neededLabel = "gpu";
+    StepSpec limited = longRunningTask();
+    limited.taskCount = 2;
+    limited.maxTasksPerWorker = 1;
+    StepSpec gang = task(9'000);
+    gang.taskCount = 2;
+    gang.gang = true;
+    for (const Case &it : {
+             Case{"no-usable-worker", "indexing", task(1'000)},
+             Case{"no-usable-worker", "matching", labelled},
+             Case{"no-room", "matching", task(32'000)},
+             Case{"worker-limit", "matching", limited},
+             Case{"gang-incomplete", "matching", gang},
+         }) {
+        CAPTURE(it.reason);
+        CoordinatorHarness harness(1);
+        harness.submitFor(it.service, "a", it.step);
+        harness.advance(Millis{1'500});
+        CHECK(waitReasons(harness).empty());
+        harness.advance(Millis{2'000});
+        const std::vector<std::string> reasons = waitReasons(harness);
+        REQUIRE_FALSE(reasons.empty());
+        CHECK(reasons.front() == it.reason);
+    }
+}
+
+// Guards against a log that is filled by waiting steps under overload.
+TEST_CASE("Of many steps that wait a few are noted each second and all in turn")
+{
+    constexpr int jobs = 20;
+    constexpr int seconds = 6;
+    CoordinatorHarness harness(1);
+    for (int i = 0; i < jobs; ++i)
+        harness.submitFor("matching", "job" + std::to_string(i), task(32'000));
+    harness.advance(Millis{2'000 + 1'000 * seconds});
+    std::set<std::string> noted;
+    std::size_t notes = 0;
+    for (const SchedulerEvent &it : harness.coordinator().takeNotes()) {
+        if (it.kind != SchedulerEventKind::StepWaiting)
+            continue;
+        noted.insert(it.task.job);
+        ++notes;
+    }
+    CHECK(noted.size() == jobs);
+    CHECK(notes <= 5 * (seconds + 1));
+}
+
+// Guards against refused starts that the log can't tell from those that were never sent.
+TEST_CASE("A refused start is noted with its worker and reason")
+{
+    CoordinatorHarness harness(1);
+    harness.startOutcomes = {{"w0", CommandOutcome::Rejected}};
+    harness.submit("a", task(1'000));
+    const std::vector<SchedulerEvent> notes = harness.coordinator().takeNotes();
+    const auto it = std::find_if(notes.begin(), notes.end(), [](const SchedulerEvent &note) {
+        return note.kind == SchedulerEventKind::StartRefused;
+    });
+    REQUIRE(it != notes.end());
+    CHECK(it->worker == "w0");
+    CHECK(it->reason == toString(CommandOutcome::Rejected));
+}
