--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -41,6 +41,15 @@
     readSnapshot();
 }
 
+void ShardRunner::retryRestoreLater(std::string_view what, void (ShardRunner::*step)())
+{
+    logWarning("shard-restore-waits",
+               {{"shard", shard()},
+                {"what", what},
+                {"forMs", (m_dependencies.clock.now() - m_coordinator.ownedSince()).count()}});
+    retryLater(step);
+}
+
 void ShardRunner::retryLater(void (ShardRunner::*step)())
 {
     m_dependencies.loop.runAfter(m_settings.restoreRetryDelay, [weak = weak_from_this(), step] {
@@ -54,18 +63,18 @@
 {
     if (m_reader.snapshotName().empty())
         return readSegments();
-    m_dependencies.objects.fetch(m_reader.snapshotName(),
-                                 [weak = weak_from_this()](const auto &bytes) {
-                                     const auto self = weak.lock();
-                                     if (!self || self->m_ended)
-                                         return;
-                                     if (!bytes)
-                                         return self->retryLater(&ShardRunner::readSnapshot);
-                                     std::istringstream lines(*bytes);
-                                     for (std::string line; std::getline(lines, line);)
-                                         self->m_coordinator.restore(steps::decodeRecord(line));
-                                     self->readSegments();
-                                 });
+    m_dependencies.objects.fetch(
+        m_reader.snapshotName(), [weak = weak_from_this()](const auto &bytes) {
+            const auto self = weak.lock();
+            if (!self || self->m_ended)
+                return;
+            if (!bytes)
+                return self->retryRestoreLater("snapshot", &ShardRunner::readSnapshot);
+            std::istringstream lines(*bytes);
+            for (std::string line; std::getline(lines, line);)
+                self->m_coordinator.restore(steps::decodeRecord(line));
+            self->readSegments();
+        });
 }
 
 void ShardRunner::readSegments()
@@ -79,7 +88,7 @@
             if (!self || self->m_ended)
                 return;
             if (!rows)
-                return self->retryLater(&ShardRunner::readSegments);
+                return self->retryRestoreLater("segments", &ShardRunner::readSegments);
             for (const std::string &line : self->m_reader.parseSegments(*rows))
                 self->m_coordinator.restore(steps::decodeRecord(line));
             self->readSegments();
@@ -346,15 +355,26 @@
     if (!object || m_storingSnapshot)
         return;
     m_storingSnapshot = true;
-    m_dependencies.objects.put(object->name, object->bytes, [weak = weak_from_this()](bool stored) {
-        const auto self = weak.lock();
-        if (!self || self->m_ended)
-            return;
-        self->m_storingSnapshot = false;
-        if (stored)
-            self->m_journal.markSnapshotStored();
-        self->scheduleProcessing();
-    });
+    m_dependencies.objects.put(object->name, object->bytes,
+                               [weak = weak_from_this(), bytes = object->bytes.size(),
+                                sentAt = m_dependencies.clock.now()](bool stored) {
+                                   const auto self = weak.lock();
+                                   if (!self || self->m_ended)
+                                       return;
+                                   self->logSnapshot(stored, bytes, sentAt);
+                                   self->m_storingSnapshot = false;
+                                   if (stored)
+                                       self->m_journal.markSnapshotStored();
+                                   self->scheduleProcessing();
+                               });
+}
+
+void ShardRunner::logSnapshot(bool stored, std::size_t bytes, Instant sentAt) const
+{
+    (stored ? logInfo : logWarning)(stored ? "snapshot-stored" : "snapshot-not-stored",
+                                    {{"shard", shard()},
+                                     {"bytes", static_cast<std::int64_t>(bytes)},
+                                     {"tookMs", (m_dependencies.clock.now() - sentAt).count()}});
 }
 
 void ShardRunner::removeOldSnapshot()
--- a/src/node/shardrunner.h
+++ b/src/node/shardrunner.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <vector>
 
 namespace savorywick {
@@ -107,6 +108,7 @@
     steps::ClockReading now() const;
     void readSnapshot();
     void readSegments();
+    void retryRestoreLater(std::string_view what, void (ShardRunner::*step)());
     void retryLater(void (ShardRunner::*step)());
     void finishRestore();
 
@@ -122,6 +124,7 @@
     void sendOrders();
     void sendOrder(const steps::WorkerCommand &order);
     void storeSnapshot();
+    void logSnapshot(bool stored, std::size_t bytes, Instant sentAt) const;
     void removeOldSnapshot();
     void scheduleWakeUp();
     bool storeUnhealthy() const;
