--- a/tests/node/fakeplatform.h
+++ b/tests/node/fakeplatform.h
@@ -35,9 +35,15 @@
 class UnavailableObjectStore final : public AsyncObjectStore
 {
 public:
-    void put(const std::string &, const std::string &, PutCallback done) override { done(false); }
+    void put(const std::string &, const std::string &, PutCallback done) override
+    {
+        ++putCount;
+        done(false);
+    }
     void fetch(const std::string &, FetchCallback done) override { done(std::nullopt); }
     void remove(const std::string &) override { }
+
+    int putCount = 0;
 };
 
 // A worker connection that never replies.
--- a/tests/node/shardrunner_test.cpp
+++ b/tests/node/shardrunner_test.cpp
@@ -67,7 +67,7 @@
     explicit ShardFixture(const ShardRunnerSettings &settings = {})
         : runner(std::make_shared<ShardRunner>(
             OwnedShard{0, {.owner = "a.1", .epoch = 1}, 10}, settings,
-            ShardRunnerDependencies{m_loop, clock, table, m_objects, m_workers, latencies,
+            ShardRunnerDependencies{m_loop, clock, table, objects, m_workers, latencies,
                                     [this] { return hasValidLease; }, [this](int) { ++endedCount; },
                                     [this] { return loopLag; }}))
     {
@@ -128,12 +128,12 @@
     Millis loopLag;
     SlowClock clock;
     ManualTable table;
+    UnavailableObjectStore objects;
     ShardLatencies latencies;
     std::optional<ShardReply> reply;
 
 private:
     EventLoop m_loop;
-    UnavailableObjectStore m_objects;
     UnresponsiveWorkers m_workers;
 
 public:
@@ -400,3 +400,15 @@
         CHECK(load.rounds <= maxRounds);
     }
 }
+
+// Guards against an owner that sends a snapshot which the object store does not take again at once,
+// and again, which keeps its processor and its link busy.
+TEST_CASE("An owner waits before it sends a snapshot again")
+{
+    ShardRunnerSettings settings;
+    settings.journal.snapshotMinSegments = 1;
+    ShardFixture shard(settings);
+    CHECK((shard.durableRequest(ShardFixture::job("j")) == ShardOutcome::Ok));
+    shard.runLoop();
+    CHECK(shard.objects.putCount == 1);
+}
