Show that jobs without a confirmed start are left out of the pending count

A job leaves the count with the record of its first start, which is written before the order leaves. A property over replaced owners, failing workers and late orders compares the count with the starts that the simulated workers have seen.

--- a/tests/steps/shardsimulation.h
+++ b/tests/steps/shardsimulation.h
@@ -107,6 +107,14 @@
     int takeoverCount() const { return m_takeoverCount; }
     // Returns how many runs the workers have started.
     int startCount() const { return m_startCount; }
+    // Returns how many accepted jobs that nobody cancelled have had no task start on a worker.
+    int unstartedJobCount() const
+    {
+        return static_cast<int>(
+            std::count_if(m_accepted.begin(), m_accepted.end(), [this](const std::string &id) {
+                return !m_startedJobs.contains(id) && !m_cancelled.contains(id);
+            }));
+    }
     // Returns how many submitted jobs are durable.
     std::size_t acceptedCount() const { return m_accepted.size(); }
     // Returns a random number from 0 to `below` - 1.
@@ -448,6 +456,7 @@
     std::map<std::string, JobSpec> m_specs;
     std::set<std::string> m_accepted;
     std::set<std::string> m_cancelled;
+    std::set<std::string> m_startedJobs; // Of which a worker has started a task.
     std::map<TaskRef, TaskGroundTruth> m_groundTruth;
     std::set<TaskRef> m_completedTasks;
 };
--- a/tests/steps/shardsimulationworkers.h
+++ b/tests/steps/shardsimulationworkers.h
@@ -81,6 +81,7 @@
 inline void ShardSimulation::startRun(SimulatedWorker &worker, const StartRunCommand &order)
 {
     ++m_startCount;
+    m_startedJobs.insert(order.task.job);
     const JobSpec &job = m_specs.at(order.task.job);
     const StepSpec &spec = job.steps[order.task.step];
     TaskGroundTruth &truth = m_groundTruth[order.task];
