Log how many runs no worker has confirmed and what callers are told is pending

The log couldn't tell a job that runs from one whose start is unanswered: a start that a worker confirms in its reply has no line, and placements are left out above 200 lines a second. shard-load now has unconfirmedRuns and pendingJobs.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -161,6 +161,8 @@
     std::optional<JobState> durableState(std::string_view job) const;
     // Returns how many jobs of the queue are durably accepted and have started no task.
     int queuedJobCount(std::string_view queue) const;
+    // Returns the sum of queuedJobCount() over all queues.
+    int queuedJobCount() const;
 
     // Replaces the list of the shard's workers. Runs are moved off workers that are draining.
     void setWorkers(std::span<const WorkerInfo> workers, ClockReading now);
--- a/include/savorywick/steps/runtable.h
+++ b/include/savorywick/steps/runtable.h
@@ -3,6 +3,7 @@
 #include "savorywick/clock.h"
 #include "savorywick/steps/workercommands.h"
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <optional>
@@ -106,6 +107,8 @@
     std::vector<RunKey> ofStep(const StepRef &step) const;
     // Returns true if and only if there is a run on the worker.
     bool hasRunsOn(std::string_view worker) const;
+    // Returns how many runs no worker has confirmed, in time proportional to the number of runs.
+    std::size_t unconfirmedCount() const;
     // Assigns the run to another incarnation of its worker. The run must be in the table.
     void setIncarnation(const RunKey &key, const WorkerIncarnation &incarnation);
 
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -99,6 +99,14 @@
     return it == m_queuedJobs.end() ? 0 : it->second;
 }
 
+int Coordinator::queuedJobCount() const
+{
+    int count = 0;
+    for (const auto &[queue, jobs] : m_queuedJobs)
+        count += jobs;
+    return count;
+}
+
 void Coordinator::publishWhenDurable(const std::string &job)
 {
     const Job *known = m_table.find(job);
--- a/src/lib/steps/runtable.cpp
+++ b/src/lib/steps/runtable.cpp
@@ -1,5 +1,6 @@
 #include "savorywick/steps/runtable.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace savorywick::steps {
@@ -120,6 +121,12 @@
     return m_workerLoads.find(worker) != m_workerLoads.end();
 }
 
+std::size_t RunTable::unconfirmedCount() const
+{
+    return std::count_if(m_runs.begin(), m_runs.end(),
+                         [](const auto &it) { return it.second.phase != RunPhase::Running; });
+}
+
 void RunTable::setIncarnation(const RunKey &key, const WorkerIncarnation &incarnation)
 {
     m_runs.at(key).incarnation = incarnation;
--- a/src/node/shardload.cpp
+++ b/src/node/shardload.cpp
@@ -79,6 +79,8 @@
              {"throttles", load.throttles},
              {"pendingReplies", std::uint64_t{load.pendingReplies}},
              {"activeRuns", std::uint64_t{load.activeRuns}},
+             {"unconfirmedRuns", std::uint64_t{load.unconfirmedRuns}},
+             {"pendingJobs", load.pendingJobs},
              {"readySteps", std::uint64_t{load.readySteps}},
              {"workers", std::uint64_t{load.workers}}});
 }
--- a/src/node/shardload.h
+++ b/src/node/shardload.h
@@ -34,6 +34,8 @@
 
     std::size_t pendingReplies = 0; // Requests whose change is not durable yet.
     std::size_t activeRuns = 0;
+    std::size_t unconfirmedRuns = 0; // Those of them that no worker has confirmed.
+    int pendingJobs = 0; // As callers are told, over all queues.
     std::size_t readySteps = 0; // Steps with tasks that wait for a worker.
     std::size_t workers = 0;
     Millis loopLag;
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -296,6 +296,8 @@
     load.committedRecords = durable - std::exchange(m_reportedLsn, durable);
     load.pendingReplies = m_pendingReplies.size();
     load.activeRuns = m_coordinator.runs().all().size();
+    load.unconfirmedRuns = m_coordinator.runs().unconfirmedCount();
+    load.pendingJobs = m_coordinator.queuedJobCount();
     load.readySteps = m_coordinator.readyStepCount();
     load.workers = m_coordinator.workerCount();
     load.loopLag = m_dependencies.loopLag();
--- a/tests/node/shardrunner_test.cpp
+++ b/tests/node/shardrunner_test.cpp
@@ -182,6 +182,7 @@
     CHECK(load.rounds > 0);
     CHECK(load.pendingReplies == 1);
     CHECK(load.readySteps == 0);
+    CHECK(load.pendingJobs == 1); // The cancel is not durable.
 }
 
 // On a quiet shard such a request waited for the next commit, which other requests had to cause.
--- a/tests/steps/coordinatorpending_test.cpp
+++ b/tests/steps/coordinatorpending_test.cpp
@@ -234,6 +234,16 @@
     }
 }
 
+TEST_CASE("Runs count as unconfirmed until a worker has confirmed them")
+{
+    SingleJobShard shard;
+    CHECK(shard.owner().runs().unconfirmedCount() == 1);
+    shard.sendStart();
+    CHECK(shard.owner().runs().unconfirmedCount() == 1);
+    shard.replyToStart(CommandOutcome::Done);
+    CHECK(shard.owner().runs().unconfirmedCount() == 0);
+}
+
 TEST_CASE("A job that has ended is not pending")
 {
     SingleJobShard shard;
