Add tests of requests that a stopping entry throws away or never reads

Two ways in which today's code does that were found by reading and are shown by these tests; whether one of them is the users' case is not known, since in their record the connection was closed 5.07 s after the signal and these connections close earlier.

- A server that has sent "Connection: close", or has half-closed an idle connection, reads what still comes and discards it.
- When the loop stops, nobody looks for requests that have arrived meanwhile.

--- a/tests/net/asynchttp_test.cpp
+++ b/tests/net/asynchttp_test.cpp
@@ -350,6 +350,34 @@
     CHECK(fixture.client().counters().connectionsOpened == 2);
 }
 
+// Guards against requests that a draining server reads and throws away, because it has asked its
+// client to close the connection or has been closed itself.
+TEST_CASE("A draining server answers a client that goes on using its connection")
+{
+    for (const bool closes : {false, true}) {
+        CAPTURE(closes);
+        HttpFixture fixture(echo);
+        RawClient client(fixture.address());
+        const auto request = [&](const std::string &headers) {
+            const int handled = fixture.handledRequests();
+            client.send("GET /a HTTP/1.1\r\nHost: a\r\n" + headers + "\r\n");
+            fixture.runUntil([&] {
+                return fixture.handledRequests() > handled
+                    || fixture.server().counts().discardedBytes > 0;
+            });
+        };
+        request("");
+        fixture.server().drain();
+        request("");
+        if (closes)
+            fixture.server().close();
+        request("");
+        request("Connection: close\r\n");
+        CHECK(countOf("HTTP/1.1 200", fixture.readAll(client)) == 4);
+        CHECK(fixture.server().counts().discardedBytes == 0);
+    }
+}
+
 // Guards against requests that a server abandons when it ends: it has read them, or their bytes
 // have arrived in a connection that it has not read or not even accepted.
 TEST_CASE("A server that is closed answers every request that has arrived")
--- a/tests/node/nodedrain_test.cpp
+++ b/tests/node/nodedrain_test.cpp
@@ -1,3 +1,4 @@
+#include "callerconnection.h"
 #include "core/bootclock.h"
 #include "fakeplatform.h"
 #include "node/node.h"
@@ -87,6 +88,7 @@
     DrainFixture &operator=(const DrainFixture &) = delete;
 
     EventLoop &loop() { return m_loop; }
+    const std::string &callers() const { return m_callers; }
 
     void giveShardToSilentOwner() { table.setOwner(m_silentOwner.listen("127.0.0.1:0")); }
     void start() { m_callers = m_node.start().callers; }
@@ -186,6 +188,15 @@
     return result && result->outcome == HttpOutcome::ResponseReceived ? result->status : -1;
 }
 
+// Returns the statuses of the responses that have arrived.
+std::string statusesOf(const CallerConnection &connection)
+{
+    std::string text;
+    for (const int it : connection.statuses())
+        text += (text.empty() ? "" : " ") + std::to_string(it);
+    return text;
+}
+
 } // namespace
 
 // Guards against requests that a stopping entry abandons: a caller that waits for 3 s sends one
@@ -279,3 +290,33 @@
     const int status = statusOf(*result);
     CHECK((status == 503 || status == 0));
 }
+
+// Guards against requests that have arrived when the entry's loop stops, and against callers that
+// wait for a response from an entry that has stopped.
+TEST_CASE("A request that arrives just before a stopping entry's loop stops is answered")
+{
+    const std::string request = "GET /q/id1 HTTP/1.1\r\nHost: jobs.example\r\n\r\n";
+    DrainFixture fixture;
+    fixture.start();
+    fixture.runFor(Millis{1'000});
+    CallerConnection used;
+    CallerConnection fresh;
+    for (CallerConnection *it : {&used, &fresh})
+        REQUIRE(it->open(fixture.callers()));
+    REQUIRE(used.send(request));
+    fixture.runFor(Millis{100});
+    fixture.table.committing = [&](const Transaction &t) {
+        const bool endsSession = t.writes.size() == 1 && !t.writes.front().value;
+        if (!endsSession)
+            return;
+        used.send(request);
+        fresh.send(request);
+    };
+    fixture.drain();
+    for (CallerConnection *it : {&used, &fresh}) {
+        it->receive();
+        CHECK(it->hasEnded());
+    }
+    CHECK(statusesOf(used) == "410 503");
+    CHECK(statusesOf(fresh) == "503");
+}
--- /dev/null
+++ b/tests/node/simulatedentry.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include "core/bootclock.h"
+#include "fakeplatform.h"
+#include "node/node.h"
+#include "plaincodec.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace savorywick::testing {
+
+// A cluster with one queue and no workers.
+class OneQueueFeed final : public ClusterFeed
+{
+public:
+    void watchQueues(std::function<void(steps::QueueConfiguration)> listener) override
+    {
+        steps::QueueConfiguration configuration;
+        configuration.version = 1;
+        configuration.queues = {{"jobs.example", "/q/", {}}};
+        configuration.queues[0].policy.queue = "q";
+        listener(std::move(configuration));
+    }
+    void watchWorkers(std::function<void(std::vector<steps::WorkerInfo>)> listener) override
+    {
+        listener({});
+    }
+    void unwatchWorkers() override { }
+};
+
+// A table shared by several entries that replies to one of them after a delay.
+class DelayedTable final : public AsyncTable
+{
+public:
+    DelayedTable(FakeTable &rows, EventLoop &loop, Millis delay)
+        : m_rows(rows)
+        , m_loop(loop)
+        , m_delay(delay)
+    { }
+
+    void commit(const Transaction &t, CommitCallback done) override
+    {
+        reply([done = std::move(done), result = m_rows.commit(t)] { done(result); });
+    }
+    void read(const std::vector<std::string> &keys, ReadCallback done) override
+    {
+        reply([done = std::move(done), rows = m_rows.read(keys)] { done(rows); });
+    }
+    void scan(const std::string &prefix, const std::string &after, std::size_t limit,
+              ReadCallback done) override
+    {
+        reply([done = std::move(done), rows = m_rows.scan(prefix, after, limit)] { done(rows); });
+    }
+
+private:
+    void reply(std::function<void()> callback)
+    {
+        if (m_delay == Millis{0})
+            callback();
+        else
+            m_loop.runAfter(m_delay, std::move(callback));
+    }
+
+    FakeTable &m_rows;
+    EventLoop &m_loop;
+    const Millis m_delay;
+};
+
+// Returns an address that was free a moment ago.
+inline std::string freeAddress()
+{
+    EventLoop loop;
+    AsyncHttpServer server(loop, {},
+                           [](const HttpRequest &, const AsyncHttpServer::Responder &) {});
+    return server.listen("127.0.0.1:0");
+}
+
+// Handles what is due and what has arrived before the call, without waiting. Returns false if the
+// loop was stopped meanwhile.
+inline bool runReady(EventLoop &loop)
+{
+    bool endsTurn = false;
+    // The loop looks for events on sockets between two posted callbacks.
+    loop.post([&] {
+        loop.post([&] {
+            loop.post([&] {
+                endsTurn = true;
+                loop.stop();
+            });
+        });
+    });
+    loop.run();
+    return endsTurn;
+}
+
+// An entry with an event loop of its own that runs only in takeTurn(). Between two turns it is as
+// if its process had no processor. It is gone, with all its sockets, once it has stopped its loop.
+class SimulatedEntry
+{
+public:
+    SimulatedEntry(const std::string &name, FakeTable &table, Millis storeDelay)
+        : m_process(std::make_unique<Process>(name, table, storeDelay))
+        , m_callers(m_process->node.start().callers)
+    { }
+
+    const std::string &callers() const { return m_callers; }
+    void drain() { m_process->node.drain(); }
+    bool isGone() const { return !m_process; }
+
+    // Handles what is due, and what has arrived before the call.
+    void takeTurn()
+    {
+        if (!runReady(m_process->loop))
+            m_process.reset();
+    }
+
+private:
+    struct Process
+    {
+        Process(const std::string &name, FakeTable &rows, Millis storeDelay)
+            : http(loop)
+            , table(rows, loop, storeDelay)
+            , node(settings(name), loop, clock, http, {table, objects, workers, feed, codec})
+        { }
+
+        static NodeSettings settings(const std::string &name)
+        {
+            NodeSettings s;
+            s.name = name;
+            s.callersAddress = "127.0.0.1:0";
+            s.readinessAddress = "127.0.0.1:0";
+            s.peersAddress = freeAddress();
+            s.minDrainTime = Millis{800};
+            return s;
+        }
+
+        EventLoop loop;
+        BootClock clock;
+        UnavailableObjectStore objects;
+        UnresponsiveWorkers workers;
+        OneQueueFeed feed;
+        PlainCodec codec;
+        AsyncHttpClient http;
+        DelayedTable table;
+        Node node;
+    };
+
+    std::unique_ptr<Process> m_process;
+    std::string m_callers;
+};
+
+} // namespace savorywick::testing
