Show that another life's answers keep a gone worker's runs for ever

A worker starts again under a new id at the address that it had; orders for the earlier life are answered with 421 (WrongIncarnation) and, as every answer with a body, with a clock. The Coordinator takes that clock for the earlier life's.

--- a/tests/steps/coordinatorharness.h
+++ b/tests/steps/coordinatorharness.h
@@ -3,6 +3,7 @@
 #include "savorywick/steps/coordinator.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -126,10 +127,12 @@
     std::vector<StopRunCommand> stops;
     std::vector<ThrottleRunCommand> throttles;
     CommandOutcome stopOutcome = CommandOutcome::Done;
+    std::optional<std::int64_t> stopClockMs; // The clock in the answers to stop orders.
     int tailLatencyMs = 10; // That long-running runs report.
     std::set<std::string> failingWorkers; // They fail every run that is started from now on.
     // How these workers answer start orders. Unless it is Done, they don't start the run.
     std::map<std::string, CommandOutcome> startOutcomes;
+    std::optional<std::int64_t> startClockMs; // The clock in those answers.
     std::vector<StartRunCommand> refusedStarts;
     std::set<std::string> silentWorkers; // They answer no renewals.
     int fencedRenewals = 0; // That a worker refused, since it had seen a higher fence.
@@ -170,7 +173,7 @@
         const auto outcome = startOutcomes.find(order.target.worker.workerId);
         if (outcome != startOutcomes.end() && outcome->second != CommandOutcome::Done) {
             refusedStarts.push_back(order);
-            return m_coordinator.handleStartReply(order, {outcome->second, {}}, now());
+            return m_coordinator.handleStartReply(order, {outcome->second, startClockMs}, now());
         }
         starts.push_back(order);
         if (failingWorkers.contains(order.target.worker.workerId))
@@ -180,7 +183,7 @@
     void respond(const StopRunCommand &order)
     {
         stops.push_back(order);
-        m_coordinator.handleStopReply(order, {stopOutcome, {}}, now());
+        m_coordinator.handleStopReply(order, {stopOutcome, stopClockMs}, now());
     }
     void respond(const ThrottleRunCommand &order) { throttles.push_back(order); }
 
--- a/tests/steps/coordinatorprogress_test.cpp
+++ b/tests/steps/coordinatorprogress_test.cpp
@@ -98,3 +98,40 @@
     CHECK(it->worker == "w0");
     CHECK(it->reason == toString(CommandOutcome::Rejected));
 }
+
+// Guards against runs that are believed for ever to be on a worker that is gone: another worker at
+// its address answers the stop order of one of them, again and again, with a clock of its own, and
+// each answer counted as a sign of life that puts off the end of the lease of all.
+TEST_CASE("Stop orders that another life answers do not keep the lease of a worker that is gone")
+{
+    CoordinatorHarness harness(2);
+    harness.submit("kept", task(1'000));
+    harness.submit("stopped", task(1'000));
+    REQUIRE(harness.workersStartedOn("kept").front() == "w0");
+    REQUIRE(harness.workersStartedOn("stopped").front() == "w0");
+    harness.advance(Millis{500});
+    harness.silentWorkers = {"w0"};
+    harness.listWorkers({1});
+    harness.stopOutcome = CommandOutcome::WrongIncarnation;
+    harness.stopClockMs = 50; // Its life began just now.
+    harness.coordinator().cancel("stopped", harness.now());
+    harness.advance(Millis{11'500}); // Above the longest lease by the slowest clock.
+    REQUIRE(harness.workersStartedOn("kept").size() == 2);
+    CHECK(harness.workersStartedOn("kept").back() == "w1");
+}
+
+// Guards against the same by a start order that another life refuses.
+TEST_CASE("A start order that another life refuses is no sign of life of the worker")
+{
+    CoordinatorHarness harness(1);
+    harness.startOutcomes = {{"w0", CommandOutcome::WrongIncarnation}};
+    harness.startClockMs = 50;
+    const StepSpec first = task(1'000);
+    harness.submit("a", first);
+    REQUIRE(harness.refusedStarts.size() == 1);
+    harness.startOutcomes.clear();
+    harness.submit("b", task(1'000));
+    REQUIRE(harness.starts.size() >= 1);
+    // The clock of the other life would have given a lease that is over already.
+    CHECK(harness.starts.front().leaseUntilClockMs > harness.now().monotonic.count());
+}
