Show that a worker which refuses starts is chosen again and again

The choice of a worker is deterministic, and only a refusal for room is held against it, for 500 ms: a worker that rejects starts, or leaves them unanswered while it renews its lease, gets the task again at each pass, although others are empty.

--- a/tests/steps/coordinatorprogress_test.cpp
+++ b/tests/steps/coordinatorprogress_test.cpp
@@ -135,3 +135,54 @@
     // The clock of the other life would have given a lease that is over already.
     CHECK(harness.starts.front().leaseUntilClockMs > harness.now().monotonic.count());
 }
+
+// Guards against a job that never runs: the best worker for its task refuses every start, or leaves
+// it unanswered, while it renews its lease as it should, and is chosen again each time.
+TEST_CASE("A task whose start one worker refuses runs on another worker within half a second")
+{
+    for (const CommandOutcome outcome :
+         {CommandOutcome::NoRoom, CommandOutcome::TooLate, CommandOutcome::StaleRun,
+          CommandOutcome::Fenced, CommandOutcome::WrongIncarnation, CommandOutcome::Rejected,
+          CommandOutcome::NotSent, CommandOutcome::Unknown}) {
+        CAPTURE(toString(outcome));
+        CoordinatorHarness harness(3);
+        harness.startOutcomes = {{"w0", outcome}};
+        harness.submit("a", task(1'000));
+        harness.advance(Millis{500});
+        REQUIRE(harness.workersStartedOn("a").size() == 1);
+        CHECK(harness.workersStartedOn("a").front() != "w0");
+        CHECK(harness.refusedStarts.size() == 1);
+    }
+}
+
+// Guards against a worker that is sent hundreds of starts although it refuses each, and against one
+// that gets no tasks any more after it has recovered.
+TEST_CASE("The only worker of a job is tried again at growing intervals and used once it recovers")
+{
+    CoordinatorHarness harness(1);
+    harness.startOutcomes = {{"w0", CommandOutcome::Rejected}};
+    harness.submit("a", task(1'000));
+    harness.advance(Millis{20'000});
+    CHECK(harness.refusedStarts.size() >= 10);
+    CHECK(harness.refusedStarts.size() <= 25);
+    harness.startOutcomes.clear();
+    harness.advance(Millis{2'000});
+    CHECK(harness.workersStartedOn("a").size() == 1);
+}
+
+// Guards against one worker that refuses all starts and takes them one after the other from the
+// workers that would run them.
+TEST_CASE("A worker that refuses starts delays few of many tasks")
+{
+    constexpr int tasks = 24;
+    CoordinatorHarness harness(4);
+    harness.startOutcomes = {{"w0", CommandOutcome::Rejected}};
+    StepSpec step = task(1'000);
+    step.taskCount = 1;
+    for (int i = 0; i < tasks; ++i) {
+        harness.submit("job" + std::to_string(i), step);
+        harness.advance(Millis{400});
+    }
+    CHECK(harness.starts.size() == tasks);
+    CHECK(harness.refusedStarts.size() <= 8);
+}
