Show that a clock which starts anew puts off the end of a lease

Orders name the worker's id only, so a worker that starts again under its id answers them with a clock that begins near 0. The end of the lease, on the clock of the life before, is then minutes away by the owner's reckoning.

--- a/tests/steps/workersession_test.cpp
+++ b/tests/steps/workersession_test.cpp
@@ -135,3 +135,21 @@
     CHECK_FALSE(session.hasAnswered());
     CHECK(session.appliedEnds() == 0);
 }
+
+// Guards against runs that are believed to run for minutes on a worker that has restarted under its
+// id: its clock starts anew near 0, far before the end of the lease on the clock of the life
+// before.
+TEST_CASE("A clock that starts anew does not put off the end of the lease")
+{
+    WorkerSession session = startSession();
+    session.nextRenewal(true, maxWait, ownedSince);
+    session.renewalAnswered(reportAt(500'000), ownedSince);
+    const Instant grantedAt = ownedSince + Millis{20'000};
+    session.recordClock(520'000, grantedAt);
+    session.grantLease(grantedAt);
+    const Instant answeredAt = grantedAt + Millis{10};
+    session.recordClock(50, answeredAt);
+    // The restarted worker may have taken the lease over, for the longest term.
+    CHECK_FALSE(session.leaseExpired(answeredAt + Millis{10'000}));
+    CHECK(session.leaseExpired(answeredAt + Millis{10'600}));
+}
