--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -345,14 +345,16 @@
 
 void ShardRunner::storeSnapshot()
 {
-    if (m_journal.snapshotDue() && !m_journal.releasing()) {
+    if (m_storingSnapshot || m_journal.releasing())
+        return;
+    if (m_journal.snapshotDue()) {
         std::string state;
         for (const std::string &line : m_coordinator.snapshot())
             state += line + "\n";
         m_journal.beginSnapshot(std::move(state));
     }
     const auto object = m_journal.snapshotToStore();
-    if (!object || m_storingSnapshot)
+    if (!object)
         return;
     m_storingSnapshot = true;
     m_dependencies.objects.put(object->name, object->bytes,
@@ -362,13 +364,26 @@
                                    if (!self || self->m_ended)
                                        return;
                                    self->logSnapshot(stored, bytes, sentAt);
-                                   self->m_storingSnapshot = false;
-                                   if (stored)
-                                       self->m_journal.markSnapshotStored();
-                                   self->scheduleProcessing();
+                                   self->finishUpload(stored);
                                });
 }
 
+void ShardRunner::finishUpload(bool stored)
+{
+    if (stored) {
+        m_storingSnapshot = false;
+        m_journal.markSnapshotStored();
+        return scheduleProcessing();
+    }
+    m_dependencies.loop.runAfter(m_settings.snapshotRetryDelay, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self || self->m_ended)
+            return;
+        self->m_storingSnapshot = false;
+        self->scheduleProcessing();
+    });
+}
+
 void ShardRunner::logSnapshot(bool stored, std::size_t bytes, Instant sentAt) const
 {
     (stored ? logInfo : logWarning)(stored ? "snapshot-stored" : "snapshot-not-stored",
--- a/src/node/shardrunner.h
+++ b/src/node/shardrunner.h
@@ -33,6 +33,9 @@
     // unhealthy.
     Millis slowCommitThreshold{700};
     Millis restoreRetryDelay{150}; // The delay before a failed read is retried.
+    // The delay before a snapshot that was not stored is sent again. It is long, since a snapshot
+    // is large and not urgent.
+    Millis snapshotRetryDelay{5'000};
     std::size_t segmentsPerScan = 200;
 };
 
@@ -124,6 +127,7 @@
     void sendOrders();
     void sendOrder(const steps::WorkerCommand &order);
     void storeSnapshot();
+    void finishUpload(bool stored);
     void logSnapshot(bool stored, std::size_t bytes, Instant sentAt) const;
     void removeOldSnapshot();
     void scheduleWakeUp();
@@ -146,7 +150,7 @@
     bool m_ended = false;
     bool m_processingScheduled = false;
     bool m_readingBack = false;
-    bool m_storingSnapshot = false;
+    bool m_storingSnapshot = false; // One is being sent, or waits to be sent again.
     bool m_lastCommitUnavailable = false; // The store rejected the last commit without effect.
     std::optional<Instant> m_commitSentAt; // Set until the outcome of the commit is known.
     ShardLoad m_load; // Since takeLoad() was called last, without the backlog.
--- a/tests/node/shardrunner_test.cpp
+++ b/tests/node/shardrunner_test.cpp
@@ -411,4 +411,12 @@
     CHECK((shard.durableRequest(ShardFixture::job("j")) == ShardOutcome::Ok));
     shard.runLoop();
     CHECK(shard.objects.putCount == 1);
+    // It is sent again after the delay.
+    settings.snapshotRetryDelay = Millis{100};
+    ShardFixture impatient(settings);
+    CHECK((impatient.durableRequest(ShardFixture::job("j")) == ShardOutcome::Ok));
+    constexpr int maxPolls = 200; // Generous: only a fault reaches this limit.
+    for (int i = 0; i < maxPolls && impatient.objects.putCount < 2; ++i)
+        impatient.runLoop();
+    CHECK(impatient.objects.putCount >= 2);
 }
