Count a job as pending until a worker has confirmed a start

Cause: a job left the count with its RunStarted record, that is with the decision to start it. The record is written before the order leaves, and the run may end as NeverStarted; nothing put the job back.

The count now follows what workers have said: a reply to the start, a report of the run, or a report of its end. No record is added; an event costs one lookup when a run is confirmed.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -159,7 +159,9 @@
     bool cancel(const std::string &job, ClockReading now);
     // Returns the job's state as of the latest durable record, or nothing if it is unknown.
     std::optional<JobState> durableState(std::string_view job) const;
-    // Returns how many jobs of the queue are durably accepted and have started no task.
+    // Returns how many jobs of the queue are durably accepted, have not ended, and have no task
+    // that is known to have started. A start is known once a worker has confirmed it or reported
+    // its end; a new owner may count a job until a worker reports it.
     int queuedJobCount(std::string_view queue) const;
     // Returns the sum of queuedJobCount() over all queues.
     int queuedJobCount() const;
@@ -281,6 +283,7 @@
     {
         JobState state = JobState::Queued;
         std::string queue;
+        bool startConfirmed = false; // A worker has started a task.
     };
 
     // Records, and orders and job states that depend on them (coordinator.cpp).
@@ -288,6 +291,7 @@
     void publishWhenDurable(const std::string &job);
     void publishState(const UncommittedState &update);
     void adjustQueuedCount(const DurableJob &job, int delta);
+    void noteConfirmedStart(const std::string &job);
     void openDueOccurrences(const Job &job, ClockReading now);
     void refreshOccurrence(const Job &job, int occurrence, ClockReading now);
     void refreshStep(const Job &job, const StepRef &ref, ClockReading now);
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -11,6 +11,25 @@
 // each time that earlier orders to the worker must become void.
 constexpr Fence fencesPerEpoch = 1U << 20U;
 
+// Returns true if the task's state shows that a worker has started it. Otherwise it may have
+// started as well.
+bool showsStart(const Task &task)
+{
+    return task.done || task.failedRuns > 0 || !task.checkpoint.empty();
+}
+
+bool showsStart(const Job &job)
+{
+    for (const auto &[k, occurrence] : job.occurrences) {
+        for (const Step &step : occurrence.steps) {
+            if (std::any_of(step.tasks.begin(), step.tasks.end(),
+                            [](const Task &it) { return showsStart(it); }))
+                return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 Coordinator::Coordinator(std::uint64_t epoch, Instant ownedSince,
@@ -24,7 +43,7 @@
 void Coordinator::takeOver(ClockReading now)
 {
     for (const auto &[id, job] : m_table.jobs()) {
-        m_durableJobs[id] = {job.state, job.spec.policy.queue};
+        m_durableJobs[id] = {job.state, job.spec.policy.queue, showsStart(job)};
         adjustQueuedCount(m_durableJobs[id], 1);
         if (isFinal(job.state))
             m_endedJobs.emplace(job.endedWallMs, id);
@@ -134,10 +153,20 @@
 
 void Coordinator::adjustQueuedCount(const DurableJob &job, int delta)
 {
-    if (job.state == JobState::Queued)
+    if (!isFinal(job.state) && !job.startConfirmed)
         m_queuedJobs[job.queue] += delta;
 }
 
+// Notes that a worker has started a task of the job.
+void Coordinator::noteConfirmedStart(const std::string &job)
+{
+    const auto it = m_durableJobs.find(job);
+    if (it == m_durableJobs.end() || it->second.startConfirmed)
+        return;
+    adjustQueuedCount(it->second, -1);
+    it->second.startConfirmed = true;
+}
+
 // Makes the steps of the job's due occurrences ready. If the job has ended, removes all of its
 // ready steps instead.
 void Coordinator::openDueOccurrences(const Job &job, ClockReading now)
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -120,8 +120,10 @@
         highest = std::max(highest, end.endNumber);
         const RunKey key{end.task, end.run};
         const Run *run = m_runs.find(key);
-        if (run && run->workerId == worker.info.incarnation.workerId)
-            endRun(key, end.outcome, end.checkpoint, now);
+        if (!run || run->workerId != worker.info.incarnation.workerId)
+            continue;
+        noteConfirmedStart(key.task.job);
+        endRun(key, end.outcome, end.checkpoint, now);
     }
     if (highest == worker.session.appliedEnds())
         return;
@@ -151,6 +153,7 @@
                     it.progressPercent);
             run->phase = RunPhase::Running;
             run->confirmedAt = now.monotonic;
+            noteConfirmedStart(key.task.job);
         }
         if (it.progressPercent != run->progressPercent)
             run->lastProgressAt = now.monotonic;
@@ -217,6 +220,7 @@
         run->phase = RunPhase::Running;
         run->confirmedAt = now.monotonic;
         run->lastProgressAt = now.monotonic;
+        noteConfirmedStart(key.task.job);
         return scheduleStallCheck(*run);
     case CommandOutcome::Unknown:
     case CommandOutcome::StaleRun: // This run or a later one has ended there; the next report
