Show that a task waits for a quiet worker after its backoff

What ends by time alone (the backoff of a worker, a probe of a quarantined one, the delay after a missed target, the wait after which less headroom is enough) sets no flag for the next placement pass, so on a quiet shard a task waits for the next report of some worker: up to 2.6 s if they are idle.

--- a/tests/steps/coordinatorprogress_test.cpp
+++ b/tests/steps/coordinatorprogress_test.cpp
@@ -186,3 +186,17 @@
     CHECK(harness.starts.size() == tasks);
     CHECK(harness.refusedStarts.size() <= 8);
 }
+
+// Guards against a task that waits for the next report of an idle worker, seconds later, although
+// the reason for which the worker was passed over is gone by then.
+TEST_CASE("A task starts soon after the backoff of a quiet worker although nothing else happens")
+{
+    CoordinatorHarness harness(1);
+    harness.advance(Millis{100});
+    harness.startOutcomes = {{"w0", CommandOutcome::NoRoom}};
+    harness.submit("a", task(1'000));
+    REQUIRE(harness.refusedStarts.size() == 1);
+    harness.startOutcomes.clear();
+    harness.advance(Millis{1'100}); // The backoff, and the longest time between two ticks.
+    CHECK(harness.workersStartedOn("a").size() == 1);
+}
