Let two router tests share the loop that counts ejected instances

The tests that no instances are ejected when all behave alike each held the same loop of 20,000 requests on 50 instances, apart from how an attempt ends and whether the time advances. maxEjectedInstances() now holds the loop; each test passes the ends of its attempts.

Checks and cases are the same.

--- a/tests/lib/router_test.cpp
+++ b/tests/lib/router_test.cpp
@@ -4,7 +4,9 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
+#include <random>
 
 using namespace savorywick;
 
@@ -129,6 +131,34 @@
     return picked;
 }
 
+struct Completion
+{
+    AttemptOutcome outcome = AttemptOutcome::Answered;
+    Millis latency{0};
+};
+
+// Runs 20,000 requests on 50 instances that all behave alike and returns the largest number of
+// instances that were ejected at once. `complete` maps a random number to the end of an attempt;
+// the time advances by `step` once every four requests.
+int maxEjectedInstances(Millis step, const std::function<Completion(std::uint64_t)> &complete)
+{
+    Router router(settings, 1);
+    std::mt19937_64 random(1);
+    Instant now{0};
+    router.setInstances(identicalInstances(50, 8), now);
+    int maxEjected = 0;
+    for (int n = 0; n < 20'000; ++n) {
+        const auto id = router.pick({}, now);
+        REQUIRE(id.has_value());
+        if (n % 4 == 0)
+            now = now + step;
+        const Completion completion = complete(random());
+        router.recordCompletion(*id, completion.outcome, completion.latency, now);
+        maxEjected = std::max(maxEjected, router.ejectedInstances(now));
+    }
+    return maxEjected;
+}
+
 } // namespace
 
 TEST_CASE("A pick takes a free slot of a listed instance that is neither excluded nor draining")
@@ -226,19 +256,11 @@
 {
     for (const int failuresOfTen : {2, 3, 5, 10}) {
         CAPTURE(failuresOfTen);
-        Router router(settings, 1);
-        std::mt19937_64 random(1);
-        Instant now{0};
-        router.setInstances(identicalInstances(50, 8), now);
-        int maxEjected = 0;
-        for (int n = 0; n < 20'000; ++n) {
-            const auto id = router.pick({}, now);
-            REQUIRE(id.has_value());
-            const bool fails = static_cast<int>(random() % 10) < failuresOfTen;
-            router.recordCompletion(*id, fails ? AttemptOutcome::Failed : AttemptOutcome::Answered,
-                                    Millis{20}, now);
-            maxEjected = std::max(maxEjected, router.ejectedInstances(now));
-        }
+        const int maxEjected = maxEjectedInstances(Millis{0}, [&](std::uint64_t random) {
+            const bool fails = static_cast<int>(random % 10) < failuresOfTen;
+            return Completion{fails ? AttemptOutcome::Failed : AttemptOutcome::Answered,
+                              Millis{20}};
+        });
         CHECK(maxEjected <= 5);
     }
 }
@@ -272,19 +294,10 @@
 {
     for (const int longOfHundred : {2, 5, 20, 50}) {
         CAPTURE(longOfHundred);
-        Router router(settings, 1);
-        std::mt19937_64 random(1);
-        Instant now{0};
-        router.setInstances(identicalInstances(50, 8), now);
-        int maxEjected = 0;
-        for (int n = 0; n < 20'000; ++n) {
-            const auto id = router.pick({}, now);
-            REQUIRE(id.has_value());
-            now = now + Millis{n % 4 == 0 ? 1 : 0};
-            const bool isLong = static_cast<int>(random() % 100) < longOfHundred;
-            router.recordCompletion(*id, AttemptOutcome::Answered, Millis{isLong ? 500 : 5}, now);
-            maxEjected = std::max(maxEjected, router.ejectedInstances(now));
-        }
+        const int maxEjected = maxEjectedInstances(Millis{1}, [&](std::uint64_t random) {
+            const bool isLong = static_cast<int>(random % 100) < longOfHundred;
+            return Completion{AttemptOutcome::Answered, Millis{isLong ? 500 : 5}};
+        });
         CHECK(maxEjected <= 5);
     }
 }
