Share the tables that name the kinds of stored records

The codecs of job records and of idempotency claims each had a struct of an enumerator and its name and their own lookups in both directions, six in all; two of them relied on the order of the enumerators. src/lib/enumnames.h now has the struct and one lookup for each direction.

--- a/src/lib/idempotencycodec.cpp
+++ b/src/lib/idempotencycodec.cpp
@@ -1,5 +1,6 @@
 #include "idempotencycodec.h"
 
+#include "enumnames.h"
 #include "jsontext.h"
 #include "savorywick/errors.h"
 
@@ -11,34 +12,22 @@
 
 namespace {
 
-struct KindName
-{
-    IdempotencyRecordKind kind;
-    const char *name;
-};
-
-// In the order of the enumerators, which nameOf() uses as indexes.
-constexpr std::array kindNames{
-    KindName{IdempotencyRecordKind::Open, "open"},
-    KindName{IdempotencyRecordKind::Finish, "finish"},
-    KindName{IdempotencyRecordKind::Release, "release"},
-    KindName{IdempotencyRecordKind::Unknown, "unknown"},
-    KindName{IdempotencyRecordKind::Expire, "expire"},
-    KindName{IdempotencyRecordKind::Time, "time"},
-};
+using internal::EnumName;
 
-struct StateName
-{
-    IdempotencyState state;
-    const char *name;
-};
+constexpr auto kindNames = std::to_array<EnumName<IdempotencyRecordKind>>({
+    {IdempotencyRecordKind::Open, "open"},
+    {IdempotencyRecordKind::Finish, "finish"},
+    {IdempotencyRecordKind::Release, "release"},
+    {IdempotencyRecordKind::Unknown, "unknown"},
+    {IdempotencyRecordKind::Expire, "expire"},
+    {IdempotencyRecordKind::Time, "time"},
+});
 
-// In the order of the enumerators, which nameOf() uses as indexes.
-constexpr std::array stateNames{
-    StateName{IdempotencyState::Open, "open"},
-    StateName{IdempotencyState::Finished, "finished"},
-    StateName{IdempotencyState::Unknown, "unknown"},
-};
+constexpr auto stateNames = std::to_array<EnumName<IdempotencyState>>({
+    {IdempotencyState::Open, "open"},
+    {IdempotencyState::Finished, "finished"},
+    {IdempotencyState::Unknown, "unknown"},
+});
 
 // The parts of a UTF-8 sequence of two bytes, which holds the characters 0x80 to 0xff.
 constexpr unsigned char firstNonAscii = 0x80; // Also the marker of a continuation byte.
@@ -123,38 +112,24 @@
 
 IdempotencyRecordKind kindFromName(const std::string &name)
 {
-    for (const KindName &it : kindNames) {
-        if (name == it.name)
-            return it.kind;
-    }
+    if (const auto kind = internal::fromName(kindNames, name))
+        return *kind;
     fail("claim record kind '" + name + "' is unknown");
 }
 
 IdempotencyState stateFromName(const std::string &name)
 {
-    for (const StateName &it : stateNames) {
-        if (name == it.name)
-            return it.state;
-    }
+    if (const auto state = internal::fromName(stateNames, name))
+        return *state;
     fail("claim state '" + name + "' is unknown");
 }
 
-const char *nameOf(IdempotencyRecordKind kind)
-{
-    return kindNames[static_cast<std::size_t>(kind)].name;
-}
-
-const char *nameOf(IdempotencyState state)
-{
-    return stateNames[static_cast<std::size_t>(state)].name;
-}
-
 Json::Value claimToJson(const IdempotencyKey &key, const IdempotencyClaim &claim)
 {
     Json::Value value;
     value["service"] = bytesToJson(key.service);
     value["key"] = bytesToJson(key.key);
-    value["state"] = nameOf(claim.state);
+    value["state"] = std::string(internal::nameOf(stateNames, claim.state));
     value["hash"] = bytesToJson(claim.bodyHash);
     value["request"] = bytesToJson(claim.requestId);
     if (claim.state == IdempotencyState::Open)
@@ -213,7 +188,7 @@
 std::string serializeIdempotencyRecord(const IdempotencyRecord &record)
 {
     Json::Value value;
-    value["claim"] = nameOf(record.kind);
+    value["claim"] = std::string(internal::nameOf(kindNames, record.kind));
     value["at"] = Json::Int64{record.time.count()};
     if (record.kind == IdempotencyRecordKind::Time)
         return toLine(value);
--- a/src/lib/jobrecord.cpp
+++ b/src/lib/jobrecord.cpp
@@ -1,3 +1,4 @@
+#include "enumnames.h"
 #include "jobjson.h"
 #include "savorywick/errors.h"
 #include "savorywick/internal/jobtable.h"
@@ -9,36 +10,25 @@
 
 namespace {
 
-struct KindName
-{
-    RecordKind kind;
-    std::string_view name;
-};
-
-constexpr std::array kindNames{
-    KindName{RecordKind::Submit, "submit"},  KindName{RecordKind::Watch, "watch"},
-    KindName{RecordKind::Place, "place"},    KindName{RecordKind::End, "end"},
-    KindName{RecordKind::Fail, "fail"},      KindName{RecordKind::Evict, "evict"},
-    KindName{RecordKind::Free, "free"},      KindName{RecordKind::Cancel, "cancel"},
-    KindName{RecordKind::GiveUp, "give-up"}, KindName{RecordKind::Fire, "fire"},
-    KindName{RecordKind::Forget, "forget"},  KindName{RecordKind::Mark, "mark"},
-};
-
-std::string_view nameOf(RecordKind kind)
-{
-    for (const KindName &it : kindNames) {
-        if (it.kind == kind)
-            return it.name;
-    }
-    return {};
-}
+constexpr auto kindNames = std::to_array<EnumName<RecordKind>>({
+    {RecordKind::Submit, "submit"},
+    {RecordKind::Watch, "watch"},
+    {RecordKind::Place, "place"},
+    {RecordKind::End, "end"},
+    {RecordKind::Fail, "fail"},
+    {RecordKind::Evict, "evict"},
+    {RecordKind::Free, "free"},
+    {RecordKind::Cancel, "cancel"},
+    {RecordKind::GiveUp, "give-up"},
+    {RecordKind::Fire, "fire"},
+    {RecordKind::Forget, "forget"},
+    {RecordKind::Mark, "mark"},
+});
 
 RecordKind kindFromName(const std::string &name)
 {
-    for (const KindName &it : kindNames) {
-        if (it.name == name)
-            return it.kind;
-    }
+    if (const auto kind = fromName(kindNames, name))
+        return *kind;
     throw Error(ErrorKind::InvalidInput,
                 "the journal holds a record of unknown kind '" + name + "'",
                 "run the version that wrote the journal, or a later one");
@@ -49,7 +39,7 @@
 std::string encode(const JobRecord &record)
 {
     Json::Value json;
-    json["k"] = std::string(nameOf(record.kind));
+    json["k"] = std::string(nameOf(kindNames, record.kind));
     json["at"] = Json::Int64(record.at.count());
     setTextUnlessEmpty(json, "id", record.id);
     if (record.kind == RecordKind::Submit || record.kind == RecordKind::Watch)
