Answer requests on connections that a draining server has asked to close

Callers that sent a request on a connection of a stopping entry saw the connection end without a response. After a response with "Connection: close" the server half-closed the connection, and at the end of the drain it half-closed the idle ones; what came from then on was read and discarded. A request that crosses that end, or a caller that goes on with its connection until the process is gone, got neither an answer nor a refusal. Class of fault: a connection ends while it owes an answer; the server ended connections by itself although only their clients know when they are done with them.

A draining server only asks now. It goes on serving the connection, and the client closes it; what is left ends with the process. A client that asked for the close itself, or sent what can't be read, is half-closed as before.

--- a/src/net/asynchttpserver.cpp
+++ b/src/net/asynchttpserver.cpp
@@ -133,7 +133,6 @@
     void accept();
     void admit(Tcp::socket socket);
     void acceptWaiting();
-    void closeIdle(bool alsoNew);
 
     EventLoop &loop;
     AsyncHttpServerLimits limits;
@@ -179,27 +178,15 @@
             return read();
         m_stream.expires_after(
             toChrono(m_rejects ? m_server->limits.rejectionTimeout : m_server->limits.idleTimeout));
-        m_isIdle = true;
         m_stream.async_read_some(m_buffer.prepare(firstReadBytes),
                                  [self = shared_from_this()](const error_code &ec, std::size_t n) {
-                                     self->m_isIdle = false;
                                      if (ec)
                                          return;
-                                     if (self->m_isHalfClosed)
-                                         return self->discard(n);
                                      self->m_buffer.commit(n);
                                      self->read();
                                  });
     }
 
-    // Half-closes the connection if it waits for a request of which no byte has arrived. If that is
-    // its first request, it is closed only if `alsoNew` is set.
-    void closeIfIdle(bool alsoNew)
-    {
-        if (m_isIdle && (m_hasServed || alsoNew) && !hasUnreadBytes())
-            halfClose();
-    }
-
     // Returns true if and only if bytes have arrived that the server has not read.
     bool hasArrivedBytes()
     {
@@ -236,7 +223,6 @@
         m_stream.expires_never();
         m_keepAlive = m_parser->keep_alive();
         m_awaitsResponse = true;
-        m_hasServed = true;
         ++m_server->inFlight;
         const auto responded = std::make_shared<bool>(false);
         const auto respond = [self = shared_from_this(), responded](HttpResponse response) {
@@ -275,7 +261,9 @@
         endRequest(ec.failed());
         if (ec)
             return;
-        if (m_response.keep_alive())
+        // A client that was only asked to close the connection may have sent its next request
+        // before.
+        if (m_keepAlive)
             return awaitRequest();
         halfClose();
         m_stream.expires_after(toChrono(m_server->limits.lingerTimeout));
@@ -294,7 +282,6 @@
 
     void halfClose()
     {
-        m_isHalfClosed = true;
         error_code ignored; // The client may have closed the connection first.
         m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
     }
@@ -330,9 +317,6 @@
     const bool m_rejects;
     std::uint64_t m_discardedBytes = 0;
     std::string m_client; // The address, known once bytes have been discarded.
-    bool m_isIdle = false; // Waits for the first byte of a request.
-    bool m_hasServed = false; // A request was read before.
-    bool m_isHalfClosed = false;
     bool m_awaitsResponse = false; // A request was read and its response is not written yet.
 };
 
@@ -379,12 +363,6 @@
     }
 }
 
-void AsyncHttpServer::Impl::closeIdle(bool alsoNew)
-{
-    for (Session *it : sessions)
-        it->closeIfIdle(alsoNew);
-}
-
 AsyncHttpServer::AsyncHttpServer(EventLoop &loop, const AsyncHttpServerLimits &limits,
                                  Handler handler)
     : m_impl(std::make_shared<Impl>(loop, limits, std::move(handler)))
@@ -436,12 +414,6 @@
     m_impl->acceptWaiting();
     error_code ignored; // The acceptor is closed in any case.
     m_impl->acceptor.close(ignored);
-    m_impl->closeIdle(false);
-}
-
-void AsyncHttpServer::closeIdle()
-{
-    m_impl->closeIdle(true);
 }
 
 std::size_t AsyncHttpServer::inFlight() const
--- a/src/net/asynchttpserver.h
+++ b/src/net/asynchttpserver.h
@@ -24,8 +24,8 @@
     Millis requestTimeout{10'000}; // From the first byte of a request to its last.
     Millis idleTimeout{60'000}; // A connection that waits this long for a request is closed.
     Millis writeTimeout{10'000}; // Closes the connection to a client that stops reading.
-    // After its last response a connection is only half-closed for up to this long, until the
-    // client has closed it.
+    // After the last response on a connection that its client wants closed, the connection is only
+    // half-closed for up to this long, until the client has closed it.
     Millis lingerTimeout{1'000};
 };
 
@@ -73,15 +73,13 @@
     // the previous size limits.
     void setLimits(const AsyncHttpServerLimits &limits);
 
-    // Adds "Connection: close" to every further response, so that clients move elsewhere. New
-    // connections are still accepted.
+    // Adds "Connection: close" to every further response, so that clients move elsewhere. They
+    // close their connections themselves: further requests on these are handled, since a client may
+    // send one before it has read the response. New connections are still accepted.
     void drain();
-    // Ends the server in order: accepts the connections that already wait, stops listening, and
-    // half-closes every connection that waits for a further request. Requests that have arrived are
-    // still handled, and so is the first request of a new connection. Implies drain().
+    // Accepts the connections that already wait, and stops listening. Implies drain(): requests on
+    // open connections are still handled.
     void close();
-    // Half-closes every connection that waits for a request, also for its first one.
-    void closeIdle();
     // Returns the number of requests that were read and whose responses are not written yet.
     std::size_t inFlight() const;
     // Returns the number of connections that are not closed by both sides yet.
--- a/src/node/nodedrain.cpp
+++ b/src/node/nodedrain.cpp
@@ -91,8 +91,6 @@
 {
     // What is read from now on is refused at once.
     m_callerApi.limitDeadlines(m_clock.now());
-    m_callerServer.closeIdle();
-    m_peerServer.closeIdle();
     m_ownership.endSession([this] { leave(); });
     // Stop after this time at the latest, even if the store does not answer.
     m_loop.runAfter(maxEndSessionTime, [this] { leave(); });
