Place waiting steps at least every 250 ms

Callers saw a task wait for seconds on a quiet shard although the reason to pass its worker over was gone: a backoff, a probe of a quarantined worker, a delay after a missed latency target, or the wait after which a best-effort step may leave less headroom. These end by time alone, and only an event set the flag for the next placement pass; idle workers report every 2.6 s.

While steps wait, a pass is now due 250 ms after the last one whatever happened, and wakeAt() tells the user so. It costs four passes a second at the most; the tests of the coordinator's cost pass unchanged.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -93,6 +93,9 @@
     // The shortest time from a placement pass that left steps waiting to the next one, so that
     // under overload the time spent on placement does not grow with the number of events.
     Millis placementInterval{20};
+    // The longest time from one pass to the next while steps wait: some reasons to pass a worker
+    // over end by time alone.
+    Millis maxPlacementInterval{250};
 
     // A step that has waited for this time is noted as waiting, a few steps at this interval.
     Millis minNotedWait{2'000};
@@ -346,6 +349,7 @@
                          const std::string &job, Instant now) const;
 
     // Placement (coordinatorplacement.cpp).
+    Instant placementAt() const;
     bool isUsable(const Worker &worker, Instant now) const;
     static PassNeeds needsOf(std::span<const ReadyStep> steps);
     void summarizeRuns(Worker &worker) const;
@@ -399,6 +403,7 @@
     std::map<std::string, int, std::less<>> m_queuedJobs; // Count of durable jobs by queue.
     bool m_placementNeeded = true;
     Instant m_nextPlacementAt; // The earliest time of the next placement pass.
+    Instant m_placementDueAt; // The latest time of the next placement pass if steps wait.
     Instant m_nextWaitNotesAt; // The earliest time of the next StepWaiting events.
     StepRef m_lastNotedStep; // The last step that a StepWaiting event told of.
 };
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -232,7 +232,7 @@
     for (const std::string &id : m_dueOccurrences.takeDue(Instant{now.wallMs}))
         openDueOccurrences(*m_table.find(id), now);
     forgetExpiredJobs(now);
-    if (m_placementNeeded && now.monotonic >= m_nextPlacementAt)
+    if (now.monotonic >= placementAt())
         placeReadySteps(now);
     noteWaitingSteps(now);
 }
@@ -351,11 +351,11 @@
 Instant Coordinator::wakeAt(Instant now)
 {
     const Instant at = ordersDueAt(now);
-    if (!m_placementNeeded || m_readySteps.empty())
+    if (m_readySteps.empty())
         return at;
     // A pass is overdue only while tick() is not called.
-    const bool overdue = m_nextPlacementAt <= now;
-    return std::min(at, overdue ? now + m_settings.placementInterval : m_nextPlacementAt);
+    const bool overdue = placementAt() <= now;
+    return std::min(at, overdue ? now + m_settings.placementInterval : placementAt());
 }
 
 Instant Coordinator::ordersDueAt(Instant now)
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -12,6 +12,12 @@
 
 } // namespace
 
+// Returns when the next placement pass is to be made if steps wait.
+Instant Coordinator::placementAt() const
+{
+    return m_placementNeeded ? m_nextPlacementAt : m_placementDueAt;
+}
+
 bool Coordinator::isUsable(const Worker &worker, Instant now) const
 {
     if (!worker.everListed || worker.info.draining || !worker.session.responsive())
@@ -153,6 +159,7 @@
 void Coordinator::placeReadySteps(ClockReading now)
 {
     m_placementNeeded = false;
+    m_placementDueAt = now.monotonic + m_settings.maxPlacementInterval;
     if (m_readySteps.empty())
         return;
     std::vector<ReadyStep> steps = sortedReadySteps(now);
