--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -45,8 +45,12 @@
     // last one, after the shorter delay if it refused it or did not answer.
     Millis stopResendInterval{1'000};
     Millis stopRetryDelay{250};
-    // A worker that refused a start for lack of resources is sent no other one for this time.
-    Millis noRoomBackoff{500};
+    // A worker that refused a start, or left it unanswered, gets no other for the first of these
+    // times, which doubles with each such start in a row up to the second. It is the last choice
+    // for a time that doubles likewise up to the third.
+    Millis startRetryDelay{500};
+    Millis maxStartRetryDelay{1'000};
+    Millis maxStartAvoidance{16'000};
     // A worker that still answers is given tasks for this time after it left the platform's list.
     Millis unlistedGracePeriod{2'500};
 
@@ -93,6 +97,9 @@
     // The shortest time from a placement pass that left steps waiting to the next one, so that
     // under overload the time spent on placement does not grow with the number of events.
     Millis placementInterval{20};
+    // The longest time from one pass to the next while steps wait: some reasons to pass a worker
+    // over end by time alone.
+    Millis maxPlacementInterval{250};
 
     // A step that has waited for this time is noted as waiting, a few steps at this interval.
     Millis minNotedWait{2'000};
@@ -244,9 +251,10 @@
         Instant lastTargetMissAt; // The latest report of a missed latency target.
         bool hasThrottledRuns = false;
         bool hasLowHeadroom = false; // Some latency-critical run is below monitorBelowHeadroom.
-        // It gets no starts until then: it refused one for lack of resources, although it has free
-        // capacity as far as is known.
-        Instant blockedUntil;
+        int failedStarts = 0; // Starts in a row that it refused or left unanswered.
+        Instant lastFailedStartAt;
+        Instant blockedUntil; // It gets no starts until then.
+        Instant avoidedUntil; // Until then it gets starts only if no other worker can take them.
         bool dueTimesStale = false; // It is in `m_staleWorkers`.
         RunSummary runSummary;
         bool runSummaryStale = true; // It must be computed anew before use.
@@ -316,6 +324,8 @@
     void endMissingRuns(Worker &worker, const WorkerReport &report, ClockReading now);
     void adoptRun(const Job &job, const TaskRef &task, const ActiveRun &active);
     void recordClock(Worker &worker, const CommandReply &reply, ClockReading now);
+    void noteFailedStart(Worker &worker, const Run &run, Instant now);
+    static void endStartBackoff(Worker &worker);
     void markStartUnknown(const RunKey &key, ClockReading now);
     void endRun(const RunKey &key, RunOutcome how, const std::string &checkpoint, ClockReading now);
     void updateQuarantine(const Run &run, RunOutcome how, ClockReading now);
@@ -352,6 +362,7 @@
                          const std::string &job, Instant now) const;
 
     // Placement (coordinatorplacement.cpp).
+    Instant placementAt() const;
     bool isUsable(const Worker &worker, Instant now) const;
     static PassNeeds needsOf(std::span<const ReadyStep> steps);
     void summarizeRuns(Worker &worker) const;
@@ -405,6 +416,7 @@
     std::map<std::string, int, std::less<>> m_queuedJobs; // Count of durable jobs by queue.
     bool m_placementNeeded = true;
     Instant m_nextPlacementAt; // The earliest time of the next placement pass.
+    Instant m_placementDueAt; // The latest time of the next placement pass if steps wait.
     Instant m_nextWaitNotesAt; // The earliest time of the next StepWaiting events.
     StepRef m_lastNotedStep; // The last step that a StepWaiting event told of.
 };
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -12,6 +12,12 @@
 
 } // namespace
 
+// Returns when the next placement pass is to be made if steps wait.
+Instant Coordinator::placementAt() const
+{
+    return m_placementNeeded ? m_nextPlacementAt : m_placementDueAt;
+}
+
 bool Coordinator::isUsable(const Worker &worker, Instant now) const
 {
     if (!worker.everListed || worker.info.draining || !worker.session.responsive())
@@ -79,6 +85,7 @@
             summarizeRuns(worker);
         const RunSummary &summary = worker.runSummary;
         CandidateWorker candidate{&worker.info, summary.available, summary.idleMilliCores, {}};
+        candidate.avoided = now < worker.avoidedUntil;
         candidate.acceptsBestEffort = acceptsBestEffort(worker, now);
         const bool fitsBestEffort = candidate.acceptsBestEffort && needs.bestEffortMilliCores
             && hasIdleProcessors(candidate, *needs.bestEffortMilliCores);
@@ -153,6 +160,7 @@
 void Coordinator::placeReadySteps(ClockReading now)
 {
     m_placementNeeded = false;
+    m_placementDueAt = now.monotonic + m_settings.maxPlacementInterval;
     if (m_readySteps.empty())
         return;
     std::vector<ReadyStep> steps = sortedReadySteps(now);
@@ -297,8 +305,11 @@
             worker.available.milliCores);
     m_runs.add(std::move(added));
     m_uncommittedStarts.push_back({0, {task, run}});
-    if (m_quarantine.beginProbe(id, now.monotonic))
-        worker.available = {}; // The probe is this one task.
+    const bool isRetry = known.failedStarts > 0;
+    if (isRetry)
+        known.blockedUntil = now.monotonic + m_settings.maxStartRetryDelay;
+    if (m_quarantine.beginProbe(id, now.monotonic) || isRetry)
+        worker.closeToTasks(); // The probe is this one task.
     ++m_counters.runsStarted;
 }
 
