Share the measuring functions of the benchmarks

capacity_bench and exchange_bench each had bestMicrosPerCall(), the same loop over another clock, and capacity_bench and journal_bench each had heapBytes(). bench/measure.h now has one of each; a benchmark names the clock that it measures by. Names of cases and metrics are the same.

--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -1,6 +1,7 @@
 // Measures scaling costs that no other benchmark covers: reading the rows of entries and shards,
 // assigning workers to slices, and handling the lease report of a worker. See docs/CAPACITY.md.
 
+#include "measure.h"
 #include "report.h"
 
 #include "savorywick/batchcontroller.h"
@@ -10,11 +11,6 @@
 
 #include <json/json.h>
 
-#include <chrono>
-#include <functional>
-
-#include <malloc.h>
-
 using namespace savorywick;
 using namespace savorywick::bench;
 
@@ -24,27 +20,6 @@
 constexpr int tasksPerWorker = 20;
 constexpr std::size_t rowOverheadBytes = 40; // Assumed of a row, besides its key and its value.
 
-// Returns the microseconds per call of `work`, as the minimum of three rounds of `calls` calls.
-double bestMicrosPerCall(int calls, const std::function<void()> &work)
-{
-    double best = 0;
-    for (int round = 0; round < 3; ++round) {
-        const auto start = std::chrono::steady_clock::now();
-        for (int i = 0; i < calls; ++i)
-            work();
-        const std::chrono::duration<double, std::micro> span =
-            std::chrono::steady_clock::now() - start;
-        const double perCall = span.count() / calls;
-        best = round == 0 ? perCall : std::min(best, perCall);
-    }
-    return best;
-}
-
-double heapBytes()
-{
-    return static_cast<double>(mallinfo2().uordblks);
-}
-
 std::string sampleEntryValue()
 {
     return R"({"beat":17,"callers":"10.20.30.40:18080","documentsSeen":123456,"draining":false,)"
@@ -81,7 +56,7 @@
     }
     ShardLeaseManager leaseManager("entry-0.0123abcd", "10.20.30.40:18090", {.shardCount = shards});
     std::int64_t ms = 0;
-    const double us = bestMicrosPerCall(20, [&] {
+    const double us = bestMicrosPerCall(steadyMicros, 20, [&] {
         ms += 1'000;
         leaseManager.observe(entryRows, shardRows, Instant{ms});
     });
@@ -123,12 +98,14 @@
             rows.push_back({it.key, *it.value, 1});
     }
     slices.observe(index, rows);
-    const double assign = bestMicrosPerCall(3, [&] { slices.assign(hosts, Instant{2}); });
-    const double parse = bestMicrosPerCall(50, [&] { ShardWorkerCounts::parse(index); });
+    const double assign =
+        bestMicrosPerCall(steadyMicros, 3, [&] { slices.assign(hosts, Instant{2}); });
+    const double parse =
+        bestMicrosPerCall(steadyMicros, 50, [&] { ShardWorkerCounts::parse(index); });
     const ShardWorkerCounts summary = ShardWorkerCounts::parse(index);
     std::uint64_t draw = 0;
     const double choose =
-        bestMicrosPerCall(200, [&] { summary.chooseShard({.cores = 4}, ++draw); });
+        bestMicrosPerCall(steadyMicros, 200, [&] { summary.chooseShard({.cores = 4}, ++draw); });
     report(benchName, std::to_string(workers) + " workers in " + std::to_string(shards) + " slices",
            {{"assign_us", assign},
             {"parse_us", parse},
@@ -236,13 +213,13 @@
     now = now + Millis{6'000};
     const int rounds = std::min(workers, 200);
     int next = 0;
-    const double reply = bestMicrosPerCall(rounds, [&] {
+    const double reply = bestMicrosPerCall(steadyMicros, rounds, [&] {
         const std::string &worker = hosts[static_cast<std::size_t>(next++ % workers)].id;
         scheduler.handleLeaseReply(worker, sample, now, records);
         control.observe(worker, sample, scheduler, now, records);
         records.clear();
     });
-    const double tick = bestMicrosPerCall(5, [&] {
+    const double tick = bestMicrosPerCall(steadyMicros, 5, [&] {
         now = now + Millis{100};
         scheduler.tick(now, records);
         scheduler.takeCalls();
--- a/bench/exchange_bench.cpp
+++ b/bench/exchange_bench.cpp
@@ -3,6 +3,7 @@
 // process on loopback, so that only the entry's processor time counts. With --exchanges N, only N
 // exchanges of each kind are made, for counting system calls (strace -c).
 
+#include "measure.h"
 #include "report.h"
 
 #include "core/log.h"
@@ -20,12 +21,10 @@
 #include <csignal>
 #include <cstdlib>
 #include <deque>
-#include <functional>
 #include <initializer_list>
 #include <string_view>
 
 #include <fcntl.h>
-#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -39,37 +38,11 @@
 constexpr int defaultExchanges = 20'000;
 constexpr int callsPerRound = 20'000;
 constexpr int feedCallsPerRound = 100;
-constexpr int rounds = 3;
 constexpr int listedWorkers = 490;
 constexpr int changedWorkers = 130; // Between two pages of the change feed.
 constexpr int recordsPerCommit = 40;
 constexpr std::size_t addressBytes = 64; // Of one worker's address in the pipe, padded with NUL.
 
-// Returns the processor time that this process has used, in microseconds.
-double processorMicros()
-{
-    rusage usage{};
-    getrusage(RUSAGE_SELF, &usage);
-    const auto micros = [](const timeval &t) {
-        return static_cast<double>(t.tv_sec) * 1e6 + static_cast<double>(t.tv_usec);
-    };
-    return micros(usage.ru_utime) + micros(usage.ru_stime);
-}
-
-// Returns the processor microseconds per call of `work`, as the minimum of some rounds.
-double bestMicrosPerCall(int calls, const std::function<void()> &work)
-{
-    double best = 0;
-    for (int round = 0; round < rounds; ++round) {
-        const double start = processorMicros();
-        for (int i = 0; i < calls; ++i)
-            work();
-        const double perCall = (processorMicros() - start) / calls;
-        best = round == 0 ? perCall : std::min(best, perCall);
-    }
-    return best;
-}
-
 // Returns a worker's response to a renewal.
 std::string reportBody(int running, int ended)
 {
@@ -234,7 +207,7 @@
     for (const int rows : {5, 20}) {
         const std::string body = reportBody(rows, 2);
         report(benchName, std::to_string(rows) + " rows",
-               {{"parse us", bestMicrosPerCall(callsPerRound, [&] {
+               {{"parse us", bestMicrosPerCall(processorMicros, callsPerRound, [&] {
                      if (!platform::parseWorkerReport(body))
                          std::exit(EXIT_FAILURE);
                  })}});
@@ -272,7 +245,7 @@
     }
     platform::WorkerEntries entries;
     int sequence = 0;
-    const double update = bestMicrosPerCall(feedCallsPerRound, [&] {
+    const double update = bestMicrosPerCall(processorMicros, feedCallsPerRound, [&] {
         ++sequence;
         int changed = 0;
         for (auto &[key, row] : rows) {
@@ -282,7 +255,7 @@
         entries.update(rows);
     });
     const double parsePage =
-        bestMicrosPerCall(feedCallsPerRound, [&] { platform::parsePage(page); });
+        bestMicrosPerCall(processorMicros, feedCallsPerRound, [&] { platform::parsePage(page); });
     reportTableHeader("changes of workers", {"page us", "list us"});
     report(benchName, "workers", {{"parse page us", parsePage}, {"update list us", update}});
 }
@@ -302,12 +275,15 @@
     report(
         benchName, "journal",
         {{"encode record us",
-          bestMicrosPerCall(callsPerRound, [&] { steps::encodeRecord(started); })},
-         {"decode record us", bestMicrosPerCall(callsPerRound, [&] { steps::decodeRecord(line); })},
+          bestMicrosPerCall(processorMicros, callsPerRound, [&] { steps::encodeRecord(started); })},
+         {"decode record us",
+          bestMicrosPerCall(processorMicros, callsPerRound, [&] { steps::decodeRecord(line); })},
          {"encode commit's base64 us",
-          bestMicrosPerCall(callsPerRound, [&] { platform::encodeBase64(commit); })},
-         {"decode commit's base64 us",
-          bestMicrosPerCall(callsPerRound, [&] { platform::decodeBase64(encoded); })}});
+          bestMicrosPerCall(processorMicros, callsPerRound,
+                            [&] { platform::encodeBase64(commit); })},
+         {"decode commit's base64 us", bestMicrosPerCall(processorMicros, callsPerRound, [&] {
+              platform::decodeBase64(encoded);
+          })}});
 }
 
 using WriteLine = void (*)(std::string_view event, std::initializer_list<LogField> fields);
@@ -315,7 +291,7 @@
 // Returns the microseconds per line.
 double logMicros(WriteLine write)
 {
-    return bestMicrosPerCall(callsPerRound, [write] {
+    return bestMicrosPerCall(processorMicros, callsPerRound, [write] {
         write("run-placed",
               {{"requestId", "5c0e7a21d94b36f8"},
                {"task", "5c0e7a21d94b36f8.0.1.17"},
--- a/bench/journal_bench.cpp
+++ b/bench/journal_bench.cpp
@@ -1,6 +1,7 @@
 // Measures the shard journal and the job scheduler: writes and delays of group commit, memory and
 // CPU time per job, and the times of recovery and takeover.
 
+#include "measure.h"
 #include "report.h"
 #include "savorywick/jobscheduler.h"
 #include "savorywick/journal.h"
@@ -10,7 +11,6 @@
 #include <cmath>
 #include <ctime>
 #include <deque>
-#include <malloc.h>
 #include <map>
 #include <random>
 #include <utility>
@@ -28,11 +28,6 @@
     return 1'000.0 * static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
 }
 
-double heapBytes()
-{
-    return static_cast<double>(mallinfo2().uordblks);
-}
-
 OwnedShard ownedShard()
 {
     OwnedShard owned;
@@ -205,7 +200,7 @@
 {
     constexpr int workers = 65;
     JobSchedulerCost figures;
-    const double before = heapBytes();
+    const double before = bench::heapBytes();
     JobSchedulerSettings settings;
     settings.maxPlacementsPerTick = 4'096;
     JobScheduler scheduler(settings);
@@ -222,7 +217,7 @@
     double recordBytes = 0;
     for (const std::string &it : figures.records)
         recordBytes += static_cast<double>(it.capacity() + sizeof(std::string));
-    figures.waitingBytes = heapBytes() - before - recordBytes;
+    figures.waitingBytes = bench::heapBytes() - before - recordBytes;
     const double runStart = cpuMillis();
     while (scheduler.count(JobState::Finished) < static_cast<std::size_t>(jobs)) {
         records.clear();
