--- a/bench/admission_bench.cpp
+++ b/bench/admission_bench.cpp
@@ -17,7 +17,6 @@
 
 constexpr int slots = 58;
 constexpr double meanServiceMicros = 40'000;
-constexpr std::int64_t microsPerSecond = 1'000'000;
 constexpr std::int64_t simulatedMicros = 20 * microsPerSecond;
 constexpr Millis deadline{400};
 constexpr std::size_t requestBytes = 2'000;
--- a/bench/coordinator_bench.cpp
+++ b/bench/coordinator_bench.cpp
@@ -23,7 +23,6 @@
 
 constexpr const char *benchName = "coordinator";
 constexpr std::int64_t wallOffset = 1'700'000'000'000; // From virtual time to the time of day, ms.
-constexpr std::int64_t microsPerSecond = 1'000'000;
 constexpr std::int64_t commitMicros = 15'000;
 constexpr std::int64_t minCallMicros = 2'000;
 constexpr std::uint64_t callMicrosSpread = 6'000;
--- a/bench/eventqueue.h
+++ b/bench/eventqueue.h
@@ -10,6 +10,8 @@
 
 namespace savorywick::bench {
 
+constexpr std::int64_t microsPerSecond = 1'000'000;
+
 // Event queue of a discrete-event simulation: runs actions in virtual time, ordered by due time
 // and, for equal times, by the order in which they were scheduled.
 //
--- a/bench/retry_bench.cpp
+++ b/bench/retry_bench.cpp
@@ -24,7 +24,6 @@
 constexpr double offeredLoad = 0.7;
 constexpr double failureRate = 0.3; // Of the attempts under Fault::SomeFail.
 constexpr std::int64_t failedAttemptMicros = 1'000;
-constexpr std::int64_t microsPerSecond = 1'000'000;
 constexpr std::int64_t faultStart = 3 * microsPerSecond;
 constexpr std::int64_t faultEnd = 9 * microsPerSecond;
 constexpr std::int64_t simulationEnd = 12 * microsPerSecond;
