Let a step whose start had no effect keep its turn

A long-running task was overtaken by tasks that were submitted later, and the time after which it comes before all others began again, each time that a worker refused its start or didn't reply and didn't have it. Best-effort steps lost the time after which they accept less headroom.

Cause: a step is forgotten once all its tasks are placed, and is new when the run ends, although nothing has run. A run now knows since when its step had waited; if it ends as NeverStarted the step waits since then. A run that did start ends that wait, as before. Steps with a deadline are ordered by their due time and are not concerned. After a takeover waits begin anew, as before.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -357,6 +357,7 @@
     double minHeadroomFor(const ReadyStep &step, ClockReading now) const;
     bool placeStep(const ReadyStep &step, PlacementPass &pass, ClockReading now);
     bool placeGang(const ReadyStep &step, PlacementPass &pass, ClockReading now);
+    void restoreTurn(const Run &run);
     void startRun(const TaskRef &task, int run, const StepSpec &spec, CandidateWorker &worker,
                   ClockReading now);
     std::vector<int> tasksToStart(const StepRef &ref) const;
--- a/include/savorywick/steps/runtable.h
+++ b/include/savorywick/steps/runtable.h
@@ -46,6 +46,9 @@
     Instant startedAt;
     // When the worker first confirmed that it has the run.
     Instant confirmedAt;
+    // Since when the step had been waiting for a worker; for a run of an earlier owner, when this
+    // owner learned of it.
+    Instant stepReadySince;
     // What is allocated to the run on its worker.
     ResourceVector allocated;
     // What the step requests for each task.
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -231,6 +231,14 @@
     return true;
 }
 
+// Lets the step of a run that had no effect wait as if the run had not been placed.
+void Coordinator::restoreTurn(const Run &run)
+{
+    const auto it = m_readySteps.find(run.key.task.stepRef());
+    if (it != m_readySteps.end())
+        it->second = std::min(it->second, run.stepReadySince);
+}
+
 void Coordinator::startRun(const TaskRef &task, int run, const StepSpec &spec,
                            CandidateWorker &worker, ClockReading now)
 {
@@ -244,6 +252,7 @@
     if (wasQueued)
         publishWhenDurable(task.job);
     Run added = makeRun({task, run}, spec, life, now.monotonic);
+    added.stepReadySince = m_readySteps.at(task.stepRef());
     worker.available -= added.allocated;
     worker.idleMilliCores -= spec.demand.milliCores;
     accountForStart(worker, spec, task.job, now.monotonic);
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -307,6 +307,8 @@
         stopGangMembers(key);
     if (!isFinal(job->state))
         refreshOccurrence(*job, key.task.occurrence, now);
+    if (how == RunOutcome::NeverStarted)
+        restoreTurn(run);
 }
 
 void Coordinator::updateQuarantine(const Run &run, RunOutcome how, ClockReading now)
--- a/src/lib/steps/runtable.cpp
+++ b/src/lib/steps/runtable.cpp
@@ -21,6 +21,7 @@
     run.incarnation = worker;
     run.startedAt = now;
     run.lastProgressAt = now;
+    run.stepReadySince = now;
     run.allocated = allocationFor(spec);
     run.requested = spec.demand;
     run.longRunning = spec.longRunning;
