Probe a quarantined worker again if its probe showed nothing

A worker whose probe was never started, or was cancelled, moved or lost, took no further task for ten minutes (probeTimeout), up to a fifth of the workers at once.

Cause: only a success or a failure of the probe was told to Quarantine; any other end left the probe in progress until its timeout, which is meant for probes whose end nobody learns. A run now knows whether it is the probe, and an end of it that shows nothing makes the next probe due at once.

--- a/include/savorywick/quarantine.h
+++ b/include/savorywick/quarantine.h
@@ -103,6 +103,9 @@
     WorkerAvailability availability(std::string_view worker, Instant now) const;
     // Starts the probe that is due for `worker`. Returns false and does nothing if none is due.
     bool beginProbe(std::string_view worker, Instant now);
+    // Records that the probe of `worker` ended and showed nothing, so that the next one is due.
+    // Does nothing if no probe is in progress.
+    void abandonProbe(std::string_view worker, Instant now);
 
     // Returns the latest failure of the job on each worker, the earliest first.
     std::vector<FailureRecord> failures(std::string_view job) const;
--- a/include/savorywick/steps/runtable.h
+++ b/include/savorywick/steps/runtable.h
@@ -49,6 +49,7 @@
     // Since when the step had been waiting for a worker; for a run of an earlier owner, when this
     // owner learned of it.
     Instant stepReadySince;
+    bool isProbe = false; // It shows whether its worker may leave the quarantine.
     // What is allocated to the run on its worker.
     ResourceVector allocated;
     // What the step requests for each task.
--- a/src/lib/quarantine.cpp
+++ b/src/lib/quarantine.cpp
@@ -189,6 +189,15 @@
     return true;
 }
 
+void Quarantine::abandonProbe(std::string_view worker, Instant now)
+{
+    const auto it = m_workers.find(worker);
+    if (it == m_workers.end() || !it->second.probing)
+        return;
+    it->second.probing = false;
+    it->second.nextProbeAt = now;
+}
+
 std::vector<FailureRecord> Quarantine::failures(std::string_view job) const
 {
     std::vector<FailureRecord> records;
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -261,10 +261,11 @@
         noteRun(SchedulerEventKind::JobStarted, added, "first-run", waited);
     noteRun(SchedulerEventKind::RunPlaced, added, spec.bestEffort ? "fill-in" : "room", waited,
             worker.available.milliCores);
+    added.isProbe = m_quarantine.beginProbe(id, now.monotonic);
+    if (added.isProbe)
+        worker.available = {}; // The probe is this one task.
     m_runs.add(std::move(added));
     m_uncommittedStarts.push_back({0, {task, run}});
-    if (m_quarantine.beginProbe(id, now.monotonic))
-        worker.available = {}; // The probe is this one task.
     ++m_counters.runsStarted;
 }
 
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -315,6 +315,8 @@
 {
     if (how == RunOutcome::Done)
         m_quarantine.recordSuccess(run.key.task.job, run.workerId, now.monotonic);
+    else if (how != RunOutcome::Failed && run.isProbe)
+        m_quarantine.abandonProbe(run.workerId, now.monotonic);
     if (how != RunOutcome::Failed)
         return;
     const QuarantineDecision verdict =
--- a/tests/lib/quarantine_test.cpp
+++ b/tests/lib/quarantine_test.cpp
@@ -153,6 +153,19 @@
     CHECK(quarantine.beginProbe("w", Instant{630'000}));
 }
 
+TEST_CASE("a probe that showed nothing is repeated at once")
+{
+    Quarantine quarantine(options);
+    for (int i = 0; i < 3; ++i)
+        quarantine.recordFailure(jobName(i), "w", "exit 1", Instant{0});
+    quarantine.abandonProbe("w", Instant{10'000}); // None is in progress.
+    CHECK(quarantine.availability("w", Instant{29'999}) == WorkerAvailability::Quarantined);
+    REQUIRE(quarantine.beginProbe("w", Instant{30'000}));
+    quarantine.abandonProbe("w", Instant{31'000});
+    CHECK(quarantine.beginProbe("w", Instant{31'000}));
+    quarantine.abandonProbe("unknown", Instant{31'000});
+}
+
 TEST_CASE("failures spread over more than the window do not quarantine a worker")
 {
     Quarantine quarantine(options);
