--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -373,6 +373,7 @@
     double minHeadroomAfter(Millis waited) const;
     bool placeStep(const ReadyStep &step, PlacementPass &pass, ClockReading now);
     bool placeGang(const ReadyStep &step, PlacementPass &pass, ClockReading now);
+    void restoreTurn(const Run &run);
     void startRun(const TaskRef &task, int run, const StepSpec &spec, CandidateWorker &worker,
                   ClockReading now);
     std::vector<StepRef> nextStepsToNote(Instant now) const;
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -339,12 +339,16 @@
         stopGangMembers(key);
     if (!isFinal(job->state))
         refreshOccurrence(*job, key.task.occurrence, now);
+    if (how == RunOutcome::NeverStarted)
+        restoreTurn(run);
 }
 
 void Coordinator::updateQuarantine(const Run &run, RunOutcome how, ClockReading now)
 {
     if (how == RunOutcome::Done)
         m_quarantine.recordSuccess(run.key.task.job, run.workerId, now.monotonic);
+    else if (how != RunOutcome::Failed && run.isProbe)
+        m_quarantine.abandonProbe(run.workerId, now.monotonic);
     if (how != RunOutcome::Failed)
         return;
     const QuarantineDecision verdict =
