Bound the end of a lease by the owner's clock from its grant

Callers saw an accepted step that could run and doesn't. Orders name a worker's id only, and a worker may start again under its id with a clock that begins near 0. Until a renewal tells of the new life, its answers to starts and stops set the clock back, so that the lease of the life before seemed to end when the new clock reaches it, minutes later. If the worker then answered no renewal, its runs were believed to run for all that time.

A lease now counts as over, too, once it must be by the owner's clock: from the reading at its grant, or, if the new life took it over, the longest time to an answer and the longest term after the grant, both by the slowest clock. The safety of the old bound stays: the end by the latest reading still counts if it is earlier, and leases of earlier owners are unchanged.

--- a/include/savorywick/steps/workersession.h
+++ b/include/savorywick/steps/workersession.h
@@ -26,6 +26,8 @@
     Millis maxAckDelay{1'000};
     // The time from a failed renewal to the next.
     Millis retryDelay{250};
+    // The longest time from sending a command to its answer.
+    Millis maxAnswerTime{1'500};
     // How far past its end a lease must be to count as expired.
     Millis expiryMargin{250};
     // The rate of the slowest worker clock, in percent of this process's clock.
@@ -112,6 +114,8 @@
 
 private:
     void reset(Instant now);
+    Instant ownLeaseEnd(std::int64_t untilClockMs) const;
+    Millis longestFor(Millis clockTime) const;
 
     WorkerSessionSettings m_settings;
     WorkerIncarnation m_incarnation;
@@ -133,6 +137,8 @@
     Instant m_clockReadAt;
     // When the longest granted lease expires, on the worker's clock.
     std::int64_t m_leaseUntilClockMs = 0;
+    // When every granted lease has expired, whichever life of the worker took it.
+    Instant m_leasesEndAt;
     std::int64_t m_appliedEnds = 0;
     std::int64_t m_durableEnds = 0;
 };
--- a/src/lib/steps/workersession.cpp
+++ b/src/lib/steps/workersession.cpp
@@ -41,6 +41,7 @@
     m_answeredFence = 0;
     m_clockMs.reset();
     m_leaseUntilClockMs = 0;
+    m_leasesEndAt = {};
     m_appliedEnds = 0;
     m_durableEnds = 0;
     raiseFence(now);
@@ -117,26 +118,39 @@
     const std::int64_t until =
         m_clockMs.value_or(0) + (now - m_clockReadAt).count() + m_settings.leaseTerm.count();
     m_leaseUntilClockMs = std::max(m_leaseUntilClockMs, until);
+    // A worker that has started again under its id may take the lease over by its new clock.
+    const Instant takenOverEnd = now + m_settings.maxAnswerTime
+        + longestFor(m_settings.maxLeaseTerm + m_settings.expiryMargin);
+    m_leasesEndAt = std::max({m_leasesEndAt, ownLeaseEnd(until), takenOverEnd});
     return until;
 }
 
+// Returns the longest time in which the slowest clock advances by `clockTime`.
+Millis WorkerSession::longestFor(Millis clockTime) const
+{
+    const std::int64_t rate = m_settings.minClockRatePercent;
+    const std::int64_t longest = (clockTime.count() * fullPercent + rate - 1) / rate;
+    return Millis{std::max<std::int64_t>(0, longest)};
+}
+
+// Returns from when on a lease until this time on the worker's clock has surely expired, by the
+// latest reading of the clock.
+Instant WorkerSession::ownLeaseEnd(std::int64_t untilClockMs) const
+{
+    const Millis untilExpired =
+        Millis{untilClockMs - m_clockMs.value_or(0) + 1} + m_settings.expiryMargin;
+    return m_clockReadAt + longestFor(untilExpired);
+}
+
 Instant WorkerSession::leaseExpiresAt() const
 {
-    const std::int64_t margin = m_settings.expiryMargin.count();
-    // Returns the shortest time after which the slowest clock has advanced by `clockTime`.
-    const auto longestFor = [this](std::int64_t clockTime) {
-        const std::int64_t rate = m_settings.minClockRatePercent;
-        return Millis{std::max<std::int64_t>(0, (clockTime * fullPercent + rate - 1) / rate)};
-    };
     // A lease from an earlier owner expires, at the latest, the longest term after the takeover.
     const Instant earlierLeasesEnd =
-        m_ownedSince + longestFor(m_settings.maxLeaseTerm.count() + margin);
+        m_ownedSince + longestFor(m_settings.maxLeaseTerm + m_settings.expiryMargin);
     if (!m_clockMs)
         return earlierLeasesEnd;
-    const Instant ownLeaseEnd =
-        m_clockReadAt + longestFor(m_leaseUntilClockMs + margin + 1 - *m_clockMs);
     // The worker's report may list runs of earlier owners, which may still run under their lease.
-    return std::max(earlierLeasesEnd, ownLeaseEnd);
+    return std::max(earlierLeasesEnd, std::min(ownLeaseEnd(m_leaseUntilClockMs), m_leasesEndAt));
 }
 
 } // namespace savorywick::steps
