Show that an idle worker that is gone holds up a task for a whole lease

An idle worker is asked every 2.6 s only, so for that long it is given tasks after it has gone. The start gets no answer, and the run counts as possibly running until the lease that the start granted has surely ended, 6.4 s later.

--- a/tests/steps/coordinatorprogress_test.cpp
+++ b/tests/steps/coordinatorprogress_test.cpp
@@ -201,3 +201,18 @@
     harness.advance(Millis{1'100}); // The backoff, and the longest time between two ticks.
     CHECK(harness.workersStartedOn("a").size() == 1);
 }
+
+// Guards against a task that is held up for a whole lease by a worker that was gone before the
+// start was sent: it had no runs, so it was not asked often enough to be known as gone.
+TEST_CASE("A start that an idle worker leaves unanswered delays its task by less than three seconds")
+{
+    CoordinatorHarness harness(2);
+    harness.advance(Millis{12'000}); // The leases of earlier owners are over.
+    harness.silentWorkers = {"w0"};
+    harness.startOutcomes = {{"w0", CommandOutcome::Unknown}};
+    harness.submit("a", task(1'000));
+    REQUIRE(harness.refusedStarts.size() == 1);
+    harness.advance(Millis{2'900});
+    REQUIRE(harness.workersStartedOn("a").size() == 1);
+    CHECK(harness.workersStartedOn("a").front() == "w1");
+}
