--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -280,45 +280,47 @@
                            static_cast<int>(workers.size())});
     }
     m_lastNotedStep = steps.back();
-    // Lets the step of a run that had no effect wait as if the run had not been placed.
-    void Coordinator::restoreTurn(const Run &run)
-    {
-        const auto it = m_readySteps.find(run.key.task.stepRef());
-        if (it != m_readySteps.end())
-            it->second = std::min(it->second, run.stepReadySince);
-    }
+}
 
-    void Coordinator::startRun(const TaskRef &task, int run, const StepSpec &spec,
-                               CandidateWorker &worker, ClockReading now)
-    {
-        const bool wasQueued = m_table.find(task.job)->state == JobState::Queued;
-        const std::string &id = worker.info->incarnation.workerId;
-        Worker &known = m_workers.at(id);
-        const WorkerIncarnation life = known.session.incarnation();
-        known.runSummaryStale = true;
-        markStale(known);
-        appendRecord(RunStarted{task, run, life});
-        if (wasQueued)
-            publishWhenDurable(task.job);
-        Run added = makeRun({task, run}, spec, life, now.monotonic);
-        added.stepReadySince = m_readySteps.at(task.stepRef());
-        worker.available -= added.allocated;
-        worker.idleMilliCores -= spec.demand.milliCores;
-        accountForStart(worker, spec, task.job, now.monotonic);
-        const Millis waited{now.wallMs - m_table.find(task.job)->dueWallMs(task.occurrence)};
-        if (wasQueued)
-            noteRun(SchedulerEventKind::JobStarted, added, "first-run", waited);
-        noteRun(SchedulerEventKind::RunPlaced, added, spec.bestEffort ? "fill-in" : "room", waited,
-                worker.available.milliCores);
-        added.isProbe = m_quarantine.beginProbe(id, now.monotonic);
-        const bool isRetry = known.failedStarts > 0;
-        if (isRetry)
-            known.blockedUntil = now.monotonic + m_settings.maxStartRetryDelay;
-        if (added.isProbe || isRetry)
-            worker.closeToTasks(); // It is tried with this one task.
-        m_runs.add(std::move(added));
-        m_uncommittedStarts.push_back({0, {task, run}});
-        ++m_counters.runsStarted;
-    }
+// Lets the step of a run that had no effect wait as if the run had not been placed.
+void Coordinator::restoreTurn(const Run &run)
+{
+    const auto it = m_readySteps.find(run.key.task.stepRef());
+    if (it != m_readySteps.end())
+        it->second = std::min(it->second, run.stepReadySince);
+}
+
+void Coordinator::startRun(const TaskRef &task, int run, const StepSpec &spec,
+                           CandidateWorker &worker, ClockReading now)
+{
+    const bool wasQueued = m_table.find(task.job)->state == JobState::Queued;
+    const std::string &id = worker.info->incarnation.workerId;
+    Worker &known = m_workers.at(id);
+    const WorkerIncarnation life = known.session.incarnation();
+    known.runSummaryStale = true;
+    markStale(known);
+    appendRecord(RunStarted{task, run, life});
+    if (wasQueued)
+        publishWhenDurable(task.job);
+    Run added = makeRun({task, run}, spec, life, now.monotonic);
+    added.stepReadySince = m_readySteps.at(task.stepRef());
+    worker.available -= added.allocated;
+    worker.idleMilliCores -= spec.demand.milliCores;
+    accountForStart(worker, spec, task.job, now.monotonic);
+    const Millis waited{now.wallMs - m_table.find(task.job)->dueWallMs(task.occurrence)};
+    if (wasQueued)
+        noteRun(SchedulerEventKind::JobStarted, added, "first-run", waited);
+    noteRun(SchedulerEventKind::RunPlaced, added, spec.bestEffort ? "fill-in" : "room", waited,
+            worker.available.milliCores);
+    added.isProbe = m_quarantine.beginProbe(id, now.monotonic);
+    const bool isRetry = known.failedStarts > 0;
+    if (isRetry)
+        known.blockedUntil = now.monotonic + m_settings.maxStartRetryDelay;
+    if (added.isProbe || isRetry)
+        worker.closeToTasks(); // It is tried with this one task.
+    m_runs.add(std::move(added));
+    m_uncommittedStarts.push_back({0, {task, run}});
+    ++m_counters.runsStarted;
+}
 
 } // namespace savorywick::steps
