Show that a job waits for a new owner's wall clock to catch up

A job without a schedule counts as due at the time of day at which it was accepted. An owner whose clock is behind that of the owner before it doesn't make the job's steps ready until then.

--- a/tests/steps/coordinatorprogress_test.cpp
+++ b/tests/steps/coordinatorprogress_test.cpp
@@ -217,3 +217,17 @@
     REQUIRE(harness.workersStartedOn("a").size() == 1);
     CHECK(harness.workersStartedOn("a").front() == "w1");
 }
+
+// Guards against an accepted job that waits until the clock of a new owner has caught up with that
+// of the owner that accepted it.
+TEST_CASE("A job without a schedule starts although the next owner's wall clock is behind")
+{
+    constexpr std::int64_t hourMs = 3'600'000;
+    CoordinatorHarness harness(1);
+    harness.submitFor("absent", "a", task(1'000));
+    Coordinator next(2, harness.now().monotonic, {});
+    for (const std::string &it : harness.coordinator().takeRecords())
+        next.restore(decodeRecord(it));
+    next.takeOver({harness.now().monotonic, harness.now().wallMs - hourMs});
+    CHECK(next.readyStepCount() == 1);
+}
