Show that a worker which is listed again is sent lower fences

Once a session has been forgotten, the next one with the worker begins at the owner's first fence, although the worker has seen higher ones of the same owner, and climbs by one at each refusal.

--- a/tests/steps/coordinatorprogress_test.cpp
+++ b/tests/steps/coordinatorprogress_test.cpp
@@ -231,3 +231,23 @@
     next.takeOver({harness.now().monotonic, harness.now().wallMs - hourMs});
     CHECK(next.readyStepCount() == 1);
 }
+
+// Guards against a worker that comes back after its session was forgotten and refuses one renewal
+// after the other, because it has seen higher fences of the same owner.
+TEST_CASE("A worker that is listed again is sent no lower fence than before")
+{
+    CoordinatorHarness harness(1);
+    harness.startOutcomes = {{"w0", CommandOutcome::Unknown}};
+    harness.submit("a", task(1'000));
+    harness.advance(Millis{5'000});
+    REQUIRE(harness.refusedStarts.size() > 1); // Each has raised the fence.
+    harness.coordinator().cancel("a", harness.now());
+    harness.silentWorkers = {"w0"};
+    harness.listWorkers({});
+    harness.advance(Millis{20'000});
+    REQUIRE(harness.coordinator().workerCount() == 0);
+    harness.silentWorkers.clear();
+    harness.listWorkers({0});
+    harness.advance(Millis{1'000});
+    CHECK(harness.fencedRenewals == 0);
+}
