Show that an outdated entry resets the session with a restarted worker

The list of workers lags behind. When a renewal has told of a worker's restart, each update of the list that still shows the life before resets the session, and the next answer resets it again; between the two the worker is given no tasks.

--- a/tests/steps/coordinatorprogress_test.cpp
+++ b/tests/steps/coordinatorprogress_test.cpp
@@ -251,3 +251,18 @@
     harness.advance(Millis{1'000});
     CHECK(harness.fencedRenewals == 0);
 }
+
+// Guards against a worker of which an outdated entry is listed for some time after its restart, and
+// which is treated as restarted again at each update of the list.
+TEST_CASE("An outdated entry of a restarted worker does not end the session with its new life")
+{
+    CoordinatorHarness harness(1);
+    harness.restartUnlisted(0);
+    harness.advance(Millis{3'000}); // The next renewal tells of the restart.
+    const Fence before = harness.highestFence("w0");
+    for (int i = 0; i < 10; ++i) {
+        harness.listWorkers({0});
+        harness.advance(Millis{100});
+    }
+    CHECK(harness.highestFence("w0") == before);
+}
