Start accepted jobs whatever the clock of a new owner shows

Callers saw an accepted job stay queued after a takeover, without a run. A job without a schedule was due at the time of day at which it had been accepted, so an owner whose clock was behind that of the one before it (hosts differ, and clocks are set) left it alone until its own clock had caught up.

Such a job is due at once now; the time of day decides on scheduled jobs only. The test failed before (not ready with a clock that is an hour behind) and passes now.

--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -11,6 +11,13 @@
 // each time that earlier orders to the worker must become void.
 constexpr Fence fencesPerEpoch = 1U << 20U;
 
+// Returns true if and only if the occurrence's time has come. A job without a schedule is due
+// whatever the clock of this owner shows: that of the owner that accepted it may have been ahead.
+bool isDue(const Job &job, int occurrence, std::int64_t wallMs)
+{
+    return job.spec.schedule.occurrenceCount == 0 || job.dueWallMs(occurrence) <= wallMs;
+}
+
 } // namespace
 
 Coordinator::Coordinator(std::uint64_t epoch, Instant ownedSince,
@@ -147,7 +154,7 @@
     const auto next = m_nextOccurrence.find(id);
     if (next != m_nextOccurrence.end())
         k = next->second;
-    for (; k < job.occurrenceCount() && job.dueWallMs(k) <= now.wallMs; ++k)
+    for (; k < job.occurrenceCount() && isDue(job, k, now.wallMs); ++k)
         refreshOccurrence(job, k, now);
     if (k < job.occurrenceCount()) {
         m_nextOccurrence[id] = k;
