Begin new sessions above the fences of forgotten ones

Callers saw tasks wait while a worker was back: when it is listed again after its session was forgotten, the new session began at the owner's first fence. The worker had seen higher ones of the same owner and refused one renewal after the other, while the fence climbed by one each time.

The fence of a forgotten session now raises the first fence of later ones. The test failed before (150 refused renewals) and passes now.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -375,7 +375,7 @@
     PlacementConstraints constraintsFor(const StepRef &ref) const;
 
     CoordinatorSettings m_settings;
-    Fence m_firstFence;
+    Fence m_firstFence; // Of a new session; above those of sessions that were forgotten.
     Instant m_ownedSince;
     JobTable m_table;
     RunTable m_runs;
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -426,6 +426,7 @@
             continue;
         m_renewals.cancel(id);
         std::erase(m_staleWorkers, &it->second);
+        m_firstFence = std::max(m_firstFence, it->second.session.fence() + 1);
         m_quarantine.removeWorker(id);
         m_workers.erase(it);
     }
