Keep the session with a restarted worker at an outdated entry

Callers saw tasks wait although a worker had restarted and answered. Its renewal told of the new life; the next update of the list still showed the life before and reset the session, and the answer to the next renewal reset it again, at each update until the list had caught up. A reset worker gets no tasks until it has answered twice.

An entry now changes the life that the session is with only to a later one; an answer of the worker changes it either way, as clocks may be set back.

--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -19,8 +19,11 @@
     const std::string &id = info.incarnation.workerId;
     const auto it = m_workers.find(id);
     if (it != m_workers.end()) {
-        it->second.session.update(info.incarnation, info.address, now.monotonic);
-        it->second.info = info;
+        Worker &known = it->second;
+        known.info = info;
+        // The list lags behind: it may still show a life that is over.
+        known.info.incarnation = std::max(info.incarnation, known.session.incarnation());
+        known.session.update(known.info.incarnation, info.address, now.monotonic);
         it->second.runSummaryStale = true;
         markStale(it->second);
         return it->second;
