--- a/tests/steps/coordinatorprogress_test.cpp
+++ b/tests/steps/coordinatorprogress_test.cpp
@@ -204,7 +204,8 @@
 
 // Guards against a task that is held up for a whole lease by a worker that was gone before the
 // start was sent: it had no runs, so it was not asked often enough to be known as gone.
-TEST_CASE("A start that an idle worker leaves unanswered delays its task by less than three seconds")
+TEST_CASE(
+    "A start that an idle worker leaves unanswered delays its task by less than three seconds")
 {
     CoordinatorHarness harness(2);
     harness.advance(Millis{12'000}); // The leases of earlier owners are over.
@@ -216,3 +217,52 @@
     REQUIRE(harness.workersStartedOn("a").size() == 1);
     CHECK(harness.workersStartedOn("a").front() == "w1");
 }
+
+// Guards against an accepted job that waits until the clock of a new owner has caught up with that
+// of the owner that accepted it.
+TEST_CASE("A job without a schedule starts although the next owner's wall clock is behind")
+{
+    constexpr std::int64_t hourMs = 3'600'000;
+    CoordinatorHarness harness(1);
+    harness.submitFor("absent", "a", task(1'000));
+    Coordinator next(2, harness.now().monotonic, {});
+    for (const std::string &it : harness.coordinator().takeRecords())
+        next.restore(decodeRecord(it));
+    next.takeOver({harness.now().monotonic, harness.now().wallMs - hourMs});
+    CHECK(next.readyStepCount() == 1);
+}
+
+// Guards against a worker that comes back after its session was forgotten and refuses one renewal
+// after the other, because it has seen higher fences of the same owner.
+TEST_CASE("A worker that is listed again is sent no lower fence than before")
+{
+    CoordinatorHarness harness(1);
+    harness.startOutcomes = {{"w0", CommandOutcome::Unknown}};
+    harness.submit("a", task(1'000));
+    harness.advance(Millis{5'000});
+    REQUIRE(harness.refusedStarts.size() > 1); // Each has raised the fence.
+    harness.coordinator().cancel("a", harness.now());
+    harness.silentWorkers = {"w0"};
+    harness.listWorkers({});
+    harness.advance(Millis{20'000});
+    REQUIRE(harness.coordinator().workerCount() == 0);
+    harness.silentWorkers.clear();
+    harness.listWorkers({0});
+    harness.advance(Millis{1'000});
+    CHECK(harness.fencedRenewals == 0);
+}
+
+// Guards against a worker of which an outdated entry is listed for some time after its restart, and
+// which is treated as restarted again at each update of the list.
+TEST_CASE("An outdated entry of a restarted worker does not end the session with its new life")
+{
+    CoordinatorHarness harness(1);
+    harness.restartUnlisted(0);
+    harness.advance(Millis{3'000}); // The next renewal tells of the restart.
+    const Fence before = harness.highestFence("w0");
+    for (int i = 0; i < 10; ++i) {
+        harness.listWorkers({0});
+        harness.advance(Millis{100});
+    }
+    CHECK(harness.highestFence("w0") == before);
+}
