Close a stopping entry's connections only when they owe no response

A request that arrived while a stopping entry ended its session, or while its loop had no processor, got no response: the loop was stopped as soon as the store had taken the end of the session, and nobody looked for bytes that had arrived meanwhile. The connections stayed open until the process had freed its memory, so that callers also waited for an entry that served nobody. The later the loop, the more requests are hit: with a pause of 0.4 s, all of that time. Class of fault: a process ends while it owes an answer.

After the session has ended, each connection is closed by itself, in a turn in which its read ends without a byte and none has arrived since; the read itself says so, since it may have taken bytes that are not handled yet. Whatever is read until then is refused at once. The loop stops when no connection is left, at 95 % of the grace period at the latest; a request that has arrived only in part is waited for until then. Connections that were used no longer wait for the 0.5 s that new ones get for their first request.

The simulation's check is stated anew: a request is owed a response if the entry's side of its connection was open when it was sent, and no byte may be read and discarded. Entries also pause more often, and later in the stop.

--- a/src/net/asynchttpserver.cpp
+++ b/src/net/asynchttpserver.cpp
@@ -178,8 +178,12 @@
             return read();
         m_stream.expires_after(
             toChrono(m_rejects ? m_server->limits.rejectionTimeout : m_server->limits.idleTimeout));
+        m_isWaiting = true;
         m_stream.async_read_some(m_buffer.prepare(firstReadBytes),
                                  [self = shared_from_this()](const error_code &ec, std::size_t n) {
+                                     self->m_isWaiting = false;
+                                     if (self->mustWaitAgain(ec))
+                                         return self->awaitRequest();
                                      if (ec)
                                          return;
                                      self->m_buffer.commit(n);
@@ -187,6 +191,18 @@
                                  });
     }
 
+    // Closes the connection if it waits for bytes and none has arrived. The pending read decides,
+    // since it may have taken bytes already.
+    void closeIfAnswered()
+    {
+        error_code ignored; // The client may have closed the connection first.
+        if (m_isWaiting)
+            m_stream.socket().cancel(ignored);
+    }
+
+    // Returns true if and only if no request was read yet.
+    bool isUnused() const { return !m_wasUsed; }
+
     // Returns true if and only if bytes have arrived that the server has not read.
     bool hasArrivedBytes()
     {
@@ -223,6 +239,7 @@
         m_stream.expires_never();
         m_keepAlive = m_parser->keep_alive();
         m_awaitsResponse = true;
+        m_wasUsed = true;
         ++m_server->inFlight;
         const auto responded = std::make_shared<bool>(false);
         const auto respond = [self = shared_from_this(), responded](HttpResponse response) {
@@ -292,13 +309,21 @@
     void linger()
     {
         m_buffer.clear();
+        m_isWaiting = true;
         m_stream.async_read_some(m_buffer.prepare(firstReadBytes),
                                  [self = shared_from_this()](const error_code &ec, std::size_t n) {
-                                     if (!ec)
+                                     self->m_isWaiting = false;
+                                     if (self->mustWaitAgain(ec) || !ec)
                                          self->discard(n);
                                  });
     }
 
+    // Returns true if and only if closeIfAnswered() ended a read and bytes have come since.
+    bool mustWaitAgain(const error_code &ec)
+    {
+        return ec == asio::error::operation_aborted && hasArrivedBytes();
+    }
+
     void discard(std::size_t bytes)
     {
         if (m_discardedBytes == 0)
@@ -317,6 +342,8 @@
     const bool m_rejects;
     std::uint64_t m_discardedBytes = 0;
     std::string m_client; // The address, known once bytes have been discarded.
+    bool m_isWaiting = false; // For the first byte of a request, or for the end.
+    bool m_wasUsed = false; // A request was read.
     bool m_awaitsResponse = false; // A request was read and its response is not written yet.
 };
 
@@ -416,6 +443,19 @@
     m_impl->acceptor.close(ignored);
 }
 
+void AsyncHttpServer::closeAnswered()
+{
+    for (Impl::Session *it : m_impl->sessions)
+        it->closeIfAnswered();
+}
+
+std::size_t AsyncHttpServer::unusedConnections() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_impl->sessions.begin(), m_impl->sessions.end(),
+                      [](const Impl::Session *it) { return it->isUnused(); }));
+}
+
 std::size_t AsyncHttpServer::inFlight() const
 {
     return m_impl->inFlight;
--- a/src/net/asynchttpserver.h
+++ b/src/net/asynchttpserver.h
@@ -80,6 +80,12 @@
     // Accepts the connections that already wait, and stops listening. Implies drain(): requests on
     // open connections are still handled.
     void close();
+    // Closes the connections that owe their clients nothing: no request on them awaits its response
+    // or is being read, and no byte has arrived that is not read. Each is closed within a turn of
+    // the loop. Call it again until openConnections() is 0.
+    void closeAnswered();
+    // Returns the number of connections whose first request has not been read yet.
+    std::size_t unusedConnections() const;
     // Returns the number of requests that were read and whose responses are not written yet.
     std::size_t inFlight() const;
     // Returns the number of connections that are not closed by both sides yet.
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -124,8 +124,10 @@
     {
         Instant startedAt;
         Instant answersDueAt; // All requests that were read have a response by then.
-        Instant stopAt; // The loop stops then, with connections open if need be.
+        Instant endSessionAt; // The session ends then at the latest.
+        Instant leaveAt; // The loop stops then, with connections open if need be.
         CallerAnswerCounts answersBefore;
+        bool endsConnections = false; // The session has ended, or was given up.
     };
 
     bool isReady() const;
@@ -150,8 +152,10 @@
     std::vector<steps::WorkerInfo> workersOf(int shard) const;
     void serveUntilDrained();
     void closeConnections();
-    void awaitClosedConnections(Instant closingAt);
-    void stop();
+    void awaitFirstRequests(Instant closedAt);
+    void endSession();
+    void endConnections();
+    void awaitClosedConnections();
     void leave();
     void logStop() const;
 
--- a/src/node/nodedrain.cpp
+++ b/src/node/nodedrain.cpp
@@ -3,29 +3,32 @@
 //      connections. This ends when the balancer sends no new callers and no request is open, or
 //      when answers are due.
 //   2. Answers are due: whatever still waits gets the response that is true now.
-//   3. The connections end in order. Requests that arrive meanwhile are answered.
-//   4. The session ends, and the loop stops.
+//   3. No more connections are accepted. Those that were get the time to send their first request.
+//   4. The session ends, and requests are refused at once. Each connection is closed at a moment
+//      when it owes no response, and the loop stops with the last one.
 
 #include "core/log.h"
 #include "node/node.h"
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace savorywick {
 
 namespace {
 
-// The parts of the grace period after which answers are due and the loop stops. Timers fire late on
-// a loaded host; the rest of the period covers that.
+// The parts of the grace period after which answers are due, the session ends and the loop stops
+// with connections open if need be. Timers fire late on a loaded host; the rest covers that.
 constexpr std::int64_t answersDuePercent = 65;
-constexpr std::int64_t stopPercent = 85;
+constexpr std::int64_t endSessionPercent = 85;
+constexpr std::int64_t leavePercent = 95;
 constexpr std::int64_t wholePercent = 100;
 
 constexpr Millis drainPollInterval{100};
 constexpr Millis closePollInterval{20};
-// How long callers get to close their side and new connections to send their first request.
-constexpr Millis maxCloseTime{500};
+// How long new connections get to send their first request.
+constexpr Millis maxFirstRequestTime{500};
 constexpr Millis maxEndSessionTime{200};
 
 Millis percentOf(Millis whole, std::int64_t percent)
@@ -42,7 +45,8 @@
     const Instant now = m_clock.now();
     m_drain =
         Drain{now, now + percentOf(m_settings.gracePeriod, answersDuePercent),
-              now + percentOf(m_settings.gracePeriod, stopPercent), m_callerApi.answerCounts()};
+              now + percentOf(m_settings.gracePeriod, endSessionPercent),
+              now + percentOf(m_settings.gracePeriod, leavePercent), m_callerApi.answerCounts()};
     logInfo("draining",
             {{"shards", static_cast<int>(m_runners.size())},
              {"inFlight", static_cast<int>(m_callerServer.inFlight())},
@@ -73,27 +77,42 @@
         runner->drop();
     m_callerServer.close();
     m_peerServer.close();
-    awaitClosedConnections(m_clock.now());
+    awaitFirstRequests(m_clock.now());
 }
 
-void Node::awaitClosedConnections(Instant closingAt)
+void Node::awaitFirstRequests(Instant closedAt)
 {
     const Instant now = m_clock.now();
-    const std::size_t open = m_callerServer.openConnections() + m_peerServer.openConnections();
     const std::size_t inFlight = m_callerServer.inFlight() + m_peerServer.inFlight();
-    const bool waitedLongEnough = inFlight == 0 && now - closingAt >= maxCloseTime;
-    if (open == 0 || waitedLongEnough || now >= m_drain->stopAt)
-        return stop();
-    m_loop.runAfter(closePollInterval, [this, closingAt] { awaitClosedConnections(closingAt); });
+    const bool waitedLongEnough = now - closedAt >= maxFirstRequestTime
+        || m_callerServer.unusedConnections() + m_peerServer.unusedConnections() == 0;
+    if ((inFlight == 0 && waitedLongEnough) || now >= m_drain->endSessionAt)
+        return endSession();
+    m_loop.runAfter(closePollInterval, [this, closedAt] { awaitFirstRequests(closedAt); });
+}
+
+void Node::endSession()
+{
+    m_callerApi.limitDeadlines(m_clock.now()); // What is read from now on is refused at once.
+    m_ownership.endSession([this] { endConnections(); });
+    // Go on after this time at the latest, even if the store does not answer.
+    m_loop.runAfter(maxEndSessionTime, [this] { endConnections(); });
 }
 
-void Node::stop()
+void Node::endConnections()
 {
-    // What is read from now on is refused at once.
-    m_callerApi.limitDeadlines(m_clock.now());
-    m_ownership.endSession([this] { leave(); });
-    // Stop after this time at the latest, even if the store does not answer.
-    m_loop.runAfter(maxEndSessionTime, [this] { leave(); });
+    if (!std::exchange(m_drain->endsConnections, true))
+        awaitClosedConnections();
+}
+
+void Node::awaitClosedConnections()
+{
+    m_callerServer.closeAnswered();
+    m_peerServer.closeAnswered();
+    const std::size_t open = m_callerServer.openConnections() + m_peerServer.openConnections();
+    if (open == 0 || m_clock.now() >= m_drain->leaveAt)
+        return leave();
+    m_loop.runAfter(closePollInterval, [this] { awaitClosedConnections(); });
 }
 
 void Node::leave()
--- a/tests/net/asynchttp_test.cpp
+++ b/tests/net/asynchttp_test.cpp
@@ -418,6 +418,45 @@
     }
 }
 
+// Guards against connections that a server closes although it owes their clients a response.
+TEST_CASE("A server closes a connection only once it owes no response on it")
+{
+    const std::string request = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+    struct Case
+    {
+        const char *name;
+        std::string before; // Sent and read before the connections are closed.
+        std::string unread; // Sent before that, but not read.
+        std::string after; // Sent afterwards.
+        int responses;
+    };
+    for (const Case &it :
+         {Case{"unused", "", "", "", 0}, Case{"idle", request, "", "", 1},
+          Case{"unread", request, request, "", 2},
+          Case{"several unread", "", request + request, "", 2},
+          Case{"half arrived", request + request.substr(0, 9), "", request.substr(9), 2}}) {
+        CAPTURE(std::string(it.name));
+        HttpFixture fixture([&](const HttpRequest &, const AsyncHttpServer::Responder &respond) {
+            fixture.loop().runAfter(Millis{20}, [respond] {
+                respond({.status = 200, .headers = {}, .body = "whole"});
+            });
+        });
+        RawClient client(fixture.address());
+        client.send(it.before);
+        fixture.runUntil([&] { return fixture.server().openConnections() == 1; });
+        fixture.runUntil([&] { return fixture.handledRequests() == (it.before.empty() ? 0 : 1); });
+        client.send(it.unread);
+        fixture.server().close();
+        fixture.server().closeAnswered();
+        client.send(it.after);
+        fixture.runUntil([&] {
+            fixture.server().closeAnswered();
+            return fixture.server().openConnections() == 0;
+        });
+        CHECK(countOf("whole", fixture.readAll(client)) == it.responses);
+    }
+}
+
 TEST_CASE("Listening on an address that is in use or malformed throws an error")
 {
     HttpFixture fixture(echo);
--- a/tests/node/drainsimulation.h
+++ b/tests/node/drainsimulation.h
@@ -88,7 +88,7 @@
         Millis sentAt; // Since the stop signal of the entry.
         const CallerConnection *connection;
         std::size_t index; // Among the requests on the connection.
-        bool isWhole;
+        bool isOwed; // It was sent whole while the entry's side of the connection was open.
     };
 
     Habit habit = Habit::Stubborn;
@@ -100,8 +100,8 @@
 };
 
 // Two entries that are told to stop at about the same time, with requests of many callers before,
-// during and after it. A request that has arrived at an entry before the entry's last turn is owed
-// a whole response: the entry could have read it. What a caller sends later is not.
+// during and after it. Each request that was sent while the entry's side of the connection was open
+// is owed a whole response, and no byte may be read in vain.
 //
 // Time is real, but nothing depends on how long a turn takes: callers act only between two turns.
 class DrainSimulation
@@ -152,7 +152,8 @@
                            [](const Entry &it) { return !it.process->isGone(); });
     }
 
-    // Returns a line for each request that got no response or an untrue one.
+    // Returns a line for each request without a response or with an untrue one, and for each entry
+    // that has discarded bytes.
     std::vector<std::string> violations() const
     {
         std::vector<std::string> lines;
@@ -163,6 +164,11 @@
                     lines.push_back(describe(caller, it) + ": " + fault);
             }
         }
+        for (const Entry &it : m_entries) {
+            if (const std::uint64_t bytes = it.process->discardedBytes(); bytes > 0)
+                lines.push_back("seed " + std::to_string(m_seed) + ": " + std::to_string(bytes)
+                                + " bytes were read and discarded");
+        }
         return lines;
     }
 
@@ -192,8 +198,8 @@
         entry.process->takeTurn();
         // A busy host: the entry gets no processor for a while. The end of the grace period is left
         // out, since nobody can answer there after such a pause.
-        constexpr Millis pausesEnd{4'000};
-        constexpr int turnsPerPause = 400;
+        constexpr Millis pausesEnd{4'900};
+        constexpr int turnsPerPause = 100;
         constexpr int maxPauseMs = 400;
         if (below(turnsPerPause) == 0 && now < entry.stopAt + pausesEnd)
             entry.pausedUntil = now + Millis{below(maxPauseMs)};
@@ -205,8 +211,8 @@
         if (now < caller.nextSendAt || m_entries[caller.entry].process->isGone())
             return;
         if (!caller.unsentPart.empty()) {
-            caller.requests.back().isWhole =
-                caller.connections.back().send(std::exchange(caller.unsentPart, {}));
+            caller.requests.back().isOwed =
+                deliver(caller.connections.back(), std::exchange(caller.unsentPart, {}));
             caller.nextSendAt = now + Millis{below(300)};
             return;
         }
@@ -231,10 +237,17 @@
             caller.unsentPart = text.substr(cut);
             text.resize(cut);
         }
-        request.isWhole = connection.send(text) && caller.unsentPart.empty();
+        request.isOwed = deliver(connection, text) && caller.unsentPart.empty();
         caller.requests.push_back(std::move(request));
     }
 
+    // Sends the bytes. Returns false if the entry has closed its side before.
+    static bool deliver(CallerConnection &connection, const std::string &bytes)
+    {
+        const bool wasOpen = !connection.hasEnded();
+        return connection.send(bytes) && wasOpen;
+    }
+
     static bool needsConnection(const SimulatedCaller &caller)
     {
         if (caller.connections.empty())
@@ -279,7 +292,7 @@
     // Returns what is wrong with the outcome of a request, or an empty text.
     std::string faultOf(const Request &request) const
     {
-        if (!request.isWhole)
+        if (!request.isOwed)
             return {};
         const std::vector<int> &statuses = request.connection->statuses();
         if (request.index >= statuses.size())
--- a/tests/node/drainsimulation_test.cpp
+++ b/tests/node/drainsimulation_test.cpp
@@ -42,7 +42,7 @@
 
 // Guards against requests that get neither an answer nor a refusal: two entries stop at about the
 // same time, and callers send before, during and after it, on old and new connections.
-TEST_CASE("Stopping entries answer every request that has arrived before their last turn")
+TEST_CASE("Stopping entries answer every request that comes on an open connection")
 {
     std::list<DrainSimulation> simulations;
     for (std::uint32_t i = 0; i < simulationCount; ++i)
--- a/tests/node/simulatedentry.h
+++ b/tests/node/simulatedentry.h
@@ -5,8 +5,10 @@
 #include "node/node.h"
 #include "plaincodec.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -113,10 +115,15 @@
     // Handles what is due, and what has arrived before the call.
     void takeTurn()
     {
-        if (!runReady(m_process->loop))
-            m_process.reset();
+        if (runReady(m_process->loop))
+            return;
+        m_discardedBytes = counterIn(m_process->node.metrics(), "caller_bytes_discarded_total");
+        m_process.reset();
     }
 
+    // Returns the bytes of callers that the entry had read in vain when it was gone.
+    std::uint64_t discardedBytes() const { return m_discardedBytes; }
+
 private:
     struct Process
     {
@@ -148,8 +155,18 @@
         Node node;
     };
 
+    // Returns the value of a counter: what follows the last mention of its name.
+    static std::uint64_t counterIn(const std::string &metrics, const std::string &name)
+    {
+        const std::size_t at = metrics.rfind(name);
+        if (at == std::string::npos)
+            throw std::runtime_error("no metric " + name);
+        return std::stoull(metrics.substr(at + name.size()));
+    }
+
     std::unique_ptr<Process> m_process;
     std::string m_callers;
+    std::uint64_t m_discardedBytes = 0;
 };
 
 } // namespace savorywick::testing
