Show that a job is taken that no row of the store can hold

A job is stored in one record, and a record in one row. The platform's rows hold 64 KB (rowBytes in the settings); a body of 120 KB, well under the limit of a body, can describe a job of 390 KB.

--- a/tests/adapter/jsoncallercodec_test.cpp
+++ b/tests/adapter/jsoncallercodec_test.cpp
@@ -71,6 +71,19 @@
     }
 }
 
+// Guards against a shard that commits nothing any more: the store refuses a row that is too large
+// each time, and what was committed after the job waits behind it.
+TEST_CASE("A submission that is too large for a row of the store is rejected")
+{
+    std::string steps = R"({"count":1})";
+    constexpr int manySteps = 10'000;
+    for (int i = 1; i < manySteps; ++i)
+        steps += R"(,{"count":1})";
+    std::string error;
+    CHECK_FALSE(decode(R"({"spec":"a","stepSpecs":[)" + steps + "]}", error).has_value());
+    CHECK_FALSE(error.empty());
+}
+
 TEST_CASE("A job id consists of sixteen hexadecimal digits")
 {
     const JsonCallerCodec codec;
