Reject a job that no row of the store can hold

All callers of the shard were refused as long as that owner lived.

The size of the record is known when the body is read, so such a submission gets 400 and the reason there, before it is sent to an owner.

--- a/tests/adapter/jsoncallercodec_test.cpp
+++ b/tests/adapter/jsoncallercodec_test.cpp
@@ -82,6 +82,16 @@
     std::string error;
     CHECK_FALSE(decode(R"({"spec":"a","stepSpecs":[)" + steps + "]}", error).has_value());
     CHECK_FALSE(error.empty());
+    // The limit is that of the store's rows, whatever it is.
+    constexpr std::size_t smallRowBytes = 500;
+    for (const std::size_t payloadBytes : {100, 500}) {
+        error.clear();
+        const std::string body =
+            R"({"spec":")" + std::string(payloadBytes, 'x') + R"(","stepSpecs":[{"count":1}]})";
+        const auto job = JsonCallerCodec(smallRowBytes).decodeJob(body, id, {}, error);
+        CHECK(job.has_value() == (payloadBytes < smallRowBytes));
+        CHECK(error.empty() == job.has_value());
+    }
 }
 
 TEST_CASE("A job id consists of sixteen hexadecimal digits")
