Send a run's or watcher's message to its shard in one place each

RunService::show() and cancel() were the same but for the message, and submitWatcher() ended in the lines of submitToShard(). sendToJob() and submitToShard() now take the type of the message.

Passed: endtoend_test, invalidinput_test, takeover_test, overlappingruns_test.

--- a/src/entry/runservice.cpp
+++ b/src/entry/runservice.cpp
@@ -166,7 +166,8 @@
     const std::string_view bound = headerValue(request.http.headers, boundIdHeader);
     if (request.forwarded && !bound.empty()) {
         spec.id = bound;
-        return submitToShard(request, spec, shardOfJobId(bound, m_settings.shardCount).value_or(0));
+        return submitToShard<SubmitRun>(request, spec,
+                                        shardOfJobId(bound, m_settings.shardCount).value_or(0));
     }
     const int keyShard = shardOfKey(request.service, spec.idempotencyKey, m_settings.shardCount);
     if (auto response = bindKey(request, spec, keyShard))
@@ -176,7 +177,7 @@
     runRequest.forwarded = false;
     runRequest.http.headers.push_back({std::string(boundIdHeader), spec.id});
     const int shard = shardOfJobId(spec.id, m_settings.shardCount).value_or(0);
-    HttpResponse response = submitToShard(runRequest, spec, shard);
+    HttpResponse response = submitToShard<SubmitRun>(runRequest, spec, shard);
     if (response.status == acceptedStatus) {
         const IdempotencyKey key{runClaimPrefix + spec.service, spec.idempotencyKey};
         m_shardSupervisor.send(keyShard,
@@ -212,10 +213,11 @@
     return std::nullopt;
 }
 
-HttpResponse RunService::submitToShard(const CallerRequest &request, JobSpec spec, int shard)
+template<typename Message, typename Spec>
+HttpResponse RunService::submitToShard(const CallerRequest &request, Spec spec, int shard)
 {
     auto channel = std::make_shared<ReplyChannel<SubmitReply>>();
-    if (!m_shardSupervisor.send(shard, SubmitRun{std::move(spec), channel}))
+    if (!m_shardSupervisor.send(shard, Message{std::move(spec), channel}))
         return forwardToOwner(request, shard);
     return awaitResponse(channel);
 }
@@ -251,30 +253,27 @@
     spec.untilRun = byRun ? until["run"].asString() : std::string();
     spec.delay = byTime ? Millis{until["afterMs"].asInt64()} : Millis{0};
     spec.payload = request.http.body;
-    auto channel = std::make_shared<ReplyChannel<SubmitReply>>();
-    if (!m_shardSupervisor.send(shard, SubmitWatcher{spec, channel}))
-        return forwardToOwner(request, shard);
-    return awaitResponse(channel);
+    return submitToShard<SubmitWatcher>(request, std::move(spec), shard);
 }
 
 HttpResponse RunService::show(const CallerRequest &request, bool watcher)
 {
-    const auto shard = shardOfJobId(request.classOrId, m_settings.shardCount);
-    if (!shard)
-        return unknownIdResponse();
-    auto channel = std::make_shared<ReplyChannel<JobReply>>();
-    if (!m_shardSupervisor.send(*shard, QueryJob{request.classOrId, channel}))
-        return forwardToOwner(request, *shard);
-    return awaitResponse(channel, watcher);
+    return sendToJob<QueryJob>(request, watcher);
 }
 
 HttpResponse RunService::cancel(const CallerRequest &request, bool watcher)
+{
+    return sendToJob<CancelJob>(request, watcher);
+}
+
+template<typename Message>
+HttpResponse RunService::sendToJob(const CallerRequest &request, bool watcher)
 {
     const auto shard = shardOfJobId(request.classOrId, m_settings.shardCount);
     if (!shard)
         return unknownIdResponse();
     auto channel = std::make_shared<ReplyChannel<JobReply>>();
-    if (!m_shardSupervisor.send(*shard, CancelJob{request.classOrId, channel}))
+    if (!m_shardSupervisor.send(*shard, Message{request.classOrId, channel}))
         return forwardToOwner(request, *shard);
     return awaitResponse(channel, watcher);
 }
--- a/src/entry/runservice.h
+++ b/src/entry/runservice.h
@@ -46,7 +46,12 @@
     HttpResponse cancel(const CallerRequest &request, bool watcher);
 
 private:
-    HttpResponse submitToShard(const CallerRequest &request, JobSpec spec, int shard);
+    // Sends `spec` as a Message, SubmitRun or SubmitWatcher, to the owner of `shard`.
+    template<typename Message, typename Spec>
+    HttpResponse submitToShard(const CallerRequest &request, Spec spec, int shard);
+    // Sends the id of the request as a Message, QueryJob or CancelJob, to the owner of its shard.
+    template<typename Message>
+    HttpResponse sendToJob(const CallerRequest &request, bool watcher);
     std::optional<HttpResponse> bindKey(const CallerRequest &request, JobSpec &spec, int keyShard);
     HttpResponse forwardToOwner(const CallerRequest &request, int shard);
     HttpResponse awaitResponse(const ReplyChannelPtr<SubmitReply> &channel) const;
