Show that workers which lose calls are chosen again at once

It takes 0.5 s and a renewal until it is known that an unanswered start had no effect; the worker is not kept from tasks for longer than that, so it is the first choice again. A worker that loses renewals is not avoided at all.

--- a/tests/steps/coordinatorprogress_test.cpp
+++ b/tests/steps/coordinatorprogress_test.cpp
@@ -266,3 +266,37 @@
     }
     CHECK(harness.highestFence("w0") == before);
 }
+
+// Guards against a worker that is chosen again as soon as it is clear that it did not start a task,
+// since that takes longer than the task was kept away from it.
+TEST_CASE("A worker that leaves a start unanswered is not the next choice once it answers again")
+{
+    CoordinatorHarness harness(2);
+    harness.startOutcomes = {{"w0", CommandOutcome::Unknown}};
+    harness.silentWorkers = {"w0"};
+    harness.submit("a", task(1'000));
+    REQUIRE(harness.refusedStarts.size() == 1);
+    harness.advance(Millis{1'000});
+    harness.silentWorkers.clear();
+    harness.advance(Millis{500});
+    REQUIRE(harness.workersStartedOn("a").size() == 1);
+    CHECK(harness.workersStartedOn("a").front() == "w1");
+    CHECK(harness.refusedStarts.size() == 1);
+}
+
+// Guards against tasks that are given to a worker that loses calls while others are empty.
+TEST_CASE("A worker that has lately left a renewal unanswered is the last choice")
+{
+    CoordinatorHarness harness(2);
+    harness.submit("a", task(1'000));
+    REQUIRE(harness.workersStartedOn("a").front() == "w0");
+    harness.silentWorkers = {"w0"};
+    harness.advance(Millis{400});
+    harness.silentWorkers.clear();
+    harness.advance(Millis{400});
+    harness.submit("b", task(1'000)); // It would fit tighter on w0.
+    CHECK(harness.workersStartedOn("b") == std::vector<std::string>{"w1"});
+    harness.advance(Millis{4'000});
+    harness.submit("c", task(14'000));
+    CHECK(harness.workersStartedOn("c").size() == 1);
+}
