Avoid workers that lose calls for longer than the doubt lasts

Callers saw a task wait while its starts went to the same worker, which answered none of them. It takes 0.5 s until a start counts as unanswered and another call until it is known to have had no effect. By then the 0.5 s were over for which the worker was the last choice. A worker that lost renewals was not avoided at all.

A worker is the last choice for 2 s after a start that it refused or left unanswered, doubling up to 16 s as before, and for 2 s after a renewal without an answer. It still gets tasks that no other can take.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -46,11 +46,13 @@
     Millis stopResendInterval{1'000};
     Millis stopRetryDelay{250};
     // A worker that refused a start, or left it unanswered, gets no other for the first of these
-    // times, which doubles with each such start in a row up to the second. It is the last choice
-    // for a time that doubles likewise up to the third.
+    // times, which doubles with each such start in a row up to the second.
     Millis startRetryDelay{500};
     Millis maxStartRetryDelay{1'000};
-    Millis maxStartAvoidance{16'000};
+    // It is the last choice for the first of these times, which doubles likewise. So is a worker
+    // that left a renewal unanswered, for the first time.
+    Millis workerAvoidance{2'000};
+    Millis maxWorkerAvoidance{16'000};
     // A worker that still answers is given tasks for this time after it left the platform's list.
     Millis unlistedGracePeriod{2'500};
 
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -95,6 +95,8 @@
             noteWorker(SchedulerEventKind::WorkerUnresponsive, id, toString(reply.outcome),
                        silence);
         worker.session.renewalFailed(now.monotonic);
+        worker.avoidedUntil =
+            std::max(worker.avoidedUntil, now.monotonic + m_settings.workerAvoidance);
         if (reply.outcome == CommandOutcome::Fenced)
             worker.session.raiseFence(now.monotonic);
         return;
@@ -274,12 +276,13 @@
     if (run.startedAt <= worker.lastFailedStartAt)
         return;
     constexpr int maxDoublings = 10;
-    const Millis backoff =
-        m_settings.startRetryDelay * (1 << std::min(worker.failedStarts, maxDoublings));
+    const int factor = 1 << std::min(worker.failedStarts, maxDoublings);
     ++worker.failedStarts;
     worker.lastFailedStartAt = now;
-    worker.blockedUntil = now + std::min(backoff, m_settings.maxStartRetryDelay);
-    worker.avoidedUntil = now + std::min(backoff, m_settings.maxStartAvoidance);
+    worker.blockedUntil =
+        now + std::min(m_settings.startRetryDelay * factor, m_settings.maxStartRetryDelay);
+    worker.avoidedUntil =
+        now + std::min(m_settings.workerAvoidance * factor, m_settings.maxWorkerAvoidance);
 }
 
 void Coordinator::noteConfirmedStart(Worker &worker)
