Accept all connections that wait in one turn of the loop

An entry whose loop is busy let new connections wait: the server accepted one connection in each turn of the loop, however many waited, since Asio looks for the next one only in the next turn. Where a turn takes 0.1 s, as an owner's rounds do under load, ten connections a second are accepted; the others time out, of callers as of entries that ask the owner. Class of fault: a limit in turns of the loop instead of in work.

After a connection was accepted, the others that wait are accepted as well, up to 64 a turn. The cost is one more accept call that finds nothing.

"A server accepts all connections that wait in a few turns of its loop" needed 50 turns for 50 connections before, and passes with less than 10. How much it matters under load was not measured.

--- a/src/net/asynchttpserver.cpp
+++ b/src/net/asynchttpserver.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <optional>
 #include <set>
 #include <utility>
@@ -30,6 +31,7 @@
 
 // The wait after a failed accept, for example when the process is out of file descriptors.
 constexpr Millis acceptRetryDelay{100};
+constexpr int maxAcceptsPerTurn = 64;
 
 std::chrono::milliseconds toChrono(Millis span)
 {
@@ -132,7 +134,7 @@
 
     void accept();
     void admit(Tcp::socket socket);
-    void acceptWaiting();
+    void acceptWaiting(int limit);
 
     EventLoop &loop;
     AsyncHttpServerLimits limits;
@@ -362,8 +364,11 @@
             return;
         }
         self->admit(std::move(socket));
-        if (!self->closing)
-            self->accept();
+        if (self->closing)
+            return;
+        // A turn of a busy loop is long, and one connection a turn would be too few.
+        self->acceptWaiting(maxAcceptsPerTurn);
+        self->accept();
     });
 }
 
@@ -377,12 +382,12 @@
     std::make_shared<Session>(std::move(socket), shared_from_this(), rejects)->awaitRequest();
 }
 
-// Accepts the connections that wait: closing the acceptor would reset them.
-void AsyncHttpServer::Impl::acceptWaiting()
+// Accepts the connections that wait, up to a limit.
+void AsyncHttpServer::Impl::acceptWaiting(int limit)
 {
     error_code ec;
     acceptor.non_blocking(true, ec);
-    while (!ec) {
+    for (int n = 0; n < limit && !ec; ++n) {
         Tcp::socket socket(loop.impl().context);
         acceptor.accept(socket, ec);
         if (!ec)
@@ -438,7 +443,8 @@
     m_impl->draining = true;
     if (std::exchange(m_impl->closing, true))
         return;
-    m_impl->acceptWaiting();
+    // Closing the acceptor would reset the connections that still wait.
+    m_impl->acceptWaiting(std::numeric_limits<int>::max());
     error_code ignored; // The acceptor is closed in any case.
     m_impl->acceptor.close(ignored);
 }
--- a/tests/net/asynchttp_test.cpp
+++ b/tests/net/asynchttp_test.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <list>
 #include <optional>
 #include <string>
 #include <thread>
@@ -418,6 +419,27 @@
     }
 }
 
+// Guards against connections that wait for many turns of a busy loop before the server reads them.
+TEST_CASE("A server accepts all connections that wait in a few turns of its loop")
+{
+    HttpFixture fixture(echo);
+    std::list<RawClient> clients;
+    constexpr std::size_t clientCount = 50;
+    constexpr int maxTurns = 10;
+    for (std::size_t i = 0; i < clientCount; ++i)
+        clients.emplace_back(fixture.address());
+    int turns = 0;
+    std::function<void()> countTurn = [&] {
+        if (fixture.server().openConnections() == clientCount)
+            return fixture.loop().stop();
+        ++turns;
+        fixture.loop().post(countTurn);
+    };
+    fixture.loop().post(countTurn);
+    fixture.loop().run();
+    CHECK(turns <= maxTurns);
+}
+
 // Guards against connections that a server closes although it owes their clients a response.
 TEST_CASE("A server closes a connection only once it owes no response on it")
 {
