End a run with the lease of the worker's life that confirmed it

Callers may see a task that is believed to run and doesn't: each time that the list shows a new life of a worker which answers nothing, the leases of its former life were taken to last for the longest term from then on, so that a worker that starts again every few seconds kept its runs for ever.

Cause: WorkerSession::reset() began its bound on earlier leases anew, since an order to the former life may be taken over by the new one, which has the same id. That doubt concerns only runs that no life has confirmed, and its bound is known at the grant.

The session keeps both ends across lives: that of the former life, for runs that it has confirmed, and that of every lease that was granted, for all others. A start that is confirmed after the session has passed on to another life counts as unconfirmed until the next report, since either may have it.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -337,6 +337,8 @@
     void markStale(Worker &worker);
     void noteRunsChanged(const std::string &workerId);
     void refreshDueTimes();
+    Instant leaseEndOf(const Run &run) const;
+    Instant nextLeaseEnd(const Worker &worker) const;
     void expireWorkers(ClockReading now);
     void endLapsedRuns(const std::string &id, ClockReading now);
     std::optional<Instant> stalledAt(const Run &run) const;
--- a/include/savorywick/steps/workersession.h
+++ b/include/savorywick/steps/workersession.h
@@ -111,6 +111,10 @@
     bool leaseExpired(Instant now) const { return now >= leaseExpiresAt(); }
     // Returns from when on leaseExpired() is true unless the session changes.
     Instant leaseExpiresAt() const;
+    // Returns from when on all leases of runs that an earlier incarnation confirmed have expired.
+    // A run that none has confirmed may have been taken over by the present one. Call it only if
+    // update() was called with another incarnation.
+    Instant formerLifeEndsAt() const { return m_formerLifeEndsAt; }
 
     // Records that ended runs up to `number` were applied to the state, but not durably yet.
     void recordAppliedEnds(std::int64_t number) { m_appliedEnds = number; }
@@ -129,7 +133,6 @@
     WorkerIncarnation m_incarnation;
     std::string m_address;
     Fence m_fence;
-    Instant m_ownedSince;
 
     bool m_renewalInFlight = false;
     Instant m_renewalSentAt;
@@ -148,8 +151,12 @@
     Instant m_clockReadAt;
     // When the longest granted lease expires, on the worker's clock.
     std::int64_t m_leaseUntilClockMs = 0;
-    // When every granted lease has expired, whichever life of the worker took it.
+    // When every lease that was granted to the present incarnation has expired, whichever life of
+    // the worker took it.
     Instant m_leasesEndAt;
+    // When every lease of earlier owners, and every one granted to earlier incarnations, has.
+    Instant m_earlierLeasesEndAt;
+    Instant m_formerLifeEndsAt; // Of the latest earlier incarnation; none if it is not set.
     std::int64_t m_appliedEnds = 0;
     std::int64_t m_durableEnds = 0;
 };
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -235,10 +235,12 @@
         noteFailedStart(worker->second, *run, now.monotonic);
     switch (reply.outcome) {
     case CommandOutcome::Done:
+        noteConfirmedStart(key.task.job);
+        if (!sameLife)
+            return markStartUnknown(key, now); // Either life may have it; the next report tells.
         run->phase = RunPhase::Running;
         run->confirmedAt = now.monotonic;
         run->lastProgressAt = now.monotonic;
-        noteConfirmedStart(key.task.job);
         return scheduleStallCheck(*run);
     case CommandOutcome::Unknown:
     case CommandOutcome::StaleRun: // This run or a later one has ended there; the next report
@@ -422,12 +424,32 @@
         else
             m_renewals.cancel(id);
         if (hasRuns || worker->unlistedSince)
-            m_leaseEnds.schedule(id, worker->session.leaseExpiresAt());
+            m_leaseEnds.schedule(id, nextLeaseEnd(*worker));
         else
             m_leaseEnds.cancel(id);
     }
 }
 
+// Returns from when on the run, whose start order was sent, has certainly ended with its lease.
+Instant Coordinator::leaseEndOf(const Run &run) const
+{
+    const WorkerSession &session = m_workers.find(run.workerId)->second.session;
+    const bool endedWithItsLife =
+        run.phase == RunPhase::Running && run.incarnation != session.incarnation();
+    return endedWithItsLife ? session.formerLifeEndsAt() : session.leaseExpiresAt();
+}
+
+// Returns when the first lease on the worker ends.
+Instant Coordinator::nextLeaseEnd(const Worker &worker) const
+{
+    Instant next = worker.session.leaseExpiresAt();
+    if (worker.session.formerLifeEndsAt() == Instant{})
+        return next;
+    for (const RunKey &key : m_runs.onWorker(worker.info.incarnation.workerId))
+        next = std::min(next, leaseEndOf(*m_runs.find(key)));
+    return next;
+}
+
 // Ends the runs of workers whose lease has lapsed, and removes such workers if they are unlisted.
 void Coordinator::expireWorkers(ClockReading now)
 {
@@ -436,6 +458,10 @@
         ++m_counters.workersExamined;
         endLapsedRuns(id, now);
         const auto it = m_workers.find(id);
+        if (!it->second.session.leaseExpired(now.monotonic)) {
+            markStale(it->second);
+            continue;
+        }
         if (!it->second.unlistedSince || m_runs.hasRunsOn(id))
             continue;
         m_renewals.cancel(id);
@@ -446,13 +472,14 @@
     }
 }
 
-// Ends the runs of a worker whose lease has lapsed. A run whose start order was not sent holds
+// Ends the runs on the worker whose lease has lapsed. A run whose start order was not sent holds
 // none.
 void Coordinator::endLapsedRuns(const std::string &id, ClockReading now)
 {
     std::vector<RunKey> lapsedRuns = m_runs.onWorker(id);
-    std::erase_if(lapsedRuns, [this](const RunKey &key) {
-        return m_runs.find(key)->phase == RunPhase::StartPending;
+    std::erase_if(lapsedRuns, [&](const RunKey &key) {
+        const Run &run = *m_runs.find(key);
+        return run.phase == RunPhase::StartPending || now.monotonic < leaseEndOf(run);
     });
     if (!lapsedRuns.empty())
         noteWorker(SchedulerEventKind::WorkerLeaseExpired, id, "lease-over",
--- a/src/lib/steps/workersession.cpp
+++ b/src/lib/steps/workersession.cpp
@@ -17,9 +17,9 @@
     , m_incarnation(incarnation)
     , m_address(std::move(address))
     , m_fence(firstFence)
-    , m_ownedSince(ownedSince)
     , m_renewalDueAt(ownedSince)
     , m_lastAnswerAt(ownedSince)
+    , m_earlierLeasesEndAt(ownedSince + longestFor(settings.maxLeaseTerm + settings.expiryMargin))
 { }
 
 void WorkerSession::update(const WorkerIncarnation &incarnation, std::string address, Instant now)
@@ -35,7 +35,9 @@
 // the old incarnation may still reach the new one, so the fence is raised.
 void WorkerSession::reset(Instant now)
 {
-    m_ownedSince = now;
+    if (m_clockMs) // Otherwise the incarnation that ends now has confirmed no run.
+        m_formerLifeEndsAt = std::max(m_formerLifeEndsAt, leaseExpiresAt());
+    m_earlierLeasesEndAt = std::max(m_earlierLeasesEndAt, m_leasesEndAt);
     m_lastAnswerAt = now;
     m_renewalInFlight = false;
     m_answeredFence = 0;
@@ -161,13 +163,11 @@
 
 Instant WorkerSession::leaseExpiresAt() const
 {
-    // A lease from an earlier owner expires, at the latest, the longest term after the takeover.
-    const Instant earlierLeasesEnd =
-        m_ownedSince + longestFor(m_settings.maxLeaseTerm + m_settings.expiryMargin);
     if (!m_clockMs)
-        return earlierLeasesEnd;
+        return m_earlierLeasesEndAt;
     // The worker's report may list runs of earlier owners, which may still run under their lease.
-    return std::max(earlierLeasesEnd, std::min(ownLeaseEnd(m_leaseUntilClockMs), m_leasesEndAt));
+    return std::max(m_earlierLeasesEndAt,
+                    std::min(ownLeaseEnd(m_leaseUntilClockMs), m_leasesEndAt));
 }
 
 } // namespace savorywick::steps
