--- a/tests/lib/fakeworker.h
+++ b/tests/lib/fakeworker.h
@@ -35,6 +35,8 @@
     std::string incarnation() const { return m_info.id + "." + std::to_string(m_incarnation); }
     // Makes every task that completes from now on fail instead of finish.
     void setFailAll(bool failAll) { m_failAll = failAll; }
+    // Makes the worker refuse every start from now on with this outcome, but renew its lease.
+    void refuseStarts(savorywick::StartOutcome outcome) { m_refusal = outcome; }
     bool isRunning(const std::string &job) const
     {
         const auto it = m_tasks.find(job);
@@ -83,6 +85,8 @@
         using savorywick::StartOutcome;
         if (!acceptsEpoch(epoch))
             return {StartOutcome::StaleEpoch, {}};
+        if (m_refusal)
+            return {*m_refusal, {}};
         if (call.incarnation != incarnation())
             return {StartOutcome::WrongIncarnation, {}};
         if (!m_leaseUntil)
@@ -182,6 +186,7 @@
     savorywick::HostInfo m_info;
     double m_clockRate;
     bool m_failAll = false;
+    std::optional<savorywick::StartOutcome> m_refusal;
     int m_incarnation = 1;
     std::uint64_t m_epoch = 0;
     std::optional<savorywick::Instant> m_leaseUntil;
--- a/tests/lib/jobscheduler_test.cpp
+++ b/tests/lib/jobscheduler_test.cpp
@@ -273,6 +273,25 @@
     }
 }
 
+// Guards against a run that is placed again and again on a worker that refuses it, while another
+// worker has room: a refusal did not count against the worker.
+TEST_CASE("A run that a worker refuses to start is placed on another one")
+{
+    for (const StartOutcome refusal :
+         {StartOutcome::NoRoom, StartOutcome::NoLease, StartOutcome::WrongIncarnation}) {
+        for (const std::string &refusing : {std::string("w0"), std::string("w1")}) {
+            CAPTURE(static_cast<int>(refusal));
+            CAPTURE(refusing);
+            SchedulerFixture fixture(2);
+            fixture.worker(refusing).refuseStarts(refusal);
+            fixture.submit(makeJobSpec("a"));
+            fixture.runFor(Millis{20'000});
+            CHECK(fixture.job("a").worker != refusing);
+            CHECK(fixture.job("a").attempt <= 2);
+        }
+    }
+}
+
 TEST_CASE("A run that fails on every worker is given up with its causes")
 {
     SchedulerFixture fixture(4);
