Place a run that a worker refuses on another one

Callers of savorywick entry waited for ever for a run whose worker refused to start it: the worker fitted best again as soon as the attempt had been withdrawn.

A worker that refused a start for lack of room, or of a lease after maxStartCalls, gets no new work for 2 s, as it has less room than is known here. One that is in another incarnation than its last renewal said gets none until it has granted another renewal, which tells the present incarnation. When the refused attempt is over is decided as before.

--- a/include/savorywick/jobscheduler.h
+++ b/include/savorywick/jobscheduler.h
@@ -39,6 +39,9 @@
     // The calls made to start an attempt on a worker that refuses them for lack of a lease. After
     // that the attempt is stopped there, so that the run can be placed again.
     int maxStartCalls = 5;
+    // A worker that refused a start for lack of room or of a lease is given no new work for this
+    // time.
+    Millis refusalBackoff{2'000};
     int maxCheckpointCalls = 3; // The calls for one checkpoint before the eviction is abandoned.
     std::size_t maxFailedAttempts = 10; // A run is given up after this many, on any workers.
     QuarantineOptions quarantine;
@@ -264,6 +267,7 @@
 
     const Job *findActiveAttempt(const std::string &id, int attempt) const;
     void setPhase(const std::string &id, Phase phase, Instant now);
+    void withdrawStart(const Job &job, Instant now);
     void issueCall(const std::string &id, Instant now);
     void scheduleRetry(const std::string &id, Instant now);
     void confirmRunning(const std::string &id, Instant now);
@@ -318,6 +322,7 @@
     std::vector<WorkerCall> m_pendingCalls;
     // When the earliest unanswered renewal was sent, by worker.
     std::map<std::string, Instant> m_unansweredSince;
+    std::map<std::string, Instant> m_blockedUntil; // By worker that refused a start.
 };
 
 } // namespace savorywick
--- a/include/savorywick/workerlease.h
+++ b/include/savorywick/workerlease.h
@@ -59,6 +59,10 @@
     // Records that the renewal in flight failed without a reply.
     void recordRenewalFailure(const std::string &worker);
 
+    // Records that another incarnation has answered a call. The worker is not usable until it has
+    // granted a further renewal.
+    void recordRestart(const std::string &worker);
+
     // Returns true if and only if the worker is silent and its lease has certainly lapsed.
     bool hasLapsed(const std::string &worker, Instant now) const;
     // Forgets the worker's lease and incarnation, so that a renewal is due at once.
--- a/src/lib/jobattempts.cpp
+++ b/src/lib/jobattempts.cpp
@@ -35,6 +35,7 @@
             continue;
         m_allocations.removeHost(id);
         m_quarantine.removeWorker(id);
+        m_blockedUntil.erase(id);
     }
     std::erase_if(m_unansweredSince, [&](const auto &it) {
         return !listed.contains(it.first) && !m_jobsByWorker.contains(it.first);
@@ -167,6 +168,7 @@
         break;
     case StartOutcome::WrongIncarnation:
         ++m_counters.restarts;
+        m_leases.recordRestart(job->worker);
         releaseAttempt(id, "worker restarted", now, records);
         break;
     case StartOutcome::StaleAttempt:
@@ -176,11 +178,11 @@
         // An earlier copy of the call may still be under way and find room when it arrives. A stop
         // makes the worker refuse it, after which the run can be placed elsewhere.
         if (starting)
-            setPhase(id, Phase::Stop, now);
+            withdrawStart(*job, now);
         break;
     case StartOutcome::NoLease:
         if (starting && active.calls >= m_settings.maxStartCalls)
-            setPhase(id, Phase::Stop, now);
+            withdrawStart(*job, now);
         else if (starting)
             scheduleRetry(id, now);
         break;
@@ -192,6 +194,13 @@
     }
 }
 
+// Stops an attempt that its worker refuses to start, so that the run can be placed elsewhere.
+void JobScheduler::withdrawStart(const Job &job, Instant now)
+{
+    m_blockedUntil[job.worker] = now + m_settings.refusalBackoff;
+    setPhase(job.spec.id, Phase::Stop, now);
+}
+
 void JobScheduler::handleStopReply(const StopTask &stop, bool stopped, Instant now,
                                    Records &records)
 {
--- a/src/lib/jobplacement.cpp
+++ b/src/lib/jobplacement.cpp
@@ -77,7 +77,9 @@
 
 bool JobScheduler::acceptsNewWork(const std::string &worker, Instant now) const
 {
-    if (!m_leases.isUsable(worker, now))
+    const auto blocked = m_blockedUntil.find(worker);
+    if (!m_leases.isUsable(worker, now)
+        || (blocked != m_blockedUntil.end() && now < blocked->second))
         return false;
     const WorkerAvailability standing = m_quarantine.availability(worker, now);
     return standing == WorkerAvailability::Available || standing == WorkerAvailability::ProbeDue;
--- a/src/lib/workerlease.cpp
+++ b/src/lib/workerlease.cpp
@@ -57,6 +57,13 @@
         it->second.inFlight = false;
 }
 
+void WorkerLeases::recordRestart(const std::string &worker)
+{
+    const auto it = m_leases.find(worker);
+    if (it != m_leases.end())
+        it->second.grantedRenewalSentAt.reset();
+}
+
 bool WorkerLeases::hasLapsed(const std::string &worker, Instant now) const
 {
     const Lease *lease = find(worker);
