Show that best-effort tasks wait for headroom for long or for ever

A best-effort step starts only where its tasks, at full speed, are expected to leave every long-running task enough headroom: 1.05, or 0.8 after 3 s of waiting. Where the learned cost is above that on all workers the step waits for as long as the long-running tasks are there.

--- a/tests/steps/coordinatorharness.h
+++ b/tests/steps/coordinatorharness.h
@@ -117,16 +117,23 @@
     // Makes the worker report that the run of this start order has failed.
     void reportFailure(const StartRunCommand &order)
     {
-        std::vector<RunEndReport> &ended = m_endReports[order.target.worker.workerId];
+        reportEnd(order.target.worker.workerId, {order.task, order.run}, RunOutcome::Failed);
+    }
+
+    // Makes the worker report that the run has ended.
+    void reportEnd(const std::string &worker, const RunKey &run, RunOutcome how)
+    {
+        std::vector<RunEndReport> &ended = m_endReports[worker];
         const auto number = static_cast<std::int64_t>(ended.size()) + 1;
-        ended.push_back({number, order.task, order.run, RunOutcome::Failed, ""});
-        m_failedRuns.insert({order.task, order.run});
+        ended.push_back({number, run.task, run.number, how, ""});
+        m_endedRuns.insert(run);
     }
 
     std::vector<StartRunCommand> starts;
     std::vector<StopRunCommand> stops;
     std::vector<ThrottleRunCommand> throttles;
     CommandOutcome stopOutcome = CommandOutcome::Done;
+    bool stopsEndRuns = false; // Runs end when they are ordered to stop.
     std::optional<std::int64_t> stopClockMs; // The clock in the answers to stop orders.
     int tailLatencyMs = 10; // That long-running runs report.
     std::set<std::string> failingWorkers; // They fail every run that is started from now on.
@@ -155,7 +162,7 @@
             it != m_endReports.end())
             reply.report.ended = it->second;
         for (const StartRunCommand &it : starts) {
-            if (it.target.worker != order.target.worker || m_failedRuns.contains({it.task, it.run}))
+            if (it.target.worker != order.target.worker || m_endedRuns.contains({it.task, it.run}))
                 continue;
             const Run *run = m_coordinator.runs().find({it.task, it.run});
             const int measurement = run && run->longRunning ? tailLatencyMs : milliCoresInUse;
@@ -183,6 +190,8 @@
     void respond(const StopRunCommand &order)
     {
         stops.push_back(order);
+        if (stopsEndRuns)
+            reportEnd(order.target.worker.workerId, {order.task, order.run}, RunOutcome::Stopped);
         m_coordinator.handleStopReply(order, {stopOutcome, stopClockMs}, now());
     }
     void respond(const ThrottleRunCommand &order) { throttles.push_back(order); }
@@ -192,7 +201,7 @@
     Coordinator m_coordinator;
     LogSequenceNumber m_lsn = 0;
     std::map<std::string, std::vector<RunEndReport>> m_endReports;
-    std::set<RunKey> m_failedRuns;
+    std::set<RunKey> m_endedRuns;
     std::map<std::string, Fence> m_fences; // The highest that each worker has seen.
     std::map<std::string, std::int64_t> m_startedWallMs; // When each worker's life began.
 };
--- a/tests/steps/coordinatorprogress_test.cpp
+++ b/tests/steps/coordinatorprogress_test.cpp
@@ -300,3 +300,41 @@
     harness.submit("c", task(14'000));
     CHECK(harness.workersStartedOn("c").size() == 1);
 }
+
+namespace {
+
+// Lets best-effort tasks of an image run beside a long-running one that they harm, until the
+// coordinator has learned how much.
+void learnInterference(CoordinatorHarness &harness, int tailAloneMs, int tailBesideMs)
+{
+    harness.stopsEndRuns = true;
+    harness.submit("s", longRunningTask());
+    harness.submit("f", bestEffortTask());
+    for (Millis t; t < Millis{60'000}; t = t + Millis{100}) {
+        const bool beside = !harness.coordinator().runs().ofJob("f").empty();
+        harness.tailLatencyMs = beside ? tailBesideMs : tailAloneMs;
+        harness.advance(Millis{100});
+    }
+    harness.coordinator().cancel("f", harness.now());
+    harness.tailLatencyMs = tailAloneMs;
+    harness.advance(Millis{5'000});
+}
+
+} // namespace
+
+// Guards against a best-effort task that waits for ever since it would harm the long-running tasks
+// on every worker at full speed, though not at low speed.
+TEST_CASE("A best-effort task that would do harm at full speed starts at low speed within 2500 ms")
+{
+    CoordinatorHarness harness(1);
+    learnInterference(harness, 35, 300);
+    harness.throttles.clear();
+    StepSpec wide = bestEffortTask();
+    wide.demand.milliCores = 10'000;
+    harness.submit("g", wide);
+    harness.advance(Millis{2'500});
+    REQUIRE(harness.workersStartedOn("g").size() == 1);
+    REQUIRE_FALSE(harness.throttles.empty());
+    CHECK(harness.throttles.front().task.job == "g");
+    CHECK(harness.throttles.front().speedPercent == 15);
+}
