Start best-effort tasks at low speed where full speed would do harm

Callers saw a best-effort step wait for as long as long-running tasks stood on all workers, with the processors idle: its tasks were expected to leave too little headroom at full speed, also under the relaxed limit of 0.8 after 3 s. A run that had been stopped for its harm began to wait anew, so its job had nothing running for over 3 s between two tries.

Once a step has waited for 2 s, its tasks also start where the relaxed limit holds at 15 % of their speed, and then at that speed, ordered as soon as the worker has confirmed the run. The control of interference speeds them up as headroom allows, as it does with throttled runs. Starting at full speed needs the full headroom now, so less harm is done than by the relaxed limit before. A worker whose long-running tasks miss their targets still gets none.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -68,10 +68,11 @@
     // All best-effort runs on a worker are throttled once a target has been missed for this time,
     // whatever interference they are estimated to cause.
     Millis maxTargetMiss{1'600};
-    // The headroom that a best-effort task must leave to each latency-critical run. The relaxed
-    // limit applies once the step has waited for `relaxHeadroomAfter`.
+    // The headroom that a best-effort task must leave to each latency-critical run. Once its step
+    // has waited for `relaxHeadroomAfter`, it may start at low speed where it leaves the relaxed
+    // headroom at that speed.
     double minHeadroom = 1.05;
-    Millis relaxHeadroomAfter{3'000};
+    Millis relaxHeadroomAfter{2'000};
     double relaxedMinHeadroom = 0.8;
     // Best-effort runs are throttled if the headroom of a run beside them is below the first value,
     // and as far as is estimated to raise it to the second.
@@ -356,6 +357,7 @@
     void addInterferenceState(const Worker &worker, CandidateWorker &candidate, Instant now) const;
     void accountForStart(CandidateWorker &candidate, const StepSpec &started,
                          const std::string &job, Instant now) const;
+    void orderStartSpeed(const Worker &worker, Run &run, ClockReading now);
 
     // Placement (coordinatorplacement.cpp).
     Instant placementAt() const;
@@ -367,6 +369,9 @@
     std::vector<ReadyStep> sortedReadySteps(ClockReading now) const;
     void placeReadySteps(ClockReading now);
     double minHeadroomAfter(Millis waited) const;
+    void setHeadroomLimits(PlacementConstraints &constraints, Millis waited) const;
+    int startSpeedOf(const StepSpec &spec, const PlacementConstraints &constraints,
+                     const CandidateWorker &worker) const;
     bool placeStep(const ReadyStep &step, PlacementPass &pass, ClockReading now);
     bool placeGang(const ReadyStep &step, PlacementPass &pass, ClockReading now);
     void startRun(const TaskRef &task, int run, const StepSpec &spec, CandidateWorker &worker,
--- a/include/savorywick/steps/placement.h
+++ b/include/savorywick/steps/placement.h
@@ -51,6 +51,7 @@
     std::string currentRack;
     const LatencyHeadroomEstimator *headroomEstimator = nullptr; // If null, minHeadroom is ignored.
     double minHeadroom = 0; // That a best-effort task must leave to every latency-critical run.
+    int bestEffortSpeedPercent = 100; // The speed at which a best-effort task is to start.
 };
 
 // Returns true if and only if enough of the worker's processors are idle for a best-effort task
@@ -95,6 +96,11 @@
 // Returns the time from when a job is due to start until it should be complete.
 Millis relativeDeadlineOf(const JobSpec &spec);
 
+// Returns true if and only if a best-effort task of the step leaves the headroom that it must to
+// all latency-critical runs of the worker.
+bool leavesHeadroom(const StepSpec &spec, const PlacementConstraints &constraints,
+                    const CandidateWorker &worker);
+
 // Chooses workers for the tasks of one step, one after the other. A worker's rank for the step is
 // computed once and again only when the worker changes, so that many tasks cost little more than
 // one.
--- a/src/lib/steps/coordinatorinterference.cpp
+++ b/src/lib/steps/coordinatorinterference.cpp
@@ -236,6 +236,14 @@
     noteRun(SchedulerEventKind::RunThrottled, run, why, now.monotonic - run.startedAt, percent);
 }
 
+// Orders the speed of a run that has just been confirmed, if it is to start at less than full
+// speed.
+void Coordinator::orderStartSpeed(const Worker &worker, Run &run, ClockReading now)
+{
+    if (run.speedPercent != fullSpeed && !run.stopRequested)
+        setSpeed(worker, run, run.speedPercent, "little-headroom", now);
+}
+
 // Returns true if and only if the worker should report more often than usual.
 bool Coordinator::needsMonitoring(const Worker &worker) const
 {
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr int fullPercent = 100;
+constexpr int lowSpeedPercent = 15; // Of best-effort tasks that do harm at full speed.
 
 } // namespace
 
@@ -188,11 +189,31 @@
     return relaxed ? m_settings.relaxedMinHeadroom : m_settings.minHeadroom;
 }
 
+void Coordinator::setHeadroomLimits(PlacementConstraints &constraints, Millis waited) const
+{
+    constraints.minHeadroom = minHeadroomAfter(waited);
+    if (waited >= m_settings.relaxHeadroomAfter)
+        constraints.bestEffortSpeedPercent = lowSpeedPercent;
+}
+
+// Returns the speed in percent at which a task of the step is to start on the worker.
+int Coordinator::startSpeedOf(const StepSpec &spec, const PlacementConstraints &constraints,
+                              const CandidateWorker &worker) const
+{
+    if (!spec.bestEffort || constraints.bestEffortSpeedPercent == fullPercent)
+        return fullPercent;
+    PlacementConstraints atFullSpeed;
+    atFullSpeed.headroomEstimator = constraints.headroomEstimator;
+    atFullSpeed.minHeadroom = m_settings.minHeadroom;
+    return leavesHeadroom(spec, atFullSpeed, worker) ? fullPercent
+                                                     : constraints.bestEffortSpeedPercent;
+}
+
 // Starts as many of the step's tasks as there are workers for. Returns true if and only if all are.
 bool Coordinator::placeStep(const ReadyStep &step, PlacementPass &pass, ClockReading now)
 {
     PlacementConstraints constraints = constraintsFor(step.ref);
-    constraints.minHeadroom = minHeadroomAfter(now.monotonic - step.since);
+    setHeadroomLimits(constraints, now.monotonic - step.since);
     WorkerChooser chooser(*step.spec, constraints, pass.workers);
     for (const int index : tasksToStart(step.ref)) {
         const auto chosen = chooser.choose();
@@ -203,7 +224,10 @@
         const TaskRef task{step.ref.job, step.ref.occurrence, step.ref.step, index};
         const Task *known = step.job->findTask(task);
         CandidateWorker &worker = pass.workers[*chosen];
-        startRun(task, (known ? known->lastRunNumber : 0) + 1, *step.spec, worker, now);
+        const int run = (known ? known->lastRunNumber : 0) + 1;
+        const int speed = startSpeedOf(*step.spec, constraints, worker);
+        startRun(task, run, *step.spec, worker, now);
+        m_runs.find({task, run})->speedPercent = speed; // It is ordered once the run is confirmed.
         ++constraints.tasksPerWorker[worker.info->incarnation.workerId];
         constraints.currentRack = worker.info->rack;
         chooser.noteTask(*chosen);
@@ -268,7 +292,7 @@
     for (const StepRef &ref : steps) {
         const Millis waited = now.monotonic - m_readySteps.at(ref);
         PlacementConstraints constraints = constraintsFor(ref);
-        constraints.minHeadroom = minHeadroomAfter(waited);
+        setHeadroomLimits(constraints, waited);
         const StepSpec &spec = m_table.find(ref.job)->spec.steps[ref.step];
         const WaitReason reason = waitReasonOf(spec, constraints, workers);
         m_notes.push_back({SchedulerEventKind::StepWaiting,
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -157,6 +157,7 @@
             run->phase = RunPhase::Running;
             run->confirmedAt = now.monotonic;
             noteConfirmedStart(worker);
+            orderStartSpeed(worker, *run, now);
         }
         if (it.progressPercent != run->progressPercent)
             run->lastProgressAt = now.monotonic;
@@ -235,6 +236,8 @@
         run->phase = RunPhase::Running;
         run->confirmedAt = now.monotonic;
         run->lastProgressAt = now.monotonic;
+        if (sameLife)
+            orderStartSpeed(worker->second, *run, now);
         return scheduleStallCheck(*run);
     case CommandOutcome::Unknown:
     case CommandOutcome::StaleRun: // This run or a later one has ended there; the next report
--- a/src/lib/steps/placement.cpp
+++ b/src/lib/steps/placement.cpp
@@ -71,8 +71,9 @@
     Interference total;
     if (!constraints.headroomEstimator)
         return total;
-    const BestEffortLoad added{spec.image,
-                               static_cast<double>(spec.demand.milliCores) / milliPerCore};
+    const double milliCores =
+        static_cast<double>(spec.demand.milliCores) * constraints.bestEffortSpeedPercent / 100;
+    const BestEffortLoad added{spec.image, milliCores / milliPerCore};
     for (const LatencyCriticalRun &it : worker.latencyCriticalRuns) {
         const double cost = constraints.headroomEstimator->headroomCost(it.image, added);
         total.headroomCost += cost;
@@ -117,6 +118,12 @@
     return worker.idleMilliCores * 100LL >= std::int64_t{milliCores} * minBestEffortIdlePercent;
 }
 
+bool leavesHeadroom(const StepSpec &spec, const PlacementConstraints &constraints,
+                    const CandidateWorker &worker)
+{
+    return !interferenceOf(spec, constraints, worker).excessive;
+}
+
 bool comesBefore(const ReadyStep &a, const ReadyStep &b)
 {
     const int groupA = groupOf(a);
