--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -160,6 +160,7 @@
             run->confirmedAt = now.monotonic;
             noteConfirmedStart(key.task.job);
             endStartBackoff(worker);
+            orderStartSpeed(worker, *run, now);
         }
         if (it.progressPercent != run->progressPercent)
             run->lastProgressAt = now.monotonic;
@@ -241,6 +242,7 @@
         run->phase = RunPhase::Running;
         run->confirmedAt = now.monotonic;
         run->lastProgressAt = now.monotonic;
+        orderStartSpeed(worker->second, *run, now);
         return scheduleStallCheck(*run);
     case CommandOutcome::Unknown:
     case CommandOutcome::StaleRun: // This run or a later one has ended there; the next report
