Split the submission of runs and watchers into short functions

submitRun() and submitWatcher() had about 45 lines each: they read the request, filled in the specification and sent it. makeRunSpec(), parseCondition() and makeWatcherSpec() now do the middle part, and what a watcher waits for has a type of its own.

Passed: endtoend_test, invalidinput_test, takeover_test, overlappingruns_test.

--- a/src/entry/runservice.cpp
+++ b/src/entry/runservice.cpp
@@ -110,6 +110,80 @@
                               "send one JSON object in UTF-8"});
 }
 
+HttpResponse malformedUntilResponse()
+{
+    return toResponse(Problem{400, "malformed-until", "the body has no valid 'until'",
+                              R"(send {"until":{"run":ID}} or {"until":{"afterMs":N}})"});
+}
+
+std::string idempotencyKeyOf(const CallerRequest &request)
+{
+    return std::string(headerValue(request.http.headers, "Idempotency-Key"));
+}
+
+// Returns the specification of a run without its id. The run belongs to `documentTeam` unless the
+// request names a team.
+JobSpec makeRunSpec(const CallerRequest &request, const BatchClass &runClass,
+                    const std::string &documentTeam)
+{
+    JobSpec spec;
+    spec.service = request.service;
+    spec.runClass = request.classOrId;
+    spec.team = headerValue(request.http.headers, "X-Team");
+    if (spec.team.empty())
+        spec.team = documentTeam;
+    spec.idempotencyKey = idempotencyKeyOf(request);
+    spec.bodyHash = hexDigest(request.http.body);
+    spec.demand = runClass.demand;
+    spec.expectedDuration = runClass.expectedDuration;
+    spec.priority = runClass.priority;
+    spec.checkpointable = runClass.checkpointable;
+    spec.payload = request.http.body;
+    return spec;
+}
+
+// What a watcher waits for: the end of a run or a delay.
+struct WatcherCondition
+{
+    std::string run; // Empty if the watcher waits for a delay.
+    Millis delay{0};
+    // The run's shard, which stores the watcher too, so that the same owner sees both.
+    std::optional<int> shard;
+};
+
+// Returns the condition in the member 'until', or nothing if it does not name exactly one of a
+// valid run id and a delay of at least 0.
+std::optional<WatcherCondition> parseCondition(const Json::Value &until, int shardCount)
+{
+    const bool byRun = until.isObject() && until["run"].isString();
+    const bool byDelay = until.isObject() && until["afterMs"].isInt64();
+    if (byRun == byDelay)
+        return std::nullopt;
+    WatcherCondition condition;
+    if (byDelay) {
+        condition.delay = Millis{until["afterMs"].asInt64()};
+        return condition.delay >= Millis{0} ? std::optional(condition) : std::nullopt;
+    }
+    condition.run = until["run"].asString();
+    condition.shard = shardOfJobId(condition.run, shardCount);
+    return condition.shard ? std::optional(condition) : std::nullopt;
+}
+
+// Returns the specification of a watcher without its id.
+WatcherSpec makeWatcherSpec(const CallerRequest &request, const WatcherCondition &condition)
+{
+    WatcherSpec spec;
+    spec.service = request.service;
+    spec.runClass = request.classOrId;
+    spec.team = headerValue(request.http.headers, "X-Team");
+    spec.idempotencyKey = idempotencyKeyOf(request);
+    spec.bodyHash = hexDigest(request.http.body);
+    spec.untilRun = condition.run;
+    spec.delay = condition.delay;
+    spec.payload = request.http.body;
+    return spec;
+}
+
 Json::Value toJson(const JobView &job)
 {
     Json::Value value;
@@ -145,24 +219,11 @@
     const auto found = classes.find(request.classOrId);
     if (found == classes.end())
         return unknownClassResponse("run", request.classOrId);
-    JobSpec spec;
-    spec.idempotencyKey = headerValue(request.http.headers, "Idempotency-Key");
-    if (auto refusal = validateKey(spec.idempotencyKey))
+    if (auto refusal = validateKey(idempotencyKeyOf(request)))
         return *refusal;
     if (!store::parseJsonText(request.http.body).isObject())
         return malformedJsonResponse();
-    spec.service = request.service;
-    spec.runClass = request.classOrId;
-    spec.team = headerValue(request.http.headers, "X-Team");
-    if (spec.team.empty())
-        spec.team = document->document.team;
-    spec.bodyHash = hexDigest(request.http.body);
-    spec.demand = found->second.demand;
-    spec.expectedDuration = found->second.expectedDuration;
-    spec.priority = found->second.priority;
-    spec.checkpointable = found->second.checkpointable;
-    spec.payload = request.http.body;
-
+    JobSpec spec = makeRunSpec(request, found->second, document->document.team);
     const std::string_view bound = headerValue(request.http.headers, boundIdHeader);
     if (request.forwarded && !bound.empty()) {
         spec.id = bound;
@@ -227,32 +288,19 @@
     const auto document = m_documents.find(request.service);
     if (!document->document.watchers.contains(request.classOrId))
         return unknownClassResponse("watcher", request.classOrId);
-    WatcherSpec spec;
-    spec.idempotencyKey = headerValue(request.http.headers, "Idempotency-Key");
-    if (auto refusal = validateKey(spec.idempotencyKey))
+    const std::string key = idempotencyKeyOf(request);
+    if (auto refusal = validateKey(key))
         return *refusal;
     const Json::Value body = store::parseJsonText(request.http.body);
     if (!body.isObject())
         return malformedJsonResponse();
-    const Json::Value &until = body["until"];
-    const bool byRun = until.isObject() && until["run"].isString();
-    const bool byTime = until.isObject() && until["afterMs"].isInt64();
-    const auto runShard =
-        byRun ? shardOfJobId(until["run"].asString(), m_settings.shardCount) : std::optional<int>();
-    if (byRun == byTime || (byRun && !runShard) || (byTime && until["afterMs"].asInt64() < 0))
-        return toResponse(Problem{400, "malformed-until", "the body has no valid 'until'",
-                                  R"(send {"until":{"run":ID}} or {"until":{"afterMs":N}})"});
-    // A watcher of a run is stored in the run's shard, so that the same owner sees both.
+    const auto condition = parseCondition(body["until"], m_settings.shardCount);
+    if (!condition)
+        return malformedUntilResponse();
     const int shard =
-        byRun ? *runShard : shardOfKey(request.service, spec.idempotencyKey, m_settings.shardCount);
-    spec.id = makeJobId(shard, "watcher", request.service, spec.idempotencyKey);
-    spec.service = request.service;
-    spec.runClass = request.classOrId;
-    spec.team = headerValue(request.http.headers, "X-Team");
-    spec.bodyHash = hexDigest(request.http.body);
-    spec.untilRun = byRun ? until["run"].asString() : std::string();
-    spec.delay = byTime ? Millis{until["afterMs"].asInt64()} : Millis{0};
-    spec.payload = request.http.body;
+        condition->shard.value_or(shardOfKey(request.service, key, m_settings.shardCount));
+    WatcherSpec spec = makeWatcherSpec(request, *condition);
+    spec.id = makeJobId(shard, "watcher", request.service, key);
     return submitToShard<SubmitWatcher>(request, std::move(spec), shard);
 }
 
--- a/tests/process/invalidinput_test.cpp
+++ b/tests/process/invalidinput_test.cpp
@@ -34,12 +34,18 @@
     const std::string order = "/v1/services/quotes/requests/order";
     const std::string run = "/v1/services/quotes/runs/refresh";
     const std::string watcher = "/v1/services/quotes/watchers/stock";
+    const std::string twoConditions = R"({"until":{"run":"0000-a","afterMs":1}})";
+    const std::string unknownShard = R"({"until":{"run":"9999-a"}})";
     const HttpHeader key{"Idempotency-Key", "bad"};
     const HttpHeader deadline{"X-Deadline-Ms", "1000"};
     const std::vector<Case> cases{
         {"malformed JSON", "POST", run, {key}, "{", 400},
         {"JSON but no object", "POST", run, {key}, "[]", 400},
         {"invalid condition", "POST", watcher, {key}, R"({"until":{}})", 400},
+        {"condition of two kinds", "POST", watcher, {key}, twoConditions, 400},
+        {"negative delay", "POST", watcher, {key}, R"({"until":{"afterMs":-1}})", 400},
+        {"condition on no run id", "POST", watcher, {key}, R"({"until":{"run":"x"}})", 400},
+        {"condition on an unknown shard", "POST", watcher, {key}, unknownShard, 400},
         {"no key for a run", "POST", run, {}, "{}", 400},
         {"no key for an order", "POST", order, {deadline}, "x", 400},
         {"unknown service", "POST", "/v1/services/nothing/requests/quote", {deadline}, "x", 404},
