--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -106,4 +106,14 @@
     return response.code;
 }
 
+ExitCode showResource(const std::string &path, const BodyFormatter &format, EntryClient &client,
+                      CommandOutput &output)
+{
+    const EntryResponse response = client.call({.path = path});
+    if (response.code != ExitCode::Ok)
+        return printProblem(response, output);
+    output.out << (output.json ? response.body + "\n" : format(response.body));
+    return ExitCode::Ok;
+}
+
 } // namespace savorywick
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -4,6 +4,7 @@
 #include "cli/entryclient.h"
 #include "cli/exitcodes.h"
 
+#include <functional>
 #include <iosfwd>
 #include <string>
 #include <vector>
@@ -42,4 +43,11 @@
 // be Ok.
 ExitCode printProblem(const EntryResponse &response, CommandOutput &output);
 
+// Returns text for people from the body of a response, with its last newline.
+using BodyFormatter = std::function<std::string(const std::string &body)>;
+// Reads `path` from the entry and prints the body as it is if JSON is wanted, and otherwise what
+// `format` makes of it.
+ExitCode showResource(const std::string &path, const BodyFormatter &format, EntryClient &client,
+                      CommandOutput &output);
+
 } // namespace savorywick
--- a/src/cli/documentcommand.cpp
+++ b/src/cli/documentcommand.cpp
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <iomanip>
 #include <ostream>
+#include <sstream>
 
 namespace savorywick {
 
@@ -97,6 +98,36 @@
     return state;
 }
 
+// Returns the document with its revision as a comment, which documents may contain, so that the
+// text can be edited and applied as it is. The comment of an earlier round is removed first.
+std::string editableText(const std::string &service, const Json::Value &json)
+{
+    std::string text = json["document"].asString();
+    if (text.starts_with("// Revision "))
+        text.erase(0, text.find('\n') + 1);
+    if (!text.ends_with('\n'))
+        text += '\n';
+    return "// Revision " + json["revision"].asString() + " of " + service + ", edited by "
+        + json["editedBy"].asString() + "\n" + text;
+}
+
+// Returns the state of the document and a table of the revisions in force.
+std::string statusTable(const std::string &service, const Json::Value &json)
+{
+    std::size_t width = std::string_view("entry").size();
+    for (const Json::Value &it : json["entries"])
+        width = std::max(width, it["entry"].asString().size());
+    const auto column = static_cast<int>(width + 2);
+    std::ostringstream text;
+    text << service << ", " << stateText(json) << "\n"
+         << std::left << std::setw(column) << "entry"
+         << "revision in force  age in ms\n";
+    for (const Json::Value &it : json["entries"])
+        text << std::setw(column) << it["entry"].asString() << std::setw(19)
+             << it["revision"].asString() << it["ageMs"].asString() << "\n";
+    return text.str();
+}
+
 } // namespace
 
 ExitCode showDocument(const DocumentShowOptions &options, EntryClient &client,
@@ -105,25 +136,10 @@
     std::string path = documentPath(options.service);
     if (options.revision > 0)
         path += "?revision=" + std::to_string(options.revision);
-    const EntryResponse response = client.call({.path = path});
-    if (response.code != ExitCode::Ok)
-        return printProblem(response, output);
-    if (output.json) {
-        output.out << response.body << "\n";
-        return ExitCode::Ok;
-    }
-    // The revision is printed as a comment, which documents may contain, so the text can be edited
-    // and applied as it is. The comment of an earlier round is removed first.
-    const Json::Value json = parseJsonObject(response.body);
-    std::string text = json["document"].asString();
-    if (text.starts_with("// Revision "))
-        text.erase(0, text.find('\n') + 1);
-    output.out << "// Revision " << json["revision"].asString() << " of " << options.service
-               << ", edited by " << json["editedBy"].asString() << "\n"
-               << text;
-    if (!text.ends_with('\n'))
-        output.out << "\n";
-    return ExitCode::Ok;
+    const auto format = [&](const std::string &body) {
+        return editableText(options.service, parseJsonObject(body));
+    };
+    return showResource(path, format, client, output);
 }
 
 ExitCode applyDocument(const DocumentApplyOptions &options, EntryClient &client,
@@ -151,25 +167,10 @@
 ExitCode showDocumentStatus(const DocumentStatusOptions &options, EntryClient &client,
                             CommandOutput &output)
 {
-    const EntryResponse response = client.call({.path = documentPath(options.service) + "/status"});
-    if (response.code != ExitCode::Ok)
-        return printProblem(response, output);
-    if (output.json) {
-        output.out << response.body << "\n";
-        return ExitCode::Ok;
-    }
-    const Json::Value json = parseJsonObject(response.body);
-    std::size_t width = std::string_view("entry").size();
-    for (const Json::Value &it : json["entries"])
-        width = std::max(width, it["entry"].asString().size());
-    const auto column = static_cast<int>(width + 2);
-    output.out << options.service << ", " << stateText(json) << "\n"
-               << std::left << std::setw(column) << "entry"
-               << "revision in force  age in ms\n";
-    for (const Json::Value &it : json["entries"])
-        output.out << std::left << std::setw(column) << it["entry"].asString() << std::setw(19)
-                   << it["revision"].asString() << it["ageMs"].asString() << "\n";
-    return ExitCode::Ok;
+    const auto format = [&](const std::string &body) {
+        return statusTable(options.service, parseJsonObject(body));
+    };
+    return showResource(documentPath(options.service) + "/status", format, client, output);
 }
 
 } // namespace savorywick
--- a/tests/cli/cli_test.cpp
+++ b/tests/cli/cli_test.cpp
@@ -247,6 +247,21 @@
     CHECK(headerValue(entry.lastRequest().queryParameters, "revision") == "3");
 }
 
+TEST_CASE("document status prints a row for each entry or the response itself as JSON")
+{
+    const std::string body = R"({"state":"pending","revision":7,"pendingOn":["entry-11"],)"
+                             R"("entries":[{"entry":"e1","revision":7,"ageMs":20},)"
+                             R"({"entry":"entry-11","revision":6,"ageMs":900}]})";
+    FakeEntryServer entry([&](const HttpRequest &) { return HttpResponse{200, {}, body}; });
+    CHECK(entry.run({"document", "status", "a"}).out
+          == "a, revision 7: pending on entry-11\n"
+             "entry     revision in force  age in ms\n"
+             "e1        7                  20\n"
+             "entry-11  6                  900\n");
+    CHECK(entry.lastRequest().path == "/v1/documents/a/status");
+    CHECK(entry.run({"document", "status", "a", "--json"}).out == body + "\n");
+}
+
 TEST_CASE("document apply sends the revision and the team key and prints the pending entries")
 {
     const TemporaryFile key("cli_test_key.txt", "0123456789abcdef\n");
