--- a/tests/node/drainsimulation.h
+++ b/tests/node/drainsimulation.h
@@ -114,13 +114,17 @@
     {
         const Millis storeDelays[] = {Millis{0}, Millis{5}, Millis{40}, Millis{400}};
         const Millis storeDelay = storeDelays[below(std::size(storeDelays))];
+        constexpr Millis never{3'600'000};
+        const Instant begin = m_clock.now();
         if (below(2) == 0)
             m_owner.takeShard(m_table);
-        const Instant begin = m_clock.now();
         for (const char *name : {"entry-a", "entry-b"}) {
-            const Millis stopsAfter{500 + below(1'500)};
-            m_entries.push_back({std::make_unique<SimulatedEntry>(name, m_table, storeDelay),
-                                 begin + stopsAfter, begin});
+            const Millis stopsAfter{below(2'000)};
+            const Millis silentAfter = below(4) == 0 ? Millis{below(5'000)} : never;
+            m_entries.push_back(
+                {std::make_unique<SimulatedEntry>(name, m_table,
+                                                  StoreBehaviour{storeDelay, begin + silentAfter}),
+                 begin + stopsAfter, begin});
         }
         constexpr int maxCallers = 16;
         for (std::uint32_t i = 0, n = 2 + below(maxCallers - 1); i < n; ++i) {
--- a/tests/node/simulatedentry.h
+++ b/tests/node/simulatedentry.h
@@ -33,14 +33,22 @@
     void unwatchWorkers() override { }
 };
 
-// A table shared by several entries that replies to one of them after a delay.
+// How the store behaves towards one entry.
+struct StoreBehaviour
+{
+    Millis delay; // Until a reply.
+    Instant silentFrom; // No more replies from then on, though commits take effect.
+};
+
+// A table shared by several entries that replies to one of them after a delay, or not any more.
 class DelayedTable final : public AsyncTable
 {
 public:
-    DelayedTable(FakeTable &rows, EventLoop &loop, Millis delay)
+    DelayedTable(FakeTable &rows, EventLoop &loop, const Clock &clock, const StoreBehaviour &store)
         : m_rows(rows)
         , m_loop(loop)
-        , m_delay(delay)
+        , m_clock(clock)
+        , m_store(store)
     { }
 
     void commit(const Transaction &t, CommitCallback done) override
@@ -60,15 +68,18 @@
 private:
     void reply(std::function<void()> callback)
     {
-        if (m_delay == Millis{0})
+        if (m_clock.now() >= m_store.silentFrom)
+            return;
+        if (m_store.delay == Millis{0})
             callback();
         else
-            m_loop.runAfter(m_delay, std::move(callback));
+            m_loop.runAfter(m_store.delay, std::move(callback));
     }
 
     FakeTable &m_rows;
     EventLoop &m_loop;
-    const Millis m_delay;
+    const Clock &m_clock;
+    const StoreBehaviour m_store;
 };
 
 // Returns an address that was free a moment ago.
@@ -103,8 +114,8 @@
 class SimulatedEntry
 {
 public:
-    SimulatedEntry(const std::string &name, FakeTable &table, Millis storeDelay)
-        : m_process(std::make_unique<Process>(name, table, storeDelay))
+    SimulatedEntry(const std::string &name, FakeTable &table, const StoreBehaviour &store)
+        : m_process(std::make_unique<Process>(name, table, store))
         , m_callers(m_process->node.start().callers)
     { }
 
@@ -127,9 +138,9 @@
 private:
     struct Process
     {
-        Process(const std::string &name, FakeTable &rows, Millis storeDelay)
+        Process(const std::string &name, FakeTable &rows, const StoreBehaviour &store)
             : http(loop)
-            , table(rows, loop, storeDelay)
+            , table(rows, loop, clock, store)
             , node(settings(name), loop, clock, http, {table, objects, workers, feed, codec})
         { }
 
