Let a caller of the stop simulation await each response

The caller that keeps its connection until it is asked to close it sent its next request without waiting, as the one that heeds nothing does.

--- a/tests/node/drainsimulation.h
+++ b/tests/node/drainsimulation.h
@@ -78,8 +78,8 @@
     enum class Habit {
         NewConnections, // Sends each request on a connection of its own.
         InTwoParts, // Likewise, and the second part of each request comes later.
-        Polite, // Keeps its connection until it is asked to close it.
-        Stubborn, // Keeps its connection until the entry is gone, whatever it is told.
+        Polite, // Keeps its connection until it is asked to close it, and awaits each response.
+        Stubborn, // Keeps its connection until the entry is gone, and sends without waiting.
     };
     struct Request
     {
@@ -220,6 +220,8 @@
             caller.nextSendAt = now + Millis{below(300)};
             return;
         }
+        if (caller.habit == Habit::Polite && awaitsResponse(caller))
+            return;
         sendRequest(caller);
         caller.nextSendAt = now + Millis{caller.unsentPart.empty() ? below(700) : below(200)};
     }
@@ -229,12 +231,9 @@
         if (needsConnection(caller) && !openConnection(caller))
             return;
         CallerConnection &connection = caller.connections.back();
-        const auto onSame =
-            std::count_if(caller.requests.begin(), caller.requests.end(),
-                          [&](const Request &it) { return it.connection == &connection; });
         Request request = randomRequest(caller);
         request.connection = &connection;
-        request.index = static_cast<std::size_t>(onSame);
+        request.index = requestsOn(caller, connection);
         std::string text = textOf(request);
         if (caller.habit == Habit::InTwoParts) {
             const std::size_t cut = 1 + below(text.size() - 1);
@@ -245,6 +244,21 @@
         caller.requests.push_back(std::move(request));
     }
 
+    static std::size_t requestsOn(const SimulatedCaller &caller, const CallerConnection &connection)
+    {
+        const auto isOnIt = [&](const Request &it) { return it.connection == &connection; };
+        return static_cast<std::size_t>(
+            std::count_if(caller.requests.begin(), caller.requests.end(), isOnIt));
+    }
+
+    static bool awaitsResponse(const SimulatedCaller &caller)
+    {
+        if (caller.connections.empty())
+            return false;
+        const CallerConnection &last = caller.connections.back();
+        return !last.hasEnded() && last.statuses().size() < requestsOn(caller, last);
+    }
+
     // Sends the bytes. Returns false if the entry has closed its side before.
     static bool deliver(CallerConnection &connection, const std::string &bytes)
     {
