--- a/tests/node/fakeplatform.h
+++ b/tests/node/fakeplatform.h
@@ -31,7 +31,7 @@
     FakeTable m_rows;
 };
 
-// An object store that fails every request.
+// An object store that stores nothing. It holds one object, or none.
 class UnavailableObjectStore final : public AsyncObjectStore
 {
 public:
@@ -40,9 +40,10 @@
         ++putCount;
         done(false);
     }
-    void fetch(const std::string &, FetchCallback done) override { done(std::nullopt); }
+    void fetch(const std::string &, FetchCallback done) override { done(object); }
     void remove(const std::string &) override { }
 
+    std::optional<std::string> object;
     int putCount = 0;
 };
 
--- a/tests/node/shardrunner_test.cpp
+++ b/tests/node/shardrunner_test.cpp
@@ -2,6 +2,7 @@
 
 #include "core/bootclock.h"
 #include "fakeplatform.h"
+#include "savorywick/steps/record.h"
 
 #include <doctest/doctest.h>
 
@@ -26,7 +27,7 @@
     void read(const std::vector<std::string> &, ReadCallback done) override { done(std::nullopt); }
     void scan(const std::string &, const std::string &, std::size_t, ReadCallback done) override
     {
-        done(std::vector<Row>{});
+        done(segments);
     }
 
     void finishCommits(CommitOutcome outcome)
@@ -36,6 +37,7 @@
     }
 
     std::vector<CommitCallback> pendingCommits;
+    std::vector<Row> segments; // All that are still to be read.
 
 private:
     std::uint64_t m_version = 10;
@@ -60,17 +62,46 @@
     mutable Millis m_ahead;
 };
 
+// What an earlier owner of a shard has stored.
+struct StoredShard
+{
+    ShardRow row{.owner = "a.1", .epoch = 1};
+    std::string snapshot;
+    std::vector<Row> segments;
+};
+
+// Returns a shard with a snapshot of that many jobs and five short segments after it.
+StoredShard shardWithSnapshot(int jobs)
+{
+    StoredShard shard;
+    shard.row.object = "snapshot/0/1.0";
+    shard.row.snapshot = 1;
+    shard.row.head = 6;
+    for (int i = 0; i < jobs; ++i) {
+        steps::JobSpec spec;
+        spec.id = std::to_string(i);
+        shard.snapshot += steps::encodeRecord(steps::JobAccepted{spec, 0}) + "\n";
+    }
+    for (int i = 2; i <= 6; ++i) {
+        const std::string record = steps::encodeRecord(steps::JobPurged{"unknown"}) + "\n";
+        shard.segments.push_back({"journal/0000/000000000" + std::to_string(i), record, 1});
+    }
+    return shard;
+}
+
 // A newly acquired shard without workers.
 class ShardFixture
 {
 public:
-    explicit ShardFixture(const ShardRunnerSettings &settings = {})
+    explicit ShardFixture(const ShardRunnerSettings &settings = {}, const StoredShard &stored = {})
         : runner(std::make_shared<ShardRunner>(
-            OwnedShard{0, {.owner = "a.1", .epoch = 1}, 10}, settings,
+            OwnedShard{0, stored.row, 10}, settings,
             ShardRunnerDependencies{m_loop, clock, table, objects, m_workers, latencies,
                                     [this] { return hasValidLease; }, [this](int) { ++endedCount; },
                                     [this] { return loopLag; }}))
     {
+        objects.object = stored.snapshot;
+        table.segments = stored.segments;
         runner->open();
     }
 
@@ -420,3 +451,23 @@
         impatient.runLoop();
     CHECK(impatient.objects.putCount >= 2);
 }
+
+// Guards against a new owner that sends a snapshot as soon as it has restored the shard, although
+// that of the earlier owner covers most of it.
+TEST_CASE("A snapshot is due by the size of the last one although another owner wrote that")
+{
+    struct Case
+    {
+        int jobsInLast;
+        int snapshots;
+    };
+    for (const Case &it : {Case{20, 0}, Case{1, 1}}) {
+        CAPTURE(it.jobsInLast);
+        ShardRunnerSettings settings;
+        settings.journal.snapshotMinSegments = 2;
+        ShardFixture shard(settings, shardWithSnapshot(it.jobsInLast));
+        CHECK((shard.durableRequest(ShardFixture::job("j")) == ShardOutcome::Ok));
+        shard.runLoop();
+        CHECK(shard.objects.putCount == it.snapshots);
+    }
+}
