--- a/include/savorywick/journal.h
+++ b/include/savorywick/journal.h
@@ -84,6 +84,10 @@
     // Returns the key of the shard's row.
     std::string rowKey() const { return shardKey(m_shard); }
 
+    // Tells how large the last snapshot is, which a former owner stored, and the segments after it,
+    // so that the next one is due as if this owner had stored that. Call it before append().
+    void setRestoredBytes(std::size_t snapshotBytes, std::size_t segmentBytes);
+
     // Queues records for the next commits and returns the sequence number of the last record.
     // Without records it returns the number of the last record appended before. Each record must
     // be a non-empty line without a line end. Throws Error(InvalidInput) for any other record and
@@ -179,7 +183,7 @@
 
     std::uint64_t m_commitCount = 0;
     std::optional<Snapshot> m_snapshot; // The one under way.
-    std::size_t m_lastSnapshotBytes = 0; // 0 if the last snapshot was taken by a former owner.
+    std::size_t m_lastSnapshotBytes = 0;
     std::size_t m_bytesSinceSnapshot = 0; // Durable segment bytes.
     std::optional<std::string> m_obsoleteObject;
 };
@@ -213,6 +217,8 @@
     // Returns the records of `segments`, the rows that a scan by scanPrefix() and scanAfter() gave,
     // in order. Throws Error(NotFound) if they don't start with the next segment.
     std::vector<std::string> parseSegments(std::span<const Row> segments);
+    // Returns the size of the segments that were read.
+    std::size_t segmentBytes() const { return m_segmentBytes; }
     // Returns true if and only if every record was read.
     bool finished() const { return m_lastReadSegment == m_row.head; }
 
@@ -220,6 +226,7 @@
     int m_shard;
     ShardRow m_row;
     std::uint64_t m_lastReadSegment;
+    std::size_t m_segmentBytes = 0;
 };
 
 } // namespace savorywick
--- a/src/lib/journal.cpp
+++ b/src/lib/journal.cpp
@@ -40,6 +40,12 @@
     , m_retryDelay(settings.initialRetryDelay)
 { }
 
+void Journal::setRestoredBytes(std::size_t snapshotBytes, std::size_t segmentBytes)
+{
+    m_lastSnapshotBytes = snapshotBytes;
+    m_bytesSinceSnapshot = segmentBytes;
+}
+
 LogSequenceNumber Journal::append(std::span<const std::string> records)
 {
     if (fenced() || released() || (m_releasing && !records.empty()))
@@ -289,6 +295,7 @@
         if (row.key != segmentRowKey(m_shard, m_lastReadSegment + 1))
             break;
         ++m_lastReadSegment;
+        m_segmentBytes += row.value.size();
         for (std::size_t n = 0; n < row.value.size();) {
             const std::size_t end = row.value.find('\n', n);
             records.push_back(row.value.substr(n, end - n));
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -70,6 +70,7 @@
                 return;
             if (!bytes)
                 return self->retryRestoreLater("snapshot", &ShardRunner::readSnapshot);
+            self->m_restoredSnapshotBytes = bytes->size();
             std::istringstream lines(*bytes);
             for (std::string line; std::getline(lines, line);)
                 self->m_coordinator.restore(steps::decodeRecord(line));
@@ -98,6 +99,7 @@
 void ShardRunner::finishRestore()
 {
     m_restored = true;
+    m_journal.setRestoredBytes(m_restoredSnapshotBytes, m_reader.segmentBytes());
     m_coordinator.takeOver(now());
     m_coordinator.setWorkers(m_workers, now());
     m_dependencies.latencies.restore.record(m_dependencies.clock.now()
--- a/src/node/shardrunner.h
+++ b/src/node/shardrunner.h
@@ -139,6 +139,7 @@
     const ShardRunnerSettings m_settings;
     ShardRunnerDependencies m_dependencies;
     JournalReader m_reader;
+    std::size_t m_restoredSnapshotBytes = 0;
     Journal m_journal;
     steps::Coordinator m_coordinator;
     OverloadGate m_overloadGate;
