Call toJsonText() directly where two functions only passed it on

jobjson.h and idempotencycodec.cpp each had a toLine() that only called internal::toJsonText(). Both are gone; what they said of the order of members stands with toJsonText().

--- a/src/lib/idempotencycodec.cpp
+++ b/src/lib/idempotencycodec.cpp
@@ -83,11 +83,6 @@
     return bytes;
 }
 
-std::string toLine(const Json::Value &value)
-{
-    return internal::toJsonText(value);
-}
-
 Json::Value parseObject(std::string_view text)
 {
     Json::Value value = internal::parseJsonText(text);
@@ -191,7 +186,7 @@
     value["claim"] = std::string(internal::nameOf(kindNames, record.kind));
     value["at"] = Json::Int64{record.time.count()};
     if (record.kind == IdempotencyRecordKind::Time)
-        return toLine(value);
+        return internal::toJsonText(value);
     value["service"] = bytesToJson(record.request.service);
     value["key"] = bytesToJson(record.request.key);
     if (record.kind == IdempotencyRecordKind::Open) {
@@ -202,7 +197,7 @@
         value["status"] = record.response.status;
         value["body"] = bytesToJson(record.response.body);
     }
-    return toLine(value);
+    return internal::toJsonText(value);
 }
 
 std::string serializeIdempotencySnapshot(const IdempotencySnapshot &snapshot)
@@ -212,7 +207,7 @@
     value["claims"] = Json::Value(Json::arrayValue);
     for (const auto &[key, claim] : snapshot.claims)
         value["claims"].append(claimToJson(key, claim));
-    return toLine(value);
+    return internal::toJsonText(value);
 }
 
 IdempotencyRecord parseIdempotencyRecord(std::string_view text)
--- a/src/lib/jobjson.cpp
+++ b/src/lib/jobjson.cpp
@@ -29,14 +29,9 @@
         json[name] = Json::Int64(n);
 }
 
-std::string toLine(const Json::Value &json)
-{
-    return internal::toJsonText(json);
-}
-
 Json::Value parseObject(const std::string &text)
 {
-    Json::Value json = internal::parseJsonText(text);
+    Json::Value json = parseJsonText(text);
     if (!json.isObject())
         throw Error(ErrorKind::InvalidInput,
                     "a journal record or a line of a snapshot is not a JSON object",
--- a/src/lib/jobjson.h
+++ b/src/lib/jobjson.h
@@ -15,8 +15,6 @@
 // Sets a member unless `n` is 0.
 void setNumberUnlessZero(Json::Value &json, const char *name, std::int64_t n);
 
-// Returns the value as text without line ends, with its members in a fixed order.
-std::string toLine(const Json::Value &json);
 // Returns the JSON object in `text`. Throws Error(InvalidInput) if `text` is no JSON object.
 Json::Value parseObject(const std::string &text);
 
--- a/src/lib/jobrecord.cpp
+++ b/src/lib/jobrecord.cpp
@@ -1,5 +1,6 @@
 #include "enumnames.h"
 #include "jobjson.h"
+#include "jsontext.h"
 #include "savorywick/errors.h"
 #include "savorywick/internal/jobtable.h"
 
@@ -51,7 +52,7 @@
     setTextUnlessEmpty(json, "inc", record.incarnation);
     setTextUnlessEmpty(json, "ckpt", record.checkpoint);
     setTextUnlessEmpty(json, "text", record.text);
-    return toLine(json);
+    return toJsonText(json);
 }
 
 JobRecord decodeRecord(const std::string &line)
--- a/src/lib/jobtable.cpp
+++ b/src/lib/jobtable.cpp
@@ -1,6 +1,7 @@
 #include "savorywick/internal/jobtable.h"
 
 #include "jobjson.h"
+#include "jsontext.h"
 #include "savorywick/errors.h"
 
 #include <algorithm>
@@ -170,9 +171,9 @@
     Json::Value head;
     head["at"] = Json::Int64(m_lastRecordTime.count());
     head["jobs"] = Json::UInt64(sorted.size());
-    std::string text = toLine(head) + '\n';
+    std::string text = toJsonText(head) + '\n';
     for (const Job *job : sorted)
-        text += toLine(toJson(*job)) + '\n';
+        text += toJsonText(toJson(*job)) + '\n';
     return text;
 }
 
