Name allocation tables and reply channels and the shard supervisor for what they are

Variables of earlier names were left behind: `ledger` for an AllocationTable and for an IdempotencyRegistry, `slot` for a ReplyChannel, which elsewhere is a place for a request, and `host` for the ShardSupervisor, which elsewhere is a machine. Only local names and a member of a benchmark change.

--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -111,14 +111,14 @@
 double nanosPerClaim()
 {
     const Instant now{1};
-    IdempotencyRegistry ledger({}, now);
+    IdempotencyRegistry registry({}, now);
     std::vector<std::string> records;
     const StoredResponse answer{200, std::string(200, 'x')};
     return nanosPerIteration(claimRequests, [&] {
         for (int n = 0; n < claimRequests; ++n) {
             const std::string key = "key-" + std::to_string(n);
-            ledger.open({"offers", key, "0123456789abcdef", "request"}, now, records);
-            ledger.finish("offers", key, answer, now, records);
+            registry.open({"offers", key, "0123456789abcdef", "request"}, now, records);
+            registry.finish("offers", key, answer, now, records);
             records.clear();
         }
     });
--- a/bench/placement_bench.cpp
+++ b/bench/placement_bench.cpp
@@ -24,13 +24,13 @@
 {
 public:
     std::optional<std::string> choose(const PlacementRequest &request,
-                                      const AllocationTable &ledger,
+                                      const AllocationTable &allocations,
                                       const HostCost *) const override
     {
         std::optional<std::string> best;
         int least = std::numeric_limits<int>::max();
-        for (const std::string &id : ledger.hosts()) {
-            const Resources free = ledger.free(id);
+        for (const std::string &id : allocations.hosts()) {
+            const Resources free = allocations.free(id);
             if (!request.demand.fitsIn(free) || free.cores >= least)
                 continue;
             best = id;
@@ -42,7 +42,7 @@
 
 struct Fleet
 {
-    AllocationTable ledger;
+    AllocationTable allocations;
     RackSpreadCost spread{rackSpreadCost};
     std::map<std::string, std::string> rackByHost;
 
@@ -56,7 +56,7 @@
             host.cores = workerSize.cores;
             host.memoryMb = workerSize.memoryMb;
             host.accelerators = i % 8 == 0 ? 4 : 0;
-            ledger.setHost(host);
+            allocations.setHost(host);
             rackByHost[host.id] = host.rack;
         }
     }
@@ -96,13 +96,13 @@
         const std::string runClass = "class-" + std::to_string(m_nextTask % 5);
         const PlacementRequest request{"service", runClass, need, {}};
         const auto before = std::chrono::steady_clock::now();
-        const auto host = m_placement.choose(request, m_fleet.ledger, m_cost);
+        const auto host = m_placement.choose(request, m_fleet.allocations, m_cost);
         m_decisionTime += std::chrono::steady_clock::now() - before;
         ++m_decisionCount;
         if (!host)
             return false;
         const std::string task = "task-" + std::to_string(m_nextTask++);
-        m_fleet.ledger.allocate(*host, task, need);
+        m_fleet.allocations.allocate(*host, task, need);
         m_fleet.spread.taskStarted(m_fleet.rackByHost.at(*host), "service", runClass);
         m_running.push_back({*host, task, runClass});
         return true;
@@ -112,7 +112,7 @@
         std::uniform_int_distribution<std::size_t> indexDistribution(0, m_running.size() - 1);
         std::swap(m_running[indexDistribution(m_random)], m_running.back());
         const RunningTask &it = m_running.back();
-        m_fleet.ledger.release(it.host, it.task);
+        m_fleet.allocations.release(it.host, it.task);
         m_fleet.spread.taskEnded(m_fleet.rackByHost.at(it.host), "service", it.runClass);
         m_running.pop_back();
     }
@@ -160,9 +160,9 @@
 double bookedShare(const Fleet &fleet)
 {
     double booked = 0;
-    for (const std::string &id : fleet.ledger.hosts())
-        booked += fleet.ledger.allocated(id).cores;
-    return booked / (static_cast<double>(fleet.ledger.hostCount()) * workerSize.cores);
+    for (const std::string &id : fleet.allocations.hosts())
+        booked += fleet.allocations.allocated(id).cores;
+    return booked / (static_cast<double>(fleet.allocations.hostCount()) * workerSize.cores);
 }
 
 // Returns how many wide tasks fit, relative to how many would if free cores were not fragmented.
@@ -170,8 +170,8 @@
 {
     double fit = 0;
     double freeCores = 0;
-    for (const std::string &id : fleet.ledger.hosts()) {
-        const Resources free = fleet.ledger.free(id);
+    for (const std::string &id : fleet.allocations.hosts()) {
+        const Resources free = fleet.allocations.free(id);
         freeCores += free.cores;
         fit += std::min(free.cores / wideTask.cores, free.memoryMb / wideTask.memoryMb);
     }
--- a/src/entry/reportservice.cpp
+++ b/src/entry/reportservice.cpp
@@ -119,15 +119,15 @@
 }
 
 // Returns the reports of all shards of this entry that answer in time.
-std::vector<ShardReport> shardReports(ShardSupervisor &host)
+std::vector<ShardReport> shardReports(ShardSupervisor &supervisor)
 {
-    std::vector<ReplyChannelPtr<ShardReport>> slots;
-    for (const int it : host.shards()) {
-        slots.push_back(std::make_shared<ReplyChannel<ShardReport>>());
-        host.send(it, QueryReport{slots.back()});
+    std::vector<ReplyChannelPtr<ShardReport>> channels;
+    for (const int it : supervisor.shards()) {
+        channels.push_back(std::make_shared<ReplyChannel<ShardReport>>());
+        supervisor.send(it, QueryReport{channels.back()});
     }
     std::vector<ShardReport> reports;
-    for (const auto &it : slots) {
+    for (const auto &it : channels) {
         if (auto report = it->receive(shardReportTimeout))
             reports.push_back(std::move(*report));
     }
--- a/src/entry/requestservice.cpp
+++ b/src/entry/requestservice.cpp
@@ -207,12 +207,12 @@
                                              const ValidatedRequest &validated)
 {
     const int shard = shardOfKey(request.service, validated.key, m_settings.shardCount);
-    auto slot = std::make_shared<ReplyChannel<ClaimReply>>();
+    auto channel = std::make_shared<ReplyChannel<ClaimReply>>();
     const KeyedRequest claim{request.service, validated.key, hexDigest(request.http.body),
                              request.requestId};
-    if (!m_shards.send(shard, OpenClaim{claim, slot}))
+    if (!m_shards.send(shard, OpenClaim{claim, channel}))
         return forwardToOwner(request, validated, shard);
-    const auto reply = slot->receive(validated.dispatch.deadline - m_clock.now());
+    const auto reply = channel->receive(validated.dispatch.deadline - m_clock.now());
     if (!reply)
         return toResponse(shardProblem(ShardRefusal::StoreUnavailable));
     if (reply->refusal != ShardRefusal::None)
--- a/src/entry/shardengine.cpp
+++ b/src/entry/shardengine.cpp
@@ -169,9 +169,9 @@
         report.oldestWaitTime = now - report.oldestWaiting.item->waitingSince;
     report.pendingRecords = m_journal.pendingRecords();
     report.storeUnavailable = isStoreDegraded(now);
-    const AllocationTable &ledger = m_jobs.ledger();
-    for (const std::string &it : ledger.hosts())
-        report.hosts.push_back({it, ledger.capacity(it), ledger.allocated(it)});
+    const AllocationTable &allocations = m_jobs.ledger();
+    for (const std::string &it : allocations.hosts())
+        report.hosts.push_back({it, allocations.capacity(it), allocations.allocated(it)});
     for (const WorkerSuspect &it : m_jobs.suspects(now))
         report.suspects.push_back({it.worker, it.reason, now - it.since});
     return report;
