--- a/tests/lib/jobwatchers_test.cpp
+++ b/tests/lib/jobwatchers_test.cpp
@@ -4,15 +4,32 @@
 
 using namespace savorywick;
 
+namespace {
+
+WatcherSpec makeWatcherSpec(const std::string &id)
+{
+    WatcherSpec spec;
+    spec.id = id;
+    spec.service = "matching";
+    spec.idempotencyKey = "key-" + id;
+    return spec;
+}
+
+WatcherSpec makeRunWatcherSpec(const std::string &id, const std::string &run)
+{
+    WatcherSpec spec = makeWatcherSpec(id);
+    spec.untilRun = run;
+    return spec;
+}
+
+} // namespace
+
 TEST_CASE("A watcher that waits for a delay survives takeovers and never fires early")
 {
     SchedulerFixture fixture(1);
-    WatcherSpec w;
-    w.id = "w";
-    w.service = "matching";
-    w.idempotencyKey = "k";
-    w.delay = Millis{100'000};
-    CHECK(toString(fixture.watch(w).state) == std::string_view("watching"));
+    WatcherSpec spec = makeWatcherSpec("w");
+    spec.delay = Millis{100'000};
+    CHECK(toString(fixture.watch(spec).state) == std::string_view("watching"));
     for (int n = 0; n < 3; ++n) {
         fixture.runFor(Millis{20'000});
         fixture.replaceOwner();
@@ -27,16 +44,8 @@
 {
     SchedulerFixture fixture(1);
     fixture.submit(makeJobSpec("a"));
-    WatcherSpec w;
-    w.id = "w1";
-    w.service = "matching";
-    w.idempotencyKey = "k1";
-    w.untilRun = "a";
-    fixture.watch(w);
-    w.id = "w2";
-    w.idempotencyKey = "k2";
-    w.untilRun = "elsewhere";
-    fixture.watch(w);
+    fixture.watch(makeRunWatcherSpec("w1", "a"));
+    fixture.watch(makeRunWatcherSpec("w2", "elsewhere"));
     CHECK(fixture.scheduler().awaitedRemoteRuns() == std::vector<std::string>{"elsewhere"});
     fixture.runFor(Millis{70'000});
     CHECK(fixture.state("w1") == "finished");
@@ -45,10 +54,8 @@
     JobScheduler::Records records;
     fixture.scheduler().handleRunEnd("elsewhere", JobState::Failed, fixture.now(), records);
     CHECK(fixture.job("w2").result == "failed");
-    w.id = "w3";
-    w.idempotencyKey = "k3";
-    w.untilRun = "a";
-    CHECK(toString(fixture.watch(w).state) == std::string_view("finished"));
+    const SubmitResult late = fixture.watch(makeRunWatcherSpec("w3", "a"));
+    CHECK(toString(late.state) == std::string_view("finished"));
 }
 
 // Guards against a watcher that never fires: the end of a run and the firing of its watchers are
@@ -57,12 +64,7 @@
 {
     SchedulerFixture fixture(1);
     fixture.submit(makeJobSpec("a"));
-    WatcherSpec w;
-    w.id = "w";
-    w.service = "matching";
-    w.idempotencyKey = "k";
-    w.untilRun = "a";
-    fixture.watch(w);
+    fixture.watch(makeRunWatcherSpec("w", "a"));
     while (fixture.state("w") == "watching")
         fixture.runFor(Millis{0});
     // The watcher's record is the last one. Drop it, as a crash between two commits does.
