--- a/tests/steps/coordinatorharness.h
+++ b/tests/steps/coordinatorharness.h
@@ -3,6 +3,7 @@
 #include "savorywick/steps/coordinator.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -17,7 +18,8 @@
 {
 public:
     explicit CoordinatorHarness(int workers, const CoordinatorSettings &settings = {})
-        : m_coordinator(1, m_now, settings)
+        : m_settings(settings)
+        , m_coordinator(std::make_unique<Coordinator>(m_epoch, m_now, settings))
     {
         for (int i = 0; i < workers; ++i) {
             WorkerInfo info;
@@ -28,12 +30,12 @@
             m_workers.push_back(info);
             m_startedWallMs[info.incarnation.workerId] = info.incarnation.startedWallMs;
         }
-        m_coordinator.takeOver(now());
-        m_coordinator.setWorkers(m_workers, now());
+        m_coordinator->takeOver(now());
+        m_coordinator->setWorkers(m_workers, now());
         step();
     }
 
-    Coordinator &coordinator() { return m_coordinator; }
+    Coordinator &coordinator() { return *m_coordinator; }
     ClockReading now() const { return {m_now, m_now.count()}; }
 
     void submit(const std::string &id, const StepSpec &stepSpec)
@@ -49,7 +51,18 @@
         spec.id = id;
         spec.policy = {"q", service, 0, 2, 2.0, Millis{500}};
         spec.steps = {stepSpec};
-        m_coordinator.submit(spec, now());
+        m_coordinator->submit(spec, now());
+    }
+
+    // Replaces the owner by one that restores the journal.
+    void replaceOwner()
+    {
+        m_coordinator = std::make_unique<Coordinator>(++m_epoch, m_now, m_settings);
+        for (const std::string &it : m_journal)
+            m_coordinator->restore(decodeRecord(it));
+        m_coordinator->takeOver(now());
+        m_coordinator->setWorkers(m_workers, now());
+        step();
     }
 
     // Lists only these workers from now on.
@@ -59,7 +72,7 @@
         listed.reserve(indexes.size());
         for (const int it : indexes)
             listed.push_back(m_workers[it]);
-        m_coordinator.setWorkers(listed, now());
+        m_coordinator->setWorkers(listed, now());
     }
 
     // Starts a new life of the worker, without runs. The list still shows the one before.
@@ -77,7 +90,7 @@
     void setDraining(int worker)
     {
         m_workers[worker].draining = true;
-        m_coordinator.setWorkers(m_workers, now());
+        m_coordinator->setWorkers(m_workers, now());
     }
 
     // Advances the time in small steps. Every renewal is answered with the runs that were started.
@@ -93,12 +106,14 @@
     // recorded; stop orders are answered with `stopOutcome`.
     void step()
     {
-        m_coordinator.tick(now());
+        m_coordinator->tick(now());
         for (int round = 0; round < 3; ++round) {
-            m_lsn += m_coordinator.takeRecords().size();
-            m_coordinator.recordsAppended(m_lsn);
-            m_coordinator.recordsDurable(m_lsn);
-            for (const WorkerCommand &it : m_coordinator.takeOrders(now()))
+            for (std::string &it : m_coordinator->takeRecords())
+                m_journal.push_back(std::move(it));
+            m_lsn = m_journal.size();
+            m_coordinator->recordsAppended(m_lsn);
+            m_coordinator->recordsDurable(m_lsn);
+            for (const WorkerCommand &it : m_coordinator->takeOrders(now()))
                 std::visit([this](const auto &order) { respond(order); }, it);
         }
     }
@@ -150,7 +165,7 @@
     void respond(const RenewLeaseCommand &order)
     {
         if (silentWorkers.contains(order.target.worker.workerId))
-            return m_coordinator.handleRenewReply(order, {}, now());
+            return m_coordinator->handleRenewReply(order, {}, now());
         Fence &highest = m_fences[order.target.worker.workerId];
         if (order.target.fence < highest)
             return refuseRenewal(order);
@@ -164,41 +179,44 @@
         for (const StartRunCommand &it : starts) {
             if (it.target.worker != order.target.worker || m_endedRuns.contains({it.task, it.run}))
                 continue;
-            const Run *run = m_coordinator.runs().find({it.task, it.run});
+            const Run *run = m_coordinator->runs().find({it.task, it.run});
             const int measurement = run && run->longRunning ? tailLatencyMs : milliCoresInUse;
             reply.report.running.push_back({it.task, it.run, "", 100, measurement});
         }
-        m_coordinator.handleRenewReply(order, reply, now());
+        m_coordinator->handleRenewReply(order, reply, now());
     }
     void refuseRenewal(const RenewLeaseCommand &order)
     {
         ++fencedRenewals;
-        m_coordinator.handleRenewReply(order, {CommandOutcome::Fenced, {}}, now());
+        m_coordinator->handleRenewReply(order, {CommandOutcome::Fenced, {}}, now());
     }
     void respond(const StartRunCommand &order)
     {
         const auto outcome = startOutcomes.find(order.target.worker.workerId);
         if (outcome != startOutcomes.end() && outcome->second != CommandOutcome::Done) {
             refusedStarts.push_back(order);
-            return m_coordinator.handleStartReply(order, {outcome->second, startClockMs}, now());
+            return m_coordinator->handleStartReply(order, {outcome->second, startClockMs}, now());
         }
         starts.push_back(order);
         if (failingWorkers.contains(order.target.worker.workerId))
             reportFailure(order);
-        m_coordinator.handleStartReply(order, {CommandOutcome::Done, m_now.count()}, now());
+        m_coordinator->handleStartReply(order, {CommandOutcome::Done, m_now.count()}, now());
     }
     void respond(const StopRunCommand &order)
     {
         stops.push_back(order);
         if (stopsEndRuns)
             reportEnd(order.target.worker.workerId, {order.task, order.run}, RunOutcome::Stopped);
-        m_coordinator.handleStopReply(order, {stopOutcome, stopClockMs}, now());
+        m_coordinator->handleStopReply(order, {stopOutcome, stopClockMs}, now());
     }
     void respond(const ThrottleRunCommand &order) { throttles.push_back(order); }
 
     Instant m_now{1'000'000};
     std::vector<WorkerInfo> m_workers;
-    Coordinator m_coordinator;
+    CoordinatorSettings m_settings;
+    std::uint64_t m_epoch = 1;
+    std::unique_ptr<Coordinator> m_coordinator;
+    std::vector<std::string> m_journal;
     LogSequenceNumber m_lsn = 0;
     std::map<std::string, std::vector<RunEndReport>> m_endReports;
     std::set<RunKey> m_endedRuns;
--- a/tests/steps/coordinatorprogress_test.cpp
+++ b/tests/steps/coordinatorprogress_test.cpp
@@ -338,3 +338,40 @@
     CHECK(harness.throttles.front().task.job == "g");
     CHECK(harness.throttles.front().speedPercent == 15);
 }
+
+// Guards against a step whose waiting time begins anew at each start that a worker refuses, so that
+// what it may do after waiting for long, or before others, never comes.
+TEST_CASE("A refused start does not restart the time that its step has waited")
+{
+    CoordinatorHarness harness(1);
+    harness.startOutcomes = {{"w0", CommandOutcome::Rejected}};
+    harness.submit("a", longRunningTask());
+    harness.advance(Millis{6'000});
+    REQUIRE(harness.refusedStarts.size() > 3);
+    Millis longest;
+    for (const SchedulerEvent &it : harness.coordinator().takeNotes()) {
+        if (it.kind == SchedulerEventKind::StepWaiting)
+            longest = std::max(longest, it.age);
+    }
+    CHECK(longest.count() >= 4'500);
+}
+
+// Guards against a best-effort run that stands still for ever, since the owner before last had
+// limited its speed to nothing and the next ones believe that it has its full speed.
+TEST_CASE(
+    "A best-effort run that a new owner adopts is ordered the speed that it is believed to have")
+{
+    CoordinatorHarness harness(1);
+    harness.submit("s", longRunningTask());
+    harness.submit("f", bestEffortTask());
+    harness.advance(Millis{1'500});
+    harness.tailLatencyMs = 49;
+    harness.advance(Millis{1'000});
+    REQUIRE_FALSE(harness.throttles.empty());
+    CHECK(harness.throttles.back().speedPercent < 100);
+    harness.tailLatencyMs = 10;
+    harness.replaceOwner();
+    harness.advance(Millis{200});
+    CHECK(harness.throttles.back().task.job == "f");
+    CHECK(harness.throttles.back().speedPercent == 100);
+}
