Keep the time that a step has waited through refused starts

Callers saw steps wait that were due to be moved up: a start that a worker refused ended the run as never-started, and the step began to wait anew. With a worker that goes on refusing, a long-running step never came to be placed before others, and a best-effort step never got the relaxed headroom.

A run remembers since when its step had waited; if it never started the step has waited since then. A run that did start still begins a new wait.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -325,6 +325,7 @@
     static void noteConfirmedStart(Worker &worker);
     void markStartUnknown(const RunKey &key, ClockReading now);
     void endRun(const RunKey &key, RunOutcome how, const std::string &checkpoint, ClockReading now);
+    void resumeWaiting(const StepRef &ref, Instant since);
     void updateQuarantine(const Run &run, RunOutcome how, ClockReading now);
     void stopGangMembers(const RunKey &key);
     void stopDuplicateRuns(const TaskRef &task);
--- a/include/savorywick/steps/runtable.h
+++ b/include/savorywick/steps/runtable.h
@@ -43,6 +43,8 @@
     // When the start command was sent. Before that, or if an earlier owner sent it, when this owner
     // learned of the run.
     Instant startedAt;
+    // Since when the step had waited for a worker when this owner placed the run.
+    std::optional<Instant> stepWaitedSince;
     // When the worker first confirmed that it has the run.
     Instant confirmedAt;
     // What is allocated to the run on its worker.
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -227,7 +227,9 @@
         const int run = (known ? known->lastRunNumber : 0) + 1;
         const int speed = startSpeedOf(*step.spec, constraints, worker);
         startRun(task, run, *step.spec, worker, now);
-        m_runs.find({task, run})->speedPercent = speed; // It is ordered once the run is confirmed.
+        Run &started = *m_runs.find({task, run});
+        started.speedPercent = speed; // It is ordered once the run is confirmed.
+        started.stepWaitedSince = step.since;
         ++constraints.tasksPerWorker[worker.info->incarnation.workerId];
         constraints.currentRack = worker.info->rack;
         chooser.noteTask(*chosen);
@@ -258,9 +260,11 @@
             step.job->findTask({step.ref.job, step.ref.occurrence, step.ref.step, i});
         run = std::max(run, known ? known->lastRunNumber : 0);
     }
-    for (int i = 0; i < step.spec->taskCount; ++i)
-        startRun({step.ref.job, step.ref.occurrence, step.ref.step, i}, run + 1, *step.spec,
-                 pass.workers[chosen[i]], now);
+    for (int i = 0; i < step.spec->taskCount; ++i) {
+        const TaskRef task{step.ref.job, step.ref.occurrence, step.ref.step, i};
+        startRun(task, run + 1, *step.spec, pass.workers[chosen[i]], now);
+        m_runs.find({task, run + 1})->stepWaitedSince = step.since;
+    }
     return true;
 }
 
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -342,8 +342,19 @@
         stopDuplicateRuns(key.task);
     else if (job->spec.steps[key.task.step].gang)
         stopGangMembers(key);
-    if (!isFinal(job->state))
-        refreshOccurrence(*job, key.task.occurrence, now);
+    if (isFinal(job->state))
+        return;
+    refreshOccurrence(*job, key.task.occurrence, now);
+    if (how == RunOutcome::NeverStarted && run.stepWaitedSince)
+        resumeWaiting(key.task.stepRef(), *run.stepWaitedSince);
+}
+
+// Lets the step count as waiting since then, if it waits: its run never started.
+void Coordinator::resumeWaiting(const StepRef &ref, Instant since)
+{
+    const auto it = m_readySteps.find(ref);
+    if (it != m_readySteps.end())
+        it->second = std::min(it->second, since);
 }
 
 void Coordinator::updateQuarantine(const Run &run, RunOutcome how, ClockReading now)
