Close connections while a stopping entry's session ends

The connections were closed only after the store had answered the end of the session, which cost one more turn of the loop. On a host whose loop is late that time decides whether the platform's kill comes first.

Both begin at the same time now, and the loop stops when both are done.

--- a/src/node/node.h
+++ b/src/node/node.h
@@ -127,7 +127,7 @@
         Instant endSessionAt; // The session ends then at the latest.
         Instant leaveAt; // The loop stops then, with connections open if need be.
         CallerAnswerCounts answersBefore;
-        bool endsConnections = false; // The session has ended, or was given up.
+        Instant leaveFrom; // The session has ended by then, or is given up.
     };
 
     bool isReady() const;
@@ -154,7 +154,6 @@
     void closeConnections();
     void awaitFirstRequests(Instant closedAt);
     void endSession();
-    void endConnections();
     void awaitClosedConnections();
     void leave();
     void logStop() const;
--- a/src/node/nodedrain.cpp
+++ b/src/node/nodedrain.cpp
@@ -5,14 +5,13 @@
 //   2. Answers are due: whatever still waits gets the response that is true now.
 //   3. No more connections are accepted. Those that were get the time to send their first request.
 //   4. The session ends, and requests are refused at once. Each connection is closed at a moment
-//      when it owes no response, and the loop stops with the last one.
+//      when it owes no response. The loop stops when both is done.
 
 #include "core/log.h"
 #include "node/node.h"
 
 #include <algorithm>
 #include <map>
-#include <utility>
 
 namespace savorywick {
 
@@ -29,7 +28,7 @@
 constexpr Millis closePollInterval{20};
 // How long new connections get to send their first request.
 constexpr Millis maxFirstRequestTime{500};
-constexpr Millis maxEndSessionTime{200};
+constexpr Millis maxEndSessionTime{200}; // The store may not answer.
 
 Millis percentOf(Millis whole, std::int64_t percent)
 {
@@ -94,15 +93,9 @@
 void Node::endSession()
 {
     m_callerApi.limitDeadlines(m_clock.now()); // What is read from now on is refused at once.
-    m_ownership.endSession([this] { endConnections(); });
-    // Go on after this time at the latest, even if the store does not answer.
-    m_loop.runAfter(maxEndSessionTime, [this] { endConnections(); });
-}
-
-void Node::endConnections()
-{
-    if (!std::exchange(m_drain->endsConnections, true))
-        awaitClosedConnections();
+    m_drain->leaveFrom = m_clock.now() + maxEndSessionTime;
+    m_ownership.endSession([this] { m_drain->leaveFrom = m_clock.now(); });
+    awaitClosedConnections();
 }
 
 void Node::awaitClosedConnections()
@@ -110,7 +103,8 @@
     m_callerServer.closeAnswered();
     m_peerServer.closeAnswered();
     const std::size_t open = m_callerServer.openConnections() + m_peerServer.openConnections();
-    if (open == 0 || m_clock.now() >= m_drain->leaveAt)
+    const Instant now = m_clock.now();
+    if ((open == 0 && now >= m_drain->leaveFrom) || now >= m_drain->leaveAt)
         return leave();
     m_loop.runAfter(closePollInterval, [this] { awaitClosedConnections(); });
 }
