--- a/tests/node/fakeplatform.h
+++ b/tests/node/fakeplatform.h
@@ -3,7 +3,9 @@
 #include "../lib/faketable.h"
 #include "node/asyncstore.h"
 #include "node/asyncworkerclient.h"
+#include "node/node.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -50,4 +52,32 @@
     void throttle(const steps::ThrottleRunCommand &, OrderCallback) override { }
 };
 
+// A cluster with one queue and no workers.
+class OneQueueFeed final : public ClusterFeed
+{
+public:
+    void watchQueues(std::function<void(steps::QueueConfiguration)> listener) override
+    {
+        steps::QueueConfiguration configuration;
+        configuration.version = 1;
+        configuration.queues = {{"jobs.example", "/q/", {}}};
+        configuration.queues[0].policy.queue = "q";
+        listener(std::move(configuration));
+    }
+    void watchWorkers(std::function<void(std::vector<steps::WorkerInfo>)> listener) override
+    {
+        listener({});
+    }
+    void unwatchWorkers() override { }
+};
+
+// Returns an address that was free a moment ago.
+inline std::string freeAddress()
+{
+    EventLoop loop;
+    AsyncHttpServer server(loop, {},
+                           [](const HttpRequest &, const AsyncHttpServer::Responder &) {});
+    return server.listen("127.0.0.1:0");
+}
+
 } // namespace savorywick::testing
--- a/tests/node/nodedrain_test.cpp
+++ b/tests/node/nodedrain_test.cpp
@@ -51,25 +51,6 @@
     std::vector<CommitCallback> m_held;
 };
 
-// A cluster with one queue and no workers.
-class OneQueueFeed final : public ClusterFeed
-{
-public:
-    void watchQueues(std::function<void(steps::QueueConfiguration)> listener) override
-    {
-        steps::QueueConfiguration configuration;
-        configuration.version = 1;
-        configuration.queues = {{"jobs.example", "/q/", {}}};
-        configuration.queues[0].policy.queue = "q";
-        listener(std::move(configuration));
-    }
-    void watchWorkers(std::function<void(std::vector<steps::WorkerInfo>)> listener) override
-    {
-        listener({});
-    }
-    void unwatchWorkers() override { }
-};
-
 // An entry, its callers and an owner of shard 0 that receives requests and never replies.
 class DrainFixture
 {
@@ -141,14 +122,6 @@
         return s;
     }
 
-    // Returns an address that was free a moment ago.
-    std::string freeAddress()
-    {
-        AsyncHttpServer server(m_loop, {},
-                               [](const HttpRequest &, const AsyncHttpServer::Responder &) {});
-        return server.listen("127.0.0.1:0");
-    }
-
     const std::optional<HttpResult> &sendTo(const std::string &address, const std::string &method,
                                             const std::string &path, const std::string &body)
     {
--- a/tests/node/simulatedentry.h
+++ b/tests/node/simulatedentry.h
@@ -14,25 +14,6 @@
 
 namespace savorywick::testing {
 
-// A cluster with one queue and no workers.
-class OneQueueFeed final : public ClusterFeed
-{
-public:
-    void watchQueues(std::function<void(steps::QueueConfiguration)> listener) override
-    {
-        steps::QueueConfiguration configuration;
-        configuration.version = 1;
-        configuration.queues = {{"jobs.example", "/q/", {}}};
-        configuration.queues[0].policy.queue = "q";
-        listener(std::move(configuration));
-    }
-    void watchWorkers(std::function<void(std::vector<steps::WorkerInfo>)> listener) override
-    {
-        listener({});
-    }
-    void unwatchWorkers() override { }
-};
-
 // How the store behaves towards one entry.
 struct StoreBehaviour
 {
@@ -82,15 +63,6 @@
     const StoreBehaviour m_store;
 };
 
-// Returns an address that was free a moment ago.
-inline std::string freeAddress()
-{
-    EventLoop loop;
-    AsyncHttpServer server(loop, {},
-                           [](const HttpRequest &, const AsyncHttpServer::Responder &) {});
-    return server.listen("127.0.0.1:0");
-}
-
 // Handles what is due and what has arrived before the call, without waiting. Returns false if the
 // loop was stopped meanwhile.
 inline bool runReady(EventLoop &loop)
