--- a/tests/net/asynchttp_test.cpp
+++ b/tests/net/asynchttp_test.cpp
@@ -1,13 +1,7 @@
 #include "core/bootclock.h"
-#include "net/asynchttpclient.h"
-#include "net/asynchttpserver.h"
+#include "httpfixture.h"
 #include "savorywick/errors.h"
 
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -20,136 +14,7 @@
 #include <vector>
 
 using namespace savorywick;
-
-namespace {
-
-constexpr Millis waitLimit{20'000}; // Generous; reached only if a request hangs.
-
-// A client with a small receive buffer that controls each byte that it sends and when it reads.
-class RawClient
-{
-public:
-    explicit RawClient(const std::string &address)
-        : m_socket(m_context)
-    {
-        constexpr int smallBufferBytes = 4'096;
-        m_socket.open(boost::asio::ip::tcp::v4());
-        m_socket.set_option(boost::asio::socket_base::receive_buffer_size(smallBufferBytes));
-        const std::size_t colon = address.find(':');
-        m_socket.connect({boost::asio::ip::make_address(address.substr(0, colon)),
-                          static_cast<unsigned short>(std::stoi(address.substr(colon + 1)))});
-    }
-
-    // Sends the bytes, or as many as the server accepts before it closes the connection.
-    void send(const std::string &bytes)
-    {
-        boost::system::error_code ignored;
-        boost::asio::write(m_socket, boost::asio::buffer(bytes), ignored);
-    }
-    // Returns the bytes that arrive before the server closes or resets the connection.
-    std::string readUntilClosed()
-    {
-        std::string bytes;
-        boost::system::error_code ignored;
-        boost::asio::read(m_socket, boost::asio::dynamic_buffer(bytes), ignored);
-        return bytes;
-    }
-
-private:
-    boost::asio::io_context m_context;
-    boost::asio::ip::tcp::socket m_socket;
-};
-
-// A server and a client on one event loop.
-class HttpFixture
-{
-public:
-    explicit HttpFixture(AsyncHttpServer::Handler handler, AsyncHttpServerLimits limits = {})
-        : m_server(m_loop, limits,
-                   [this, handler = std::move(handler)](const HttpRequest &request,
-                                                        const AsyncHttpServer::Responder &respond) {
-                       ++m_handledRequests;
-                       handler(request, respond);
-                   })
-        , m_client(m_loop)
-        , m_address(m_server.listen("127.0.0.1:0"))
-    { }
-
-    EventLoop &loop() { return m_loop; }
-    AsyncHttpServer &server() { return m_server; }
-    AsyncHttpClient &client() { return m_client; }
-    const std::string &address() const { return m_address; }
-    int handledRequests() const { return m_handledRequests; }
-
-    // Runs the loop until the condition holds.
-    void runUntil(const std::function<bool()> &condition)
-    {
-        constexpr Millis pollInterval{1};
-        const int maxPolls = static_cast<int>(waitLimit.count() / pollInterval.count());
-        for (int i = 0; i < maxPolls && !condition(); ++i) {
-            m_loop.runAfter(pollInterval, [this] { m_loop.stop(); });
-            m_loop.run();
-        }
-        REQUIRE(condition());
-    }
-
-    // Runs the loop until the server closes the client's connection, and returns what it sent.
-    std::string readAll(RawClient &client)
-    {
-        std::string bytes;
-        std::thread reader([&] {
-            bytes = client.readUntilClosed();
-            m_loop.stop();
-        });
-        m_loop.run();
-        reader.join();
-        return bytes;
-    }
-
-    // Runs the loop until the response to `call` arrives. Sends to the server unless `call` names
-    // another address.
-    HttpResult exchange(HttpCall call)
-    {
-        if (call.address.empty())
-            call.address = m_address;
-        std::optional<HttpResult> response;
-        m_client.exchange(std::move(call), [&](const HttpResult &a) {
-            response = a;
-            m_loop.stop();
-        });
-        const auto limit = m_loop.runAfter(waitLimit, [this] { m_loop.stop(); });
-        m_loop.run();
-        m_loop.cancel(limit);
-        REQUIRE(response.has_value());
-        return *response;
-    }
-
-private:
-    int m_handledRequests = 0;
-    EventLoop m_loop;
-    AsyncHttpServer m_server;
-    AsyncHttpClient m_client;
-    std::string m_address;
-};
-
-// Responds with the method, the path, the query parameters and the body of the request.
-void echo(const HttpRequest &request, const AsyncHttpServer::Responder &respond)
-{
-    std::string text = request.method + " " + request.path;
-    for (const HttpHeader &it : request.queryParameters)
-        text += " " + it.name + "=" + it.value;
-    respond({.status = 200, .headers = {}, .body = text + " " + request.body});
-}
-
-int countOf(const std::string &word, const std::string &text)
-{
-    int n = 0;
-    for (auto at = text.find(word); at != std::string::npos; at = text.find(word, at + 1))
-        ++n;
-    return n;
-}
-
-} // namespace
+using namespace savorywick::testing;
 
 TEST_CASE("Requests and responses arrive intact and reuse one keep-alive connection")
 {
@@ -263,45 +128,6 @@
     CHECK(fixture.exchange({.method = "POST", .body = std::string(100, 'x')}).status == 200);
 }
 
-// Guards against a response that a reset destroys: the server closes a connection on which the
-// client has sent more than the server has read, while the client has not read all of the response.
-TEST_CASE("A client that sends more than the server reads still gets the whole response")
-{
-    const std::string body(200'000, 'x'); // More than the client's receive buffer holds.
-    const std::string unread(20'000, 'y'); // More than the server reads with the request.
-    HttpFixture fixture([&](const HttpRequest &, const AsyncHttpServer::Responder &respond) {
-        respond({.status = 200, .headers = {}, .body = body});
-    });
-    RawClient client(fixture.address());
-    client.send("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n" + unread);
-    fixture.runUntil([&] { return fixture.handledRequests() == 1; });
-    fixture.runUntil([&] { return fixture.server().inFlight() == 0; });
-    const std::string response = fixture.readAll(client);
-    CHECK(response.ends_with("\r\n\r\n" + body));
-}
-
-TEST_CASE("A server counts what it reads after the last response of a connection")
-{
-    const std::string late = "GET /b HTTP/1.1\r\nHost: a\r\n\r\n";
-    HttpFixture fixture(echo);
-    RawClient client(fixture.address());
-    client.send("GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
-    fixture.runUntil([&] { return fixture.handledRequests() == 1; });
-    fixture.runUntil([&] { return fixture.server().inFlight() == 0; });
-    client.send(late);
-    fixture.runUntil([&] { return fixture.server().counts().discardedBytes == late.size(); });
-    CHECK(fixture.server().counts().unanswered == 0);
-}
-
-TEST_CASE("A server counts a request whose handler drops the responder")
-{
-    HttpFixture fixture([](const HttpRequest &, const AsyncHttpServer::Responder &) {});
-    RawClient client(fixture.address());
-    client.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
-    CHECK(fixture.readAll(client).empty());
-    CHECK(fixture.server().counts().unanswered == 1);
-}
-
 // Guards against requests that get no response because the server closes a connection over its
 // limit at once.
 TEST_CASE("A request on a connection over the limit gets status 503")
@@ -341,84 +167,6 @@
     CHECK(countOf("HTTP/1.1 200", fixture.readAll(client)) == 2);
 }
 
-TEST_CASE("A draining server asks its clients to close their connections")
-{
-    HttpFixture fixture(echo);
-    CHECK(fixture.exchange({}).status == 200);
-    fixture.server().drain();
-    CHECK(headerValue(fixture.exchange({}).headers, "Connection") == "close");
-    CHECK(fixture.exchange({}).status == 200);
-    CHECK(fixture.client().counters().connectionsOpened == 2);
-}
-
-// Guards against requests that a draining server reads and throws away, because it has asked its
-// client to close the connection or has been closed itself.
-TEST_CASE("A draining server answers a client that goes on using its connection")
-{
-    for (const bool closes : {false, true}) {
-        CAPTURE(closes);
-        HttpFixture fixture(echo);
-        RawClient client(fixture.address());
-        const auto request = [&](const std::string &headers) {
-            const int handled = fixture.handledRequests();
-            client.send("GET /a HTTP/1.1\r\nHost: a\r\n" + headers + "\r\n");
-            fixture.runUntil([&] {
-                return fixture.handledRequests() > handled
-                    || fixture.server().counts().discardedBytes > 0;
-            });
-        };
-        request("");
-        fixture.server().drain();
-        request("");
-        if (closes)
-            fixture.server().close();
-        request("");
-        request("Connection: close\r\n");
-        CHECK(countOf("HTTP/1.1 200", fixture.readAll(client)) == 4);
-        CHECK(fixture.server().counts().discardedBytes == 0);
-    }
-}
-
-// Guards against requests that a server abandons when it ends: it has read them, or their bytes
-// have arrived in a connection that it has not read or not even accepted.
-TEST_CASE("A server that is closed answers every request that has arrived")
-{
-    const std::string request = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
-    struct Case
-    {
-        const char *name;
-        std::string before; // Sent and handled before the close.
-        std::string unread; // Sent before the close, but not read.
-        std::string after; // Sent after the close.
-        int responses;
-    };
-    for (const Case &it :
-         {Case{"in flight", request, "", "", 1}, Case{"not accepted", "", request, "", 1},
-          Case{"half arrived", request, request.substr(0, 9), request.substr(9), 2},
-          Case{"unread on a connection in use", request, request, "", 2},
-          Case{"several unread at once", request, request + request, "", 3},
-          Case{"the first one of a new connection", "", "", request, 1}}) {
-        CAPTURE(std::string(it.name));
-        std::vector<AsyncHttpServer::Responder> held;
-        HttpFixture fixture([&](const HttpRequest &, const AsyncHttpServer::Responder &respond) {
-            held.push_back(respond);
-            fixture.loop().runAfter(Millis{20}, [&] {
-                for (const auto &it : std::exchange(held, {}))
-                    it({.status = 200, .headers = {}, .body = "whole"});
-            });
-        });
-        RawClient client(fixture.address());
-        client.send(it.before);
-        fixture.runUntil([&] { return fixture.handledRequests() == (it.before.empty() ? 0 : 1); });
-        client.send(it.unread);
-        fixture.server().close();
-        client.send(it.after);
-        client.send("GET /last HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
-        CHECK(countOf("whole", fixture.readAll(client)) == it.responses + 1);
-        CHECK((fixture.exchange({.path = "/new"}).outcome == HttpOutcome::NotSent));
-    }
-}
-
 // Guards against connections that wait for many turns of a busy loop before the server reads them.
 TEST_CASE("A server accepts all connections that wait in a few turns of its loop")
 {
@@ -440,45 +188,6 @@
     CHECK(turns <= maxTurns);
 }
 
-// Guards against connections that a server closes although it owes their clients a response.
-TEST_CASE("A server closes a connection only once it owes no response on it")
-{
-    const std::string request = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
-    struct Case
-    {
-        const char *name;
-        std::string before; // Sent and read before the connections are closed.
-        std::string unread; // Sent before that, but not read.
-        std::string after; // Sent afterwards.
-        int responses;
-    };
-    for (const Case &it :
-         {Case{"unused", "", "", "", 0}, Case{"idle", request, "", "", 1},
-          Case{"unread", request, request, "", 2},
-          Case{"several unread", "", request + request, "", 2},
-          Case{"half arrived", request + request.substr(0, 9), "", request.substr(9), 2}}) {
-        CAPTURE(std::string(it.name));
-        HttpFixture fixture([&](const HttpRequest &, const AsyncHttpServer::Responder &respond) {
-            fixture.loop().runAfter(Millis{20}, [respond] {
-                respond({.status = 200, .headers = {}, .body = "whole"});
-            });
-        });
-        RawClient client(fixture.address());
-        client.send(it.before);
-        fixture.runUntil([&] { return fixture.server().openConnections() == 1; });
-        fixture.runUntil([&] { return fixture.handledRequests() == (it.before.empty() ? 0 : 1); });
-        client.send(it.unread);
-        fixture.server().close();
-        fixture.server().closeAnswered();
-        client.send(it.after);
-        fixture.runUntil([&] {
-            fixture.server().closeAnswered();
-            return fixture.server().openConnections() == 0;
-        });
-        CHECK(countOf("whole", fixture.readAll(client)) == it.responses);
-    }
-}
-
 TEST_CASE("Listening on an address that is in use or malformed throws an error")
 {
     HttpFixture fixture(echo);
