Start only one best-effort task of a job without runs at low speed

Low speed is the last resort now: if nothing of a job runs after 2 s, one of its tasks starts so, which is what keeps the job from standing still. Otherwise the relaxed headroom applies after 3 s at full speed, as before.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -68,12 +68,14 @@
     // All best-effort runs on a worker are throttled once a target has been missed for this time,
     // whatever interference they are estimated to cause.
     Millis maxTargetMiss{1'600};
-    // The headroom that a best-effort task must leave to each latency-critical run. Once its step
-    // has waited for `relaxHeadroomAfter`, it may start at low speed where it leaves the relaxed
-    // headroom at that speed.
+    // The headroom that a best-effort task must leave to each latency-critical run. The relaxed
+    // limit applies once the step has waited for `relaxHeadroomAfter`.
     double minHeadroom = 1.05;
-    Millis relaxHeadroomAfter{2'000};
+    Millis relaxHeadroomAfter{3'000};
     double relaxedMinHeadroom = 0.8;
+    // If nothing of its job runs after this wait, one best-effort task may start at low speed,
+    // where it leaves the relaxed headroom at that speed.
+    Millis startSlowlyAfter{2'000};
     // Best-effort runs are throttled if the headroom of a run beside them is below the first value,
     // and as far as is estimated to raise it to the second.
     double throttleBelowHeadroom = 1.05;
@@ -267,6 +269,7 @@
     {
         std::vector<CandidateWorker> workers;
         UnplaceableSteps unplaceable;
+        UnplaceableSteps unplaceableSlowly; // Also not at low speed.
     };
     // What placement passes need, of the steps that they place, to know of the workers.
     struct PassNeeds
@@ -377,10 +380,12 @@
     std::vector<ReadyStep> sortedReadySteps(ClockReading now) const;
     void placeReadySteps(ClockReading now);
     double minHeadroomAfter(Millis waited) const;
-    void setHeadroomLimits(PlacementConstraints &constraints, Millis waited) const;
-    int startSpeedOf(const StepSpec &spec, const PlacementConstraints &constraints,
-                     const CandidateWorker &worker) const;
+    bool mayStartSlowly(const StepRef &ref, const StepSpec &spec, Millis waited) const;
+    PlacementConstraints slowStartConstraintsFor(const StepRef &ref) const;
     bool placeStep(const ReadyStep &step, PlacementPass &pass, ClockReading now);
+    void startOneSlowly(const ReadyStep &step, PlacementPass &pass, ClockReading now);
+    void startTask(const ReadyStep &step, int index, CandidateWorker &worker, int speedPercent,
+                   ClockReading now);
     bool placeGang(const ReadyStep &step, PlacementPass &pass, ClockReading now);
     void restoreTurn(const Run &run);
     void startRun(const TaskRef &task, int run, const StepSpec &spec, CandidateWorker &worker,
--- a/include/savorywick/steps/placement.h
+++ b/include/savorywick/steps/placement.h
@@ -96,11 +96,6 @@
 // Returns the time from when a job is due to start until it should be complete.
 Millis relativeDeadlineOf(const JobSpec &spec);
 
-// Returns true if and only if a best-effort task of the step leaves the headroom that it must to
-// all latency-critical runs of the worker.
-bool leavesHeadroom(const StepSpec &spec, const PlacementConstraints &constraints,
-                    const CandidateWorker &worker);
-
 // Chooses workers for the tasks of one step, one after the other. A worker's rank for the step is
 // computed once and again only when the worker changes, so that many tasks cost little more than
 // one.
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -167,15 +167,14 @@
     std::vector<ReadyStep> steps = sortedReadySteps(now);
     if (static_cast<int>(steps.size()) > m_settings.maxStepsPerPass)
         steps.resize(m_settings.maxStepsPerPass);
-    PlacementPass pass{candidateWorkers(needsOf(steps), now.monotonic), {}};
+    PlacementPass pass{candidateWorkers(needsOf(steps), now.monotonic), {}, {}};
     for (const ReadyStep &step : steps) {
-        if (pass.unplaceable.covers(*step.spec, step.job->spec.policy.service,
-                                    minHeadroomAfter(now.monotonic - step.since)))
-            continue;
         const bool allPlaced =
             step.spec->gang ? placeGang(step, pass, now) : placeStep(step, pass, now);
         if (allPlaced)
             m_readySteps.erase(step.ref);
+        else if (mayStartSlowly(step.ref, *step.spec, now.monotonic - step.since))
+            startOneSlowly(step, pass, now);
     }
     if (!m_readySteps.empty())
         m_nextPlacementAt = now.monotonic + m_settings.placementInterval;
@@ -189,31 +188,30 @@
     return relaxed ? m_settings.relaxedMinHeadroom : m_settings.minHeadroom;
 }
 
-void Coordinator::setHeadroomLimits(PlacementConstraints &constraints, Millis waited) const
+// Returns true if and only if one task of the step may start at low speed, since nothing of the job
+// runs and none may start at full speed.
+bool Coordinator::mayStartSlowly(const StepRef &ref, const StepSpec &spec, Millis waited) const
 {
-    constraints.minHeadroom = minHeadroomAfter(waited);
-    if (waited >= m_settings.relaxHeadroomAfter)
-        constraints.bestEffortSpeedPercent = lowSpeedPercent;
+    return spec.bestEffort && !spec.gang && waited >= m_settings.startSlowlyAfter
+        && m_runs.ofJob(ref.job).empty();
 }
 
-// Returns the speed in percent at which a task of the step is to start on the worker.
-int Coordinator::startSpeedOf(const StepSpec &spec, const PlacementConstraints &constraints,
-                              const CandidateWorker &worker) const
+PlacementConstraints Coordinator::slowStartConstraintsFor(const StepRef &ref) const
 {
-    if (!spec.bestEffort || constraints.bestEffortSpeedPercent == fullPercent)
-        return fullPercent;
-    PlacementConstraints atFullSpeed;
-    atFullSpeed.headroomEstimator = constraints.headroomEstimator;
-    atFullSpeed.minHeadroom = m_settings.minHeadroom;
-    return leavesHeadroom(spec, atFullSpeed, worker) ? fullPercent
-                                                     : constraints.bestEffortSpeedPercent;
+    PlacementConstraints constraints = constraintsFor(ref);
+    constraints.minHeadroom = m_settings.relaxedMinHeadroom;
+    constraints.bestEffortSpeedPercent = lowSpeedPercent;
+    return constraints;
 }
 
 // Starts as many of the step's tasks as there are workers for. Returns true if and only if all are.
 bool Coordinator::placeStep(const ReadyStep &step, PlacementPass &pass, ClockReading now)
 {
+    const double minHeadroom = minHeadroomAfter(now.monotonic - step.since);
+    if (pass.unplaceable.covers(*step.spec, step.job->spec.policy.service, minHeadroom))
+        return false;
     PlacementConstraints constraints = constraintsFor(step.ref);
-    setHeadroomLimits(constraints, now.monotonic - step.since);
+    constraints.minHeadroom = minHeadroom;
     WorkerChooser chooser(*step.spec, constraints, pass.workers);
     for (const int index : tasksToStart(step.ref)) {
         const auto chosen = chooser.choose();
@@ -221,13 +219,8 @@
             pass.unplaceable.add(*step.spec, constraints.service, constraints.minHeadroom);
             return false;
         }
-        const TaskRef task{step.ref.job, step.ref.occurrence, step.ref.step, index};
-        const Task *known = step.job->findTask(task);
         CandidateWorker &worker = pass.workers[*chosen];
-        const int run = (known ? known->lastRunNumber : 0) + 1;
-        const int speed = startSpeedOf(*step.spec, constraints, worker);
-        startRun(task, run, *step.spec, worker, now);
-        m_runs.find({task, run})->speedPercent = speed; // It is ordered once the run is confirmed.
+        startTask(step, index, worker, fullPercent, now);
         ++constraints.tasksPerWorker[worker.info->incarnation.workerId];
         constraints.currentRack = worker.info->rack;
         chooser.noteTask(*chosen);
@@ -235,6 +228,28 @@
     return true;
 }
 
+// Starts one task of the step at low speed, if there is a worker for it.
+void Coordinator::startOneSlowly(const ReadyStep &step, PlacementPass &pass, ClockReading now)
+{
+    const PlacementConstraints constraints = slowStartConstraintsFor(step.ref);
+    if (pass.unplaceableSlowly.covers(*step.spec, constraints.service, constraints.minHeadroom))
+        return;
+    const auto chosen = chooseWorker(*step.spec, constraints, pass.workers);
+    if (!chosen)
+        return pass.unplaceableSlowly.add(*step.spec, constraints.service, constraints.minHeadroom);
+    startTask(step, tasksToStart(step.ref).front(), pass.workers[*chosen], lowSpeedPercent, now);
+}
+
+void Coordinator::startTask(const ReadyStep &step, int index, CandidateWorker &worker,
+                            int speedPercent, ClockReading now)
+{
+    const TaskRef task{step.ref.job, step.ref.occurrence, step.ref.step, index};
+    const Task *known = step.job->findTask(task);
+    const int run = (known ? known->lastRunNumber : 0) + 1;
+    startRun(task, run, *step.spec, worker, now);
+    m_runs.find({task, run})->speedPercent = speedPercent; // Ordered once the run is confirmed.
+}
+
 // Starts all tasks of the gang under one run number, or none. Returns true if and only if it did.
 bool Coordinator::placeGang(const ReadyStep &step, PlacementPass &pass, ClockReading now)
 {
@@ -291,9 +306,11 @@
     const std::vector<CandidateWorker> workers = candidateWorkers({true, 0}, now.monotonic);
     for (const StepRef &ref : steps) {
         const Millis waited = now.monotonic - m_readySteps.at(ref);
-        PlacementConstraints constraints = constraintsFor(ref);
-        setHeadroomLimits(constraints, waited);
         const StepSpec &spec = m_table.find(ref.job)->spec.steps[ref.step];
+        PlacementConstraints constraints = constraintsFor(ref);
+        constraints.minHeadroom = minHeadroomAfter(waited);
+        if (mayStartSlowly(ref, spec, waited))
+            constraints = slowStartConstraintsFor(ref);
         const WaitReason reason = waitReasonOf(spec, constraints, workers);
         m_notes.push_back({SchedulerEventKind::StepWaiting,
                            {ref.job, ref.occurrence, ref.step, 0},
--- a/src/lib/steps/placement.cpp
+++ b/src/lib/steps/placement.cpp
@@ -118,12 +118,6 @@
     return worker.idleMilliCores * 100LL >= std::int64_t{milliCores} * minBestEffortIdlePercent;
 }
 
-bool leavesHeadroom(const StepSpec &spec, const PlacementConstraints &constraints,
-                    const CandidateWorker &worker)
-{
-    return !interferenceOf(spec, constraints, worker).excessive;
-}
-
 bool comesBefore(const ReadyStep &a, const ReadyStep &b)
 {
     const int groupA = groupOf(a);
