Order the speed of the best-effort runs that an owner adopts

Callers saw a best-effort job that never ended. Speeds are not recorded, so after a takeover the next owner believed that the runs that it adopted had their full speed, and did not speed up those that the owner before had throttled.

The owner now orders the speed that it believes in as soon as a best-effort run is adopted, and throttles it again where that does harm.

--- a/src/lib/steps/coordinatorinterference.cpp
+++ b/src/lib/steps/coordinatorinterference.cpp
@@ -236,12 +236,13 @@
     noteRun(SchedulerEventKind::RunThrottled, run, why, now.monotonic - run.startedAt, percent);
 }
 
-// Orders the speed of a run that has just been confirmed, if it is to start at less than full
-// speed.
+// Orders the speed of a run that has just been confirmed, unless it has full speed from its start.
+// An earlier owner may have throttled a run that is adopted.
 void Coordinator::orderStartSpeed(const Worker &worker, Run &run, ClockReading now)
 {
-    if (run.speedPercent != fullSpeed && !run.stopRequested)
-        setSpeed(worker, run, run.speedPercent, "little-headroom", now);
+    const bool adopted = run.startFence == 0;
+    if (run.bestEffort && !run.stopRequested && (adopted || run.speedPercent != fullSpeed))
+        setSpeed(worker, run, run.speedPercent, adopted ? "adopted" : "little-headroom", now);
 }
 
 // Returns true if and only if the worker should report more often than usual.
