Order the speed of adopted best-effort runs only if they seem throttled

A new owner adopts some 2,000 to 2,500 best-effort runs of a grown site at once; ordering the speed of each would cost as many calls in the second of the takeover. A run that uses most of what it requests has its full speed, so only the others get an order.

The simulated worker of coordinatorharness.h reports what a run uses at the speed that was ordered last; it reported full use whatever the speed.

--- a/src/lib/steps/coordinatorinterference.cpp
+++ b/src/lib/steps/coordinatorinterference.cpp
@@ -48,6 +48,14 @@
     return static_cast<double>(run.latencyTarget.count()) / *run.measurement;
 }
 
+// Returns true unless the run is known to use most of the processors that it requests.
+bool seemsThrottled(const Run &run)
+{
+    constexpr int minFullSpeedUsePercent = 80;
+    return !run.measurement
+        || *run.measurement * fullSpeed < run.requested.milliCores * minFullSpeedUsePercent;
+}
+
 // Adds the load to that of the same image.
 void addLoad(std::vector<BestEffortLoad> &loads, const std::string &image, double milliCores)
 {
@@ -236,13 +244,17 @@
     noteRun(SchedulerEventKind::RunThrottled, run, why, now.monotonic - run.startedAt, percent);
 }
 
-// Orders the speed of a run that has just been confirmed, unless it has full speed from its start.
-// An earlier owner may have throttled a run that is adopted.
+// Orders the speed of a best-effort run that has just been confirmed, unless it has that speed
+// already. An earlier owner may have throttled a run that is adopted.
 void Coordinator::orderStartSpeed(const Worker &worker, Run &run, ClockReading now)
 {
+    if (!run.bestEffort || run.stopRequested)
+        return;
     const bool adopted = run.startFence == 0;
-    if (run.bestEffort && !run.stopRequested && (adopted || run.speedPercent != fullSpeed))
-        setSpeed(worker, run, run.speedPercent, adopted ? "adopted" : "little-headroom", now);
+    if (adopted && seemsThrottled(run))
+        setSpeed(worker, run, run.speedPercent, "adopted", now);
+    else if (!adopted && run.speedPercent != fullSpeed)
+        setSpeed(worker, run, run.speedPercent, "little-headroom", now);
 }
 
 // Returns true if and only if the worker should report more often than usual.
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -160,7 +160,6 @@
             run->confirmedAt = now.monotonic;
             noteConfirmedStart(key.task.job);
             endStartBackoff(worker);
-            orderStartSpeed(worker, *run, now);
         }
         if (it.progressPercent != run->progressPercent)
             run->lastProgressAt = now.monotonic;
@@ -171,6 +170,8 @@
         const bool fellBehind = it.progressPercent < run->progressPercent;
         run->progressPercent = it.progressPercent;
         run->measurement = it.measurement;
+        if (!wasRunning)
+            orderStartSpeed(worker, *run, now);
         if (!wasRunning || fellBehind)
             scheduleStallCheck(*run);
     }
--- a/tests/steps/coordinatorharness.h
+++ b/tests/steps/coordinatorharness.h
@@ -2,6 +2,7 @@
 
 #include "savorywick/steps/coordinator.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -160,7 +161,7 @@
     int fencedRenewals = 0; // That a worker refused, since it had seen a higher fence.
 
 private:
-    static constexpr int milliCoresInUse = 4'000; // That other runs report.
+    static constexpr int milliCoresInUse = 4'000; // That other runs use at full speed.
 
     void respond(const RenewLeaseCommand &order)
     {
@@ -180,7 +181,8 @@
             if (it.target.worker != order.target.worker || m_endedRuns.contains({it.task, it.run}))
                 continue;
             const Run *run = m_coordinator->runs().find({it.task, it.run});
-            const int measurement = run && run->longRunning ? tailLatencyMs : milliCoresInUse;
+            const int measurement =
+                run && run->longRunning ? tailLatencyMs : milliCoresUsedBy({it.task, it.run});
             reply.report.running.push_back({it.task, it.run, "", 100, measurement});
         }
         m_coordinator->handleRenewReply(order, reply, now());
@@ -211,6 +213,17 @@
     }
     void respond(const ThrottleRunCommand &order) { throttles.push_back(order); }
 
+    // Returns what the run uses at the speed that was ordered last.
+    int milliCoresUsedBy(const RunKey &key) const
+    {
+        const auto last =
+            std::find_if(throttles.rbegin(), throttles.rend(), [&](const ThrottleRunCommand &it) {
+                return RunKey{it.task, it.run} == key;
+            });
+        return last == throttles.rend() ? milliCoresInUse
+                                        : milliCoresInUse * last->speedPercent / 100;
+    }
+
     Instant m_now{1'000'000};
     std::vector<WorkerInfo> m_workers;
     CoordinatorSettings m_settings;
