--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -75,7 +75,7 @@
     double relaxedMinHeadroom = 0.8;
     // If nothing of its job runs after this wait, one best-effort task may start at low speed,
     // where it leaves the relaxed headroom at that speed.
-    Millis startSlowlyAfter{2'000};
+    Millis startSlowlyAfter{1'500};
     // Best-effort runs are throttled if the headroom of a run beside them is below the first value,
     // and as far as is estimated to raise it to the second.
     double throttleBelowHeadroom = 1.05;
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -188,12 +188,15 @@
     return relaxed ? m_settings.relaxedMinHeadroom : m_settings.minHeadroom;
 }
 
-// Returns true if and only if one task of the step may start at low speed, since nothing of the job
-// runs and none may start at full speed.
+// Returns true if and only if one task of the step, which can't start at full speed, may start at
+// low speed: nothing of its occurrence of the job runs.
 bool Coordinator::mayStartSlowly(const StepRef &ref, const StepSpec &spec, Millis waited) const
 {
-    return spec.bestEffort && !spec.gang && waited >= m_settings.startSlowlyAfter
-        && m_runs.ofJob(ref.job).empty();
+    if (!spec.bestEffort || spec.gang || waited < m_settings.startSlowlyAfter)
+        return false;
+    const std::vector<RunKey> keys = m_runs.ofJob(ref.job);
+    return std::none_of(keys.begin(), keys.end(),
+                        [&](const RunKey &it) { return it.task.occurrence == ref.occurrence; });
 }
 
 PlacementConstraints Coordinator::slowStartConstraintsFor(const StepRef &ref) const
