Let each caller of the stop simulation send before an entry can be gone

A simulation of two callers whose first requests were due after 0.8 s could end without any. The first request is due within 0.4 s now, and an entry stays for 0.8 s at least.

--- a/tests/node/drainsimulation.h
+++ b/tests/node/drainsimulation.h
@@ -131,7 +131,7 @@
             SimulatedCaller &caller = m_callers.emplace_back();
             caller.habit = static_cast<Habit>(below(4));
             caller.entry = below(static_cast<std::uint32_t>(m_entries.size()));
-            caller.nextSendAt = begin + Millis{below(1'500)};
+            caller.nextSendAt = begin + Millis{below(400)}; // Before any entry can be gone.
         }
     }
 
