Show ends that are lost to the acknowledgement of an earlier life

Callers would see a task run again after it had completed. Orders name a worker's id and not its life, and each life numbers its ends from 1. The owner sends the number of the latest durable end with every renewal, so a worker that has started again under its id forgets the ends of its new life that the number covers; the owner drops the report that lists them, ends the run as lapsed and starts the task again.

Two tests of the session show the causes: an acknowledgement is sent again after it was answered, and when a clock that has fallen back tells of another life, the session goes on as before.

--- a/tests/steps/coordinator_test.cpp
+++ b/tests/steps/coordinator_test.cpp
@@ -99,17 +99,21 @@
     const ShardSimulation &m_simulation;
 };
 
+// Submits the job of this number, injects faults for some steps, and may cancel a job.
+void submitJobDuringFaults(ShardSimulation &simulation, int number, int steps)
+{
+    simulation.submit(randomJob(simulation, "job" + std::to_string(number)));
+    simulation.advance(steps, true);
+    if (simulation.randomBelow(8) == 0)
+        simulation.cancel("job" + std::to_string(simulation.randomBelow(number + 1)));
+}
+
 // Submits up to 24 jobs, and cancels some, while faults are injected.
 void submitJobsDuringFaults(ShardSimulation &simulation)
 {
     const int jobs = *rc::gen::inRange(1, 25);
-    for (int n = 0; n < jobs; ++n) {
-        const std::string id = "job" + std::to_string(n);
-        simulation.submit(randomJob(simulation, id));
-        simulation.advance(*rc::gen::inRange(1, 60), true);
-        if (simulation.randomBelow(8) == 0)
-            simulation.cancel("job" + std::to_string(simulation.randomBelow(n + 1)));
-    }
+    for (int n = 0; n < jobs; ++n)
+        submitJobDuringFaults(simulation, n, *rc::gen::inRange(1, 60));
     RC_CLASSIFY(simulation.takeoverCount() > 1, "several owners");
     RC_CLASSIFY(simulation.startCount() > 60, "many starts");
 }
@@ -126,6 +130,17 @@
     }));
 }
 
+// Guards against a task that starts again after its end was acknowledged: a worker that had started
+// again under its id took the acknowledgement of its life before for its own ends.
+TEST_CASE("No task runs again after its end was acknowledged by the number of an earlier life")
+{
+    ShardSimulation simulation(396'976'888); // What RC_PARAMS="seed=69 max_success=400" found.
+    int number = 0;
+    for (const int steps : {48, 29, 21, 32, 16, 44})
+        submitJobDuringFaults(simulation, number++, steps);
+    simulation.finishAndVerify();
+}
+
 // Guards against an accepted step that could run and does not, with most of the room free, long
 // after the faults that held it up.
 TEST_CASE("Soon after faults every job with room runs although some workers stay broken")
--- a/tests/steps/workersession_test.cpp
+++ b/tests/steps/workersession_test.cpp
@@ -179,3 +179,42 @@
         CHECK((t <= answerTime + Millis{10'600} || session.leaseExpired(grantedAt + t)));
     }
 }
+
+// Guards against ends that are lost: a worker that starts again under its id numbers its ends from
+// 1 and forgets those that the number of the life before covers.
+TEST_CASE("An acknowledgement that a worker has answered is not sent again")
+{
+    WorkerSession session = startSession();
+    session.nextRenewal(true, maxWait, ownedSince);
+    session.renewalAnswered(reportAt(1'000), ownedSince);
+    session.recordAppliedEnds(57);
+    session.recordDurableEnds(57);
+    const Instant ackedAt = ownedSince + renewalDelay;
+    const auto ack = session.nextRenewal(true, maxWait, ackedAt);
+    REQUIRE(ack.has_value());
+    CHECK(ack->ackedEndNumber == 57);
+    session.renewalAnswered(reportAt(1'120), ackedAt);
+    const auto next = session.nextRenewal(true, maxWait, ackedAt + renewalDelay);
+    REQUIRE(next.has_value());
+    CHECK(next->ackedEndNumber == 0); // The worker may have started again since.
+}
+
+// Guards against ends that are lost: an acknowledgement for the life of a worker that is over is
+// sent to the next one, of which only the clock in the reply to a start tells so far.
+TEST_CASE("A clock that starts anew holds back acknowledgements and starts until a report")
+{
+    WorkerSession session = startSession();
+    session.nextRenewal(true, maxWait, ownedSince);
+    session.renewalAnswered(reportAt(500'000), ownedSince);
+    session.recordAppliedEnds(57);
+    const Instant restartedAt = ownedSince + Millis{500};
+    session.recordClock(40, restartedAt);
+    session.recordDurableEnds(57);
+    CHECK_FALSE(session.responsive());
+    const auto renewal = session.nextRenewal(true, maxWait, restartedAt);
+    REQUIRE(renewal.has_value());
+    CHECK(renewal->ackedEndNumber == 0);
+    CHECK_FALSE(renewal->leaseUntilClockMs.has_value());
+    CHECK(renewal->target.fence == firstFence + 1);
+    CHECK_FALSE(session.renewalAnswered(reportAt(50, 8), restartedAt + Millis{10}));
+}
