Acknowledge ends to a life of a worker that is known and only once

Callers saw a task run again after it had completed. Orders name a worker's id and not its life, and each life numbers its ends from 1. The owner sent the number of its latest durable end with every renewal, for ever. A worker that started again under its id and ended a run before the owner had its first report listed that end and forgot it, as the number covered it; the owner dropped that report, being one of another life, ended the run as lapsed, and started the task again.

- An acknowledgement that was answered is not sent again.
- None is sent to a worker that has left a command or the latest fence unanswered: it may have started again, so it answers first, as for a lease.
- A clock that falls back by more than an answer may take is another life's.
The session is then reset: no starts, no lease and no acknowledgement until a renewal tells the life; a renewal sent before doesn't.
The end of the leases of the former life is taken by its own clock, of those that the new one may have taken over by the longest term, as before.
Ends that become durable afterwards are not acknowledged to the new life.
- A start whose answer carries such a clock counts as unconfirmed, not as a run of the former life, whose lease ends earlier.

What remains: an end can still be lost if a worker starts again, takes a start and ends it within the few milliseconds between an answer and the renewal that acknowledges the ends in it for the first time. Orders would have to name the life to rule that out.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -326,7 +326,7 @@
     void stopUnknownRun(const Worker &worker, const RunningReport &report);
     void endMissingRuns(Worker &worker, const WorkerReport &report, ClockReading now);
     void adoptRun(const Job &job, const TaskRef &task, const ActiveRun &active);
-    void recordClock(Worker &worker, const CommandReply &reply, ClockReading now);
+    bool recordClock(Worker &worker, const CommandReply &reply, ClockReading now);
     void noteFailedStart(Worker &worker, const Run &run, Instant now);
     static void endStartBackoff(Worker &worker);
     void markStartUnknown(const RunKey &key, ClockReading now);
--- a/include/savorywick/steps/workersession.h
+++ b/include/savorywick/steps/workersession.h
@@ -71,12 +71,16 @@
     // Returns when nextRenewal() is due to be called, or nothing while a renewal is in flight.
     std::optional<Instant> nextRenewalAt(bool hasRuns) const;
     // Records the answer to the renewal in flight. Returns false, and takes nothing from the
-    // report, if it comes from another incarnation than the renewal was for; call update() then.
+    // report, if it comes from another incarnation than the renewal was for, or may do so; call
+    // update() then.
     bool renewalAnswered(const WorkerReport &report, Instant now);
     // Records that the renewal in flight failed or got no answer.
     void renewalFailed(Instant now);
-    // Records the worker's clock, in milliseconds, as told in an answer to another command.
-    void recordClock(std::int64_t clockMs, Instant now);
+    // Records the worker's clock, in milliseconds, as told in an answer to another command. Returns
+    // false, and takes nothing from the answer, if it is not known to come from the present
+    // incarnation. A clock that has fallen back is another one's: the session is reset then, and
+    // the answer to the next renewal tells the incarnation.
+    bool recordClock(std::int64_t clockMs, Instant now);
 
     // Records that the worker has no runs any more. It must answer a renewal that is sent once it
     // has runs again before it is granted a full lease.
@@ -121,10 +125,12 @@
     // Returns the number of the latest ended run that was applied to the state.
     std::int64_t appliedEnds() const { return m_appliedEnds; }
     // Records that ended runs up to `number` are durable, so that the worker may forget them.
-    void recordDurableEnds(std::int64_t number) { m_durableEnds = number; }
+    // Has no effect on ends that recordAppliedEnds() has not recorded for the present incarnation.
+    void recordDurableEnds(std::int64_t number);
 
 private:
     void reset(Instant now);
+    void takeClock(std::int64_t clockMs, Instant now);
     std::int64_t grantLease(Millis term, Instant now);
     Instant ownLeaseEnd(std::int64_t untilClockMs) const;
     Millis longestFor(Millis clockTime) const;
@@ -135,6 +141,7 @@
     Fence m_fence;
 
     bool m_renewalInFlight = false;
+    bool m_renewalIsVoid = false; // It was sent before the clock told of another incarnation.
     Instant m_renewalSentAt;
     Fence m_renewalFence = 0;
     bool m_renewalCoversRuns = false; // The worker had runs when the renewal was sent.
@@ -159,6 +166,8 @@
     Instant m_formerLifeEndsAt; // Of the latest earlier incarnation; none if it is not set.
     std::int64_t m_appliedEnds = 0;
     std::int64_t m_durableEnds = 0;
+    std::int64_t m_renewalAck = 0; // The ends that the latest renewal acknowledged; 0 for none.
+    std::int64_t m_answeredAck = 0; // The highest acknowledgement that was answered.
 };
 
 } // namespace savorywick::steps
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -207,14 +207,14 @@
     }
 }
 
-// Records the worker's clock, if the reply tells it. The clock of another life says nothing of this
-// one.
-void Coordinator::recordClock(Worker &worker, const CommandReply &reply, ClockReading now)
+// Records the worker's clock, if the reply tells it. Returns false if the clock tells that the
+// reply does not come from the life that the session is with, or may not.
+bool Coordinator::recordClock(Worker &worker, const CommandReply &reply, ClockReading now)
 {
     if (!reply.clockMs || reply.outcome == CommandOutcome::WrongIncarnation)
-        return;
-    worker.session.recordClock(*reply.clockMs, now.monotonic);
+        return true;
     markStale(worker);
+    return worker.session.recordClock(*reply.clockMs, now.monotonic);
 }
 
 void Coordinator::handleStartReply(const StartRunCommand &order, const CommandReply &reply,
@@ -222,10 +222,9 @@
 {
     ++m_counters.startReplies[reply.outcome];
     const auto worker = m_workers.find(order.target.worker.workerId);
-    const bool sameLife =
-        worker != m_workers.end() && worker->second.session.incarnation() == order.target.worker;
-    if (sameLife)
-        recordClock(worker->second, reply, now);
+    const bool sameLife = worker != m_workers.end()
+        && worker->second.session.incarnation() == order.target.worker
+        && recordClock(worker->second, reply, now);
     const RunKey key{order.task, order.run};
     Run *run = m_runs.find(key);
     if (!run || run->phase != RunPhase::StartSent)
--- a/src/lib/steps/workersession.cpp
+++ b/src/lib/steps/workersession.cpp
@@ -1,6 +1,7 @@
 #include "savorywick/steps/workersession.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace savorywick::steps {
 
@@ -31,6 +32,12 @@
     reset(now);
 }
 
+void WorkerSession::recordDurableEnds(std::int64_t number)
+{
+    // Ends that became durable after reset() are those of the life before.
+    m_durableEnds = std::min(number, m_appliedEnds);
+}
+
 // The new incarnation has no clock, fence or ended runs in common with the one before. A command to
 // the old incarnation may still reach the new one, so the fence is raised.
 void WorkerSession::reset(Instant now)
@@ -40,6 +47,7 @@
     m_earlierLeasesEndAt = std::max(m_earlierLeasesEndAt, m_leasesEndAt);
     m_lastAnswerAt = now;
     m_renewalInFlight = false;
+    m_renewalIsVoid = false;
     m_answeredFence = 0;
     m_answeredWithRuns = false;
     m_clockMs.reset();
@@ -47,6 +55,7 @@
     m_leasesEndAt = {};
     m_appliedEnds = 0;
     m_durableEnds = 0;
+    m_answeredAck = 0;
     raiseFence(now);
 }
 
@@ -84,7 +93,11 @@
     m_renewalSentAt = now;
     m_renewalFence = m_fence;
     m_renewalCoversRuns = hasRuns;
-    RenewLeaseCommand renewal{target(), m_durableEnds, {}, {}};
+    // The next life of the worker, which numbers its ends anew, would take an acknowledgement for
+    // its own. So none is sent again once it was answered, and none to a worker of which it is not
+    // known whether it has started again.
+    m_renewalAck = responsive() && m_durableEnds > m_answeredAck ? m_durableEnds : 0;
+    RenewLeaseCommand renewal{target(), m_renewalAck, {}, {}};
     // A renewal that gets no answer may still extend the lease on the worker. Granting a lease with
     // every renewal to an unresponsive worker would thus postpone its expiry for ever. A worker
     // that had no runs was seldom asked, so it must answer first as well.
@@ -100,11 +113,13 @@
 bool WorkerSession::renewalAnswered(const WorkerReport &report, Instant now)
 {
     m_renewalInFlight = false;
-    if (report.startedWallMs != m_incarnation.startedWallMs)
+    const bool lifeIsOver = std::exchange(m_renewalIsVoid, false);
+    if (lifeIsOver || report.startedWallMs != m_incarnation.startedWallMs)
         return false;
     m_answeredFence = m_renewalFence;
     m_answeredSentAt = m_renewalSentAt;
-    recordClock(report.clockMs, now);
+    m_answeredAck = std::max(m_answeredAck, m_renewalAck);
+    takeClock(report.clockMs, now);
     // What has been started by now has the short lease of its start.
     const bool leaseIsShort = m_renewalCoversRuns && !m_answeredWithRuns && m_leaseUntilClockMs > 0;
     m_answeredWithRuns = m_renewalCoversRuns;
@@ -116,11 +131,29 @@
 void WorkerSession::renewalFailed(Instant now)
 {
     m_renewalInFlight = false;
+    m_renewalIsVoid = false;
     m_unresponsive = true;
     m_renewalDueAt = now + m_settings.retryDelay;
 }
 
-void WorkerSession::recordClock(std::int64_t clockMs, Instant now)
+bool WorkerSession::recordClock(std::int64_t clockMs, Instant now)
+{
+    if (!m_clockMs)
+        return false; // Which life the clock is of is not known.
+    // Answers may overtake each other, but by no more than the time that one may take.
+    const bool ofOtherLife = clockMs < *m_clockMs - m_settings.maxAnswerTime.count();
+    if (ofOtherLife) {
+        const bool inFlight = m_renewalInFlight;
+        reset(now);
+        m_renewalInFlight = inFlight;
+        m_renewalIsVoid = inFlight;
+        return false;
+    }
+    takeClock(clockMs, now);
+    return true;
+}
+
+void WorkerSession::takeClock(std::int64_t clockMs, Instant now)
 {
     m_lastAnswerAt = now;
     m_unresponsive = false;
--- a/tests/steps/workersession_test.cpp
+++ b/tests/steps/workersession_test.cpp
@@ -218,3 +218,25 @@
     CHECK(renewal->target.fence == firstFence + 1);
     CHECK_FALSE(session.renewalAnswered(reportAt(50, 8), restartedAt + Millis{10}));
 }
+
+// Guards against ends that are lost: a worker is silent because it starts again, and is then sent
+// the acknowledgement that its life before did not answer.
+TEST_CASE("A silent worker must answer before ends are acknowledged to it")
+{
+    WorkerSession session = startSession();
+    session.nextRenewal(true, maxWait, ownedSince);
+    session.renewalAnswered(reportAt(1'000), ownedSince);
+    session.recordAppliedEnds(5);
+    session.recordDurableEnds(5);
+    Instant now = ownedSince + renewalDelay;
+    REQUIRE(session.nextRenewal(true, maxWait, now)->ackedEndNumber == 5);
+    session.renewalFailed(now);
+    now = now + WorkerSessionSettings().retryDelay;
+    const auto probe = session.nextRenewal(true, maxWait, now);
+    REQUIRE(probe.has_value());
+    CHECK(probe->ackedEndNumber == 0);
+    session.renewalAnswered(reportAt(1'400), now);
+    const auto next = session.nextRenewal(true, maxWait, now + renewalDelay);
+    REQUIRE(next.has_value());
+    CHECK(next->ackedEndNumber == 5);
+}
