Show a new run that lapses when one renewal is lost

A start on an idle worker grants a lease of 2 s, and the first renewal that extends it may be held by the worker for up to 1 s. If that renewal is lost, its owner learns so after 1.5 s only; it then has to be answered once, and waits for 120 ms, before it grants a lease again: at 4021 on the worker's clock, where the lease lasted until 4000.

--- a/tests/steps/workersession_test.cpp
+++ b/tests/steps/workersession_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace savorywick;
 using namespace savorywick::steps;
 
@@ -240,3 +242,69 @@
     REQUIRE(next.has_value());
     CHECK(next->ackedEndNumber == 5);
 }
+
+// Guards against a new run that lapses although its worker is up: the first renewal that would
+// extend the short lease of its start is lost.
+TEST_CASE("A run outlives the loss of any one renewal after its start")
+{
+    constexpr Millis commandTimeout{500}; // Of platform/httpworkerclient.cpp.
+    constexpr Millis roundTrip{60};
+    const WorkerSessionSettings settings;
+    for (const int lost : {1, 2}) {
+        CAPTURE(lost);
+        WorkerSession session = startSession();
+        session.nextRenewal(false, maxWait, ownedSince);
+        session.renewalAnswered(reportAt(0), ownedSince);
+        const Instant startAt = ownedSince + Millis{2'000};
+        std::int64_t leaseUntil = session.grantStartLease(startAt);
+        Instant now = startAt;
+        int renewals = 0;
+        for (; now < startAt + settings.leaseTerm; now = now + Millis{1}) {
+            const std::int64_t clockMs = (now - ownedSince).count();
+            REQUIRE(clockMs < leaseUntil); // Else the run has lapsed.
+            const auto renewal = session.nextRenewal(true, maxWait, now);
+            if (!renewal)
+                continue;
+            if (++renewals == lost) {
+                now = now + commandTimeout + renewal->maxWait;
+                session.renewalFailed(now);
+                continue;
+            }
+            REQUIRE(clockMs + roundTrip.count() / 2 < leaseUntil); // When the renewal arrives.
+            leaseUntil = std::max(leaseUntil, renewal->leaseUntilClockMs.value_or(0));
+            now = now + roundTrip + renewal->maxWait;
+            session.renewalAnswered(reportAt((now - ownedSince).count()), now);
+        }
+    }
+}
+
+// Guards against new runs that lapse because their owner's event loop stood still: it learns only
+// after that pause that the first renewal was answered, or that it has timed out.
+TEST_CASE("A run outlives a pause of its owner right after its start")
+{
+    constexpr Millis pause{1'600};
+    constexpr Millis roundTrip{60};
+    for (const bool answered : {true, false}) {
+        CAPTURE(answered);
+        WorkerSession session = startSession();
+        session.nextRenewal(false, maxWait, ownedSince);
+        session.renewalAnswered(reportAt(0), ownedSince);
+        const Instant startAt = ownedSince + Millis{2'000};
+        const std::int64_t leaseUntil = session.grantStartLease(startAt);
+        REQUIRE(session.nextRenewal(true, maxWait, startAt).has_value());
+        Instant now = startAt + pause;
+        if (answered)
+            session.renewalAnswered(reportAt(2'030), now);
+        else
+            session.renewalFailed(now);
+        std::optional<RenewLeaseCommand> renewal;
+        for (; !renewal || !renewal->leaseUntilClockMs; now = now + Millis{1}) {
+            REQUIRE((now - ownedSince).count() + roundTrip.count() / 2 < leaseUntil);
+            renewal = session.nextRenewal(true, maxWait, now);
+            if (!renewal || renewal->leaseUntilClockMs)
+                continue;
+            now = now + roundTrip;
+            session.renewalAnswered(reportAt((now - ownedSince).count()), now);
+        }
+    }
+}
