Extend a lease at once when a worker answers after a lost renewal

A new run lapsed on a worker that was up. A start on an idle worker grants 2 s; if the renewal that would extend it was lost, the owner had to be answered once before it granted a lease again, and then waited for 120 ms more, which was past the end of the lease. It did so only right after a start, not after a failed renewal.

The session now knows whether the latest renewal granted a full lease and was answered. Unless it did, the next one is due at the answer, as it was for the first answer after a start. A failed renewal clears that, since the rest of the lease may be short by then.

"A run outlives the loss of any one renewal after its start" failed before (the renewal after the lost second one arrived at 4021, the lease lasted until 4000) and passes.

--- a/include/savorywick/steps/workersession.h
+++ b/include/savorywick/steps/workersession.h
@@ -132,6 +132,9 @@
     void reset(Instant now);
     void takeClock(std::int64_t clockMs, Instant now);
     std::int64_t grantLease(Millis term, Instant now);
+    // Returns true if and only if the worker has been granted a lease, and may have no more than
+    // the short one of a start, or the rest of one.
+    bool leaseIsShort() const { return m_leaseUntilClockMs > 0 && !m_leaseExtended; }
     Instant ownLeaseEnd(std::int64_t untilClockMs) const;
     Millis longestFor(Millis clockTime) const;
 
@@ -145,11 +148,14 @@
     Instant m_renewalSentAt;
     Fence m_renewalFence = 0;
     bool m_renewalCoversRuns = false; // The worker had runs when the renewal was sent.
+    bool m_renewalExtendsLease = false;
     Instant m_renewalDueAt;
     Fence m_answeredFence = 0;
     Instant m_answeredSentAt;
     // The latest answered renewal was sent while the worker had runs.
     bool m_answeredWithRuns = false;
+    // The latest renewal granted a full lease, and was answered.
+    bool m_leaseExtended = false;
     Instant m_lastAnswerAt;
     bool m_unresponsive = false;
 
--- a/src/lib/steps/workersession.cpp
+++ b/src/lib/steps/workersession.cpp
@@ -50,6 +50,7 @@
     m_renewalIsVoid = false;
     m_answeredFence = 0;
     m_answeredWithRuns = false;
+    m_leaseExtended = false;
     m_clockMs.reset();
     m_leaseUntilClockMs = 0;
     m_leasesEndAt = {};
@@ -69,6 +70,7 @@
 {
     m_answeredWithRuns = false;
     m_renewalCoversRuns = false;
+    m_leaseExtended = false;
 }
 
 std::optional<Instant> WorkerSession::nextRenewalAt(bool hasRuns) const
@@ -103,6 +105,7 @@
     // that had no runs was seldom asked, so it must answer first as well.
     if (m_clockMs && hasRuns && m_answeredWithRuns && !m_unresponsive)
         renewal.leaseUntilClockMs = grantLease(m_settings.leaseTerm, now);
+    m_renewalExtendsLease = renewal.leaseUntilClockMs.has_value();
     const bool mayWait =
         renewal.leaseUntilClockMs && m_answeredFence == m_fence && m_durableEnds == m_appliedEnds;
     if (mayWait)
@@ -120,11 +123,11 @@
     m_answeredSentAt = m_renewalSentAt;
     m_answeredAck = std::max(m_answeredAck, m_renewalAck);
     takeClock(report.clockMs, now);
-    // What has been started by now has the short lease of its start.
-    const bool leaseIsShort = m_renewalCoversRuns && !m_answeredWithRuns && m_leaseUntilClockMs > 0;
     m_answeredWithRuns = m_renewalCoversRuns;
+    m_leaseExtended = m_renewalCoversRuns && m_renewalExtendsLease;
+    const bool extendsNow = m_renewalCoversRuns && leaseIsShort();
     const bool fenceRaised = m_fence != m_renewalFence;
-    m_renewalDueAt = fenceRaised || leaseIsShort ? now : now + m_settings.renewalDelay;
+    m_renewalDueAt = fenceRaised || extendsNow ? now : now + m_settings.renewalDelay;
     return true;
 }
 
@@ -133,6 +136,7 @@
     m_renewalInFlight = false;
     m_renewalIsVoid = false;
     m_unresponsive = true;
+    m_leaseExtended = false; // What is left of the lease may be short by now.
     m_renewalDueAt = now + m_settings.retryDelay;
 }
 
