Show a new run that lapses when a held renewal is lost

With answers that take 300 ms, a run lapses if the second renewal after its start on an idle worker is lost: the worker may hold that one for 1 s, so its owner learns after 1.5 s that it is lost, and the lease of 2 s is over before another is granted. The loop of the test before it is shared now, with the same checks.

--- a/tests/steps/workersession_test.cpp
+++ b/tests/steps/workersession_test.cpp
@@ -30,6 +30,37 @@
     return r;
 }
 
+// Loses the renewal of this number after a start on an idle worker, and checks that the others
+// extend the lease before it lapses, if it takes `roundTrip` to answer one.
+void checkLeaseOutlivesLoss(int lost, Millis roundTrip)
+{
+    constexpr Millis commandTimeout{500}; // Of platform/httpworkerclient.cpp.
+    const WorkerSessionSettings settings;
+    WorkerSession session = startSession();
+    session.nextRenewal(false, maxWait, ownedSince);
+    session.renewalAnswered(reportAt(0), ownedSince);
+    const Instant startAt = ownedSince + Millis{2'000};
+    std::int64_t leaseUntil = session.grantStartLease(startAt);
+    Instant now = startAt;
+    int renewals = 0;
+    for (; now < startAt + settings.leaseTerm; now = now + Millis{1}) {
+        const std::int64_t clockMs = (now - ownedSince).count();
+        REQUIRE(clockMs < leaseUntil); // Else the run has lapsed.
+        const auto renewal = session.nextRenewal(true, maxWait, now);
+        if (!renewal)
+            continue;
+        if (++renewals == lost) {
+            now = now + commandTimeout + renewal->maxWait;
+            session.renewalFailed(now);
+            continue;
+        }
+        REQUIRE(clockMs + roundTrip.count() / 2 < leaseUntil); // When the renewal arrives.
+        leaseUntil = std::max(leaseUntil, renewal->leaseUntilClockMs.value_or(0));
+        now = now + roundTrip + renewal->maxWait;
+        session.renewalAnswered(reportAt((now - ownedSince).count()), now);
+    }
+}
+
 } // namespace
 
 TEST_CASE("The first renewal grants no lease and later ones grant it on the worker's clock")
@@ -247,34 +278,19 @@
 // extend the short lease of its start is lost.
 TEST_CASE("A run outlives the loss of any one renewal after its start")
 {
-    constexpr Millis commandTimeout{500}; // Of platform/httpworkerclient.cpp.
-    constexpr Millis roundTrip{60};
-    const WorkerSessionSettings settings;
     for (const int lost : {1, 2}) {
         CAPTURE(lost);
-        WorkerSession session = startSession();
-        session.nextRenewal(false, maxWait, ownedSince);
-        session.renewalAnswered(reportAt(0), ownedSince);
-        const Instant startAt = ownedSince + Millis{2'000};
-        std::int64_t leaseUntil = session.grantStartLease(startAt);
-        Instant now = startAt;
-        int renewals = 0;
-        for (; now < startAt + settings.leaseTerm; now = now + Millis{1}) {
-            const std::int64_t clockMs = (now - ownedSince).count();
-            REQUIRE(clockMs < leaseUntil); // Else the run has lapsed.
-            const auto renewal = session.nextRenewal(true, maxWait, now);
-            if (!renewal)
-                continue;
-            if (++renewals == lost) {
-                now = now + commandTimeout + renewal->maxWait;
-                session.renewalFailed(now);
-                continue;
-            }
-            REQUIRE(clockMs + roundTrip.count() / 2 < leaseUntil); // When the renewal arrives.
-            leaseUntil = std::max(leaseUntil, renewal->leaseUntilClockMs.value_or(0));
-            now = now + roundTrip + renewal->maxWait;
-            session.renewalAnswered(reportAt((now - ownedSince).count()), now);
-        }
+        checkLeaseOutlivesLoss(lost, Millis{60});
+    }
+}
+
+// Guards against a new run that lapses because its worker held the renewal that would have extended
+// the lease: when the owner learnt that it was lost, no time was left to repeat it.
+TEST_CASE("A run outlives the loss of any one renewal after its start with slow answers")
+{
+    for (const int lost : {1, 2}) {
+        CAPTURE(lost);
+        checkLeaseOutlivesLoss(lost, Millis{300});
     }
 }
 
