--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -313,6 +313,12 @@
     void addStartOrders(std::vector<WorkerCommand> &orders, ClockReading now);
     void addStopOrders(std::vector<WorkerCommand> &orders, ClockReading now);
 
+    // Replies to orders (coordinatorreplies.cpp).
+    void recordClock(Worker &worker, const CommandReply &reply, ClockReading now);
+    void noteFailedStart(Worker &worker, const Run &run, Instant now);
+    static void noteConfirmedStart(Worker &worker);
+    void markStartUnknown(const RunKey &key, ClockReading now);
+
     // Workers and their runs (coordinatorworkers.cpp).
     Worker &findOrAddWorker(const WorkerInfo &info, ClockReading now);
     void processEndReports(Worker &worker, const WorkerReport &report, ClockReading now);
@@ -320,10 +326,6 @@
     void stopUnknownRun(const Worker &worker, const RunningReport &report);
     void endMissingRuns(Worker &worker, const WorkerReport &report, ClockReading now);
     void adoptRun(const Job &job, const TaskRef &task, const ActiveRun &active);
-    void recordClock(Worker &worker, const CommandReply &reply, ClockReading now);
-    void noteFailedStart(Worker &worker, const Run &run, Instant now);
-    static void noteConfirmedStart(Worker &worker);
-    void markStartUnknown(const RunKey &key, ClockReading now);
     void endRun(const RunKey &key, RunOutcome how, const std::string &checkpoint, ClockReading now);
     void resumeWaiting(const StepRef &ref, Instant since);
     void updateQuarantine(const Run &run, RunOutcome how, ClockReading now);
--- /dev/null
+++ b/src/lib/steps/coordinatorreplies.cpp
@@ -0,0 +1,114 @@
+// The part of Coordinator that processes the replies to start and stop orders.
+
+#include "savorywick/steps/coordinator.h"
+
+#include <algorithm>
+
+namespace savorywick::steps {
+
+// Records the worker's clock, if the reply tells it. The clock of another life says nothing of this
+// one.
+void Coordinator::recordClock(Worker &worker, const CommandReply &reply, ClockReading now)
+{
+    if (!reply.clockMs || reply.outcome == CommandOutcome::WrongIncarnation)
+        return;
+    worker.session.recordClock(*reply.clockMs, now.monotonic);
+    markStale(worker);
+}
+
+void Coordinator::handleStartReply(const StartRunCommand &order, const CommandReply &reply,
+                                   ClockReading now)
+{
+    ++m_counters.startReplies[reply.outcome];
+    const auto worker = m_workers.find(order.target.worker.workerId);
+    const bool sameLife =
+        worker != m_workers.end() && worker->second.session.incarnation() == order.target.worker;
+    if (sameLife)
+        recordClock(worker->second, reply, now);
+    const RunKey key{order.task, order.run};
+    Run *run = m_runs.find(key);
+    if (!run || run->phase != RunPhase::StartSent)
+        return;
+    if (sameLife && reply.outcome == CommandOutcome::Done)
+        noteConfirmedStart(worker->second);
+    else if (sameLife)
+        noteFailedStart(worker->second, *run, now.monotonic);
+    switch (reply.outcome) {
+    case CommandOutcome::Done:
+        run->phase = RunPhase::Running;
+        run->confirmedAt = now.monotonic;
+        run->lastProgressAt = now.monotonic;
+        if (sameLife)
+            orderStartSpeed(worker->second, *run, now);
+        return scheduleStallCheck(*run);
+    case CommandOutcome::Unknown:
+    case CommandOutcome::StaleRun: // This run or a later one has ended there; the next report
+                                   // tells.
+        return markStartUnknown(key, now);
+    case CommandOutcome::NoRoom:
+    case CommandOutcome::TooLate:
+    case CommandOutcome::Fenced:
+    case CommandOutcome::WrongIncarnation:
+    case CommandOutcome::Rejected:
+    case CommandOutcome::NotSent:
+        noteRun(SchedulerEventKind::StartRefused, *run, toString(reply.outcome),
+                now.monotonic - run->startedAt);
+        if (sameLife && reply.outcome == CommandOutcome::NotSent)
+            worker->second.session.markUnresponsive();
+        return endRun(key, RunOutcome::NeverStarted, {}, now);
+    }
+}
+
+void Coordinator::handleStopReply(const StopRunCommand &order, const CommandReply &reply,
+                                  ClockReading now)
+{
+    const auto worker = m_workers.find(order.target.worker.workerId);
+    if (worker == m_workers.end() || worker->second.session.incarnation() != order.target.worker)
+        return;
+    recordClock(worker->second, reply, now);
+    Run *run = m_runs.find({order.task, order.run});
+    if (!run || reply.outcome == CommandOutcome::Done)
+        return;
+    noteRun(SchedulerEventKind::StopFailed, *run, toString(reply.outcome),
+            now.monotonic - run->startedAt);
+    run->stopSentAt = now.monotonic - m_settings.stopResendInterval + m_settings.stopRetryDelay;
+}
+
+// Holds it against the worker that it did not start the run. Starts that were under way when one
+// failed count as one with it.
+void Coordinator::noteFailedStart(Worker &worker, const Run &run, Instant now)
+{
+    if (run.startedAt <= worker.lastFailedStartAt)
+        return;
+    constexpr int maxDoublings = 10;
+    const int factor = 1 << std::min(worker.failedStarts, maxDoublings);
+    ++worker.failedStarts;
+    worker.lastFailedStartAt = now;
+    worker.blockedUntil =
+        now + std::min(m_settings.startRetryDelay * factor, m_settings.maxStartRetryDelay);
+    worker.avoidedUntil =
+        now + std::min(m_settings.workerAvoidance * factor, m_settings.maxWorkerAvoidance);
+}
+
+void Coordinator::noteConfirmedStart(Worker &worker)
+{
+    worker.failedStarts = 0;
+    worker.blockedUntil = {};
+    worker.avoidedUntil = {};
+}
+
+// Handles a start order that may or may not have taken effect. The fence is raised, so that the
+// next answered renewal voids the order and its report tells whether the worker has the run.
+void Coordinator::markStartUnknown(const RunKey &key, ClockReading now)
+{
+    Run *run = m_runs.find(key);
+    run->phase = RunPhase::Unconfirmed;
+    noteRun(SchedulerEventKind::RunUnconfirmed, *run, "no-answer", now.monotonic - run->startedAt);
+    const auto worker = m_workers.find(run->workerId);
+    if (worker != m_workers.end() && worker->second.session.fence() == run->startFence) {
+        worker->second.session.raiseFence(now.monotonic);
+        markStale(worker->second);
+    }
+}
+
+} // namespace savorywick::steps
