Note and count workers that are quarantined for stalled runs

The log and the counter showed only those that were quarantined for failed runs, so a worker that had got no tasks for that reason could not be told from one with another fault. Both ways go through one function now; its test failed before (no event, counter 0) and passes now.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -328,6 +328,7 @@
     void adoptRun(const Job &job, const TaskRef &task, const ActiveRun &active);
     void endRun(const RunKey &key, RunOutcome how, const std::string &checkpoint, ClockReading now);
     void resumeWaiting(const StepRef &ref, Instant since);
+    void recordFailure(const Run &run, std::string_view why, ClockReading now);
     void updateQuarantine(const Run &run, RunOutcome how, ClockReading now);
     void stopGangMembers(const RunKey &key);
     void stopDuplicateRuns(const TaskRef &task);
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -256,14 +256,18 @@
 {
     if (how == RunOutcome::Done)
         m_quarantine.recordSuccess(run.key.task.job, run.workerId, now.monotonic);
-    if (how != RunOutcome::Failed)
-        return;
+    if (how == RunOutcome::Failed)
+        recordFailure(run, "failures", now);
+}
+
+void Coordinator::recordFailure(const Run &run, std::string_view why, ClockReading now)
+{
     const QuarantineDecision verdict =
-        m_quarantine.recordFailure(run.key.task.job, run.workerId, toString(how), now.monotonic);
+        m_quarantine.recordFailure(run.key.task.job, run.workerId, why, now.monotonic);
     if (!verdict.quarantineWorker)
         return;
     ++m_counters.workersQuarantined;
-    noteWorker(SchedulerEventKind::WorkerQuarantined, run.workerId, "failures", Millis{0});
+    noteWorker(SchedulerEventKind::WorkerQuarantined, run.workerId, why, Millis{0});
 }
 
 // Stops the other members of the gang's run, which would wait in vain for the one that ended.
@@ -395,7 +399,7 @@
             continue;
         }
         ++m_counters.runsStalled;
-        m_quarantine.recordFailure(key.task.job, run.workerId, "stalled", now.monotonic);
+        recordFailure(run, "stalled", now);
         requestStop(key, "stalled");
     }
 }
--- a/tests/steps/coordinatorprogress_test.cpp
+++ b/tests/steps/coordinatorprogress_test.cpp
@@ -375,3 +375,46 @@
     CHECK(harness.throttles.back().task.job == "f");
     CHECK(harness.throttles.back().speedPercent == 100);
 }
+
+namespace {
+
+// Lets three jobs stall on the only worker, which is quarantined for it.
+void quarantineByStalls(CoordinatorHarness &harness)
+{
+    harness.stopsEndRuns = true;
+    StepSpec stalling = task(1'000);
+    stalling.estimatedDuration = Millis{100};
+    for (int i = 0; i < QuarantineOptions().workerFailureThreshold; ++i)
+        harness.submit("stalling" + std::to_string(i), stalling);
+    harness.advance(Millis{3'000});
+    for (int i = 0; i < QuarantineOptions().workerFailureThreshold; ++i)
+        harness.coordinator().cancel("stalling" + std::to_string(i), harness.now());
+    harness.advance(Millis{200});
+}
+
+} // namespace
+
+// Guards against workers that get no tasks for a reason that neither log nor counter shows.
+TEST_CASE("A worker that is quarantined for stalled runs is noted and counted")
+{
+    CoordinatorHarness harness(1);
+    quarantineByStalls(harness);
+    CHECK(harness.coordinator().counters().workersQuarantined == 1);
+    const std::vector<SchedulerEvent> notes = harness.coordinator().takeNotes();
+    CHECK(std::any_of(notes.begin(), notes.end(), [](const SchedulerEvent &it) {
+        return it.kind == SchedulerEventKind::WorkerQuarantined && it.worker == "w0";
+    }));
+}
+
+// Guards against a step that waits for the probe of a quarantined worker, seconds later, although
+// no other worker could run it and that one has most of its room free.
+TEST_CASE("A task that only a quarantined worker could run is tried there within three seconds")
+{
+    CoordinatorSettings settings;
+    settings.quarantine.initialProbeDelay = Millis{4'000};
+    CoordinatorHarness harness(1, settings);
+    quarantineByStalls(harness);
+    harness.submit("a", task(1'000));
+    harness.advance(Millis{3'000});
+    CHECK(harness.workersStartedOn("a").size() == 1);
+}
