Check that every member of a step survives its record

A suspicion on steps that could run and don't: that a record loses a member of a step, so that the next owner believes in other needs.

--- a/tests/steps/record_test.cpp
+++ b/tests/steps/record_test.cpp
@@ -5,6 +5,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <tuple>
+
 using namespace savorywick;
 using namespace savorywick::steps;
 
@@ -52,6 +54,40 @@
 
 } // namespace
 
+namespace {
+
+// Returns all members of the step, for comparison.
+auto membersOf(const StepSpec &s)
+{
+    return std::tie(s.taskCount, s.demand, s.estimatedDuration, s.dependsOn, s.checkpointing,
+                    s.gang, s.preferSameRack, s.allowDuplicates, s.longRunning, s.bestEffort,
+                    s.neededLabel, s.preferredRack, s.image, s.maxTasksPerWorker, s.latencyTarget,
+                    s.maxUnavailable);
+}
+
+} // namespace
+
+// Guards against a next owner that believes in other needs of a step than its caller submitted.
+TEST_CASE("Every member of a step survives encoding and decoding")
+{
+    CHECK(rc::check("for arbitrary steps", [] {
+        JobAccepted accepted;
+        accepted.spec.id = "a";
+        accepted.spec.steps = {arbitraryStep(0), arbitraryStep(1)};
+        for (StepSpec &it : accepted.spec.steps) {
+            it.preferSameRack = *rc::gen::arbitrary<bool>();
+            it.allowDuplicates = *rc::gen::arbitrary<bool>();
+            it.preferredRack = arbitraryText();
+            it.latencyTarget = Millis{*rc::gen::inRange(0, 100'000)};
+            it.maxUnavailable = *rc::gen::inRange(0, 9);
+        }
+        const auto decoded = std::get<JobAccepted>(decodeRecord(encodeRecord(accepted)));
+        RC_ASSERT(decoded.spec.steps.size() == accepted.spec.steps.size());
+        for (std::size_t i = 0; i < decoded.spec.steps.size(); ++i)
+            RC_ASSERT((membersOf(decoded.spec.steps[i]) == membersOf(accepted.spec.steps[i])));
+    }));
+}
+
 TEST_CASE("Every type of record survives encoding and decoding")
 {
     CHECK(rc::check("for arbitrary texts, with spaces and control characters", [] {
