--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -329,12 +329,9 @@
     void stopUnknownRun(const Worker &worker, const RunningReport &report);
     void endMissingRuns(Worker &worker, const WorkerReport &report, ClockReading now);
     void adoptRun(const Job &job, const TaskRef &task, const ActiveRun &active);
-    bool recordClock(Worker &worker, const CommandReply &reply, ClockReading now);
-    void noteFailedStart(Worker &worker, const Run &run, Instant now);
-    static void endStartBackoff(Worker &worker);
-    void markStartUnknown(const RunKey &key, ClockReading now);
     void endRun(const RunKey &key, RunOutcome how, const std::string &checkpoint, ClockReading now);
     void updateQuarantine(const Run &run, RunOutcome how, ClockReading now);
+    void recordFailure(const Run &run, std::string_view why, ClockReading now);
     void stopGangMembers(const RunKey &key);
     void stopDuplicateRuns(const TaskRef &task);
     void requestStop(const RunKey &key, std::string_view why);
@@ -351,6 +348,12 @@
     void evacuate(const Worker &worker);
     const StepSpec *findStepSpec(const TaskRef &task) const;
 
+    // Replies to start and stop orders (coordinatorreplies.cpp).
+    bool recordClock(Worker &worker, const CommandReply &reply, ClockReading now);
+    void noteFailedStart(Worker &worker, const Run &run, Instant now);
+    static void endStartBackoff(Worker &worker);
+    void markStartUnknown(const RunKey &key, ClockReading now);
+
     // Interference of best-effort with latency-critical runs (coordinatorinterference.cpp).
     void controlInterference(Worker &worker, ClockReading now);
     std::optional<std::vector<BestEffortLoad>> steadyBestEffortLoads(std::span<const RunKey> keys,
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -208,112 +208,6 @@
     }
 }
 
-// Records the worker's clock, if the reply tells it. Returns false if the clock tells that the
-// reply does not come from the life that the session is with, or may not.
-bool Coordinator::recordClock(Worker &worker, const CommandReply &reply, ClockReading now)
-{
-    if (!reply.clockMs || reply.outcome == CommandOutcome::WrongIncarnation)
-        return true;
-    markStale(worker);
-    return worker.session.recordClock(*reply.clockMs, now.monotonic);
-}
-
-void Coordinator::handleStartReply(const StartRunCommand &order, const CommandReply &reply,
-                                   ClockReading now)
-{
-    ++m_counters.startReplies[reply.outcome];
-    const auto worker = m_workers.find(order.target.worker.workerId);
-    const bool sameLife = worker != m_workers.end()
-        && worker->second.session.incarnation() == order.target.worker
-        && recordClock(worker->second, reply, now);
-    const RunKey key{order.task, order.run};
-    Run *run = m_runs.find(key);
-    if (!run || run->phase != RunPhase::StartSent)
-        return;
-    if (sameLife && reply.outcome == CommandOutcome::Done)
-        endStartBackoff(worker->second);
-    else if (sameLife)
-        noteFailedStart(worker->second, *run, now.monotonic);
-    switch (reply.outcome) {
-    case CommandOutcome::Done:
-        noteConfirmedStart(key.task.job);
-        if (!sameLife)
-            return markStartUnknown(key, now); // Either life may have it; the next report tells.
-        run->phase = RunPhase::Running;
-        run->confirmedAt = now.monotonic;
-        run->lastProgressAt = now.monotonic;
-        orderStartSpeed(worker->second, *run, now);
-        return scheduleStallCheck(*run);
-    case CommandOutcome::Unknown:
-    case CommandOutcome::StaleRun: // This run or a later one has ended there; the next report
-                                   // tells.
-        return markStartUnknown(key, now);
-    case CommandOutcome::NoRoom:
-    case CommandOutcome::TooLate:
-    case CommandOutcome::Fenced:
-    case CommandOutcome::WrongIncarnation:
-    case CommandOutcome::Rejected:
-    case CommandOutcome::NotSent:
-        noteRun(SchedulerEventKind::StartRefused, *run, toString(reply.outcome),
-                now.monotonic - run->startedAt);
-        if (sameLife && reply.outcome == CommandOutcome::NotSent)
-            worker->second.session.markUnresponsive();
-        return endRun(key, RunOutcome::NeverStarted, {}, now);
-    }
-}
-
-void Coordinator::handleStopReply(const StopRunCommand &order, const CommandReply &reply,
-                                  ClockReading now)
-{
-    const auto worker = m_workers.find(order.target.worker.workerId);
-    if (worker == m_workers.end() || worker->second.session.incarnation() != order.target.worker)
-        return;
-    recordClock(worker->second, reply, now);
-    Run *run = m_runs.find({order.task, order.run});
-    if (!run || reply.outcome == CommandOutcome::Done)
-        return;
-    noteRun(SchedulerEventKind::StopFailed, *run, toString(reply.outcome),
-            now.monotonic - run->startedAt);
-    run->stopSentAt = now.monotonic - m_settings.stopResendInterval + m_settings.stopRetryDelay;
-}
-
-// Holds it against the worker that it did not start the run. Starts that were under way when one
-// failed count as one with it.
-void Coordinator::noteFailedStart(Worker &worker, const Run &run, Instant now)
-{
-    if (run.startedAt <= worker.lastFailedStartAt)
-        return;
-    constexpr int maxDoublings = 10;
-    const int factor = 1 << std::min(worker.failedStarts, maxDoublings);
-    ++worker.failedStarts;
-    worker.lastFailedStartAt = now;
-    worker.blockedUntil =
-        now + std::min(m_settings.startRetryDelay * factor, m_settings.maxStartRetryDelay);
-    worker.avoidedUntil =
-        now + std::min(m_settings.workerAvoidance * factor, m_settings.maxWorkerAvoidance);
-}
-
-void Coordinator::endStartBackoff(Worker &worker)
-{
-    worker.failedStarts = 0;
-    worker.blockedUntil = {};
-    worker.avoidedUntil = {};
-}
-
-// Handles a start order that may or may not have taken effect. The fence is raised, so that the
-// next answered renewal voids the order and its report tells whether the worker has the run.
-void Coordinator::markStartUnknown(const RunKey &key, ClockReading now)
-{
-    Run *run = m_runs.find(key);
-    run->phase = RunPhase::Unconfirmed;
-    noteRun(SchedulerEventKind::RunUnconfirmed, *run, "no-answer", now.monotonic - run->startedAt);
-    const auto worker = m_workers.find(run->workerId);
-    if (worker != m_workers.end() && worker->second.session.fence() == run->startFence) {
-        worker->second.session.raiseFence(now.monotonic);
-        markStale(worker->second);
-    }
-}
-
 void Coordinator::endRun(const RunKey &key, RunOutcome how, const std::string &checkpoint,
                          ClockReading now)
 {
@@ -359,14 +253,18 @@
         m_quarantine.recordSuccess(run.key.task.job, run.workerId, now.monotonic);
     else if (how != RunOutcome::Failed && run.isProbe)
         m_quarantine.abandonProbe(run.workerId, now.monotonic);
-    if (how != RunOutcome::Failed)
-        return;
+    if (how == RunOutcome::Failed)
+        recordFailure(run, "failures", now);
+}
+
+void Coordinator::recordFailure(const Run &run, std::string_view why, ClockReading now)
+{
     const QuarantineDecision verdict =
-        m_quarantine.recordFailure(run.key.task.job, run.workerId, toString(how), now.monotonic);
+        m_quarantine.recordFailure(run.key.task.job, run.workerId, why, now.monotonic);
     if (!verdict.quarantineWorker)
         return;
     ++m_counters.workersQuarantined;
-    noteWorker(SchedulerEventKind::WorkerQuarantined, run.workerId, "failures", Millis{0});
+    noteWorker(SchedulerEventKind::WorkerQuarantined, run.workerId, why, Millis{0});
 }
 
 // Stops the other members of the gang's run, which would wait in vain for the one that ended.
@@ -523,7 +421,7 @@
             continue;
         }
         ++m_counters.runsStalled;
-        m_quarantine.recordFailure(key.task.job, run.workerId, "stalled", now.monotonic);
+        recordFailure(run, "stalled", now);
         requestStop(key, "stalled");
     }
 }
