State the assumption behind the end of leases that a new life took over

The bound holds only for orders that reach the new life of a worker within the time that an answer may take. The comment says so, and what holds off those that come later.

--- a/include/savorywick/steps/workersession.h
+++ b/include/savorywick/steps/workersession.h
@@ -165,7 +165,9 @@
     // When the longest granted lease expires, on the worker's clock.
     std::int64_t m_leaseUntilClockMs = 0;
     // When every lease that was granted to the present incarnation has expired, whichever life of
-    // the worker took it.
+    // the worker took it. This assumes that a new life takes over an order no later than
+    // `maxAnswerTime` after it was sent. What arrives later is refused by its fence once a renewal
+    // has told the new life the raised one; what arrives before that is not covered.
     Instant m_leasesEndAt;
     // When every lease of earlier owners, and every one granted to earlier incarnations, has.
     Instant m_earlierLeasesEndAt;
