Take JSON that is nested too deeply for text that is not valid

A client of savorywick entry that sent a body of 2,000 '[' got 500 in place of 400: jsoncpp throws an exception for text that is nested too deeply, which parseJsonText() let through although it promises a null value. The new row of invalidinput_test failed before (500 == 400) and passes. By reading, the same exception could leave the clients that parse a peer's response; now it can't.

--- a/src/lib/jsontext.cpp
+++ b/src/lib/jsontext.cpp
@@ -20,9 +20,13 @@
     thread_local const std::unique_ptr<Json::CharReader> reader(
         Json::CharReaderBuilder().newCharReader());
     Json::Value value;
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr))
-        return {};
-    return value;
+    try {
+        if (reader->parse(text.data(), text.data() + text.size(), &value, nullptr))
+            return value;
+    } catch (const Json::Exception &) {
+        return {}; // The text is nested too deeply.
+    }
+    return {};
 }
 
 } // namespace savorywick::internal
--- a/tests/process/invalidinput_test.cpp
+++ b/tests/process/invalidinput_test.cpp
@@ -41,6 +41,7 @@
     const std::vector<Case> cases{
         {"malformed JSON", "POST", run, {key}, "{", 400},
         {"JSON but no object", "POST", run, {key}, "[]", 400},
+        {"JSON nested too deeply", "POST", run, {key}, std::string(2'000, '['), 400},
         {"invalid condition", "POST", watcher, {key}, R"({"until":{}})", 400},
         {"condition of two kinds", "POST", watcher, {key}, twoConditions, 400},
         {"negative delay", "POST", watcher, {key}, R"({"until":{"afterMs":-1}})", 400},
