Call the count of pending jobs what it is

It counted the jobs in state Queued; since a job is pending until a start is confirmed, queuedJobCount() said something else than it does. No change of behaviour.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -178,9 +178,9 @@
     // Returns how many jobs of the queue are durably accepted, have not ended, and have no task
     // that is known to have started. A start is known once a worker has confirmed it or reported
     // its end; a new owner may count a job until a worker reports it.
-    int queuedJobCount(std::string_view queue) const;
-    // Returns the sum of queuedJobCount() over all queues.
-    int queuedJobCount() const;
+    int pendingJobCount(std::string_view queue) const;
+    // Returns the sum of pendingJobCount() over all queues.
+    int pendingJobCount() const;
 
     // Replaces the list of the shard's workers. Runs are moved off workers that are draining.
     void setWorkers(std::span<const WorkerInfo> workers, ClockReading now);
@@ -308,7 +308,7 @@
     void appendRecord(const Record &record);
     void publishWhenDurable(const std::string &job);
     void publishState(const UncommittedState &update);
-    void adjustQueuedCount(const DurableJob &job, int delta);
+    void adjustPendingCount(const DurableJob &job, int delta);
     void noteConfirmedStart(const std::string &job);
     void openDueOccurrences(const Job &job, ClockReading now);
     void refreshOccurrence(const Job &job, int occurrence, ClockReading now);
@@ -431,7 +431,7 @@
     // Orders that depend on no record: speed changes, and stops of runs that no record mentions.
     std::vector<WorkerCommand> m_immediateOrders;
     std::unordered_map<std::string, DurableJob> m_durableJobs;
-    std::map<std::string, int, std::less<>> m_queuedJobs; // Count of durable jobs by queue.
+    std::map<std::string, int, std::less<>> m_pendingJobs; // Count of durable jobs by queue.
     bool m_placementNeeded = true;
     Instant m_nextPlacementAt; // The earliest time of the next placement pass.
     Instant m_placementDueAt; // The latest time of the next placement pass if steps wait.
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -51,7 +51,7 @@
 {
     for (const auto &[id, job] : m_table.jobs()) {
         m_durableJobs[id] = {job.state, job.spec.policy.queue, showsStart(job)};
-        adjustQueuedCount(m_durableJobs[id], 1);
+        adjustPendingCount(m_durableJobs[id], 1);
         if (isFinal(job.state))
             m_endedJobs.emplace(job.endedWallMs, id);
         for (const auto &[k, occurrence] : job.occurrences) {
@@ -119,16 +119,16 @@
     return it->second.state;
 }
 
-int Coordinator::queuedJobCount(std::string_view queue) const
+int Coordinator::pendingJobCount(std::string_view queue) const
 {
-    const auto it = m_queuedJobs.find(queue);
-    return it == m_queuedJobs.end() ? 0 : it->second;
+    const auto it = m_pendingJobs.find(queue);
+    return it == m_pendingJobs.end() ? 0 : it->second;
 }
 
-int Coordinator::queuedJobCount() const
+int Coordinator::pendingJobCount() const
 {
     int count = 0;
-    for (const auto &[queue, jobs] : m_queuedJobs)
+    for (const auto &[queue, jobs] : m_pendingJobs)
         count += jobs;
     return count;
 }
@@ -146,7 +146,7 @@
 {
     const auto it = m_durableJobs.find(update.job);
     if (it != m_durableJobs.end())
-        adjustQueuedCount(it->second, -1);
+        adjustPendingCount(it->second, -1);
     if (!update.state) {
         m_durableJobs.erase(update.job);
         return;
@@ -155,13 +155,13 @@
     published.state = *update.state;
     if (const Job *job = m_table.find(update.job))
         published.queue = job->spec.policy.queue;
-    adjustQueuedCount(published, 1);
+    adjustPendingCount(published, 1);
 }
 
-void Coordinator::adjustQueuedCount(const DurableJob &job, int delta)
+void Coordinator::adjustPendingCount(const DurableJob &job, int delta)
 {
     if (!isFinal(job.state) && !job.startConfirmed)
-        m_queuedJobs[job.queue] += delta;
+        m_pendingJobs[job.queue] += delta;
 }
 
 // Notes that a worker has started a task of the job.
@@ -170,7 +170,7 @@
     const auto it = m_durableJobs.find(job);
     if (it == m_durableJobs.end() || it->second.startConfirmed)
         return;
-    adjustQueuedCount(it->second, -1);
+    adjustPendingCount(it->second, -1);
     it->second.startConfirmed = true;
 }
 
--- a/src/node/jobrequests.cpp
+++ b/src/node/jobrequests.cpp
@@ -40,7 +40,7 @@
     }
     ShardReply operator()(const CountPendingJobs &it) const
     {
-        return {ShardOutcome::Ok, {}, m_coordinator.queuedJobCount(it.queue)};
+        return {ShardOutcome::Ok, {}, m_coordinator.pendingJobCount(it.queue)};
     }
 
 private:
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -308,7 +308,7 @@
     load.pendingReplies = m_pendingReplies.size();
     load.activeRuns = m_coordinator.runs().all().size();
     load.unconfirmedRuns = m_coordinator.runs().unconfirmedCount();
-    load.pendingJobs = m_coordinator.queuedJobCount();
+    load.pendingJobs = m_coordinator.pendingJobCount();
     load.readySteps = m_coordinator.readyStepCount();
     load.workers = m_coordinator.workerCount();
     load.loopLag = m_dependencies.loopLag();
--- a/tests/steps/coordinator_test.cpp
+++ b/tests/steps/coordinator_test.cpp
@@ -194,8 +194,8 @@
     simulation.submit(job("big", {step(2, 15'000)}));
     simulation.submit(job("next", {step(1, 15'000)}));
     simulation.advance(8, false);
-    CHECK(simulation.owner().queuedJobCount("checks") == 1);
-    CHECK(simulation.owner().queuedJobCount("other") == 0);
+    CHECK(simulation.owner().pendingJobCount("checks") == 1);
+    CHECK(simulation.owner().pendingJobCount("other") == 0);
 }
 
 TEST_CASE("A job that fits no worker stays queued")
--- a/tests/steps/coordinatorpending_test.cpp
+++ b/tests/steps/coordinatorpending_test.cpp
@@ -36,7 +36,7 @@
 
     Coordinator &owner() { return *m_owner; }
     ClockReading now() const { return {m_now, m_now.count()}; }
-    int pendingCount() const { return m_owner->queuedJobCount(queue); }
+    int pendingCount() const { return m_owner->pendingJobCount(queue); }
     // Returns whether the journal has the start of the job's first run.
     bool startIsRecorded() const
     {
@@ -293,7 +293,7 @@
             simulation.submit(spec);
             for (int i = *rc::gen::inRange(1, 60); i > 0; --i) {
                 simulation.advance(1, true);
-                RC_ASSERT(simulation.owner().queuedJobCount(queue)
+                RC_ASSERT(simulation.owner().pendingJobCount(queue)
                           >= simulation.unstartedJobCount());
             }
         }
@@ -301,6 +301,6 @@
         simulation.advance(stepsOfSlowCommit, false);
         simulation.finishAndVerify();
         simulation.advance(stepsOfSlowCommit, false);
-        RC_ASSERT(simulation.owner().queuedJobCount(queue) == 0);
+        RC_ASSERT(simulation.owner().pendingJobCount(queue) == 0);
     }));
 }
