Bound the connections of an entry by its file descriptors

Cause: the client of an entry opened up to 16 connections to each worker and kept 8 idle.

Change: an entry learns its limit at the start (the system's and the platform's, whichever is lower) and divides it between callers, entries, workers and the store, with a reserve for accepting. ConnectionAllocator decides, without I/O, which request gets a connection: urgent ones (renewals, stops) first, then in the order in which they came; the idle connection that was used longest ago is closed when another peer needs one; a peer at its own limit holds up no other. Metrics say how many connections are open and how many requests had to wait. The metrics of several owned shards are summed: they stood twice under one name.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -133,6 +133,8 @@
     // event costs beyond the reply that it brought.
     std::uint64_t workersExamined = 0;
     std::uint64_t runsExamined = 0;
+
+    CoordinatorCounters &operator+=(const CoordinatorCounters &other);
 };
 
 // Schedules the jobs of one shard: decides which tasks start where, what the workers are ordered to
--- a/src/core/httpclient.h
+++ b/src/core/httpclient.h
@@ -14,6 +14,13 @@
 
 namespace savorywick {
 
+// Which request gets a connection first when there are fewer connections than requests. The order
+// of the values is that of service.
+enum class HttpUrgency {
+    Urgent, // It keeps or ends something that exists, such as a lease.
+    Normal,
+};
+
 // A request to a server, with the address, the limits and the checks of its response.
 struct HttpCall
 {
@@ -27,6 +34,7 @@
     // If set, `timeout` is for the first byte of the response, and this for each pause after it: a
     // long response over a slow link is not cut off. Only AsyncHttpClient supports it.
     std::optional<Millis> stallTimeout;
+    HttpUrgency urgency = HttpUrgency::Normal; // Only AsyncHttpClient regards it.
     std::size_t maxResponseBytes = 64U << 20U; // Of the response's body; a larger one is an error.
     // If its name is not empty, the response must have this header with this value. Servers return
     // the request's id in such a header, which detects a response that belongs to another request.
--- a/src/core/prometheuswriter.cpp
+++ b/src/core/prometheuswriter.cpp
@@ -45,6 +45,13 @@
     writeSample(name, {}, {}, value);
 }
 
+void PrometheusWriter::writeGauge(std::string_view name, std::string_view label,
+                                  std::string_view labelValue, std::uint64_t value)
+{
+    writeType(name, "gauge");
+    writeSample(name, label, labelValue, value);
+}
+
 void PrometheusWriter::writeHistogram(std::string_view name, const LatencyHistogram &histogram)
 {
     writeType(name, "histogram");
--- a/src/core/prometheuswriter.h
+++ b/src/core/prometheuswriter.h
@@ -30,6 +30,9 @@
                       std::uint64_t value);
     // Writes a sample of a gauge, a value that can go up and down.
     void writeGauge(std::string_view name, std::uint64_t value);
+    // Writes a sample of a gauge with one label.
+    void writeGauge(std::string_view name, std::string_view label, std::string_view labelValue,
+                    std::uint64_t value);
     // Writes a histogram with its buckets, sum and count in milliseconds; `name` must end in `_ms`.
     void writeHistogram(std::string_view name, const LatencyHistogram &histogram);
 
--- a/src/net/asynchttpclient.cpp
+++ b/src/net/asynchttpclient.cpp
@@ -4,7 +4,7 @@
 #include "net/httpclientconnection.h"
 
 #include <algorithm>
-#include <deque>
+#include <cstdint>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -17,26 +17,22 @@
 struct AsyncHttpClient::Impl : HttpClientConnection::Listener, std::enable_shared_from_this<Impl>
 {
     using ConnectionPtr = std::shared_ptr<HttpClientConnection>;
+    using RequestId = ConnectionAllocator::RequestId;
+    using Action = ConnectionAllocator::Action;
 
-    // A request that waits for a free connection.
-    struct QueuedRequest
+    // A request that has no connection yet.
+    struct WaitingRequest
     {
         HttpCall call;
         Callback callback;
-        EventLoop::TimerId queueTimer = 0; // Ends the wait.
-    };
-    // The connections and queued requests of one address.
-    struct Peer
-    {
-        std::vector<ConnectionPtr> idle;
-        std::size_t inFlight = 0; // Requests that hold a connection.
-        std::deque<QueuedRequest> queue;
+        EventLoop::TimerId waitTimer = 0; // Ends the wait. 0 until the request has to wait.
     };
 
     Impl(EventLoop &l, const AsyncHttpClientSettings &s)
         : loop(l)
         , settings(s)
         , deadlines(l)
+        , allocator(s.connections)
     { }
     ~Impl() override;
     Impl(const Impl &) = delete;
@@ -47,21 +43,26 @@
     void idleConnectionLost(HttpClientConnection &connection) override;
 
     void exchange(HttpCall call, Callback callback);
-    void start(const HttpCall &call, Callback callback);
-    // Ends a request's use of a connection and starts the next queued request, if any.
-    void releaseSlot(const std::string &address);
-    void enqueue(HttpCall call, Callback callback);
-    void expireQueued(const std::string &address, EventLoop::TimerId timer);
+    // Carries out what the allocator has decided.
+    void carryOutActions();
+    void carryOut(const Action &action);
+    void closeOldestIdle(const std::string &address);
+    // Sends the request over an idle connection, or a new one.
+    void send(const Action &action);
+    void limitWait(RequestId id, HttpCall &call);
+    void endWait(RequestId id);
     ConnectionPtr takeIdle(const std::string &address);
-    void keepIdle(const ConnectionPtr &connection);
     void dropIdle(const std::string &address);
     void count(HttpOutcome outcome);
 
     EventLoop &loop;
     const AsyncHttpClientSettings settings;
-    std::unordered_map<std::string, Peer> peers;
+    std::unordered_map<std::string, std::vector<ConnectionPtr>> idle; // In the order of their use.
     std::unordered_set<ConnectionPtr> busy; // The connections that carry a request.
     DeadlineTimer deadlines;
+    ConnectionAllocator allocator;
+    std::unordered_map<RequestId, WaitingRequest> waiting;
+    RequestId lastRequest = 0;
     Counters counters;
 };
 
@@ -70,8 +71,8 @@
 {
     for (const ConnectionPtr &it : busy)
         it->close();
-    for (const auto &[address, peer] : peers) {
-        for (const ConnectionPtr &it : peer.idle)
+    for (const auto &[address, connections] : idle) {
+        for (const ConnectionPtr &it : connections)
             it->close();
     }
 }
@@ -81,24 +82,35 @@
 {
     count(result.outcome);
     busy.erase(connection);
+    const std::string address = connection->address();
     if (result.outcome == HttpOutcome::TimedOut)
-        dropIdle(connection->address());
+        dropIdle(address);
     if (reusable)
-        keepIdle(connection);
-    releaseSlot(connection->address());
+        idle[address].push_back(connection);
+    allocator.requestEnded(address, reusable);
+    carryOutActions();
     callback(result); // Last, as it may destroy the client.
 }
 
 void AsyncHttpClient::Impl::idleConnectionLost(HttpClientConnection &connection)
 {
-    std::erase_if(peers[connection.address()].idle,
-                  [&](const ConnectionPtr &c) { return c.get() == &connection; });
+    std::vector<ConnectionPtr> &connections = idle[connection.address()];
+    const auto it = std::find_if(connections.begin(), connections.end(),
+                                 [&](const ConnectionPtr &c) { return c.get() == &connection; });
+    if (it == connections.end())
+        return;
+    const std::ptrdiff_t position = it - connections.begin();
+    connections.erase(it);
+    allocator.idleClosed(connection.address(), static_cast<std::size_t>(position));
+    carryOutActions();
 }
 
 void AsyncHttpClient::Impl::dropIdle(const std::string &address)
 {
-    for (const ConnectionPtr &it : std::exchange(peers[address].idle, {}))
+    for (const ConnectionPtr &it : std::exchange(idle[address], {}))
         it->close();
+    allocator.allIdleClosed(address);
+    carryOutActions();
 }
 
 void AsyncHttpClient::Impl::count(HttpOutcome outcome)
@@ -120,83 +132,91 @@
     }
 }
 
+// The most recently used connection is the least likely to have been closed by the peer.
 AsyncHttpClient::Impl::ConnectionPtr AsyncHttpClient::Impl::takeIdle(const std::string &address)
 {
-    std::vector<ConnectionPtr> &idle = peers[address].idle;
-    if (idle.empty())
-        return nullptr;
-    // The most recently used connection is the least likely to have been closed by the peer.
-    ConnectionPtr connection = std::move(idle.back());
-    idle.pop_back();
+    std::vector<ConnectionPtr> &connections = idle[address];
+    ConnectionPtr connection = std::move(connections.back());
+    connections.pop_back();
     return connection;
 }
 
-void AsyncHttpClient::Impl::keepIdle(const ConnectionPtr &connection)
+void AsyncHttpClient::Impl::closeOldestIdle(const std::string &address)
 {
-    std::vector<ConnectionPtr> &idle = peers[connection->address()].idle;
-    if (idle.size() >= settings.maxIdlePerPeer)
-        return connection->close();
-    idle.push_back(connection);
+    std::vector<ConnectionPtr> &connections = idle[address];
+    connections.front()->close();
+    connections.erase(connections.begin());
 }
 
 void AsyncHttpClient::Impl::exchange(HttpCall call, Callback callback)
 {
-    Peer &peer = peers[call.address];
-    if (peer.inFlight >= settings.maxConnectionsPerPeer)
-        return enqueue(std::move(call), std::move(callback));
-    start(call, std::move(callback));
+    const RequestId id = ++lastRequest;
+    const std::string address = call.address;
+    const HttpUrgency urgency = call.urgency;
+    waiting.emplace(id, WaitingRequest{std::move(call), std::move(callback)});
+    allocator.add(id, address, urgency);
+    carryOutActions();
+    const auto it = waiting.find(id);
+    if (it == waiting.end())
+        return;
+    ++counters.waited;
+    limitWait(id, it->second.call);
 }
 
-// Queues the request for at most half of its timeout; the other half is left for the response.
-void AsyncHttpClient::Impl::enqueue(HttpCall call, Callback callback)
+// Lets the request wait for at most half of its timeout; the other half is left for the response.
+void AsyncHttpClient::Impl::limitWait(RequestId id, HttpCall &call)
 {
     call.timeout = call.timeout / 2;
-    const std::string address = call.address;
-    const auto timer = std::make_shared<EventLoop::TimerId>();
-    *timer = loop.runAfter(call.timeout, [self = weak_from_this(), address, timer] {
+    waiting.at(id).waitTimer = loop.runAfter(call.timeout, [self = weak_from_this(), id] {
         if (const auto pool = self.lock())
-            pool->expireQueued(address, *timer);
+            pool->endWait(id);
     });
-    peers[address].queue.push_back({std::move(call), std::move(callback), *timer});
 }
 
-void AsyncHttpClient::Impl::expireQueued(const std::string &address, EventLoop::TimerId timer)
+void AsyncHttpClient::Impl::endWait(RequestId id)
 {
-    std::deque<QueuedRequest> &queue = peers[address].queue;
-    const auto it = std::find_if(queue.begin(), queue.end(),
-                                 [&](const QueuedRequest &r) { return r.queueTimer == timer; });
-    if (it == queue.end())
+    if (!allocator.cancel(id))
         return;
-    const Callback callback = std::move(it->callback);
-    queue.erase(it);
+    const Callback callback = std::move(waiting.at(id).callback);
+    waiting.erase(id);
     ++counters.notSent;
+    ++counters.waitedTooLong;
     callback({HttpOutcome::NotSent, 0, {}, {}});
 }
 
-void AsyncHttpClient::Impl::start(const HttpCall &call, Callback callback)
+void AsyncHttpClient::Impl::carryOutActions()
+{
+    for (const Action &it : allocator.takeActions())
+        carryOut(it);
+}
+
+void AsyncHttpClient::Impl::carryOut(const Action &action)
+{
+    switch (action.kind) {
+    case Action::Kind::CloseIdle:
+        return closeOldestIdle(action.peer);
+    case Action::Kind::Reuse:
+    case Action::Kind::Open:
+        return send(action);
+    }
+}
+
+void AsyncHttpClient::Impl::send(const Action &action)
 {
-    ++peers[call.address].inFlight;
-    if (const auto connection = takeIdle(call.address)) {
+    const auto it = waiting.find(action.request);
+    WaitingRequest request = std::move(it->second);
+    waiting.erase(it);
+    loop.cancel(request.waitTimer);
+    if (action.kind == Action::Kind::Reuse) {
+        const ConnectionPtr connection = takeIdle(action.peer);
         busy.insert(connection);
-        return connection->send(call, std::move(callback));
+        return connection->send(request.call, std::move(request.callback));
     }
     ++counters.connectionsOpened;
     const auto connection =
-        std::make_shared<HttpClientConnection>(loop, deadlines, call.address, weak_from_this());
+        std::make_shared<HttpClientConnection>(loop, deadlines, action.peer, weak_from_this());
     busy.insert(connection);
-    connection->connectAndSend(call, std::move(callback), settings.connectTimeout);
-}
-
-void AsyncHttpClient::Impl::releaseSlot(const std::string &address)
-{
-    Peer &peer = peers[address];
-    --peer.inFlight;
-    if (peer.queue.empty())
-        return;
-    QueuedRequest next = std::move(peer.queue.front());
-    peer.queue.pop_front();
-    loop.cancel(next.queueTimer);
-    start(next.call, std::move(next.callback));
+    connection->connectAndSend(request.call, std::move(request.callback), settings.connectTimeout);
 }
 
 AsyncHttpClient::AsyncHttpClient(EventLoop &loop, const AsyncHttpClientSettings &settings)
@@ -220,4 +240,9 @@
     return m_impl->counters;
 }
 
+std::size_t AsyncHttpClient::openConnections() const
+{
+    return m_impl->allocator.openCount();
+}
+
 } // namespace savorywick
--- a/src/net/asynchttpclient.h
+++ b/src/net/asynchttpclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/httpclient.h"
+#include "net/connectionallocator.h"
 #include "net/eventloop.h"
 
 #include <cstdint>
@@ -15,19 +16,17 @@
     // A request whose connection is not established in this time ends as NotSent: the peer cannot
     // have received it.
     Millis connectTimeout{300};
-    // Limit of concurrent requests to one peer. Further requests are queued for at most half of
-    // their timeout.
-    std::size_t maxConnectionsPerPeer = 16;
-    // Limit of idle connections that are kept for reuse. Peers limit how many they accept.
-    std::size_t maxIdlePerPeer = 8;
+    // A request that waits for a connection does so for at most half of its timeout.
+    ConnectionLimits connections;
 };
 
 // Sends HTTP requests over a pool of keep-alive connections on an EventLoop.
 //
 // Use it to call many peers from one thread without blocking. Each connection carries one request
 // at a time and is reused only after a complete response; a connection that the peer closes while
-// idle leaves the pool. When a request times out, the idle connections to that peer leave the pool
-// too, since the same network failure may affect all of them. Not thread-safe.
+// idle leaves the pool. The number of connections is limited: see ConnectionAllocator. When a
+// request times out, the idle connections to that peer leave the pool too, since the same network
+// failure may affect all of them. Not thread-safe.
 //
 // Example:
 //   AsyncHttpClient client(loop);
@@ -38,10 +37,13 @@
 public:
     using Callback = std::function<void(const HttpResult &)>;
 
-    // The number of connections opened, and of requests by outcome, since construction.
+    // The number of connections opened, of requests that had to wait for one, and of requests by
+    // outcome, since construction.
     struct Counters
     {
         std::uint64_t connectionsOpened = 0;
+        std::uint64_t waited = 0;
+        std::uint64_t waitedTooLong = 0; // They ended as NotSent.
         std::uint64_t answered = 0;
         std::uint64_t notSent = 0;
         std::uint64_t broken = 0;
@@ -63,6 +65,8 @@
 
     // Returns the counters. The reference is valid as long as the client.
     const Counters &counters() const;
+    // Returns the number of open connections, idle or not.
+    std::size_t openConnections() const;
 
 private:
     struct Impl;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -10,9 +10,17 @@
 
 namespace {
 
-AsyncHttpServerLimits peerLimits()
+AsyncHttpServerLimits limitsFor(std::size_t maxConnections, const ConnectionShares &shares)
 {
     AsyncHttpServerLimits limits;
+    limits.maxConnections = maxConnections;
+    limits.maxRejections = shares.rejections;
+    return limits;
+}
+
+AsyncHttpServerLimits peerLimits(const ConnectionShares &shares)
+{
+    AsyncHttpServerLimits limits = limitsFor(shares.entries, shares);
     // Above the limit of a caller's body (256 KiB unless the queue configuration sets another one),
     // since a submission is forwarded as an encoded record, in which a character may take 3 bytes.
     limits.maxBodyBytes = 4U << 20U;
@@ -41,7 +49,7 @@
     , m_loadReporter(
           loop, clock,
           [this](Millis processorTime, Millis maxLag) { reportShardLoads(processorTime, maxLag); })
-    , m_platform(platform)
+    , m_platform(std::move(platform))
     , m_shardClient(http, m_clock)
     , m_shardServer(
           {.shardRequested =
@@ -50,12 +58,12 @@
                },
            .shardsFreed = [this] { m_ownership.observeNow(); }})
     , m_callerApi(settings.callerApi,
-                  {loop, clock, platform.callerCodec, m_queues,
+                  {loop, clock, m_platform.callerCodec, m_queues,
                    [this](const std::string &key, const ShardRequest &request, Millis timeout,
                           ShardReplyCallback onReply) {
                        dispatch(key, request, timeout, std::move(onReply));
                    }})
-    , m_ownership(settings.ownership, loop, clock, platform.table, settings.name,
+    , m_ownership(settings.ownership, loop, clock, m_platform.table, settings.name,
                   settings.peersAddress,
                   {.shardAcquired = [this](const OwnedShard &owned) { openShard(owned); },
                    .releaseRequested =
@@ -69,7 +77,7 @@
                                runner->drop();
                        },
                    .entryExpired = [this] { notifyShardsFreed(); }})
-    , m_callerServer(loop, {},
+    , m_callerServer(loop, limitsFor(settings.connections.callers, settings.connections),
                      [this](const HttpRequest &request, const AsyncHttpServer::Responder &respond) {
                          ++m_callerRequestCount;
                          m_callerApi.handle(request, respond);
@@ -78,7 +86,7 @@
                         [this](const HttpRequest &, const AsyncHttpServer::Responder &respond) {
                             respondStatus(respond, isReady() ? 200 : 503);
                         })
-    , m_peerServer(loop, peerLimits(),
+    , m_peerServer(loop, peerLimits(settings.connections),
                    [this](const HttpRequest &request, const AsyncHttpServer::Responder &respond) {
                        m_shardServer.handle(request, respond);
                    })
@@ -104,7 +112,9 @@
     logInfo("entry-started",
             {{"callers", bound.callers},
              {"peers", m_settings.peersAddress},
-             {"shards", m_ownership.shardCount()}});
+             {"callerConnections", std::uint64_t{m_settings.connections.callers}},
+             {"entryConnections", std::uint64_t{m_settings.connections.entries}},
+             {"workerConnections", std::uint64_t{m_settings.connections.toWorkers.maxOpen}}});
     m_platform.feed.watchQueues([this](steps::QueueConfiguration c) { applyQueues(std::move(c)); });
     m_ownership.start();
     m_loadReporter.start();
@@ -227,7 +237,8 @@
     if (!m_queues.apply(std::move(configuration)))
         return;
     const steps::QueueConfiguration &current = m_queues.configuration();
-    AsyncHttpServerLimits limits;
+    AsyncHttpServerLimits limits =
+        limitsFor(m_settings.connections.callers, m_settings.connections);
     limits.maxHeaderBytes = current.maxHeaderBytes;
     limits.maxBodyBytes = current.maxBodyBytes;
     limits.idleTimeout = current.idleTimeout;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -6,6 +6,7 @@
 #include "node/asyncstore.h"
 #include "node/asyncworkerclient.h"
 #include "node/callerapi.h"
+#include "node/connectionshares.h"
 #include "node/loadreporter.h"
 #include "node/ownership.h"
 #include "node/shardlink.h"
@@ -17,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace savorywick {
@@ -38,6 +40,8 @@
     // The platform kills the process this long after the stop signal. All requests are answered
     // after 65 % of it, so that a loaded host has time left to end the connections.
     Millis gracePeriod{6'000};
+    // Of the file descriptors that the process may hold.
+    ConnectionShares connections = shareConnections(descriptorLimit());
     // With older ownership data this node reports not ready, so that the load balancer prefers
     // other entries.
     Millis maxOwnershipAge{6'000};
@@ -60,6 +64,13 @@
     virtual void unwatchWorkers() = 0;
 };
 
+// A client whose connections the metrics tell of.
+struct NamedClient
+{
+    std::string_view name; // Such as "workers".
+    const AsyncHttpClient &client;
+};
+
 // The services that a platform adapter provides to a Node. All of them must outlive the node.
 struct NodePlatform
 {
@@ -68,6 +79,7 @@
     AsyncWorkerClient &workers;
     ClusterFeed &feed;
     const CallerCodec &callerCodec;
+    std::vector<NamedClient> clients = {};
 };
 
 // The addresses that a node has bound, each in the form "IP:PORT".
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -3,13 +3,32 @@
 #include "core/prometheuswriter.h"
 #include "node/node.h"
 
+#include <span>
+
 namespace savorywick {
 
 namespace {
 
-void addShard(PrometheusWriter &out, const steps::Coordinator &coordinator)
+// What the owned shards have in all.
+struct ShardTotals
+{
+    steps::CoordinatorCounters counters;
+    std::size_t readySteps = 0;
+    std::size_t activeRuns = 0;
+    std::size_t workers = 0;
+
+    void add(const steps::Coordinator &coordinator)
+    {
+        counters += coordinator.counters();
+        readySteps += coordinator.readyStepCount();
+        activeRuns += coordinator.runs().all().size();
+        workers += coordinator.workerCount();
+    }
+};
+
+void addShards(PrometheusWriter &out, const ShardTotals &totals)
 {
-    const steps::CoordinatorCounters &c = coordinator.counters();
+    const steps::CoordinatorCounters &c = totals.counters;
     out.writeCounter("jobs_accepted_total", c.jobsAccepted);
     out.writeCounter("jobs_repeated_total", c.jobsRepeated);
     out.writeCounter("runs_started_total", c.runsStarted);
@@ -23,9 +42,25 @@
         out.writeCounter("runs_ended_total", "how", steps::toString(how), n);
     for (const auto &[outcome, n] : c.startReplies)
         out.writeCounter("start_replies_total", "outcome", steps::toString(outcome), n);
-    out.writeGauge("open_steps", coordinator.readyStepCount());
-    out.writeGauge("active_runs", coordinator.runs().all().size());
-    out.writeGauge("workers", coordinator.workerCount());
+    out.writeGauge("open_steps", totals.readySteps);
+    out.writeGauge("active_runs", totals.activeRuns);
+    out.writeGauge("workers", totals.workers);
+}
+
+// All samples of a metric follow each other, as the format demands.
+void addClients(PrometheusWriter &out, std::span<const NamedClient> clients)
+{
+    for (const NamedClient &it : clients)
+        out.writeGauge("client_connections", "to", it.name, it.client.openConnections());
+    for (const NamedClient &it : clients)
+        out.writeCounter("client_connections_opened_total", "to", it.name,
+                         it.client.counters().connectionsOpened);
+    for (const NamedClient &it : clients)
+        out.writeCounter("client_requests_waited_total", "to", it.name,
+                         it.client.counters().waited);
+    for (const NamedClient &it : clients)
+        out.writeCounter("client_requests_waited_too_long_total", "to", it.name,
+                         it.client.counters().waitedTooLong);
 }
 
 } // namespace
@@ -48,12 +83,16 @@
     for (const auto &[outcome, total] : m_ownerReplies.byOutcome)
         out.writeCounter("owner_reply_time_ms_total", "outcome", toString(outcome),
                          static_cast<std::uint64_t>(total.time.count()));
+    addClients(out, m_platform.clients);
     m_loadReporter.writeMetrics(out);
     out.writeHistogram("submit_commit_ms", m_shardLatencies.submitCommit);
     out.writeHistogram("submit_first_start_ms", m_shardLatencies.submitFirstStart);
     out.writeHistogram("shard_restore_ms", m_shardLatencies.restore);
+    ShardTotals totals;
     for (const auto &[shard, runner] : m_runners)
-        addShard(out, runner->coordinator());
+        totals.add(runner->coordinator());
+    if (!m_runners.empty())
+        addShards(out, totals);
     return out.takeText();
 }
 
--- a/tests/net/asynchttp_test.cpp
+++ b/tests/net/asynchttp_test.cpp
@@ -77,17 +77,17 @@
         });
     }
     fixture.loop().run();
-    const AsyncHttpClientSettings limits;
+    const ConnectionLimits limits;
     CHECK(answered == calls);
-    CHECK(maxHeld <= limits.maxConnectionsPerPeer);
-    CHECK(fixture.client().counters().connectionsOpened >= limits.maxConnectionsPerPeer);
+    CHECK(maxHeld <= limits.maxPerPeer);
+    CHECK(fixture.client().counters().connectionsOpened >= limits.maxPerPeer);
 }
 
 // Guards against reporting queued requests as possibly received: an unresponsive peer holds every
 // connection, so the requests beyond the connection limit are never sent.
 TEST_CASE("A queued request that gets no connection in time ends as NotSent")
 {
-    const AsyncHttpClientSettings limits;
+    const ConnectionLimits limits;
     std::size_t received = 0;
     std::vector<AsyncHttpServer::Responder> held;
     HttpFixture fixture([&](const HttpRequest &, const AsyncHttpServer::Responder &respond) {
@@ -96,14 +96,14 @@
     });
     std::size_t notSent = 0;
     const std::size_t excess = 10;
-    for (std::size_t i = 1; i < limits.maxConnectionsPerPeer + excess; ++i) {
+    for (std::size_t i = 1; i < limits.maxPerPeer + excess; ++i) {
         fixture.client().exchange(
             {.address = fixture.address(), .timeout = Millis{1'000}},
             [&](const HttpResult &a) { notSent += a.outcome == HttpOutcome::NotSent ? 1 : 0; });
     }
     CHECK((fixture.exchange({.timeout = Millis{1'000}}).outcome == HttpOutcome::NotSent));
     CHECK(notSent == excess - 1);
-    CHECK(received == limits.maxConnectionsPerPeer);
+    CHECK(received == limits.maxPerPeer);
     held.clear(); // Responders must not outlive the loop.
 }
 
