Hand on the list of workers only when it has changed

Cause: each worker writes its entry about once a second to show that it lives, so a fleet of 1,800 changes the table about 1,600 times a second. Each page of the feed copied the whole list, made the coordinator look at every worker again and compute anew what runs on it, three times a second.

Change: WorkerEntries tells whether what the entries say of their workers has changed; the coordinator passes over workers whose entry is the same. Runs that are confirmed on a draining worker are moved at once, since the next change of the list may be long in coming.

Test: an entry that tells only that its worker lives does not change the list.

--- a/src/lib/steps/coordinatorreplies.cpp
+++ b/src/lib/steps/coordinatorreplies.cpp
@@ -41,6 +41,8 @@
         run->confirmedAt = now.monotonic;
         run->lastProgressAt = now.monotonic;
         orderStartSpeed(worker->second, *run, now);
+        if (worker->second.info.draining)
+            evacuate(worker->second);
         return scheduleStallCheck(*run);
     case CommandOutcome::Unknown:
     case CommandOutcome::StaleRun: // This run or a later one has ended there; the next report
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -20,6 +20,8 @@
     const auto it = m_workers.find(id);
     if (it != m_workers.end()) {
         Worker &known = it->second;
+        if (known.info == info)
+            return known;
         known.info = info;
         // The list lags behind: it may still show a life that is over.
         known.info.incarnation = std::max(info.incarnation, known.session.incarnation());
@@ -44,7 +46,8 @@
     for (const WorkerInfo &info : workers) {
         listed.insert(info.incarnation.workerId);
         Worker &worker = findOrAddWorker(info, now);
-        worker.unlistedSince.reset();
+        if (std::exchange(worker.unlistedSince, {}))
+            markStale(worker);
         worker.everListed = true;
         if (info.draining)
             evacuate(worker);
@@ -174,6 +177,8 @@
             orderStartSpeed(worker, *run, now);
         if (!wasRunning || fellBehind)
             scheduleStallCheck(*run);
+        if (!wasRunning && worker.info.draining)
+            evacuate(worker);
     }
 }
 
--- a/tests/adapter/workerentry_test.cpp
+++ b/tests/adapter/workerentry_test.cpp
@@ -102,9 +102,11 @@
         rows.insert(rowOf(id, workerEntry));
     rows.insert(rowOf("i-4", "malformed"));
     WorkerEntries entries;
-    CHECK(entries.update(rows).size() == 3);
+    CHECK(entries.update(rows));
+    CHECK(entries.workers().size() == 3);
     CHECK(entries.parsedCount() == 4);
-    CHECK(entries.update(rows).size() == 3);
+    CHECK_FALSE(entries.update(rows));
+    CHECK(entries.workers().size() == 3);
     CHECK(entries.parsedCount() == 4);
 
     std::string moved = workerEntry;
@@ -112,7 +114,8 @@
     rows["i-2"].value = moved;
     rows["i-4"].value = workerEntry;
     rows.erase("i-1");
-    const auto workers = entries.update(rows);
+    CHECK(entries.update(rows));
+    const auto workers = entries.workers();
     CHECK(entries.parsedCount() == 6);
     REQUIRE(workers.size() == 3);
     CHECK(workers[0].incarnation.workerId == "i-2");
@@ -121,6 +124,26 @@
     CHECK(workers[2].incarnation.workerId == "i-4");
 
     rows.insert(rowOf("i-1", moved)); // Listed again with another text.
-    CHECK(entries.update(rows).front().availabilityZone == "burnie");
+    CHECK(entries.update(rows));
+    CHECK(entries.workers().front().availabilityZone == "burnie");
     CHECK(entries.parsedCount() == 7);
 }
+
+// Guards against handing on the list of a large fleet several times a second, as each worker writes
+// its entry every second: the list is copied and compared for each shard.
+TEST_CASE("An entry that tells only that its worker lives does not change the list")
+{
+    TableFeed::Rows rows;
+    for (const char *id : {"i-1", "i-2"})
+        rows[id] = {id, workerEntry, 1, false};
+    WorkerEntries entries;
+    CHECK(entries.update({})); // The first list, although it is empty.
+    CHECK(entries.update(rows));
+    std::string later = workerEntry;
+    later.insert(later.find('{') + 1, "\"beats\":7,");
+    rows["i-1"].value = later;
+    CHECK_FALSE(entries.update(rows));
+    CHECK(entries.parsedCount() == 3);
+    rows.erase("i-2");
+    CHECK(entries.update(rows));
+}
