Divide a large fleet into shards and let few entries stand ready to own them

Besides, each of 147 entries renewed a session in one part of the store and read all of them every 700 ms: most of the calls and bytes that the store was asked for, and in a part that takes 200 transactions a second.

Change: the first owner of shard 0 proposes a number of shards by the size of the fleet, once the list of workers has settled and before any job is accepted; the row layout/shards holds it for good. A deployment whose first shard holds jobs already keeps one shard. Only some entries, the strongest ones, are candidates with a session; the others observe every 2.5 s and after failed requests, and step in when candidates are missing. Reads that failed requests cause are at least 150 ms apart. A malformed ownership row is logged and leaves the entry with what it knew, where it ended the process before.

Ruled out: six shards (trial, 300 workers each).

--- a/include/savorywick/shardlease.h
+++ b/include/savorywick/shardlease.h
@@ -28,7 +28,8 @@
 struct ObservedEntry
 {
     std::uint64_t version = 0;
-    Instant unchangedSince; // When this version was first seen.
+    Instant unchangedSince; // When this version was first seen, or a gap in the observations ended.
+    Instant lastChangeSeenAt; // When this version was first seen.
     Instant steadySince; // Since when each change came soon after the one before.
     EntryRow row;
 };
@@ -71,6 +72,9 @@
     // Returns the session's id.
     const std::string &session() const { return m_session; }
 
+    // Raises the number of shards in all. All entries must be told the same number.
+    void setShardCount(int shards) { m_settings.shardCount = shards; }
+
     // Sets the further fields that later renewals write to the session's row, as the text of one
     // JSON object; the renewal's number is added as `beat`. If parseEntryRow() finds a capacity in
     // it, that is this entry's: it leaves shards to entries that offer clearly more.
@@ -104,6 +108,12 @@
     // of all entries start afresh, so that an outage is not held against their processes.
     void observe(std::span<const Row> entries, std::span<const Row> shards, Instant now);
 
+    // Returns the live entries other than this one that are not draining, as far as the last two
+    // observations show.
+    std::vector<EntryRow> livePeers(Instant now) const;
+    // Returns true if and only if an earlier session of this entry's name has a row.
+    bool hasEarlierSession() const;
+
     // Returns the transactions that delete the rows of expired entries and of earlier sessions of
     // this entry, which are those with the same name before the dot.
     std::vector<Transaction> expiryTransactions(Instant now) const;
--- a/src/lib/shardlease.cpp
+++ b/src/lib/shardlease.cpp
@@ -159,8 +159,8 @@
         const bool changed = !isNew && known->second.version != row.version;
         const bool steady =
             changed && (restart || now - known->second.unchangedSince < maxSteadyGap);
-        seen[session] = {row.version, now, steady ? known->second.steadySince : now,
-                         parseEntryRow(row.value)};
+        seen[session] = {row.version, now, isNew || changed ? now : known->second.lastChangeSeenAt,
+                         steady ? known->second.steadySince : now, parseEntryRow(row.value)};
     }
     m_entries = std::move(seen);
 }
@@ -192,6 +192,25 @@
     return stronger;
 }
 
+std::vector<EntryRow> ShardLeaseManager::livePeers(Instant now) const
+{
+    std::vector<EntryRow> live;
+    const Millis maxAge = m_settings.renewalInterval * maxMissedRenewals;
+    for (const auto &[session, it] : m_entries) {
+        const bool isOther = session != m_session && !isEarlierSession(session);
+        if (isOther && !it.row.draining && now - it.lastChangeSeenAt < maxAge)
+            live.push_back(it.row);
+    }
+    return live;
+}
+
+bool ShardLeaseManager::hasEarlierSession() const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [this](const auto &it) {
+        return it.first != m_session && isEarlierSession(it.first);
+    });
+}
+
 std::vector<Transaction> ShardLeaseManager::expiryTransactions(Instant now) const
 {
     std::vector<Transaction> all;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr Millis shardCountPollInterval{200};
+
 AsyncHttpServerLimits limitsFor(std::size_t maxConnections, const ConnectionShares &shares)
 {
     AsyncHttpServerLimits limits;
@@ -50,6 +52,7 @@
           loop, clock,
           [this](Millis processorTime, Millis maxLag) { reportShardLoads(processorTime, maxLag); })
     , m_platform(std::move(platform))
+    , m_shardCountChooser(settings.shardCount)
     , m_shardClient(http, m_clock)
     , m_shardServer(
           {.shardRequested =
@@ -76,7 +79,8 @@
                            for (const auto &[shard, runner] : std::map(m_runners))
                                runner->drop();
                        },
-                   .entryExpired = [this] { notifyShardsFreed(); }})
+                   .entryExpired = [this] { notifyShardsFreed(); },
+                   .shardCountAgreed = [this] { shareWorkersOut(); }})
     , m_callerServer(loop, limitsFor(settings.connections.callers, settings.connections),
                      [this](const HttpRequest &request, const AsyncHttpServer::Responder &respond) {
                          ++m_callerRequestCount;
@@ -112,6 +116,7 @@
     logInfo("entry-started",
             {{"callers", bound.callers},
              {"peers", m_settings.peersAddress},
+             {"shards", m_ownership.shardCount()},
              {"callerConnections", std::uint64_t{m_settings.connections.callers}},
              {"entryConnections", std::uint64_t{m_settings.connections.entries}},
              {"workerConnections", std::uint64_t{m_settings.connections.toWorkers.maxOpen}}});
@@ -136,6 +141,8 @@
 void Node::dispatch(const std::string &key, const ShardRequest &request, Millis timeout,
                     ShardReplyCallback onReply)
 {
+    if (m_ownership.shardCount() == 0)
+        return onReply({ShardOutcome::NotOwner, {}, 0});
     if (std::holds_alternative<CountPendingJobs>(request))
         return sendToAllShards(request, timeout, onReply);
     sendToOwner(shardOf(key), request, timeout, std::move(onReply));
@@ -198,6 +205,8 @@
         watchWorkers();
     runner->setWorkers(workersOf(owned.shard));
     runner->open();
+    if (owned.shard == 0)
+        chooseShardCount();
 }
 
 void Node::shardEnded(int shard)
@@ -263,6 +272,30 @@
 void Node::setWorkers(std::vector<steps::WorkerInfo> workers)
 {
     m_workers = std::move(workers);
+    if (m_ownership.shardCount() == 0)
+        return m_shardCountChooser.observe(m_workers.size(), m_clock.now());
+    shareWorkersOut();
+}
+
+// Proposes a number of shards as long as this entry owns the first shard and there is none. Jobs
+// that the shard holds already were accepted by a version that had only this shard.
+void Node::chooseShardCount()
+{
+    const auto it = m_runners.find(0);
+    if (m_ownership.shardCount() != 0 || it == m_runners.end())
+        return;
+    const bool hasJobs = !it->second->coordinator().jobTable().jobs().empty();
+    const auto shards = hasJobs ? std::optional(1) : m_shardCountChooser.choose(m_clock.now());
+    if (shards && it->second->isRestored()) {
+        logInfo("shard-count-proposed",
+                {{"shards", *shards}, {"workers", static_cast<int>(m_workers.size())}});
+        m_ownership.proposeShardCount(*shards);
+    }
+    m_loop.runAfter(shardCountPollInterval, [this] { chooseShardCount(); });
+}
+
+void Node::shareWorkersOut()
+{
     for (const auto &[shard, runner] : m_runners)
         runner->setWorkers(workersOf(shard));
 }
@@ -270,6 +303,8 @@
 std::vector<steps::WorkerInfo> Node::workersOf(int shard) const
 {
     std::vector<steps::WorkerInfo> workers;
+    if (m_ownership.shardCount() == 0)
+        return workers;
     std::copy_if(
         m_workers.begin(), m_workers.end(), std::back_inserter(workers),
         [&](const steps::WorkerInfo &it) { return shardOf(it.incarnation.workerId) == shard; });
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -32,6 +32,7 @@
     std::string peersAddress;
     std::string metricsAddress; // If empty, no metrics are served.
     OwnershipSettings ownership;
+    ShardCountSettings shardCount; // Used if the ownership settings name no number of shards.
     ShardRunnerSettings shardRunner;
     CallerApiSettings callerApi;
     // Keep serving for at least this long after a stop signal, since the load balancer still sends
@@ -162,6 +163,8 @@
     void unwatchWorkers();
     void setWorkers(std::vector<steps::WorkerInfo> workers);
     std::vector<steps::WorkerInfo> workersOf(int shard) const;
+    void chooseShardCount();
+    void shareWorkersOut();
     void serveUntilDrained();
     void closeConnections();
     void awaitFirstRequests(Instant closedAt);
@@ -177,6 +180,7 @@
     NodePlatform m_platform;
     steps::QueueTable m_queues;
     std::vector<steps::WorkerInfo> m_workers;
+    ShardCountChooser m_shardCountChooser;
     ShardClient m_shardClient;
     ShardServer m_shardServer;
     CallerApi m_callerApi;
--- a/src/node/ownership.cpp
+++ b/src/node/ownership.cpp
@@ -26,7 +26,10 @@
     , m_entryName(std::move(entry))
     , m_peerAddress(std::move(peer))
     , m_listeners(std::move(listeners))
+    , m_shardCount(settings.lease.shardCount)
+    , m_candidates(settings.candidates, m_peerAddress, settings.capacity, clock.now())
 {
+    m_settings.lease.shardCount = std::max(m_shardCount, 1);
     beginSession();
 }
 
@@ -44,10 +47,70 @@
     m_readingOwnRow = false;
     m_claimPending = false;
     m_deferredClaimPending = false;
+    m_isCandidate = false;
+}
+
+void Ownership::setShardCount(int shards)
+{
+    m_shardCount = shards;
+    m_settings.lease.shardCount = shards;
+    m_leaseManager->setShardCount(shards);
+    logInfo("shard-count-agreed", {{"shards", shards}});
+    m_listeners.shardCountAgreed();
+}
+
+void Ownership::proposeShardCount(int shards)
+{
+    if (m_shardCount != 0 || std::exchange(m_proposing, true))
+        return;
+    m_table.commit(shardCountTransaction(shards), [this, shards](const CommitResult &result) {
+        m_proposing = false;
+        if (result.outcome == CommitOutcome::Committed && m_shardCount == 0)
+            setShardCount(shards);
+        observeNow(); // Another number may have been agreed on, or this one without an answer.
+    });
+}
+
+void Ownership::updateCandidacy()
+{
+    const Instant now = m_clock.now();
+    m_candidates.observe(m_leaseManager->livePeers(now),
+                         static_cast<std::size_t>(m_settings.lease.shardCount), now);
+    if (m_draining)
+        return;
+    if (!m_isCandidate && m_leaseManager->hasEarlierSession())
+        return join("restarted");
+    if (!m_isCandidate && m_candidates.shouldJoin(now))
+        return join("needed");
+    const bool ownsNothing =
+        m_leaseManager->ownedShards().empty() && !m_claimPending && !m_deferredClaimPending;
+    if (m_isCandidate && ownsNothing && m_candidates.shouldLeave(now))
+        leave();
+}
+
+void Ownership::join(std::string_view why)
+{
+    m_isCandidate = true;
     logInfo("session-begins",
             {{"session", m_leaseManager->session()},
+             {"why", why},
              {"milliCores", m_settings.capacity.milliCores},
              {"linkKbps", m_settings.capacity.linkKbps}});
+    renewLease();
+}
+
+// Ends the session in the store. If that fails, the others expire it.
+void Ownership::leave()
+{
+    logInfo("session-ends", {{"session", m_leaseManager->session()}, {"why", "not-needed"}});
+    m_table.commit(m_leaseManager->endSessionTransaction(), [](const CommitResult &) {});
+    beginSession();
+}
+
+Millis Ownership::observeInterval() const
+{
+    const bool closely = m_isCandidate || m_shardCount == 0;
+    return closely ? m_settings.observeInterval : m_settings.idleObserveInterval;
 }
 
 void Ownership::start()
@@ -61,6 +124,7 @@
         logWarning("session-expired", {{"session", m_leaseManager->session()}});
         m_listeners.sessionLost();
         beginSession();
+        join("expired");
     }
     renewLease();
     if (m_clock.now() >= m_nextObservationAt)
@@ -70,6 +134,8 @@
 
 void Ownership::renewLease()
 {
+    if (!m_isCandidate)
+        return;
     readOwnRow();
     const Instant sentAt = m_clock.now();
     const auto t = m_leaseManager->nextRenewal(sentAt);
@@ -115,9 +181,13 @@
 
 void Ownership::observeNow()
 {
-    if (m_observing)
+    if (m_observing) {
         m_observeAgain = true;
-    else
+        return;
+    }
+    m_nextObservationAt =
+        std::min(m_nextObservationAt, m_lastObservationSentAt + m_settings.minObserveInterval);
+    if (m_clock.now() >= m_nextObservationAt)
         observe();
 }
 
@@ -126,36 +196,61 @@
     if (m_observing)
         return;
     m_observing = true;
-    m_nextObservationAt = m_clock.now() + m_settings.observeInterval;
+    m_lastObservationSentAt = m_clock.now();
+    m_nextObservationAt = m_lastObservationSentAt + observeInterval();
+    if (!m_isCandidate && m_lastObservationSentAt < m_candidates.mayJoinAt())
+        m_nextObservationAt = std::min(m_nextObservationAt, m_candidates.mayJoinAt());
     std::vector<std::string> keys;
-    keys.reserve(static_cast<std::size_t>(m_settings.lease.shardCount));
+    keys.reserve(static_cast<std::size_t>(m_settings.lease.shardCount) + 1);
     for (int shard = 0; shard < m_settings.lease.shardCount; ++shard)
         keys.push_back(shardKey(shard));
+    if (m_shardCount == 0)
+        keys.emplace_back(shardCountKey);
     // Read shards before entries, as ShardLeaseManager::observe() requires.
     const std::weak_ptr<int> session = m_sessionToken;
     m_table.read(keys, [this, session](const auto &shards) {
         if (session.expired())
             return;
-        if (!shards) {
-            m_observing = false;
-            return;
-        }
+        if (!shards)
+            return endFailedObservation();
         m_table.scan("entry/", "", rowsPerScan,
                      [this, session, shards = *shards](const auto &rows) {
                          if (session.expired())
                              return;
+                         if (!rows)
+                             return endFailedObservation();
                          m_observing = false;
-                         if (rows)
-                             applyRows(shards, *rows);
+                         applyReadableRows(shards, *rows);
                      });
     });
 }
 
+// A row that can't be read leaves this entry with what it knew, rather than ending it.
+void Ownership::applyReadableRows(const std::vector<Row> &shards, const std::vector<Row> &entries)
+{
+    try {
+        applyRows(shards, entries);
+    } catch (const std::exception &e) {
+        logError("ownership-unreadable", {{"why", e.what()}});
+    }
+}
+
+void Ownership::endFailedObservation()
+{
+    m_observing = false;
+    m_nextObservationAt = m_lastObservationSentAt + m_settings.observeInterval;
+}
+
 void Ownership::applyRows(const std::vector<Row> &shards, const std::vector<Row> &entries)
 {
     m_lastObservedAt = m_clock.now();
     std::vector<Row> present;
     for (const Row &row : shards) {
+        if (row.key == shardCountKey) {
+            if (const auto count = parseShardCount(row); count && m_shardCount == 0)
+                setShardCount(*count);
+            continue;
+        }
         m_shardRows[parseShardKey(row.key)] = parseShardRow(row);
         if (row.version != 0)
             present.push_back(row);
@@ -168,11 +263,14 @@
         else if (!it.row.peer.empty() && it.row.peer != m_peerAddress)
             m_otherPeerAddresses.push_back(it.row.peer);
     }
-    expireDeadEntries();
-    scheduleClaim();
-    releaseExcessShards();
+    updateCandidacy();
+    if (m_isCandidate) {
+        expireDeadEntries();
+        scheduleClaim();
+        releaseExcessShards();
+    }
     if (std::exchange(m_observeAgain, false))
-        observe();
+        observeNow();
 }
 
 void Ownership::expireDeadEntries()
@@ -320,6 +418,8 @@
 
 void Ownership::endSession(std::function<void()> done)
 {
+    if (!m_isCandidate)
+        return done();
     m_table.commit(m_leaseManager->endSessionTransaction(),
                    [done = std::move(done)](const CommitResult &) { done(); });
 }
--- a/src/node/ownership.h
+++ b/src/node/ownership.h
@@ -2,6 +2,8 @@
 
 #include "net/eventloop.h"
 #include "node/asyncstore.h"
+#include "node/ownercandidates.h"
+#include "node/shardcount.h"
 #include "savorywick/clock.h"
 #include "savorywick/shardlease.h"
 
@@ -10,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace savorywick {
@@ -17,11 +20,15 @@
 // The settings of Ownership.
 struct OwnershipSettings
 {
+    // If its number of shards is 0, the entries agree on one through the store.
     ShardLeaseSettings lease{.shardCount = 1,
                              .term = Millis{2'500},
                              .clockDriftMargin = Millis{300},
                              .renewalInterval = Millis{700}};
-    Millis observeInterval{700}; // Between reads of all ownership rows.
+    OwnerCandidateSettings candidates;
+    Millis observeInterval{700}; // Between a candidate's reads of all ownership rows.
+    Millis idleObserveInterval{2'500}; // Between those of the other entries.
+    Millis minObserveInterval{150}; // Between reads that failed requests cause.
     Millis tickInterval{100}; // Between checks for work that is due.
     // A claim is delayed by this many store round trips, so that the entry nearest to the store
     // claims first.
@@ -41,8 +48,12 @@
 //
 // It runs a ShardLeaseManager against the store: renews the lease, observes the other entries,
 // claims free shards and requests the release of excess ones and of those that a stronger entry
-// should own. If the lease is lost, it begins a new session under a new name. Use one for each
-// entry. Not thread-safe.
+// should own. If the lease is lost, it begins a new session under a new name. An entry that is no
+// candidate for owning shards (see OwnerCandidates) only observes. Use one for each entry. Not
+// thread-safe.
+//
+// Unless the settings name it, the number of shards is that in the store's row `layout/shards`.
+// While there is none, the first shard can be owned, and its owner proposes a number.
 //
 // Example:
 //   Ownership ownership(settings, loop, clock, table, "entry-a", "10.0.0.1:7720", listeners);
@@ -59,6 +70,7 @@
         std::function<void()> sessionLost; // Drop all shards immediately.
         // This entry has expired another one, whose shards are free now: tell the other entries.
         std::function<void()> entryExpired;
+        std::function<void()> shardCountAgreed = [] {}; // shardCount() is set from now on.
     };
 
     // `entry` is the entry's name and `peer` the address for other entries. All references must
@@ -73,8 +85,10 @@
     bool hasValidLease() const { return m_leaseManager->holdsLease(m_clock.now()); }
     // Returns the shard's owner as last observed, or std::nullopt if it has none.
     std::optional<ShardOwnerLocation> ownerOf(int shard) const;
-    // Returns the number of shards in the cluster.
-    int shardCount() const { return m_settings.lease.shardCount; }
+    // Returns the number of shards in the deployment, or 0 while it is not known.
+    int shardCount() const { return m_shardCount; }
+    // Proposes the number of shards, which is not known yet. Call it in the owner of shard 0.
+    void proposeShardCount(int shards);
     // Returns the addresses of the other live entries.
     std::vector<std::string> otherPeerAddresses() const;
     // Returns when the ownership of all shards was last read from the store, or std::nullopt if it
@@ -93,10 +107,17 @@
 
 private:
     void beginSession();
+    void setShardCount(int shards);
+    void updateCandidacy();
+    void join(std::string_view why);
+    void leave();
+    Millis observeInterval() const;
     void tick();
     void renewLease();
     void readOwnRow();
     void observe();
+    void endFailedObservation();
+    void applyReadableRows(const std::vector<Row> &shards, const std::vector<Row> &entries);
     void applyRows(const std::vector<Row> &shards, const std::vector<Row> &entries);
     void expireDeadEntries();
     void scheduleClaim();
@@ -108,7 +129,7 @@
     void releaseExcessShards();
     void recordRoundTrip(Millis taken);
 
-    const OwnershipSettings m_settings;
+    OwnershipSettings m_settings;
     EventLoop &m_loop;
     const Clock &m_clock;
     AsyncTable &m_table;
@@ -116,11 +137,16 @@
     const std::string m_peerAddress;
     const Listeners m_listeners;
 
+    int m_shardCount = 0;
+    bool m_proposing = false;
+    OwnerCandidates m_candidates;
+    bool m_isCandidate = false; // The session has a row in the store, or is to get one.
     std::unique_ptr<ShardLeaseManager> m_leaseManager;
     std::map<int, ShardRow> m_shardRows;
     std::vector<std::string> m_otherPeerAddresses;
     std::optional<Instant> m_lastObservedAt;
     Instant m_nextObservationAt;
+    Instant m_lastObservationSentAt;
     bool m_observing = false;
     bool m_observeAgain = false;
     bool m_readingOwnRow = false;
--- a/tests/node/ownership_test.cpp
+++ b/tests/node/ownership_test.cpp
@@ -186,3 +186,37 @@
     CHECK(becomesOwner(loop, near, 0));
     CHECK_FALSE(far.owns(0));
 }
+
+// Guards against entries that deal jobs and workers to different numbers of shards.
+TEST_CASE("Entries agree on the number of shards that was proposed first")
+{
+    ImmediateTable table;
+    EventLoop loop;
+    OwnershipSettings undecided = settings(strongCapacity);
+    undecided.lease.shardCount = 0;
+    OwningEntry first(table, table, loop, "first", undecided);
+    OwningEntry second(table, table, loop, "second", undecided);
+    first.ownership().start();
+    REQUIRE(becomesOwner(loop, first, 0));
+    CHECK(first.ownership().shardCount() == 0);
+    first.ownership().proposeShardCount(3);
+    second.ownership().proposeShardCount(5);
+    second.ownership().start();
+    CHECK((becomesOwner(loop, second, 1) || becomesOwner(loop, second, 2)));
+    CHECK(first.ownership().shardCount() == 3);
+    CHECK(second.ownership().shardCount() == 3);
+}
+
+// Guards against one malformed row that ends every entry that reads it.
+TEST_CASE("A malformed row leaves an entry with what it knew")
+{
+    ImmediateTable table;
+    EventLoop loop;
+    OwningEntry entry(table, loop, "entry", strongCapacity);
+    entry.ownership().start();
+    REQUIRE(becomesOwner(loop, entry, 0));
+    table.rows().commit({{}, {{shardKey(0), "[]"}}});
+    loop.runAfter(Millis{500}, [&loop] { loop.stop(); });
+    loop.run();
+    CHECK(entry.ownership().ownerOf(0)->isSelf);
+}
