Start work that only a bad place is left for

A best-effort job waited for as long as the long-running tasks on all workers missed their latency targets by themselves. After 5 s one of its tasks may now start at low speed beside runs that are expected to miss without it, and is not moved while that holds.

A step that only quarantined workers could ever run waited for their probe, up to 16 s. After 2 s one of its tasks is now the probe. It is not done where another worker could run the step and is merely full, since a task that fails on a bad worker uses up an attempt.

--- a/include/savorywick/quarantine.h
+++ b/include/savorywick/quarantine.h
@@ -101,6 +101,9 @@
 
     // Returns whether `worker` may be given work at `now`. An unknown worker is available.
     WorkerAvailability availability(std::string_view worker, Instant now) const;
+    // Makes the next probe of `worker` due now, unless one is in progress. Use it if nothing but
+    // this worker can run a job. Does nothing if the worker is not in quarantine.
+    void hastenProbe(std::string_view worker, Instant now);
     // Starts the probe that is due for `worker`. Returns false and does nothing if none is due.
     bool beginProbe(std::string_view worker, Instant now);
     // Records that the probe of `worker` ended and showed nothing, so that the next one is due.
@@ -115,6 +118,8 @@
     std::optional<Instant> quarantinedAt(std::string_view worker) const;
     // Returns the workers in quarantine, sorted, including those that are being probed.
     std::vector<std::string> quarantinedWorkers() const;
+    // Returns the number of workers in quarantine.
+    int quarantinedCount() const { return m_quarantinedCount; }
 
 private:
     struct Job
--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -76,6 +76,12 @@
     // If nothing of its job runs after this wait, one best-effort task may start at low speed,
     // where it leaves the relaxed headroom at that speed.
     Millis startSlowlyAfter{1'500};
+    // After this wait it may also start beside long-running tasks that are expected to miss their
+    // targets without it.
+    Millis startBesideMissesAfter{5'000};
+    // A step that no worker outside the quarantine could ever run is tried on one in it after this
+    // wait.
+    Millis tryQuarantinedAfter{2'000};
     // Best-effort runs are throttled if the headroom of a run beside them is below the first value,
     // and as far as is estimated to raise it to the second.
     double throttleBelowHeadroom = 1.05;
@@ -272,6 +278,7 @@
         std::vector<CandidateWorker> workers;
         UnplaceableSteps unplaceable;
         UnplaceableSteps unplaceableSlowly; // Also not at low speed.
+        UnplaceableSteps unplaceableBesideMisses; // Nor beside runs that miss their targets.
     };
     // What placement passes need, of the steps that they place, to know of the workers.
     struct PassNeeds
@@ -279,6 +286,7 @@
         bool images = false; // Of the latency-critical runs.
         // The least that a best-effort task requests; nothing if there are no such tasks.
         std::optional<int> bestEffortMilliCores;
+        bool besideMisses = false; // Some may start beside runs that miss their targets.
     };
     // What is held back until its records are durable. The log sequence number is 0 until they are
     // appended.
@@ -370,6 +378,7 @@
     void setSpeed(const Worker &worker, Run &run, int percent, std::string_view why,
                   ClockReading now);
     bool needsMonitoring(const Worker &worker) const;
+    bool missesAlone(std::span<const RunKey> keys, Instant now) const;
     void addInterferenceState(const Worker &worker, CandidateWorker &candidate, Instant now) const;
     void accountForStart(CandidateWorker &candidate, const StepSpec &started,
                          const std::string &job, Instant now) const;
@@ -378,7 +387,8 @@
     // Placement (coordinatorplacement.cpp).
     Instant placementAt() const;
     bool isUsable(const Worker &worker, Instant now) const;
-    static PassNeeds needsOf(std::span<const ReadyStep> steps);
+    bool isReachable(const Worker &worker, Instant now) const;
+    PassNeeds needsOf(std::span<const ReadyStep> steps, Instant now) const;
     void summarizeRuns(Worker &worker) const;
     bool acceptsBestEffort(const Worker &worker, Instant now) const;
     std::vector<CandidateWorker> candidateWorkers(const PassNeeds &needs, Instant now);
@@ -386,11 +396,13 @@
     void placeReadySteps(ClockReading now);
     double minHeadroomAfter(Millis waited) const;
     bool mayStartSlowly(const StepRef &ref, const StepSpec &spec, Millis waited) const;
-    PlacementConstraints slowStartConstraintsFor(const StepRef &ref) const;
+    PlacementConstraints slowStartConstraintsFor(const StepRef &ref, Millis waited) const;
+    CandidateWorker candidateOf(Worker &worker, const PassNeeds &needs, Instant now);
+    void tryQuarantinedWorkers(const ReadyStep &step, const PlacementPass &pass, ClockReading now);
     bool placeStep(const ReadyStep &step, PlacementPass &pass, ClockReading now);
     void startOneSlowly(const ReadyStep &step, PlacementPass &pass, ClockReading now);
-    void startTask(const ReadyStep &step, int index, CandidateWorker &worker, int speedPercent,
-                   ClockReading now);
+    RunKey startTask(const ReadyStep &step, int index, CandidateWorker &worker, int speedPercent,
+                     ClockReading now);
     bool placeGang(const ReadyStep &step, PlacementPass &pass, ClockReading now);
     void restoreTurn(const Run &run);
     void startRun(const TaskRef &task, int run, const StepSpec &spec, CandidateWorker &worker,
--- a/include/savorywick/steps/placement.h
+++ b/include/savorywick/steps/placement.h
@@ -18,6 +18,7 @@
 {
     std::string_view image; // Must outlive this object.
     double expectedHeadroom = 0; // Beside the best-effort runs that are on the worker already.
+    bool missesAlone = false; // It is expected to miss its target without any of them.
 };
 
 // A worker that may be given tasks now, with its free resources.
@@ -52,6 +53,8 @@
     const LatencyHeadroomEstimator *headroomEstimator = nullptr; // If null, minHeadroom is ignored.
     double minHeadroom = 0; // That a best-effort task must leave to every latency-critical run.
     int bestEffortSpeedPercent = 100; // The speed at which a best-effort task is to start.
+    // Whether a best-effort task may start beside runs that miss their targets without it.
+    bool besideMisses = false;
 };
 
 // Returns true if and only if enough of the worker's processors are idle for a best-effort task
@@ -96,6 +99,10 @@
 // Returns the time from when a job is due to start until it should be complete.
 Millis relativeDeadlineOf(const JobSpec &spec);
 
+// Returns true if and only if some of the workers could run a task of the step if it were empty.
+bool couldEverRun(const StepSpec &spec, const PlacementConstraints &constraints,
+                  std::span<const CandidateWorker> workers);
+
 // Chooses workers for the tasks of one step, one after the other. A worker's rank for the step is
 // computed once and again only when the worker changes, so that many tasks cost little more than
 // one.
--- a/include/savorywick/steps/runtable.h
+++ b/include/savorywick/steps/runtable.h
@@ -49,6 +49,8 @@
     // Since when the step had been waiting for a worker; for a run of an earlier owner, when this
     // owner learned of it.
     Instant stepReadySince;
+    // It was started beside long-running runs that missed their targets without it.
+    bool besideMisses = false;
     bool isProbe = false; // It shows whether its worker may leave the quarantine.
     // What is allocated to the run on its worker.
     ResourceVector allocated;
--- a/src/lib/quarantine.cpp
+++ b/src/lib/quarantine.cpp
@@ -179,6 +179,13 @@
     return it->second.probing ? WorkerAvailability::Probing : WorkerAvailability::Quarantined;
 }
 
+void Quarantine::hastenProbe(std::string_view worker, Instant now)
+{
+    const auto it = m_workers.find(worker);
+    if (it != m_workers.end() && it->second.quarantined && !it->second.probing)
+        it->second.nextProbeAt = std::min(it->second.nextProbeAt, now);
+}
+
 bool Quarantine::beginProbe(std::string_view worker, Instant now)
 {
     if (availability(worker, now) != WorkerAvailability::ProbeDue)
--- a/src/lib/steps/coordinatorinterference.cpp
+++ b/src/lib/steps/coordinatorinterference.cpp
@@ -168,8 +168,20 @@
     return selected;
 }
 
+// Returns true if and only if every run that misses its target is estimated to miss it without
+// best-effort work as well.
+bool Coordinator::missesAlone(std::span<const RunKey> keys, Instant now) const
+{
+    return std::all_of(keys.begin(), keys.end(), [&](const RunKey &key) {
+        const auto headroom = headroomOf(*m_runs.find(key));
+        return !headroom || *headroom >= 1
+            || m_headroomEstimator.expectedHeadroom(key.task.job, now) < 1;
+    });
+}
+
 // Throttles the selected runs, or all best-effort runs once a target has been missed for
-// maxTargetMiss. Runs that are at the lowest speed already are stopped, so that they move.
+// maxTargetMiss. Runs that are at the lowest speed already are stopped, so that they move, unless
+// they were started beside misses that are still not of their doing.
 void Coordinator::throttleRuns(Worker &worker, std::span<const RunKey> keys,
                                const std::set<RunKey> &selected, ClockReading now)
 {
@@ -183,6 +195,8 @@
         if (!persists && !selected.contains(key))
             continue;
         const int speed = nextLowerSpeed(run.speedPercent);
+        if (speed == 0 && run.besideMisses && missesAlone(keys, now.monotonic))
+            continue;
         setSpeed(worker, run, speed, persists ? "harm-lasts" : "little-headroom", now);
         if (speed == 0)
             requestStop(key, "harms");
@@ -283,7 +297,8 @@
     for (const CriticalRun &it : summary.criticalRuns) {
         const double expected = m_headroomEstimator.expectedHeadroom(it.job, now)
             - m_headroomEstimator.headroomCost(it.image, summary.plannedLoads);
-        candidate.latencyCriticalRuns.push_back({it.image, expected});
+        const bool missesAlone = m_headroomEstimator.expectedHeadroom(it.job, now) < 1;
+        candidate.latencyCriticalRuns.push_back({it.image, expected, missesAlone});
     }
 }
 
@@ -293,7 +308,7 @@
 {
     if (started.longRunning && started.latencyTarget > Millis{0})
         candidate.latencyCriticalRuns.push_back(
-            {started.image, m_headroomEstimator.expectedHeadroom(job, now)});
+            {started.image, m_headroomEstimator.expectedHeadroom(job, now), false});
     if (!started.bestEffort)
         return;
     const BestEffortLoad added{started.image, started.demand.milliCores / milliPerCore};
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -19,13 +19,20 @@
     return m_placementNeeded ? m_nextPlacementAt : m_placementDueAt;
 }
 
-bool Coordinator::isUsable(const Worker &worker, Instant now) const
+// Returns true if and only if the worker is listed, answers and may be given a start now, whatever
+// the quarantine says of it.
+bool Coordinator::isReachable(const Worker &worker, Instant now) const
 {
     if (!worker.everListed || worker.info.draining || !worker.session.responsive())
         return false;
     if (worker.unlistedSince && now - *worker.unlistedSince > m_settings.unlistedGracePeriod)
         return false;
-    if (now < worker.blockedUntil)
+    return now >= worker.blockedUntil;
+}
+
+bool Coordinator::isUsable(const Worker &worker, Instant now) const
+{
+    if (!isReachable(worker, now))
         return false;
     const std::string &id = worker.info.incarnation.workerId;
     switch (m_quarantine.availability(id, now)) {
@@ -39,7 +46,7 @@
     return false;
 }
 
-Coordinator::PassNeeds Coordinator::needsOf(std::span<const ReadyStep> steps)
+Coordinator::PassNeeds Coordinator::needsOf(std::span<const ReadyStep> steps, Instant now) const
 {
     PassNeeds needs;
     for (const ReadyStep &it : steps) {
@@ -48,6 +55,8 @@
         if (it.spec->bestEffort)
             needs.bestEffortMilliCores =
                 std::min(milliCores, needs.bestEffortMilliCores.value_or(milliCores));
+        needs.besideMisses = needs.besideMisses
+            || (it.spec->bestEffort && now - it.since >= m_settings.startBesideMissesAfter);
     }
     return needs;
 }
@@ -73,26 +82,31 @@
     worker.runSummaryStale = false;
 }
 
-// Returns the workers that may be given tasks. Their latency-critical runs are left out where the
-// pass has no use for them.
+// Returns the worker as the pass sees it. Its latency-critical runs are left out where the pass has
+// no use for them.
+CandidateWorker Coordinator::candidateOf(Worker &worker, const PassNeeds &needs, Instant now)
+{
+    if (worker.runSummaryStale)
+        summarizeRuns(worker);
+    const RunSummary &summary = worker.runSummary;
+    CandidateWorker candidate{&worker.info, summary.available, summary.idleMilliCores, {}};
+    candidate.avoided = now < worker.avoidedUntil;
+    candidate.acceptsBestEffort = acceptsBestEffort(worker, now);
+    const bool fitsBestEffort = (candidate.acceptsBestEffort || needs.besideMisses)
+        && needs.bestEffortMilliCores && hasIdleProcessors(candidate, *needs.bestEffortMilliCores);
+    if (fitsBestEffort || needs.images)
+        addInterferenceState(worker, candidate, now);
+    return candidate;
+}
+
+// Returns the workers that may be given tasks.
 std::vector<CandidateWorker> Coordinator::candidateWorkers(const PassNeeds &needs, Instant now)
 {
     std::vector<CandidateWorker> candidates;
     candidates.reserve(m_workers.size());
     for (auto &[id, worker] : m_workers) {
-        if (!isUsable(worker, now))
-            continue;
-        if (worker.runSummaryStale)
-            summarizeRuns(worker);
-        const RunSummary &summary = worker.runSummary;
-        CandidateWorker candidate{&worker.info, summary.available, summary.idleMilliCores, {}};
-        candidate.avoided = now < worker.avoidedUntil;
-        candidate.acceptsBestEffort = acceptsBestEffort(worker, now);
-        const bool fitsBestEffort = candidate.acceptsBestEffort && needs.bestEffortMilliCores
-            && hasIdleProcessors(candidate, *needs.bestEffortMilliCores);
-        if (fitsBestEffort || needs.images)
-            addInterferenceState(worker, candidate, now);
-        candidates.push_back(std::move(candidate));
+        if (isUsable(worker, now))
+            candidates.push_back(candidateOf(worker, needs, now));
     }
     m_counters.workersExamined += m_workers.size();
     return candidates;
@@ -167,7 +181,7 @@
     std::vector<ReadyStep> steps = sortedReadySteps(now);
     if (static_cast<int>(steps.size()) > m_settings.maxStepsPerPass)
         steps.resize(m_settings.maxStepsPerPass);
-    PlacementPass pass{candidateWorkers(needsOf(steps), now.monotonic), {}, {}};
+    PlacementPass pass{candidateWorkers(needsOf(steps, now.monotonic), now.monotonic), {}, {}};
     for (const ReadyStep &step : steps) {
         const bool allPlaced =
             step.spec->gang ? placeGang(step, pass, now) : placeStep(step, pass, now);
@@ -175,6 +189,8 @@
             m_readySteps.erase(step.ref);
         else if (mayStartSlowly(step.ref, *step.spec, now.monotonic - step.since))
             startOneSlowly(step, pass, now);
+        else
+            tryQuarantinedWorkers(step, pass, now);
     }
     if (!m_readySteps.empty())
         m_nextPlacementAt = now.monotonic + m_settings.placementInterval;
@@ -199,11 +215,12 @@
                         [&](const RunKey &it) { return it.task.occurrence == ref.occurrence; });
 }
 
-PlacementConstraints Coordinator::slowStartConstraintsFor(const StepRef &ref) const
+PlacementConstraints Coordinator::slowStartConstraintsFor(const StepRef &ref, Millis waited) const
 {
     PlacementConstraints constraints = constraintsFor(ref);
     constraints.minHeadroom = m_settings.relaxedMinHeadroom;
     constraints.bestEffortSpeedPercent = lowSpeedPercent;
+    constraints.besideMisses = waited >= m_settings.startBesideMissesAfter;
     return constraints;
 }
 
@@ -234,23 +251,56 @@
 // Starts one task of the step at low speed, if there is a worker for it.
 void Coordinator::startOneSlowly(const ReadyStep &step, PlacementPass &pass, ClockReading now)
 {
-    const PlacementConstraints constraints = slowStartConstraintsFor(step.ref);
-    if (pass.unplaceableSlowly.covers(*step.spec, constraints.service, constraints.minHeadroom))
+    const PlacementConstraints constraints =
+        slowStartConstraintsFor(step.ref, now.monotonic - step.since);
+    UnplaceableSteps &unplaceable =
+        constraints.besideMisses ? pass.unplaceableBesideMisses : pass.unplaceableSlowly;
+    if (unplaceable.covers(*step.spec, constraints.service, constraints.minHeadroom))
         return;
     const auto chosen = chooseWorker(*step.spec, constraints, pass.workers);
     if (!chosen)
-        return pass.unplaceableSlowly.add(*step.spec, constraints.service, constraints.minHeadroom);
-    startTask(step, tasksToStart(step.ref).front(), pass.workers[*chosen], lowSpeedPercent, now);
+        return unplaceable.add(*step.spec, constraints.service, constraints.minHeadroom);
+    const RunKey started = startTask(step, tasksToStart(step.ref).front(), pass.workers[*chosen],
+                                     lowSpeedPercent, now);
+    m_runs.find(started)->besideMisses = constraints.besideMisses;
+}
+
+// Tries one task of a step on a quarantined worker if no other worker could ever run it: the probe
+// that is due some time later would come too late for it.
+void Coordinator::tryQuarantinedWorkers(const ReadyStep &step, const PlacementPass &pass,
+                                        ClockReading now)
+{
+    const bool waitedLongEnough = now.monotonic - step.since >= m_settings.tryQuarantinedAfter;
+    if (!waitedLongEnough || step.spec->gang || m_quarantine.quarantinedCount() == 0)
+        return;
+    const PlacementConstraints constraints = constraintsFor(step.ref);
+    if (couldEverRun(*step.spec, constraints, pass.workers))
+        return;
+    std::vector<CandidateWorker> quarantined;
+    for (const std::string &id : m_quarantine.quarantinedWorkers()) {
+        const auto it = m_workers.find(id);
+        const bool rests =
+            m_quarantine.availability(id, now.monotonic) == WorkerAvailability::Quarantined;
+        if (it != m_workers.end() && rests && isReachable(it->second, now.monotonic))
+            quarantined.push_back(candidateOf(it->second, {}, now.monotonic));
+    }
+    const auto chosen = chooseWorker(*step.spec, constraints, quarantined);
+    if (!chosen)
+        return;
+    CandidateWorker &worker = quarantined[*chosen];
+    m_quarantine.hastenProbe(worker.info->incarnation.workerId, now.monotonic);
+    startTask(step, tasksToStart(step.ref).front(), worker, fullPercent, now);
 }
 
-void Coordinator::startTask(const ReadyStep &step, int index, CandidateWorker &worker,
-                            int speedPercent, ClockReading now)
+RunKey Coordinator::startTask(const ReadyStep &step, int index, CandidateWorker &worker,
+                              int speedPercent, ClockReading now)
 {
     const TaskRef task{step.ref.job, step.ref.occurrence, step.ref.step, index};
     const Task *known = step.job->findTask(task);
     const int run = (known ? known->lastRunNumber : 0) + 1;
     startRun(task, run, *step.spec, worker, now);
     m_runs.find({task, run})->speedPercent = speedPercent; // Ordered once the run is confirmed.
+    return {task, run};
 }
 
 // Starts all tasks of the gang under one run number, or none. Returns true if and only if it did.
@@ -306,14 +356,15 @@
     const std::vector<StepRef> steps = nextStepsToNote(now.monotonic);
     if (steps.empty())
         return;
-    const std::vector<CandidateWorker> workers = candidateWorkers({true, 0}, now.monotonic);
+    const PassNeeds needsOfAny{.images = true, .bestEffortMilliCores = 0, .besideMisses = true};
+    const std::vector<CandidateWorker> workers = candidateWorkers(needsOfAny, now.monotonic);
     for (const StepRef &ref : steps) {
         const Millis waited = now.monotonic - m_readySteps.at(ref);
         const StepSpec &spec = m_table.find(ref.job)->spec.steps[ref.step];
         PlacementConstraints constraints = constraintsFor(ref);
         constraints.minHeadroom = minHeadroomAfter(waited);
         if (mayStartSlowly(ref, spec, waited))
-            constraints = slowStartConstraintsFor(ref);
+            constraints = slowStartConstraintsFor(ref, waited);
         const WaitReason reason = waitReasonOf(spec, constraints, workers);
         m_notes.push_back({SchedulerEventKind::StepWaiting,
                            {ref.job, ref.occurrence, ref.step, 0},
--- a/src/lib/steps/placement.cpp
+++ b/src/lib/steps/placement.cpp
@@ -77,7 +77,9 @@
     for (const LatencyCriticalRun &it : worker.latencyCriticalRuns) {
         const double cost = constraints.headroomEstimator->headroomCost(it.image, added);
         total.headroomCost += cost;
-        total.excessive = total.excessive || it.expectedHeadroom - cost < constraints.minHeadroom;
+        const bool mayMiss = constraints.besideMisses && it.missesAlone;
+        const bool keepsTooLittle = it.expectedHeadroom - cost < constraints.minHeadroom;
+        total.excessive = total.excessive || (keepsTooLittle && !mayMiss);
     }
     return total;
 }
@@ -91,9 +93,22 @@
         && hasIdleProcessors(worker, spec.demand.milliCores);
 }
 
-bool fits(const StepSpec &spec, const CandidateWorker &worker)
+// Returns true if and only if a best-effort task may be given to the worker at all. While a target
+// is missed there, it may only if no run misses its target because of such tasks.
+bool acceptsBestEffort(const PlacementConstraints &constraints, const CandidateWorker &worker)
 {
-    return hasRoom(spec, worker) && (!spec.bestEffort || worker.acceptsBestEffort);
+    if (worker.acceptsBestEffort)
+        return true;
+    const std::vector<LatencyCriticalRun> &runs = worker.latencyCriticalRuns;
+    return constraints.besideMisses && !runs.empty()
+        && std::all_of(runs.begin(), runs.end(),
+                       [](const LatencyCriticalRun &it) { return it.missesAlone; });
+}
+
+bool fits(const StepSpec &spec, const PlacementConstraints &constraints,
+          const CandidateWorker &worker)
+{
+    return hasRoom(spec, worker) && (!spec.bestEffort || acceptsBestEffort(constraints, worker));
 }
 
 // Returns what keeps the worker from taking a task of the step, or Room if nothing does.
@@ -107,7 +122,8 @@
     if (!hasRoom(spec, worker))
         return WaitReason::NoRoom;
     const bool harms = spec.bestEffort
-        && (!worker.acceptsBestEffort || interferenceOf(spec, constraints, worker).excessive);
+        && (!acceptsBestEffort(constraints, worker)
+            || interferenceOf(spec, constraints, worker).excessive);
     return harms ? WaitReason::Headroom : WaitReason::Room;
 }
 
@@ -135,6 +151,15 @@
     return std::tie(a.laxity, a.ref) < std::tie(b.laxity, b.ref);
 }
 
+bool couldEverRun(const StepSpec &spec, const PlacementConstraints &constraints,
+                  std::span<const CandidateWorker> workers)
+{
+    return std::any_of(workers.begin(), workers.end(), [&](const CandidateWorker &it) {
+        return hasServiceAndLabel(spec, constraints, *it.info)
+            && spec.demand.fitsIn(it.info->capacity);
+    });
+}
+
 std::vector<Millis> criticalPathLengths(std::span<const StepSpec> steps)
 {
     std::vector<Millis> lengths(steps.size());
@@ -183,7 +208,7 @@
                                             const CandidateWorker &worker)
 {
     Rank rank;
-    if (!fits(spec, worker) || !mayRun(spec, constraints, worker))
+    if (!fits(spec, constraints, worker) || !mayRun(spec, constraints, worker))
         return rank;
     rank.eligible = true;
     const WorkerInfo &info = *worker.info;
--- a/src/node/shardcount.h
+++ b/src/node/shardcount.h
@@ -14,7 +14,7 @@
 {
     // One owner serves so many workers well. Fewer to a shard would split the room that wide steps
     // and long-running tasks need.
-    std::size_t workersPerShard = 900;
+    std::size_t workersPerShard = 600;
     int maxShards = 32;
     // The list of workers is taken as complete once it has not grown for the first of these times,
     // or after the second.
