Grant no worker a lease that a successor would take for over

Cause: an owner that had lost touch with the store went on renewing its workers' leases, with no end, so that their tasks live through an outage. Its successor takes every earlier lease for over once the longest term has passed since it took the shard. Where the successor could not reach a worker and the old owner could, the task ran on under the old lease and was started again elsewhere: an order given on a permission that had run out.

Change: no lease of a worker lasts beyond the end of the owner's own lease plus the longest term.

Test: a session under a limit grants up to it and nothing after; it fails on the code before, which has no limit.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -220,8 +220,13 @@
     void recordsDurable(LogSequenceNumber lsn);
     // Returns the orders to send now.
     std::vector<WorkerCommand> takeOrders(ClockReading now);
+    // Lets no lease of a worker last beyond `latestEnd` that is granted from now on. An owner that
+    // has lost touch with the store may have a successor already, which takes all earlier leases
+    // for over once the longest term has passed since it took the shard.
+    void limitLeases(Instant latestEnd) { m_latestLeaseEnd = latestEnd; }
     // Returns only the renewals among the orders to send now. They rest on no record, so they may
-    // be sent while the shard's lease is in doubt; running tasks then keep their leases.
+    // be sent while the shard's lease is in doubt; running tasks then keep their leases, up to the
+    // limit set by limitLeases().
     std::vector<WorkerCommand> takeRenewals(ClockReading now);
 
     // Returns the decisions made since the last call, for the log.
@@ -415,6 +420,7 @@
     CoordinatorSettings m_settings;
     Fence m_firstFence; // Of a new session; above those of sessions that were forgotten.
     Instant m_ownedSince;
+    std::optional<Instant> m_latestLeaseEnd; // Of workers' leases that are granted from now on.
     JobTable m_table;
     RunTable m_runs;
     Quarantine m_quarantine;
--- a/include/savorywick/steps/workersession.h
+++ b/include/savorywick/steps/workersession.h
@@ -66,8 +66,10 @@
 
     // Returns the renewal to send now, or nothing if none is due. The renewal is in flight until
     // renewalAnswered() or renewalFailed() is called; at most one is. `maxWait` is how long a
-    // worker with runs may wait for a run to end before it answers.
-    std::optional<RenewLeaseCommand> nextRenewal(bool hasRuns, Millis maxWait, Instant now);
+    // worker with runs may wait for a run to end before it answers. The renewal grants no lease
+    // beyond `latestEnd`, if that is set.
+    std::optional<RenewLeaseCommand> nextRenewal(bool hasRuns, Millis maxWait, Instant now,
+                                                 std::optional<Instant> latestEnd = {});
     // Returns when nextRenewal() is due to be called, or nothing while a renewal is in flight.
     std::optional<Instant> nextRenewalAt(bool hasRuns) const;
     // Records the answer to the renewal in flight. Returns false, and takes nothing from the
@@ -97,8 +99,9 @@
     // Returns the recipient and fence for a command that is sent now.
     CommandTarget target() const { return {m_incarnation, m_address, m_fence}; }
     // Returns when the lease that a start sent now grants expires, on the worker's clock in
-    // milliseconds, and records the grant. Call it only if hasAnswered() is true.
-    std::int64_t grantStartLease(Instant now);
+    // milliseconds, and records the grant. It is not beyond `latestEnd`, if that is set. Call it
+    // only if hasAnswered() is true.
+    std::int64_t grantStartLease(Instant now, std::optional<Instant> latestEnd = {});
 
     // Returns true if and only if the present incarnation has answered a renewal.
     bool hasAnswered() const { return m_answeredFence != 0; }
@@ -131,7 +134,7 @@
 private:
     void reset(Instant now);
     void takeClock(std::int64_t clockMs, Instant now);
-    std::int64_t grantLease(Millis term, Instant now);
+    std::int64_t grantLease(Millis term, Instant now, std::optional<Instant> latestEnd);
     // Returns true if and only if the worker has been granted a lease, and may have no more than
     // the short one of a start, or the rest of one.
     bool leaseIsShort() const { return m_leaseUntilClockMs > 0 && !m_leaseExtended; }
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -372,9 +372,10 @@
         run->startFence = session.fence();
         run->startedAt = now.monotonic;
         run->lastProgressAt = now.monotonic;
-        orders.emplace_back(StartRunCommand{session.target(), key.task, key.number,
-                                            job->spec.payload, job->findTask(key.task)->checkpoint,
-                                            session.grantStartLease(now.monotonic)});
+        orders.emplace_back(
+            StartRunCommand{session.target(), key.task, key.number, job->spec.payload,
+                            job->findTask(key.task)->checkpoint,
+                            session.grantStartLease(now.monotonic, m_latestLeaseEnd)});
         markStale(it->second);
     }
 }
@@ -404,7 +405,8 @@
         markStale(worker);
         const Millis wait = needsMonitoring(worker) ? m_settings.monitoredRenewalWait
                                                     : m_settings.workerSessions.maxRenewalWait;
-        if (auto renewal = worker.session.nextRenewal(m_runs.hasRunsOn(id), wait, now.monotonic))
+        if (auto renewal = worker.session.nextRenewal(m_runs.hasRunsOn(id), wait, now.monotonic,
+                                                      m_latestLeaseEnd))
             renewals.emplace_back(std::move(*renewal));
     }
     return renewals;
--- a/src/lib/steps/workersession.cpp
+++ b/src/lib/steps/workersession.cpp
@@ -86,7 +86,8 @@
 }
 
 std::optional<RenewLeaseCommand> WorkerSession::nextRenewal(bool hasRuns, Millis maxWait,
-                                                            Instant now)
+                                                            Instant now,
+                                                            std::optional<Instant> latestEnd)
 {
     const auto due = nextRenewalAt(hasRuns);
     if (!due || now < *due)
@@ -104,8 +105,9 @@
     // every renewal to an unresponsive worker would thus postpone its expiry for ever. A worker
     // that had no runs was seldom asked, so it must answer first as well.
     const bool wasShort = leaseIsShort();
-    if (m_clockMs && hasRuns && m_answeredWithRuns && !m_unresponsive)
-        renewal.leaseUntilClockMs = grantLease(m_settings.leaseTerm, now);
+    const bool mayGrant = !latestEnd || now < *latestEnd;
+    if (mayGrant && m_clockMs && hasRuns && m_answeredWithRuns && !m_unresponsive)
+        renewal.leaseUntilClockMs = grantLease(m_settings.leaseTerm, now, latestEnd);
     m_renewalExtendsLease = renewal.leaseUntilClockMs.has_value();
     // A worker with a short lease answers at once, so that there is time to repeat a lost renewal.
     const bool mayWait = renewal.leaseUntilClockMs && !wasShort && m_answeredFence == m_fence
@@ -167,13 +169,15 @@
     m_clockReadAt = now;
 }
 
-std::int64_t WorkerSession::grantStartLease(Instant now)
+std::int64_t WorkerSession::grantStartLease(Instant now, std::optional<Instant> latestEnd)
 {
-    return grantLease(m_settings.startLeaseTerm, now);
+    return grantLease(m_settings.startLeaseTerm, now, latestEnd);
 }
 
-std::int64_t WorkerSession::grantLease(Millis term, Instant now)
+std::int64_t WorkerSession::grantLease(Millis term, Instant now, std::optional<Instant> latestEnd)
 {
+    if (latestEnd)
+        term = std::max(Millis{0}, std::min(term, *latestEnd - now));
     const std::int64_t until = m_clockMs.value_or(0) + (now - m_clockReadAt).count() + term.count();
     m_leaseUntilClockMs = std::max(m_leaseUntilClockMs, until);
     // A worker that has started again under its id may take the lease over by its new clock.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -198,7 +198,7 @@
         owned, m_settings.shardRunner,
         ShardRunnerDependencies{
             m_loop, m_clock, m_platform.table, m_platform.objects, m_platform.workers,
-            m_shardLatencies, [this] { return m_ownership.hasValidLease(); },
+            m_shardLatencies, [this] { return m_ownership.leaseValidUntil(); },
             [this](int shard) { shardEnded(shard); }, [this] { return m_loadReporter.lag(); }});
     m_runners[owned.shard] = runner;
     if (m_runners.size() == 1)
--- a/src/node/ownership.h
+++ b/src/node/ownership.h
@@ -83,6 +83,9 @@
     void start();
     // Returns true if and only if this entry may act as the owner of its shards now.
     bool hasValidLease() const { return m_leaseManager->holdsLease(m_clock.now()); }
+    // Returns until when it may unless the lease is renewed before, or the clock's start if it may
+    // not.
+    Instant leaseValidUntil() const { return m_leaseManager->leaseValidUntil(); }
     // Returns the shard's owner as last observed, or std::nullopt if it has none.
     std::optional<ShardOwnerLocation> ownerOf(int shard) const;
     // Returns the number of shards in the deployment, or 0 while it is not known.
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -36,6 +36,11 @@
     return {m_dependencies.clock.now(), wallClockMs()};
 }
 
+bool ShardRunner::hasValidLease() const
+{
+    return m_dependencies.clock.now() < m_dependencies.leaseValidUntil();
+}
+
 void ShardRunner::open()
 {
     readSnapshot();
@@ -120,7 +125,7 @@
     m_load.countRequest(request);
     // Without a valid lease, this entry's renewals did not reach the store.
     const bool changes = changesState(m_coordinator, request);
-    if (!m_dependencies.hasValidLease() || (changes && storeUnhealthy())) {
+    if (!hasValidLease() || (changes && storeUnhealthy())) {
         ++m_load.storeRefusals;
         return onReply({ShardOutcome::StoreDown, {}, 0});
     }
@@ -294,7 +299,10 @@
 
 void ShardRunner::sendOrders()
 {
-    const bool mayStart = m_dependencies.hasValidLease() && !m_journal.releasing();
+    const bool mayStart = hasValidLease() && !m_journal.releasing();
+    // A successor takes the shard no earlier than this entry's lease ends.
+    m_coordinator.limitLeases(m_dependencies.leaseValidUntil()
+                              + m_settings.coordinator.workerSessions.maxLeaseTerm);
     for (const steps::WorkerCommand &it :
          mayStart ? m_coordinator.takeOrders(now()) : m_coordinator.takeRenewals(now()))
         sendOrder(it);
--- a/src/node/shardrunner.h
+++ b/src/node/shardrunner.h
@@ -56,7 +56,8 @@
     AsyncObjectStore &objects;
     AsyncWorkerClient &workers;
     ShardLatencies &latencies;
-    std::function<bool()> hasValidLease; // Whether this entry may act as owner now.
+    // Returns until when this entry may act as owner unless its lease is renewed before.
+    std::function<Instant()> leaseValidUntil;
     std::function<void(int shard)> ended; // Called once, when the shard is lost or released.
     std::function<Millis()> loopLag; // Returns how late the loop runs what is due now.
 };
@@ -109,6 +110,7 @@
     };
 
     steps::ClockReading now() const;
+    bool hasValidLease() const;
     void readSnapshot();
     void readSegments();
     void retryRestoreLater(std::string_view what, void (ShardRunner::*step)());
--- a/tests/node/shardrunner_test.cpp
+++ b/tests/node/shardrunner_test.cpp
@@ -97,8 +97,8 @@
         : runner(std::make_shared<ShardRunner>(
             OwnedShard{0, stored.row, 10}, settings,
             ShardRunnerDependencies{m_loop, clock, table, objects, m_workers, latencies,
-                                    [this] { return hasValidLease; }, [this](int) { ++endedCount; },
-                                    [this] { return loopLag; }}))
+                                    [this] { return leaseValidUntil(); },
+                                    [this](int) { ++endedCount; }, [this] { return loopLag; }}))
     {
         objects.object = stored.snapshot;
         table.segments = stored.segments;
@@ -154,6 +154,12 @@
         return submit;
     }
 
+    // The lease of this entry is valid for another second, or ended just now.
+    Instant leaseValidUntil() const
+    {
+        return hasValidLease ? clock.now() + Millis{1'000} : clock.now();
+    }
+
     bool hasValidLease = true;
     int endedCount = 0;
     Millis loopLag;
--- a/tests/steps/workersession_test.cpp
+++ b/tests/steps/workersession_test.cpp
@@ -328,3 +328,24 @@
         }
     }
 }
+
+// Guards against an owner that has lost touch with the store, and goes on renewing leases that its
+// successor takes for over.
+TEST_CASE("No lease is granted beyond the limit that its owner is under")
+{
+    WorkerSession session = startSession();
+    session.nextRenewal(true, maxWait, ownedSince);
+    session.renewalAnswered(reportAt(0), ownedSince);
+    const Instant limit = ownedSince + Millis{8'000};
+    std::int64_t longest = 0;
+    for (Instant now = ownedSince + renewalDelay; now < limit + Millis{2'000};
+         now = now + renewalDelay) {
+        const auto renewal = session.nextRenewal(true, maxWait, now, limit);
+        REQUIRE(renewal.has_value());
+        CHECK(renewal->leaseUntilClockMs.has_value() == (now < limit));
+        longest = std::max(longest, renewal->leaseUntilClockMs.value_or(0));
+        session.renewalAnswered(reportAt((now - ownedSince).count()), now);
+    }
+    CHECK(longest == (limit - ownedSince).count());
+    CHECK(session.grantStartLease(limit - Millis{500}, limit) <= (limit - ownedSince).count());
+}
