--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr Millis shardCountPollInterval{200};
+constexpr Millis shardCountPollInterval{100};
 
 AsyncHttpServerLimits limitsFor(std::size_t maxConnections, const ConnectionShares &shares)
 {
@@ -141,8 +141,10 @@
 void Node::dispatch(const std::string &key, const ShardRequest &request, Millis timeout,
                     ShardReplyCallback onReply)
 {
-    if (m_ownership.shardCount() == 0)
+    if (m_ownership.shardCount() == 0) {
+        m_ownership.observeNow();
         return onReply({ShardOutcome::NotOwner, {}, 0});
+    }
     if (std::holds_alternative<CountPendingJobs>(request))
         return sendToAllShards(request, timeout, onReply);
     sendToOwner(shardOf(key), request, timeout, std::move(onReply));
--- a/src/node/shardcount.h
+++ b/src/node/shardcount.h
@@ -18,7 +18,7 @@
     int maxShards = 32;
     // The list of workers is taken as complete once it has not grown for the first of these times,
     // or after the second.
-    Millis settledAfter{1'500};
+    Millis settledAfter{1'000};
     Millis maxWait{8'000};
 };
 
