Expire nobody, and step in for nobody, while the store is slow

The candidates' renewals did not land, so their rows stood still; 130 other entries took them for gone and began sessions of their own at 18 and 19 s, in the same part. All strong candidates expired at 21 and 22 s, and three hosts of 0.12 of a core took the shards: restored in 1.6 to 1.8 s, loops late by up to 0.6 s, 4,600 starts unconfirmed until 28 s, then handed over. 4,029 requests were refused.

Change: an observation that takes over 350 ms, or follows one that failed or was slow, says nothing of other entries: their terms start afresh and they count as live. An owner that is really gone during such seconds is replaced 2.8 s after them; nothing much could be committed meanwhile.

--- a/include/savorywick/shardlease.h
+++ b/include/savorywick/shardlease.h
@@ -105,8 +105,11 @@
     // Takes in all rows `entry/` and `shard/`, read by `now`. Read the shards first: then a session
     // that owns a shard but has no row among `entries` is over for good. If more than two renewal
     // intervals lie between two calls (the store was down, or this process was paused), the terms
-    // of all entries start afresh, so that an outage is not held against their processes.
-    void observe(std::span<const Row> entries, std::span<const Row> shards, Instant now);
+    // of all entries start afresh, so that an outage is not held against their processes. So they
+    // do, and all entries count as live, if the rows say little of them: pass true as
+    // `inconclusive` if the store was away or slow, since renewals can't land in time then.
+    void observe(std::span<const Row> entries, std::span<const Row> shards, Instant now,
+                 bool inconclusive = false);
 
     // Returns the live entries other than this one that are not draining, as far as the last two
     // observations show.
@@ -163,7 +166,7 @@
     std::size_t minShards() const;
 
 private:
-    void observeEntries(std::span<const Row> entries, bool restart, Instant now);
+    void observeEntries(std::span<const Row> entries, bool restart, bool inconclusive, Instant now);
     std::map<std::string, std::size_t> shardCounts() const;
     std::vector<StrongerEntry> strongerEntries(Instant now) const;
     OwnedShard observedShard(int shard) const;
--- a/src/lib/shardlease.cpp
+++ b/src/lib/shardlease.cpp
@@ -124,13 +124,13 @@
 }
 
 void ShardLeaseManager::observe(std::span<const Row> entries, std::span<const Row> shards,
-                                Instant now)
+                                Instant now, bool inconclusive)
 {
     const Millis maxGap = m_settings.renewalInterval * 2;
-    const bool restart = !m_lastObservedAt || now - *m_lastObservedAt > maxGap;
+    const bool restart = inconclusive || !m_lastObservedAt || now - *m_lastObservedAt > maxGap;
     m_lastObservedAt = now;
 
-    observeEntries(entries, restart, now);
+    observeEntries(entries, restart, inconclusive, now);
 
     m_shardRows.clear();
     for (const Row &row : shards) {
@@ -144,7 +144,8 @@
 
 // An entry that renewed during a gap in the observations of this one is taken to have been steady:
 // an owner that is too loaded to observe regularly is the one that should hand its shards over.
-void ShardLeaseManager::observeEntries(std::span<const Row> entries, bool restart, Instant now)
+void ShardLeaseManager::observeEntries(std::span<const Row> entries, bool restart,
+                                       bool inconclusive, Instant now)
 {
     const Millis maxSteadyGap = m_settings.renewalInterval * maxMissedRenewals;
     std::map<std::string, ObservedEntry> seen;
@@ -159,7 +160,8 @@
         const bool changed = !isNew && known->second.version != row.version;
         const bool steady =
             changed && (restart || now - known->second.unchangedSince < maxSteadyGap);
-        seen[session] = {row.version, now, isNew || changed ? now : known->second.lastChangeSeenAt,
+        const bool countsAsChanged = isNew || changed || inconclusive;
+        seen[session] = {row.version, now, countsAsChanged ? now : known->second.lastChangeSeenAt,
                          steady ? known->second.steadySince : now, parseEntryRow(row.value)};
     }
     m_entries = std::move(seen);
--- a/src/node/ownership.cpp
+++ b/src/node/ownership.cpp
@@ -238,6 +238,7 @@
 void Ownership::endFailedObservation()
 {
     m_observing = false;
+    m_storeWasBad = true;
     m_nextObservationAt = m_lastObservationSentAt + m_settings.observeInterval;
 }
 
@@ -255,7 +256,9 @@
         if (row.version != 0)
             present.push_back(row);
     }
-    m_leaseManager->observe(entries, present, *m_lastObservedAt);
+    const bool isSlow = *m_lastObservedAt - m_lastObservationSentAt > m_settings.slowObservation;
+    const bool wasBad = std::exchange(m_storeWasBad, isSlow);
+    m_leaseManager->observe(entries, present, *m_lastObservedAt, isSlow || wasBad);
     m_otherPeerAddresses.clear();
     for (const auto &[session, it] : m_leaseManager->entries()) {
         if (!it.row.error.empty())
--- a/src/node/ownership.h
+++ b/src/node/ownership.h
@@ -28,6 +28,8 @@
     OwnerCandidateSettings candidates;
     Millis observeInterval{700}; // Between a candidate's reads of all ownership rows.
     Millis idleObserveInterval{2'500}; // Between those of the other entries.
+    // An observation that takes longer tells of a slow store, in which renewals don't land in time.
+    Millis slowObservation{350};
     Millis minObserveInterval{150}; // Between reads that failed requests cause.
     Millis tickInterval{100}; // Between checks for work that is due.
     // A claim is delayed by this many store round trips, so that the entry nearest to the store
@@ -150,6 +152,7 @@
     std::optional<Instant> m_lastObservedAt;
     Instant m_nextObservationAt;
     Instant m_lastObservationSentAt;
+    bool m_storeWasBad = false; // The last observation failed or was slow.
     bool m_observing = false;
     bool m_observeAgain = false;
     bool m_readingOwnRow = false;
--- a/tests/node/ownership_test.cpp
+++ b/tests/node/ownership_test.cpp
@@ -220,3 +220,29 @@
     loop.run();
     CHECK(entry.ownership().ownerOf(0)->isSelf);
 }
+
+// Guards against all entries of a large deployment that become candidates at once, and load the
+// store with their sessions, since the renewals of the candidates don't land while it is slow.
+TEST_CASE("An entry steps in for candidates that are gone but not while the store is slow")
+{
+    for (const Millis readTime : {Millis{5}, Millis{60}}) {
+        CAPTURE(readTime.count());
+        ImmediateTable table;
+        EventLoop loop;
+        RemoteTable path(table, loop, readTime, readTime);
+        const std::string fields = serializeEntryFields("strong:1", strongCapacity);
+        constexpr int candidates = 12;
+        for (int i = 0; i < candidates; ++i)
+            table.rows().commit({{}, {{entryKey("strong" + std::to_string(i) + ".1"), fields}}});
+        OwnershipSettings weak = settings(weakCapacity);
+        weak.idleObserveInterval = Millis{300};
+        weak.slowObservation = Millis{100}; // Each observation reads twice.
+        weak.lease.term = Millis{60'000}; // It expires nobody in this time.
+        OwningEntry entry(table, path, loop, "weak", weak);
+        entry.ownership().start();
+        loop.runAfter(Millis{3'000}, [&loop] { loop.stop(); });
+        loop.run();
+        const bool joined = table.rows().scan("entry/", "", 100).size() > candidates;
+        CHECK(joined == (readTime < Millis{50}));
+    }
+}
