Share long-running jobs out evenly between the shards

Jobs are dealt to shards by the hash of their id. Long-running tasks hold four fifths of all processors; by hash one of three shards gets a tenth more than its share of them and is full, while the others have room: its failed tasks waited for longer than 3 s (step-waiting with no-room).

Change: the owner of the shard that an id hashes to leaves a job of long-running tasks to the shard that has had least of them from it, by what the workers offer. Since each owner deals evenly, the sums are even as well, and no owner needs to know of another's load. JobDelegated is durable before the caller's entry learns where to send the job, so a repeated submission goes to the same shard; states and cancels follow it. After an hour that is forgotten, and all shards are asked for an id that its home shard does not know. New outcome "delegated" and a fourth word in the replies between entries; earlier versions take it for undecided.

Ruled out: lending workers, whose fences belong to one shard's epochs; two shards for 1,800 workers, which only makes the case rarer.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -40,6 +40,8 @@
     WorkerSessionSettings workerSessions;
     QuarantineOptions quarantine;
     Millis endedJobRetention{150'000}; // An ended job is forgotten after this time.
+    // So is where a job was left to. Until then a repeated submission is sent to the same shard.
+    Millis delegationRetention{3'600'000};
 
     // Stop orders are repeated until the run ends: after this time if the worker confirmed the
     // last one, after the shorter delay if it refused it or did not answer.
@@ -178,6 +180,11 @@
 
     // Accepts the job unless one with the same id is known.
     SubmitResult submit(const JobSpec &spec, ClockReading now);
+    // Leaves the job, which is unknown here, to another shard. Once that is durable the caller must
+    // be sent there.
+    void delegate(const std::string &job, int shard, ClockReading now);
+    // Returns the shard that the job was left to, or nothing if it was not.
+    std::optional<int> delegatedTo(std::string_view job) const;
     // Cancels the job and requests its runs to stop; has no effect if the job has ended. Returns
     // false if the job is unknown.
     bool cancel(const std::string &job, ClockReading now);
@@ -334,6 +341,7 @@
     void noteWorker(SchedulerEventKind kind, const std::string &worker, std::string_view why,
                     Millis age);
     void forgetExpiredJobs(ClockReading now);
+    void forgetExpiredDelegations(ClockReading now);
     void addStartOrders(std::vector<WorkerCommand> &orders, ClockReading now);
     void addStopOrders(std::vector<WorkerCommand> &orders, ClockReading now);
 
@@ -439,6 +447,8 @@
     DueQueue<std::string> m_dueOccurrences; // The same jobs, by the wall-clock time of that one.
     std::set<std::pair<std::int64_t, std::string>> m_endedJobs; // Time of the end in ms, and id.
 
+    std::set<std::pair<std::int64_t, std::string>> m_delegations; // Time in ms, and id.
+
     std::vector<SchedulerEvent> m_notes;
     std::vector<std::string> m_records;
     LogSequenceNumber m_appended = 0;
--- a/include/savorywick/steps/jobtable.h
+++ b/include/savorywick/steps/jobtable.h
@@ -23,6 +23,7 @@
 {
 public:
     using Jobs = std::map<std::string, Job, std::less<>>;
+    using Delegations = std::map<std::string, JobDelegated, std::less<>>;
 
     // Applies the record. A record of an unknown job or task, such as a job that was purged, is
     // ignored.
@@ -31,6 +32,8 @@
     // Returns the job, or nullptr if it is unknown. The pointer holds until the next apply().
     const Job *find(std::string_view id) const;
     const Jobs &jobs() const { return m_jobs; }
+    // Returns the jobs that were left to other shards, by id.
+    const Delegations &delegations() const { return m_delegations; }
 
     // Returns records that produce this state when they are applied to an empty table. Of the tasks
     // of an ended job only those that still have a run are included, as no others matter any more.
@@ -47,6 +50,7 @@
     static void endJob(Job &job, JobState state, std::int64_t wallMs);
 
     Jobs m_jobs;
+    Delegations m_delegations;
 };
 
 } // namespace savorywick::steps
--- a/include/savorywick/steps/record.h
+++ b/include/savorywick/steps/record.h
@@ -48,12 +48,21 @@
     std::int64_t wallMs = 0;
 };
 
-// The job was removed, because its retention period after its end is over.
+// The job, or the note of its delegation, was removed, because its retention period is over.
 struct JobPurged
 {
     std::string job;
 };
 
+// The job, whose id hashes to this shard, was left to another shard. It is accepted there or
+// nowhere.
+struct JobDelegated
+{
+    std::string job;
+    int shard = 0;
+    std::int64_t wallMs = 0;
+};
+
 // The state of a task when a snapshot was taken.
 struct TaskSnapshot
 {
@@ -70,7 +79,7 @@
 };
 
 using Record = std::variant<JobAccepted, RunStarted, RunEnded, JobCancelled, JobPurged,
-                            TaskSnapshot, JobStateSnapshot>;
+                            JobDelegated, TaskSnapshot, JobStateSnapshot>;
 
 // Returns the record as one line of text without a line end.
 std::string encodeRecord(const Record &record);
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -85,6 +85,8 @@
         if (isFinal(job.state))
             stopJobRuns(job, "job-over");
     }
+    for (const auto &[id, delegation] : m_table.delegations())
+        m_delegations.emplace(delegation.wallMs, id);
 }
 
 std::vector<std::string> Coordinator::snapshot() const
@@ -114,6 +116,18 @@
     return SubmitResult::Accepted;
 }
 
+void Coordinator::delegate(const std::string &job, int shard, ClockReading now)
+{
+    appendRecord(JobDelegated{job, shard, now.wallMs});
+    m_delegations.emplace(now.wallMs, job);
+}
+
+std::optional<int> Coordinator::delegatedTo(std::string_view job) const
+{
+    const auto it = m_table.delegations().find(job);
+    return it == m_table.delegations().end() ? std::nullopt : std::optional(it->second.shard);
+}
+
 bool Coordinator::cancel(const std::string &job, ClockReading now)
 {
     const Job *known = m_table.find(job);
@@ -287,6 +301,15 @@
     }
 }
 
+void Coordinator::forgetExpiredDelegations(ClockReading now)
+{
+    const std::int64_t retentionMs = m_settings.delegationRetention.count();
+    while (!m_delegations.empty() && m_delegations.begin()->first + retentionMs <= now.wallMs) {
+        appendRecord(JobPurged{m_delegations.begin()->second});
+        m_delegations.erase(m_delegations.begin());
+    }
+}
+
 void Coordinator::tick(ClockReading now)
 {
     expireWorkers(now);
@@ -294,6 +317,7 @@
     for (const std::string &id : m_dueOccurrences.takeDue(Instant{now.wallMs}))
         openDueOccurrences(*m_table.find(id), now);
     forgetExpiredJobs(now);
+    forgetExpiredDelegations(now);
     if (now.monotonic >= placementAt())
         placeReadySteps(now);
     noteWaitingSteps(now);
--- a/src/lib/steps/jobtable.cpp
+++ b/src/lib/steps/jobtable.cpp
@@ -70,7 +70,13 @@
             endJob(*job, JobState::Cancelled, it.wallMs);
     }
 
-    void operator()(const JobPurged &it) const { table.m_jobs.erase(it.job); }
+    void operator()(const JobPurged &it) const
+    {
+        table.m_jobs.erase(it.job);
+        table.m_delegations.erase(it.job);
+    }
+
+    void operator()(const JobDelegated &it) const { table.m_delegations[it.job] = it; }
 
     void operator()(const TaskSnapshot &it) const
     {
@@ -194,6 +200,8 @@
         }
         records.emplace_back(JobStateSnapshot{id, job.state, job.endedWallMs});
     }
+    for (const auto &[id, delegation] : m_delegations)
+        records.emplace_back(delegation);
     return records;
 }
 
--- a/src/lib/steps/record.cpp
+++ b/src/lib/steps/record.cpp
@@ -268,6 +268,10 @@
     {
         return FieldWriter('F').text(it.job).take();
     }
+    std::string operator()(const JobDelegated &it) const
+    {
+        return FieldWriter('D').text(it.job).number(it.shard).number(it.wallMs).take();
+    }
     std::string operator()(const TaskSnapshot &it) const
     {
         FieldWriter w('T');
@@ -357,6 +361,13 @@
     }
     case 'F':
         return JobPurged{r.text()};
+    case 'D': {
+        JobDelegated it;
+        it.job = r.text();
+        it.shard = r.number<int>();
+        it.wallMs = r.number();
+        return it;
+    }
     case 'T':
         return readTaskSnapshot(r);
     case 'R': {
--- /dev/null
+++ b/src/node/jobdealer.cpp
@@ -0,0 +1,47 @@
+#include "node/jobdealer.h"
+
+#include <utility>
+
+namespace savorywick {
+
+namespace {
+
+// Returns the processors that the job's long-running tasks demand, in thousandths of a core.
+std::int64_t longRunningDemand(const steps::JobSpec &spec)
+{
+    std::int64_t milliCores = 0;
+    for (const steps::StepSpec &it : spec.steps) {
+        if (it.longRunning)
+            milliCores += std::int64_t{it.taskCount} * it.demand.milliCores;
+    }
+    return milliCores;
+}
+
+} // namespace
+
+void JobDealer::setCapacities(std::vector<std::int64_t> milliCores)
+{
+    m_capacities = std::move(milliCores);
+    m_dealt.resize(m_capacities.size());
+}
+
+int JobDealer::choose(const steps::JobSpec &spec)
+{
+    const std::int64_t demand = longRunningDemand(spec);
+    if (demand == 0 || m_ownShard >= static_cast<int>(m_capacities.size()))
+        return m_ownShard;
+    int best = m_ownShard;
+    const auto fullness = [&](int shard) {
+        return static_cast<double>(m_dealt[shard] + demand)
+            / static_cast<double>(m_capacities[shard]);
+    };
+    for (int shard = 0; shard < static_cast<int>(m_capacities.size()); ++shard) {
+        if (m_capacities[shard] > 0
+            && (m_capacities[best] == 0 || fullness(shard) < fullness(best)))
+            best = shard;
+    }
+    m_dealt[best] += demand;
+    return best;
+}
+
+} // namespace savorywick
--- /dev/null
+++ b/src/node/jobdealer.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "savorywick/steps/job.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace savorywick {
+
+// Decides which shard a new job of long-running tasks is to run in, so that the shards' workers are
+// equally full.
+//
+// Use one in the owner of each shard, for the jobs whose ids hash to it. Long-running tasks hold
+// most of the processors and hold them for long, so shards that got them by hash alone would differ
+// in room by more than they have free. Each owner deals its own jobs evenly by what they demand and
+// by what the shards' workers offer; then the sums over all owners are even as well, without any
+// word between them. Other jobs stay. It is pure and not thread-safe.
+//
+// Example:
+//   dealer.setCapacities(milliCoresByShard);
+//   const int shard = dealer.choose(spec);
+class JobDealer
+{
+public:
+    // `ownShard` is the shard that the ids hash to.
+    explicit JobDealer(int ownShard)
+        : m_ownShard(ownShard)
+    { }
+
+    // Sets the processors of each shard's workers, in thousandths of a core.
+    void setCapacities(std::vector<std::int64_t> milliCores);
+    // Returns the shard for the job, and counts what the job demands against it. Returns the own
+    // shard while the capacities are not known.
+    int choose(const steps::JobSpec &spec);
+
+private:
+    const int m_ownShard;
+    std::vector<std::int64_t> m_capacities; // By shard.
+    std::vector<std::int64_t> m_dealt; // What was demanded of each shard by jobs of this owner.
+};
+
+} // namespace savorywick
--- a/src/node/jobrequests.cpp
+++ b/src/node/jobrequests.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 
+#include <optional>
 #include <variant>
 
 namespace savorywick {
@@ -11,13 +12,18 @@
 class RequestHandler
 {
 public:
-    RequestHandler(steps::Coordinator &coordinator, steps::ClockReading now)
+    RequestHandler(steps::Coordinator &coordinator, int shard, JobDealer &dealer,
+                   steps::ClockReading now)
         : m_coordinator(coordinator)
+        , m_shard(shard)
+        , m_dealer(dealer)
         , m_now(now)
     { }
 
     ShardReply operator()(const SubmitJob &it) const
     {
+        if (const auto shard = shardElsewhere(it))
+            return delegated(*shard);
         const auto result = m_coordinator.submit(it.spec, m_now);
         logInfo(result == steps::SubmitResult::Accepted ? "job-accepted" : "job-repeated",
                 {{"requestId", it.spec.id},
@@ -27,12 +33,16 @@
     }
     ShardReply operator()(const CancelJob &it) const
     {
+        if (const auto shard = m_coordinator.delegatedTo(it.jobId))
+            return delegated(*shard);
         const bool known = m_coordinator.cancel(it.jobId, m_now);
         logInfo("job-cancelled", {{"requestId", it.jobId}, {"known", known}});
         return {known ? ShardOutcome::Ok : ShardOutcome::UnknownJob, {}, 0};
     }
     ShardReply operator()(const GetJobState &it) const
     {
+        if (const auto shard = m_coordinator.delegatedTo(it.jobId))
+            return delegated(*shard);
         const auto state = m_coordinator.durableState(it.jobId);
         if (!state)
             return {ShardOutcome::UnknownJob, {}, 0};
@@ -44,7 +54,26 @@
     }
 
 private:
+    static ShardReply delegated(int shard) { return {ShardOutcome::Delegated, {}, 0, shard}; }
+
+    // Returns the other shard that the job is left to, or nothing if it belongs here.
+    std::optional<int> shardElsewhere(const SubmitJob &it) const
+    {
+        if (it.delegated || m_coordinator.jobTable().find(it.spec.id))
+            return {};
+        if (const auto shard = m_coordinator.delegatedTo(it.spec.id))
+            return shard;
+        const int shard = m_dealer.choose(it.spec);
+        if (shard == m_shard)
+            return {};
+        m_coordinator.delegate(it.spec.id, shard, m_now);
+        logInfo("job-delegated", {{"requestId", it.spec.id}, {"shard", shard}});
+        return shard;
+    }
+
     steps::Coordinator &m_coordinator;
+    const int m_shard;
+    JobDealer &m_dealer;
     steps::ClockReading m_now;
 };
 
@@ -59,10 +88,10 @@
     return job && !isFinal(job->state);
 }
 
-ShardReply applyRequest(steps::Coordinator &coordinator, const ShardRequest &request,
-                        steps::ClockReading now)
+ShardReply applyRequest(steps::Coordinator &coordinator, int shard, JobDealer &dealer,
+                        const ShardRequest &request, steps::ClockReading now)
 {
-    return std::visit(RequestHandler(coordinator, now), request);
+    return std::visit(RequestHandler(coordinator, shard, dealer, now), request);
 }
 
 bool awaitsCommit(const steps::Coordinator &coordinator, const ShardRequest &request,
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -38,9 +38,29 @@
 struct CombinedReply
 {
     int outstanding = 0;
-    ShardReply reply{ShardOutcome::Ok, {}, 0};
+    ShardReply reply;
 };
 
+// Adds a shard's count to the sum, which is worth nothing if a shard is missing.
+void addCount(ShardReply &sum, const ShardReply &it)
+{
+    if (it.outcome != ShardOutcome::Ok)
+        sum.outcome = it.outcome;
+    sum.pendingCount += it.pendingCount;
+}
+
+// Takes the reply of the shard that knows the job. If none does, a shard that did not say so comes
+// before those that don't know it.
+void addJobReply(ShardReply &found, const ShardReply &it)
+{
+    if (found.outcome == ShardOutcome::Ok)
+        return;
+    if (it.outcome == ShardOutcome::Ok)
+        found = it;
+    else if (it.outcome != ShardOutcome::UnknownJob)
+        found.outcome = it.outcome;
+}
+
 } // namespace
 
 Node::Node(const NodeSettings &settings, EventLoop &loop, const Clock &clock, AsyncHttpClient &http,
@@ -146,20 +166,40 @@
         return onReply({ShardOutcome::NotOwner, {}, 0});
     }
     if (std::holds_alternative<CountPendingJobs>(request))
-        return sendToAllShards(request, timeout, onReply);
-    sendToOwner(shardOf(key), request, timeout, std::move(onReply));
+        return sendToAllShards(request, timeout, {ShardOutcome::Ok, {}, 0}, addCount, onReply);
+    if (m_ownership.shardCount() == 1)
+        return sendToOwner(0, request, timeout, std::move(onReply));
+    sendToOwner(shardOf(key), request, timeout,
+                [this, request, timeout, onReply = std::move(onReply)](const ShardReply &reply) {
+                    followDelegation(request, timeout, reply, onReply);
+                });
 }
 
-void Node::sendToAllShards(const ShardRequest &request, Millis timeout,
-                           const ShardReplyCallback &onReply)
+// Sends the request on if its job was left to another shard. The home shard forgets that after a
+// long time, so then all shards are asked for a job that it does not know.
+void Node::followDelegation(const ShardRequest &request, Millis timeout, const ShardReply &reply,
+                            const ShardReplyCallback &onReply)
+{
+    if (reply.outcome == ShardOutcome::UnknownJob)
+        return sendToAllShards(request, timeout, reply, addJobReply, onReply);
+    if (reply.outcome != ShardOutcome::Delegated || reply.shard < 0
+        || reply.shard >= m_ownership.shardCount())
+        return onReply(reply);
+    ShardRequest delegated = request;
+    if (auto *submission = std::get_if<SubmitJob>(&delegated))
+        submission->delegated = true;
+    sendToOwner(reply.shard, delegated, timeout, onReply);
+}
+
+void Node::sendToAllShards(const ShardRequest &request, Millis timeout, const ShardReply &initial,
+                           AddReply add, const ShardReplyCallback &onReply)
 {
     const auto combined = std::make_shared<CombinedReply>();
     combined->outstanding = m_ownership.shardCount();
+    combined->reply = initial;
     for (int shard = 0; shard < m_ownership.shardCount(); ++shard) {
-        sendToOwner(shard, request, timeout, [combined, onReply](const ShardReply &reply) {
-            if (reply.outcome != ShardOutcome::Ok)
-                combined->reply.outcome = reply.outcome;
-            combined->reply.pendingCount += reply.pendingCount;
+        sendToOwner(shard, request, timeout, [combined, add, onReply](const ShardReply &reply) {
+            add(combined->reply, reply);
             if (--combined->outstanding == 0)
                 onReply(combined->reply);
         });
@@ -206,6 +246,7 @@
     if (m_runners.size() == 1)
         watchWorkers();
     runner->setWorkers(workersOf(owned.shard));
+    runner->setShardCapacities(shardCapacities());
     runner->open();
     if (owned.shard == 0)
         chooseShardCount();
@@ -298,6 +339,8 @@
 
 void Node::shareWorkersOut()
 {
+    for (const auto &[shard, runner] : m_runners)
+        runner->setShardCapacities(shardCapacities());
     for (const auto &[shard, runner] : m_runners)
         runner->setWorkers(workersOf(shard));
 }
@@ -313,4 +356,16 @@
     return workers;
 }
 
+// Returns the processors of each shard's workers, in thousandths of a core.
+std::vector<std::int64_t> Node::shardCapacities() const
+{
+    std::vector<std::int64_t> milliCores(static_cast<std::size_t>(m_ownership.shardCount()));
+    if (milliCores.empty())
+        return milliCores;
+    for (const steps::WorkerInfo &it : m_workers)
+        milliCores[static_cast<std::size_t>(shardOf(it.incarnation.workerId))] +=
+            it.capacity.milliCores;
+    return milliCores;
+}
+
 } // namespace savorywick
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -148,8 +148,12 @@
                   ShardReplyCallback onReply);
     void sendToOwner(int shard, const ShardRequest &request, Millis timeout,
                      ShardReplyCallback onReply);
-    void sendToAllShards(const ShardRequest &request, Millis timeout,
-                         const ShardReplyCallback &onReply);
+    void followDelegation(const ShardRequest &request, Millis timeout, const ShardReply &reply,
+                          const ShardReplyCallback &onReply);
+    // Adds the reply of one more shard to those of the others.
+    using AddReply = void (*)(ShardReply &sum, const ShardReply &reply);
+    void sendToAllShards(const ShardRequest &request, Millis timeout, const ShardReply &initial,
+                         AddReply add, const ShardReplyCallback &onReply);
     void handleLocally(int shard, const ShardRequest &request, const ShardReplyCallback &onReply);
     int shardOf(const std::string &key) const;
 
@@ -163,6 +167,7 @@
     void unwatchWorkers();
     void setWorkers(std::vector<steps::WorkerInfo> workers);
     std::vector<steps::WorkerInfo> workersOf(int shard) const;
+    std::vector<std::int64_t> shardCapacities() const;
     void chooseShardCount();
     void shareWorkersOut();
     void serveUntilDrained();
--- a/src/node/shardlink.cpp
+++ b/src/node/shardlink.cpp
@@ -15,19 +15,22 @@
 
 // The protocol between entries:
 //   POST   /shards/N/jobs            SubmitJob; the body is a JobAccepted record
+//   POST   /shards/N/delegated-jobs  SubmitJob that its home shard has left to this one; likewise
 //   GET    /shards/N/jobs/ID         GetJobState
 //   DELETE /shards/N/jobs/ID         CancelJob
 //   GET    /shards/N/pending/QUEUE   CountPendingJobs
 //   POST   /freed                    notification that shards have become free
-// The reply to a shard request is three words: the outcome, the job's state and the pending count.
-// An outcome that the requester's version does not know counts as undecided, which is safe for all.
+// The reply to a shard request is four words: the outcome, the job's state, the pending count and
+// the shard that the job was left to. Earlier versions send three. An outcome that the requester's
+// version does not know counts as undecided, which is safe for all.
 constexpr std::string_view shardsPath = "/shards/";
 constexpr std::string_view shardsFreedPath = "/freed";
 constexpr Millis notificationTimeout{500};
 
 constexpr ShardOutcome allOutcomes[] = {ShardOutcome::Ok,         ShardOutcome::UnknownJob,
                                         ShardOutcome::NotOwner,   ShardOutcome::StoreDown,
-                                        ShardOutcome::Overloaded, ShardOutcome::Undecided};
+                                        ShardOutcome::Overloaded, ShardOutcome::Delegated,
+                                        ShardOutcome::Undecided};
 constexpr steps::JobState allStates[] = {steps::JobState::Queued, steps::JobState::Running,
                                          steps::JobState::Completed, steps::JobState::Failed,
                                          steps::JobState::Cancelled};
@@ -47,7 +50,8 @@
     }
     HttpCall operator()(const SubmitJob &it) const
     {
-        return call("POST", "jobs", steps::encodeRecord(steps::JobAccepted{it.spec, 0}));
+        const char *path = it.delegated ? "delegated-jobs" : "jobs";
+        return call("POST", path, steps::encodeRecord(steps::JobAccepted{it.spec, 0}));
     }
     HttpCall operator()(const GetJobState &it) const { return call("GET", "jobs/" + it.jobId); }
     HttpCall operator()(const CancelJob &it) const { return call("DELETE", "jobs/" + it.jobId); }
@@ -62,7 +66,9 @@
     std::string text(toString(reply.outcome));
     text += ' ';
     text += steps::toString(reply.state);
-    return text + ' ' + std::to_string(reply.pendingCount);
+    text += ' ';
+    text += std::to_string(reply.pendingCount);
+    return text + ' ' + std::to_string(reply.shard);
 }
 
 std::optional<ShardReply> parseReply(const std::string &text)
@@ -73,6 +79,7 @@
     ShardReply reply;
     if (!(in >> outcome >> state >> reply.pendingCount))
         return {};
+    in >> reply.shard;
     bool known = false;
     for (const ShardOutcome it : allOutcomes) {
         if (toString(it) != outcome)
@@ -106,10 +113,11 @@
 {
     constexpr std::string_view jobs = "jobs/";
     constexpr std::string_view pending = "pending/";
-    if (http.method == "POST" && rest == "jobs") {
+    const bool delegated = rest == "delegated-jobs";
+    if (http.method == "POST" && (rest == "jobs" || delegated)) {
         const steps::Record record = steps::decodeRecord(http.body);
         if (const auto *accepted = std::get_if<steps::JobAccepted>(&record))
-            return SubmitJob{accepted->spec};
+            return SubmitJob{accepted->spec, delegated};
         return {};
     }
     if (http.method == "GET" && rest.starts_with(jobs))
--- a/src/node/shardrequest.cpp
+++ b/src/node/shardrequest.cpp
@@ -15,6 +15,8 @@
         return "store-down";
     case ShardOutcome::Overloaded:
         return "overloaded";
+    case ShardOutcome::Delegated:
+        return "delegated";
     case ShardOutcome::Undecided:
         return "undecided";
     }
--- a/src/node/shardrequest.h
+++ b/src/node/shardrequest.h
@@ -16,6 +16,8 @@
 struct SubmitJob
 {
     steps::JobSpec spec;
+    // Its home shard, that of its id's hash, has left it to the receiver.
+    bool delegated = false;
 };
 
 // Reads the state of a job.
@@ -45,6 +47,7 @@
     NotOwner, // The receiving entry can't be reached, or does not own or serve the shard now.
     StoreDown, // Nothing was done, because the store can't persist changes now.
     Overloaded, // The job was not accepted: the owner is too far behind to take new ones.
+    Delegated, // The job was left to another shard. Send the request there.
     Undecided, // No reply was received; the request may or may not take effect.
 };
 
@@ -60,6 +63,7 @@
     ShardOutcome outcome = ShardOutcome::Undecided;
     steps::JobState state = steps::JobState::Queued; // Set for GetJobState.
     int pendingCount = 0; // Set for CountPendingJobs.
+    int shard = 0; // Set if the outcome is Delegated.
 };
 
 using ShardReplyCallback = std::function<void(const ShardReply &)>;
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -27,6 +27,7 @@
     , m_reader(owned)
     , m_journal(owned, settings.journal)
     , m_coordinator(owned.row.epoch, m_dependencies.clock.now(), settings.coordinator)
+    , m_dealer(owned.shard)
     , m_overloadGate(settings.overload)
     , m_passPacer(settings.passes)
 { }
@@ -134,7 +135,7 @@
         ++m_load.overloadRefusals;
         return onReply({ShardOutcome::Overloaded, {}, 0});
     }
-    const ShardReply reply = applyRequest(m_coordinator, request, now());
+    const ShardReply reply = applyRequest(m_coordinator, shard(), m_dealer, request, now());
     if (!changes && !awaitsCommit(m_coordinator, request, reply))
         return onReply(reply);
     appendRecords();
@@ -154,6 +155,11 @@
     scheduleProcessing();
 }
 
+void ShardRunner::setShardCapacities(std::vector<std::int64_t> milliCores)
+{
+    m_dealer.setCapacities(std::move(milliCores));
+}
+
 void ShardRunner::release()
 {
     if (m_ended)
--- a/src/node/shardrunner.h
+++ b/src/node/shardrunner.h
@@ -4,6 +4,7 @@
 #include "net/eventloop.h"
 #include "node/asyncstore.h"
 #include "node/asyncworkerclient.h"
+#include "node/jobdealer.h"
 #include "node/overloadgate.h"
 #include "node/shardload.h"
 #include "node/shardrequest.h"
@@ -85,6 +86,9 @@
     void handle(const ShardRequest &request, ShardReplyCallback onReply);
     // Replaces the list of the shard's workers.
     void setWorkers(std::vector<steps::WorkerInfo> workers);
+    // Sets the processors of the workers of each shard, in thousandths of a core. New jobs of
+    // long-running tasks are shared out by them.
+    void setShardCapacities(std::vector<std::int64_t> milliCores);
     // Releases the shard when all pending changes are durable. No new work is accepted meanwhile.
     void release();
     // Drops the shard immediately. Pending requests get an Undecided reply.
@@ -144,6 +148,7 @@
     std::size_t m_restoredSnapshotBytes = 0;
     Journal m_journal;
     steps::Coordinator m_coordinator;
+    JobDealer m_dealer;
     OverloadGate m_overloadGate;
     WorkPacer m_passPacer;
     bool m_passDue = false; // A pass was asked for and put off.
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -91,11 +91,12 @@
 class TestEntry final : public AsyncWorkerClient, public ClusterFeed
 {
 public:
-    TestEntry(TestCluster &cluster, bool configured, const std::string &name = "entry-a")
+    TestEntry(TestCluster &cluster, bool configured, const std::string &name = "entry-a",
+              int shards = 1)
         : m_cluster(cluster)
         , m_configured(configured)
         , m_http(m_loop)
-        , m_node(settings(name), m_loop, m_clock, m_http,
+        , m_node(settings(name, shards), m_loop, m_clock, m_http,
                  {cluster.table, cluster.objects, *this, *this, cluster.codec})
         , m_addresses(m_node.start())
     { }
@@ -194,10 +195,11 @@
     bool watchesWorkers = false;
 
 private:
-    static NodeSettings settings(const std::string &name)
+    static NodeSettings settings(const std::string &name, int shards)
     {
         NodeSettings s;
         s.name = name;
+        s.ownership.lease.shardCount = shards;
         for (std::string *it :
              {&s.callersAddress, &s.readinessAddress, &s.peersAddress, &s.metricsAddress})
             *it = "127.0.0.1:0";
@@ -283,3 +285,27 @@
         owner.runFor(pollInterval);
     CHECK_FALSE(owner.watchesWorkers);
 }
+
+// Guards against jobs that are accepted and not found again, since they run in another shard than
+// the one that their id hashes to: the only worker is in one of the three.
+TEST_CASE("Jobs that are left to another shard are found by their id")
+{
+    TestCluster cluster;
+    TestEntry entry(cluster, true, "entry-a", 3);
+    REQUIRE(entry.becomesReady());
+    for (const char *id : {"id1", "id2", "id3", "id4", "id5", "id6"}) {
+        CAPTURE(id);
+        const std::string path = std::string("/q/") + id;
+        for (int i = 0; i < maxPolls; ++i) {
+            if (entry.callerRequest("POST", path, "long-running").status == 200)
+                break;
+            entry.runFor(pollInterval);
+        }
+        CHECK(entry.callerRequest("POST", path, "long-running").status == 200);
+        CHECK(entry.reachesState(id, "running"));
+    }
+    CHECK(cluster.worker.starts == 6);
+    CHECK(entry.callerRequest("GET", "/q/id-unknown").status == 410);
+    CHECK(entry.callerRequest("DELETE", "/q/id1").status == 200);
+    CHECK(entry.reachesState("id1", "cancelled"));
+}
--- a/tests/node/plaincodec.h
+++ b/tests/node/plaincodec.h
@@ -4,8 +4,9 @@
 
 namespace savorywick::testing {
 
-// A CallerCodec with plain-text bodies for tests. The body "job" is a job of one step; valid job
-// ids start with "id"; the header "Patience: short" sets a timeout of 600 ms instead of 3 s.
+// A CallerCodec with plain-text bodies for tests. The body "job" is a job of one step, and
+// "long-running" one whose task runs until it is cancelled and demands a core; valid job ids start
+// with "id"; the header "Patience: short" sets a timeout of 600 ms instead of 3 s.
 class PlainCodec final : public CallerCodec
 {
 public:
@@ -13,7 +14,7 @@
                                             const steps::QueuePolicy &policy,
                                             std::string &error) const override
     {
-        if (body != "job") {
+        if (body != "job" && body != "long-running") {
             error = "no job";
             return {};
         }
@@ -21,6 +22,9 @@
         spec.id = std::string(id);
         spec.policy = policy;
         spec.steps.resize(1);
+        spec.steps[0].longRunning = body == "long-running";
+        if (spec.steps[0].longRunning)
+            spec.steps[0].demand = {1'000, 1'000, 0};
         return spec;
     }
     bool isJobId(std::string_view text) const override { return text.starts_with("id"); }
--- a/tests/steps/record_test.cpp
+++ b/tests/steps/record_test.cpp
@@ -99,6 +99,7 @@
             RunEnded{task, 3, RunOutcome::GangBroken, arbitraryText(), 17},
             JobCancelled{arbitraryText(), 18},
             JobPurged{arbitraryText()},
+            JobDelegated{arbitraryText(), 3, 1'700'000'000'000},
             TaskSnapshot{task, {4, 1, 2, false, arbitraryText(), {{4, worker}}}},
             JobStateSnapshot{arbitraryText(), JobState::Failed, 19},
         };
