--- a/tests/adapter/tablefeed_test.cpp
+++ b/tests/adapter/tablefeed_test.cpp
@@ -94,3 +94,50 @@
         CHECK(feed.fullReads == it.fullReads);
     }
 }
+
+namespace {
+
+// Returns a page of changes whose rows are numbered from `first` on. Its version is the last one.
+std::string pageOfChanges(int first, int count)
+{
+    std::string text = R"({"rows":[)";
+    for (int i = first; i < first + count; ++i) {
+        text += i > first ? "," : "";
+        text += R"({"key":"w)" + std::to_string(i) + R"(","value":"eA==","ver":)"
+            + std::to_string(i) + "}";
+    }
+    return text + R"(],"ver":)" + std::to_string(first + count - 1) + "}";
+}
+
+} // namespace
+
+// Guards against a feed that falls behind for good: thousands of workers write their rows every
+// second, a response holds some hundred, and a pause after each bounds how many come in a second.
+TEST_CASE("A feed that is behind reads on without a pause")
+{
+    constexpr int rowsPerPage = 500;
+    constexpr int pages = 20;
+    EventLoop loop;
+    AsyncHttpServer server(loop, {}, [&](const HttpRequest &request, const auto &respond) {
+        HttpResponse response{.status = 200, .headers = {}, .body = R"({"rows":[],"ver":0})"};
+        if (request.path != "/api/rows-get") {
+            const int after = std::stoi(std::string(headerValue(request.queryParameters, "after")));
+            if (after < pages * rowsPerPage)
+                response.body = pageOfChanges(after + 1, rowsPerPage);
+        }
+        respond(response);
+    });
+    AsyncHttpClient http(loop);
+    std::size_t rowCount = 0;
+    TableFeedSettings settings;
+    settings.pollDelay = Millis{2'000};
+    TableFeed feed(loop, http, server.listen("127.0.0.1:0"), "t", settings,
+                   [&](const TableFeed::Rows &rows) { rowCount = rows.size(); });
+    feed.start();
+    // Generous, but too short for a pause after each page.
+    for (int i = 0; i < maxPolls && rowCount < pages * rowsPerPage; ++i) {
+        loop.runAfter(pollInterval, [&loop] { loop.stop(); });
+        loop.run();
+    }
+    CHECK(rowCount == pages * rowsPerPage);
+}
