Count the rows of a feed's test in one type

clang-tidy finds a widening multiplication in tablefeed_test. Its loop compares ints now; the checks are the same.

--- a/tests/adapter/tablefeed_test.cpp
+++ b/tests/adapter/tablefeed_test.cpp
@@ -116,28 +116,28 @@
 TEST_CASE("A feed that is behind reads on without a pause")
 {
     constexpr int rowsPerPage = 500;
-    constexpr int pages = 20;
+    constexpr int allRows = 20 * rowsPerPage;
     EventLoop loop;
     AsyncHttpServer server(loop, {}, [&](const HttpRequest &request, const auto &respond) {
         HttpResponse response{.status = 200, .headers = {}, .body = R"({"rows":[],"ver":0})"};
         if (request.path != "/api/rows-get") {
             const int after = std::stoi(std::string(headerValue(request.queryParameters, "after")));
-            if (after < pages * rowsPerPage)
+            if (after < allRows)
                 response.body = pageOfChanges(after + 1, rowsPerPage);
         }
         respond(response);
     });
     AsyncHttpClient http(loop);
-    std::size_t rowCount = 0;
+    int rowCount = 0;
     TableFeedSettings settings;
     settings.pollDelay = Millis{2'000};
     TableFeed feed(loop, http, server.listen("127.0.0.1:0"), "t", settings,
-                   [&](const TableFeed::Rows &rows) { rowCount = rows.size(); });
+                   [&](const TableFeed::Rows &rows) { rowCount = static_cast<int>(rows.size()); });
     feed.start();
     // Generous, but too short for a pause after each page.
-    for (int i = 0; i < maxPolls && rowCount < pages * rowsPerPage; ++i) {
+    for (int i = 0; i < maxPolls && rowCount < allRows; ++i) {
         loop.runAfter(pollInterval, [&loop] { loop.stop(); });
         loop.run();
     }
-    CHECK(rowCount == pages * rowsPerPage);
+    CHECK(rowCount == allRows);
 }
