Send the fourth word of a reply only where a job was left to another shard

Cause: nodedrain_test "A stopping owner answers a peer whose submission it can't commit" failed in the whole test run on the code before this: each reply between entries had got a fourth word, where it has three for every other outcome.

Change: only the outcome delegated has the fourth word, and is unreadable without it. The other replies are what earlier versions send and expect.

Tests: the failed one passes unchanged, shardlink_test has a case for the outcome and for the mark of a delegated job; node_test and jobdelegation_test pass.

--- a/src/node/shardlink.cpp
+++ b/src/node/shardlink.cpp
@@ -20,9 +20,9 @@
 //   DELETE /shards/N/jobs/ID         CancelJob
 //   GET    /shards/N/pending/QUEUE   CountPendingJobs
 //   POST   /freed                    notification that shards have become free
-// The reply to a shard request is four words: the outcome, the job's state, the pending count and
-// the shard that the job was left to. Earlier versions send three. An outcome that the requester's
-// version does not know counts as undecided, which is safe for all.
+// The reply to a shard request is three words: the outcome, the job's state and the pending count.
+// If the outcome is Delegated, the shard that the job was left to follows. An outcome that the
+// requester's version does not know counts as undecided, which is safe for all.
 constexpr std::string_view shardsPath = "/shards/";
 constexpr std::string_view shardsFreedPath = "/freed";
 constexpr Millis notificationTimeout{500};
@@ -66,9 +66,10 @@
     std::string text(toString(reply.outcome));
     text += ' ';
     text += steps::toString(reply.state);
-    text += ' ';
-    text += std::to_string(reply.pendingCount);
-    return text + ' ' + std::to_string(reply.shard);
+    text += ' ' + std::to_string(reply.pendingCount);
+    if (reply.outcome == ShardOutcome::Delegated)
+        text += ' ' + std::to_string(reply.shard);
+    return text;
 }
 
 std::optional<ShardReply> parseReply(const std::string &text)
@@ -79,7 +80,6 @@
     ShardReply reply;
     if (!(in >> outcome >> state >> reply.pendingCount))
         return {};
-    in >> reply.shard;
     bool known = false;
     for (const ShardOutcome it : allOutcomes) {
         if (toString(it) != outcome)
@@ -91,6 +91,8 @@
         if (steps::toString(it) == state)
             reply.state = it;
     }
+    if (reply.outcome == ShardOutcome::Delegated && !(in >> reply.shard))
+        return {};
     return known ? std::optional(reply) : std::nullopt;
 }
 
--- a/tests/node/shardlink_test.cpp
+++ b/tests/node/shardlink_test.cpp
@@ -127,6 +127,19 @@
 }
 
 // While entries are replaced by a newer version, an owner may reply with words that others lack.
+TEST_CASE("A delegation and the mark of a delegated job arrive")
+{
+    PeerPair peers({ShardOutcome::Delegated, {}, 0, 2});
+    SubmitJob submit;
+    submit.spec.id = "id1";
+    submit.delegated = true;
+    const ShardReply reply = peers.request(submit);
+    CHECK((reply.outcome == ShardOutcome::Delegated));
+    CHECK(reply.shard == 2);
+    REQUIRE(peers.received.has_value());
+    CHECK(std::get<SubmitJob>(*peers.received).delegated);
+}
+
 TEST_CASE("An outcome of a newer version counts as undecided")
 {
     EventLoop loop;
