Log workers that have crashed and the runs that may be why

The logs could not tell a worker that had crashed from one that was silent, and not which runs it had started shortly before. Calls now tell whether the worker's host closed or refused the connection; a life that ends without a drain, of a worker that did not fall silent first, is logged as worker-crashed, and each run that it started within the window before as run-suspected. No decision rests on it yet.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -64,6 +64,9 @@
     Millis stallTimeout{2'500};
     int stallEstimatePercent = 60;
 
+    // A worker that crashes may do so because of any run that it started within this time before.
+    Millis crashWindow{1'500};
+
     // The time that a worker's measurement of a run covers: a measurement tells about the present
     // load only if the load has not changed within this time.
     Millis measurementWindow{500};
@@ -136,6 +139,7 @@
     std::map<CommandOutcome, std::uint64_t> startReplies;
     std::uint64_t runsStalled = 0;
     std::uint64_t workersQuarantined = 0;
+    std::uint64_t workersCrashed = 0;
     std::uint64_t runsEvacuated = 0; // Runs moved off workers that are about to leave.
     // How often tick(), takeOrders() and takeRenewals() looked at a worker, and at a run: what an
     // event costs beyond the reply that it brought.
@@ -265,6 +269,12 @@
         std::vector<CriticalRun> criticalRuns;
         std::vector<BestEffortLoad> plannedLoads;
     };
+    // What the calls to a worker have shown since it last answered one.
+    enum class Contact {
+        Answers,
+        ConnectionsClosed, // Its host closed or refused a connection: the worker is not running.
+        Silent, // A call timed out, so nothing is known of the worker.
+    };
     struct Worker
     {
         WorkerInfo info;
@@ -280,6 +290,9 @@
         Instant lastFailedStartAt;
         Instant blockedUntil; // It gets no starts until then.
         Instant avoidedUntil; // Until then it gets starts only if no other worker can take them.
+        Contact contact = Contact::Answers;
+        Instant contactLostAt; // When `contact` was last other than Answers.
+        bool lifeIsOver = false; // Another life of it, or another worker, has its address.
         bool dueTimesStale = false; // It is in `m_staleWorkers`.
         RunSummary runSummary;
         bool runSummaryStale = true; // It must be computed anew before use.
@@ -371,6 +384,14 @@
     void evacuate(const Worker &worker);
     const StepSpec *findStepSpec(const TaskRef &task) const;
 
+    // Workers that crash, and the runs that may be why (coordinatorcrashes.cpp).
+    static void noteUnanswered(Worker &worker, CommandOutcome outcome, bool connectionClosed,
+                               Instant now);
+    void endLife(Worker &worker, std::string_view why, ClockReading now);
+    void meetLife(Worker &worker, const WorkerIncarnation &life, ClockReading now);
+    std::vector<RunKey> suspectsOf(const Worker &worker) const;
+    void noteCrash(const Worker &worker, std::string_view why, ClockReading now);
+
     // Replies to start and stop orders (coordinatorreplies.cpp).
     bool recordClock(Worker &worker, const CommandReply &reply, ClockReading now);
     void noteFailedStart(Worker &worker, const Run &run, Instant now);
--- a/include/savorywick/steps/workercommands.h
+++ b/include/savorywick/steps/workercommands.h
@@ -112,6 +112,8 @@
     CommandOutcome outcome = CommandOutcome::Unknown;
     // The worker's clock when it answered.
     std::optional<std::int64_t> clockMs;
+    // Without an answer: the worker's host closed or refused the connection.
+    bool connectionClosed = false;
 };
 
 // A run that is executing on a worker.
@@ -157,6 +159,8 @@
     CommandOutcome outcome = CommandOutcome::Unknown;
     // This is set if and only if the outcome is Done.
     WorkerReport report;
+    // Without an answer: the worker's host closed or refused the connection.
+    bool connectionClosed = false;
 };
 
 } // namespace savorywick::steps
--- a/src/core/httpclient.h
+++ b/src/core/httpclient.h
@@ -63,6 +63,9 @@
     int status = 0; // The HTTP status code; 0 without a response.
     HttpHeaders headers;
     std::string body;
+    // Without a response: the server's host refused or closed the connection, so it is reachable,
+    // unlike one that is silent. Only AsyncHttpClient tells.
+    bool connectionClosed = false;
 };
 
 // Blocking HTTP/1.1 client with a pool of keep-alive connections.
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -51,6 +51,7 @@
         startReplies[outcome] += n;
     runsStalled += other.runsStalled;
     workersQuarantined += other.workersQuarantined;
+    workersCrashed += other.workersCrashed;
     runsEvacuated += other.runsEvacuated;
     workersExamined += other.workersExamined;
     runsExamined += other.runsExamined;
--- a/src/lib/steps/coordinatorreplies.cpp
+++ b/src/lib/steps/coordinatorreplies.cpp
@@ -13,7 +13,10 @@
     if (!reply.clockMs || reply.outcome == CommandOutcome::WrongIncarnation)
         return true;
     markStale(worker);
-    return worker.session.recordClock(*reply.clockMs, now.monotonic);
+    if (!worker.session.recordClock(*reply.clockMs, now.monotonic))
+        return false;
+    worker.contact = Contact::Answers;
+    return true;
 }
 
 void Coordinator::handleStartReply(const StartRunCommand &order, const CommandReply &reply,
@@ -24,6 +27,8 @@
     const bool sameLife = worker != m_workers.end()
         && worker->second.session.incarnation() == order.target.worker
         && recordClock(worker->second, reply, now);
+    if (sameLife)
+        noteUnanswered(worker->second, reply.outcome, reply.connectionClosed, now.monotonic);
     const RunKey key{order.task, order.run};
     Run *run = m_runs.find(key);
     if (!run || run->phase != RunPhase::StartSent)
@@ -69,6 +74,7 @@
     if (worker == m_workers.end() || worker->second.session.incarnation() != order.target.worker)
         return;
     recordClock(worker->second, reply, now);
+    noteUnanswered(worker->second, reply.outcome, reply.connectionClosed, now.monotonic);
     Run *run = m_runs.find({order.task, order.run});
     if (!run || reply.outcome == CommandOutcome::Done)
         return;
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -22,10 +22,13 @@
         Worker &known = it->second;
         if (known.info == info)
             return known;
-        known.info = info;
         // The list lags behind: it may still show a life that is over.
-        known.info.incarnation = std::max(info.incarnation, known.session.incarnation());
-        known.session.update(known.info.incarnation, info.address, now.monotonic);
+        const WorkerIncarnation latest =
+            std::max(info.incarnation, known.session.incarnation());
+        meetLife(known, latest, now); // Before `info` tells of the new life.
+        known.info = info;
+        known.info.incarnation = latest;
+        known.session.update(latest, info.address, now.monotonic);
         it->second.runSummaryStale = true;
         markStale(it->second);
         return it->second;
@@ -94,6 +97,7 @@
     const bool wasResponsive = worker.session.responsive();
     const Millis silence = now.monotonic - worker.session.lastAnswerAt();
     if (reply.outcome != CommandOutcome::Done) {
+        noteUnanswered(worker, reply.outcome, reply.connectionClosed, now.monotonic);
         if (wasResponsive)
             noteWorker(SchedulerEventKind::WorkerUnresponsive, id, toString(reply.outcome),
                        silence);
@@ -102,13 +106,18 @@
             std::max(worker.avoidedUntil, now.monotonic + m_settings.workerAvoidance);
         if (reply.outcome == CommandOutcome::Fenced)
             worker.session.raiseFence(now.monotonic);
+        if (reply.outcome == CommandOutcome::WrongIncarnation)
+            endLife(worker, "other-life", now);
         return;
     }
     if (!worker.session.renewalAnswered(reply.report, now.monotonic)) {
-        worker.info.incarnation.startedWallMs = reply.report.startedWallMs;
-        worker.session.update(worker.info.incarnation, worker.info.address, now.monotonic);
+        const WorkerIncarnation life{id, reply.report.startedWallMs};
+        meetLife(worker, life, now);
+        worker.info.incarnation = life;
+        worker.session.update(life, worker.info.address, now.monotonic);
         return;
     }
+    worker.contact = Contact::Answers;
     if (!wasResponsive && worker.session.responsive())
         noteWorker(SchedulerEventKind::WorkerRecovered, id, "answered", silence);
     processEndReports(worker, reply.report, now);
--- a/src/lib/steps/schedulerevent.cpp
+++ b/src/lib/steps/schedulerevent.cpp
@@ -33,6 +33,10 @@
         return "worker-lapsed";
     case SchedulerEventKind::WorkerQuarantined:
         return "worker-suspected";
+    case SchedulerEventKind::WorkerCrashed:
+        return "worker-crashed";
+    case SchedulerEventKind::RunSuspected:
+        return "run-suspected";
     case SchedulerEventKind::StepWaiting:
         return "step-waiting";
     }
--- a/src/net/httpclientconnection.cpp
+++ b/src/net/httpclientconnection.cpp
@@ -43,6 +43,14 @@
     text.append("\r\n").append(call.body);
 }
 
+// Returns true if and only if the error tells that the peer's host refused or closed the
+// connection.
+bool isClosedByPeer(const error_code &ec)
+{
+    return ec == asio::error::connection_refused || ec == asio::error::connection_reset
+        || ec == asio::error::broken_pipe || ec == asio::error::eof;
+}
+
 } // namespace
 
 HttpClientConnection::HttpClientConnection(EventLoop &loop, DeadlineTimer &deadlines,
@@ -74,7 +82,7 @@
     if (!m_socket.is_open())
         return;
     if (ec)
-        return failLater(HttpOutcome::NotSent);
+        return failLater(HttpOutcome::NotSent, isClosedByPeer(ec));
     error_code ignored; // Without these options, requests are only slower.
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     m_socket.non_blocking(true, ignored);
@@ -125,7 +133,7 @@
     if (ec == asio::error::would_block)
         n = 0;
     else if (ec)
-        return failLater(HttpOutcome::ConnectionLost);
+        return failLater(HttpOutcome::ConnectionLost, isClosedByPeer(ec));
     if (n == m_request.size())
         return;
     m_writing = true;
@@ -133,7 +141,8 @@
                       [self = shared_from_this()](const error_code &writeError, std::size_t) {
                           self->m_writing = false;
                           if (writeError && self->m_socket.is_open())
-                              self->failLater(HttpOutcome::ConnectionLost);
+                              self->failLater(HttpOutcome::ConnectionLost,
+                                              isClosedByPeer(writeError));
                       });
 }
 
@@ -164,7 +173,7 @@
     if (!parseError && m_parser->is_done())
         return complete(peerClosed);
     if (ec || parseError)
-        return failLater(HttpOutcome::ConnectionLost);
+        return failLater(HttpOutcome::ConnectionLost, isClosedByPeer(ec));
     if (m_stallTimeout) {
         endTimeLimit();
         limitTime(*m_stallTimeout, HttpOutcome::TimedOut);
@@ -208,16 +217,16 @@
                            reusable);
 }
 
-void HttpClientConnection::failLater(HttpOutcome outcome)
+void HttpClientConnection::failLater(HttpOutcome outcome, bool closedByPeer)
 {
     if (const auto listener = m_listener.lock())
         endTimeLimit();
     close();
-    m_loop.post([self = shared_from_this(), outcome] {
+    m_loop.post([self = shared_from_this(), outcome, closedByPeer] {
         const Callback callback = std::exchange(self->m_callback, nullptr);
         const auto listener = self->m_listener.lock();
         if (listener && callback)
-            listener->requestEnded(self, {outcome, 0, {}, {}}, callback, false);
+            listener->requestEnded(self, {outcome, 0, {}, {}, closedByPeer}, callback, false);
     });
 }
 
--- a/src/net/httpclientconnection.h
+++ b/src/net/httpclientconnection.h
@@ -71,7 +71,7 @@
     void parse(boost::system::error_code &ec);
     void complete(bool peerClosed);
     // Closes the connection now and reports the outcome in a later turn of the loop.
-    void failLater(HttpOutcome outcome);
+    void failLater(HttpOutcome outcome, bool closedByPeer = false);
 
     EventLoop &m_loop;
     DeadlineTimer &m_deadlines;
--- a/src/node/schedulerlog.cpp
+++ b/src/node/schedulerlog.cpp
@@ -20,6 +20,7 @@
     case SchedulerEventKind::JobEnded:
     case SchedulerEventKind::WorkerLeaseExpired:
     case SchedulerEventKind::WorkerQuarantined:
+    case SchedulerEventKind::WorkerCrashed:
     case SchedulerEventKind::StepWaiting:
         return logInfo;
     case SchedulerEventKind::RunPlaced:
@@ -35,6 +36,7 @@
     case SchedulerEventKind::RunUnconfirmed:
     case SchedulerEventKind::WorkerUnresponsive:
     case SchedulerEventKind::WorkerRecovered:
+    case SchedulerEventKind::RunSuspected:
         return logNotable;
     }
     return logInfo;
