--- a/tests/steps/coordinatorharness.h
+++ b/tests/steps/coordinatorharness.h
@@ -94,6 +94,21 @@
         m_coordinator->setWorkers(m_workers, now());
     }
 
+    // Ends the worker's process. Its host refuses connections until the worker is back after `down`
+    // under a new id, at the address that it had.
+    void crash(const std::string &worker, Millis down = Millis{3'000})
+    {
+        m_backAt.emplace(worker, m_now + down);
+        crashes.push_back(worker);
+    }
+
+    // Returns how often the task was started.
+    int startCount(const TaskRef &ref) const
+    {
+        return static_cast<int>(std::count_if(
+            starts.begin(), starts.end(), [&](const auto &it) { return it.task == ref; }));
+    }
+
     // Advances the time in small steps. Every renewal is answered with the runs that were started.
     void advance(Millis span)
     {
@@ -107,6 +122,7 @@
     // recorded; stop orders are answered with `stopOutcome`.
     void step()
     {
+        restartCrashedWorkers();
         m_coordinator->tick(now());
         for (int round = 0; round < 3; ++round) {
             for (std::string &it : m_coordinator->takeRecords())
@@ -146,6 +162,8 @@
     }
 
     std::vector<StartRunCommand> starts;
+    std::set<std::string> crashingJobs; // Their first task crashes each worker that starts it.
+    std::vector<std::string> crashes; // The workers that have crashed, the earliest first.
     std::vector<StopRunCommand> stops;
     std::vector<ThrottleRunCommand> throttles;
     CommandOutcome stopOutcome = CommandOutcome::Done;
@@ -163,8 +181,39 @@
 private:
     static constexpr int milliCoresInUse = 4'000; // That other runs use at full speed.
 
+    // Lists each worker whose time has come under a new id.
+    void restartCrashedWorkers()
+    {
+        bool changed = false;
+        for (WorkerInfo &it : m_workers) {
+            const auto back = m_backAt.find(it.incarnation.workerId);
+            if (back == m_backAt.end() || m_now < back->second)
+                continue;
+            it.incarnation = {it.incarnation.workerId + "'", m_now.count()};
+            m_startedWallMs[it.incarnation.workerId] = m_now.count();
+            changed = true;
+        }
+        if (changed)
+            m_coordinator->setWorkers(m_workers, now());
+    }
+
+    // Returns how a call to a worker that has crashed fails, or nothing if it has not.
+    std::optional<CommandReply> crashedReply(const CommandTarget &target) const
+    {
+        const auto back = m_backAt.find(target.worker.workerId);
+        if (back == m_backAt.end())
+            return {};
+        if (target.address.empty())
+            return CommandReply{CommandOutcome::NotSent, {}, false};
+        return m_now < back->second ? CommandReply{CommandOutcome::NotSent, {}, true}
+                                    : CommandReply{CommandOutcome::WrongIncarnation, {}, false};
+    }
+
     void respond(const RenewLeaseCommand &order)
     {
+        if (const auto failure = crashedReply(order.target))
+            return m_coordinator->handleRenewReply(
+                order, {failure->outcome, {}, failure->connectionClosed}, now());
         if (silentWorkers.contains(order.target.worker.workerId))
             return m_coordinator->handleRenewReply(order, {}, now());
         Fence &highest = m_fences[order.target.worker.workerId];
@@ -194,6 +243,8 @@
     }
     void respond(const StartRunCommand &order)
     {
+        if (const auto failure = crashedReply(order.target))
+            return m_coordinator->handleStartReply(order, *failure, now());
         const auto outcome = startOutcomes.find(order.target.worker.workerId);
         if (outcome != startOutcomes.end() && outcome->second != CommandOutcome::Done) {
             refusedStarts.push_back(order);
@@ -203,9 +254,13 @@
         if (failingWorkers.contains(order.target.worker.workerId))
             reportFailure(order);
         m_coordinator->handleStartReply(order, {CommandOutcome::Done, m_now.count()}, now());
+        if (order.task.index == 0 && crashingJobs.contains(order.task.job))
+            crash(order.target.worker.workerId);
     }
     void respond(const StopRunCommand &order)
     {
+        if (const auto failure = crashedReply(order.target))
+            return m_coordinator->handleStopReply(order, *failure, now());
         stops.push_back(order);
         if (stopsEndRuns)
             reportEnd(order.target.worker.workerId, {order.task, order.run}, RunOutcome::Stopped);
@@ -233,6 +288,7 @@
     LogSequenceNumber m_lsn = 0;
     std::map<std::string, std::vector<RunEndReport>> m_endReports;
     std::set<RunKey> m_endedRuns;
+    std::map<std::string, Instant> m_backAt; // When crashed workers are back under new ids.
     std::map<std::string, Fence> m_fences; // The highest that each worker has seen.
     std::map<std::string, std::int64_t> m_startedWallMs; // When each worker's life began.
 };
