Give up a task that crashes its workers, and nobody beside it

Callers saw worker after worker vanish, each with all that ran there. A crashed worker counted as a silent one: its runs ended as lapsed 6.3 s later, which counts against nothing, so the task that had crashed it was started again, for ever.

A worker that answers until its host closes the connection, and at whose address another life is met or which refuses connections until its lease is over, has crashed. The runs that it had started within the window before are suspects. Where they are of one job, the crash counts against them; where not, they are suspected and started again where no other new run is, one a worker, so that the next crash tells. A task that has caused two in a row is given up with its job; one whose run lasts is cleared. A silent or draining worker counts for nothing, nor does the first crash under a task while workers crash without a cause.

Since another life at its address proves that a worker is over, its runs end at once, not with the lease.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -66,6 +66,9 @@
 
     // A worker that crashes may do so because of any run that it started within this time before.
     Millis crashWindow{1'500};
+    // After a crash that no run explains, workers may be failing by themselves. For this time a
+    // task is not found to be the cause when a worker crashes under it for the first time.
+    Millis unexplainedCrashMemory{10'000};
 
     // The time that a worker's measurement of a run covers: a measurement tells about the present
     // load only if the load has not changed within this time.
@@ -268,6 +271,9 @@
         int idleMilliCores = 0;
         std::vector<CriticalRun> criticalRuns;
         std::vector<BestEffortLoad> plannedLoads;
+        int runCount = 0;
+        Instant latestStartAt; // Of any run.
+        bool hasProbation = false; // Some run is on probation.
     };
     // What the calls to a worker have shown since it last answered one.
     enum class Contact {
@@ -389,8 +395,12 @@
                                Instant now);
     void endLife(Worker &worker, std::string_view why, ClockReading now);
     void meetLife(Worker &worker, const WorkerIncarnation &life, ClockReading now);
+    void meetOtherWorker(Worker &worker, ClockReading now);
     std::vector<RunKey> suspectsOf(const Worker &worker) const;
-    void noteCrash(const Worker &worker, std::string_view why, ClockReading now);
+    void judgeCrash(const Worker &worker, std::string_view why, ClockReading now);
+    bool mayBeChance(std::span<const RunKey> blamed, Instant now) const;
+    void clearIfLasting(Worker &worker, Run &run);
+    bool isSuspected(const TaskRef &task) const;
 
     // Replies to start and stop orders (coordinatorreplies.cpp).
     bool recordClock(Worker &worker, const CommandReply &reply, ClockReading now);
@@ -434,6 +444,8 @@
     CandidateWorker candidateOf(Worker &worker, const PassNeeds &needs, Instant now);
     void tryQuarantinedWorkers(const ReadyStep &step, const PlacementPass &pass, ClockReading now);
     bool placeStep(const ReadyStep &step, PlacementPass &pass, ClockReading now);
+    bool placeTasks(const ReadyStep &step, std::span<const int> indexes,
+                    PlacementConstraints constraints, PlacementPass &pass, ClockReading now);
     void startOneSlowly(const ReadyStep &step, PlacementPass &pass, ClockReading now);
     RunKey startTask(const ReadyStep &step, int index, CandidateWorker &worker, int speedPercent,
                      ClockReading now);
@@ -483,6 +495,7 @@
     std::vector<WorkerCommand> m_immediateOrders;
     std::unordered_map<std::string, DurableJob> m_durableJobs;
     std::map<std::string, int, std::less<>> m_pendingJobs; // Count of durable jobs by queue.
+    std::optional<Instant> m_unexplainedCrashAt; // The latest crash that no run explains.
     bool m_placementNeeded = true;
     Instant m_nextPlacementAt; // The earliest time of the next placement pass.
     Instant m_placementDueAt; // The latest time of the next placement pass if steps wait.
--- a/include/savorywick/steps/job.h
+++ b/include/savorywick/steps/job.h
@@ -169,6 +169,8 @@
     GangBroken, // Another member of the gang ended.
     GangIncomplete, // The other members of the gang did not start in time.
     NeverStarted, // The start command had no effect and never will.
+    WorkerCrashed, // The worker crashed after it had lately started this run and others.
+    CausedCrash, // The worker crashed, and only this run, or others of its job, can be why.
 };
 
 // Returns the outcome's name for logs and metrics, such as "never-started".
@@ -196,6 +198,10 @@
     std::string checkpoint;
     // There is more than one active run only if the step allows duplicates.
     std::vector<ActiveRun> activeRuns;
+    // A worker crashed under a run, which may be why, and no run has lasted since.
+    bool suspected = false;
+    // How many crashes it has been found to be the cause of since then.
+    int causedCrashes = 0;
 };
 
 // The durable state of a step.
--- a/include/savorywick/steps/jobtable.h
+++ b/include/savorywick/steps/jobtable.h
@@ -35,8 +35,12 @@
     // Returns the jobs that were left to other shards, by id.
     const Delegations &delegations() const { return m_delegations; }
 
+    // Returns the worker's address, or an empty string if it is unknown.
+    std::string workerAddress(std::string_view worker) const;
+
     // Returns records that produce this state when they are applied to an empty table. Of the tasks
-    // of an ended job only those that still have a run are included, as no others matter any more.
+    // of an ended job only those that still have a run are included, as no others matter any more,
+    // and of the addresses only those of workers that have runs.
     std::vector<Record> snapshot() const;
 
 private:
@@ -51,6 +55,7 @@
 
     Jobs m_jobs;
     Delegations m_delegations;
+    std::map<std::string, std::string, std::less<>> m_workerAddresses; // By id.
 };
 
 } // namespace savorywick::steps
--- a/include/savorywick/steps/placement.h
+++ b/include/savorywick/steps/placement.h
@@ -32,6 +32,8 @@
     std::vector<LatencyCriticalRun> latencyCriticalRuns;
     // False while a long-running run misses its latency target, or did so recently.
     bool acceptsBestEffort = true;
+    int runCount = 0; // Runs that are on the worker.
+    bool hasNewRuns = false; // Some were started so lately that they may yet crash it.
     bool avoided = false; // It is the last choice, since it has lately failed to start runs.
 
     // Leaves no room for further tasks.
@@ -55,6 +57,8 @@
     int bestEffortSpeedPercent = 100; // The speed at which a best-effort task is to start.
     // Whether a best-effort task may start beside runs that miss their targets without it.
     bool besideMisses = false;
+    // Whether the tasks are suspected of crashing their workers.
+    bool onProbation = false;
 };
 
 // Returns true if and only if enough of the worker's processors are idle for a best-effort task
@@ -111,7 +115,8 @@
 // preferred rack, then the tightest fit, which keeps free resources in large pieces for large
 // tasks. Long-running tasks with a latency target prefer workers with few other images, so that few
 // pairs of images share a worker. Best-effort tasks go where they cost latency-critical runs the
-// least headroom, then where the most processors are idle.
+// least headroom, then where the most processors are idle. Tasks that are suspected of crashing
+// workers go where no other run can be the cause, and then where the fewest others would be lost.
 //
 // The arguments of the constructor must outlive the object. Not thread-safe.
 //
--- a/include/savorywick/steps/record.h
+++ b/include/savorywick/steps/record.h
@@ -41,6 +41,20 @@
     std::int64_t wallMs = 0;
 };
 
+// A run of the task lasted, so that it is no longer suspected of crashing workers.
+struct TaskCleared
+{
+    TaskRef task;
+};
+
+// The worker has this address. The record precedes those of the runs on it, so that a later owner
+// can ask after them although the platform no longer lists the worker.
+struct WorkerAddress
+{
+    std::string workerId;
+    std::string address;
+};
+
 // A caller cancelled the job.
 struct JobCancelled
 {
@@ -78,8 +92,9 @@
     std::int64_t endedWallMs = 0;
 };
 
-using Record = std::variant<JobAccepted, RunStarted, RunEnded, JobCancelled, JobPurged,
-                            JobDelegated, TaskSnapshot, JobStateSnapshot>;
+using Record =
+    std::variant<JobAccepted, RunStarted, RunEnded, JobCancelled, JobPurged, JobDelegated,
+                 TaskSnapshot, JobStateSnapshot, TaskCleared, WorkerAddress>;
 
 // Returns the record as one line of text without a line end.
 std::string encodeRecord(const Record &record);
--- a/include/savorywick/steps/runtable.h
+++ b/include/savorywick/steps/runtable.h
@@ -51,6 +51,10 @@
     Instant stepReadySince;
     // It was started beside long-running runs that missed their targets without it.
     bool besideMisses = false;
+    // The task is suspected of crashing workers; no other is started on the worker until it lasts.
+    bool onProbation = false;
+    // How the run counts as ended if it is found to be gone, since its worker crashed.
+    std::optional<RunOutcome> outcomeOfCrash;
     bool isProbe = false; // It shows whether its worker may leave the quarantine.
     // What is allocated to the run on its worker.
     ResourceVector allocated;
--- a/include/savorywick/steps/schedulerevent.h
+++ b/include/savorywick/steps/schedulerevent.h
@@ -27,6 +27,7 @@
     WorkerQuarantined, // The worker was quarantined because too many runs fail on it.
     WorkerCrashed, // The worker's life ended without a drain while it answered until then.
     RunSuspected, // The run may be why its worker crashed.
+    RunCleared, // The run of a suspected task has lasted, so that the task is suspected no more.
     StepWaiting, // A step has had a task that may start, and no worker for it, for long.
 };
 
@@ -47,8 +48,8 @@
     std::string_view reason;
     // The time since the occurrence was due for JobStarted, RunPlaced and JobEnded, since the
     // worker last answered for events of workers' leases, and since the step has waited for
-    // StepWaiting; the time that the run had been on its worker for RunSuspected. StopRequested and WorkerQuarantined have 0; other events have the time since the
-    // run was started.
+    // StepWaiting; the time that the run had been on its worker for RunSuspected. StopRequested and
+    // WorkerQuarantined have 0; other events have the time since the run was started.
     Millis age;
     // The processors left on the worker, in thousandths of a core, for RunPlaced; the new speed in
     // percent for RunThrottled; the progress in percent for RunConfirmed, RunEnded and
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -387,7 +387,8 @@
         const Job *job = m_table.find(key.task.job);
         const bool mayStart = job && !isFinal(job->state) && !run->stopRequested
             && it != m_workers.end() && it->second.session.incarnation() == run->incarnation
-            && it->second.session.responsive() && !it->second.info.draining;
+            && it->second.session.responsive() && !it->second.lifeIsOver
+            && !it->second.info.draining;
         if (!mayStart) {
             endRun(key, RunOutcome::NeverStarted, {}, now);
             continue;
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -25,6 +25,8 @@
 {
     if (!worker.everListed || worker.info.draining || !worker.session.responsive())
         return false;
+    if (worker.lifeIsOver)
+        return false;
     if (worker.unlistedSince && now - *worker.unlistedSince > m_settings.unlistedGracePeriod)
         return false;
     return now >= worker.blockedUntil;
@@ -74,8 +76,13 @@
     const std::vector<RunKey> keys = m_runs.onWorker(id);
     summary.plannedLoads = plannedBestEffortLoads(keys);
     summary.criticalRuns.clear();
+    summary.runCount = static_cast<int>(keys.size());
+    summary.latestStartAt = {};
+    summary.hasProbation = false;
     for (const RunKey &key : keys) {
         const Run &run = *m_runs.find(key);
+        summary.latestStartAt = std::max(summary.latestStartAt, run.startedAt);
+        summary.hasProbation = summary.hasProbation || run.onProbation;
         if (run.longRunning && run.latencyTarget != Millis{0})
             summary.criticalRuns.push_back({key.task.job, run.image});
     }
@@ -90,12 +97,16 @@
         summarizeRuns(worker);
     const RunSummary &summary = worker.runSummary;
     CandidateWorker candidate{&worker.info, summary.available, summary.idleMilliCores, {}};
+    candidate.runCount = summary.runCount;
+    candidate.hasNewRuns = now - summary.latestStartAt <= m_settings.crashWindow;
     candidate.avoided = now < worker.avoidedUntil;
     candidate.acceptsBestEffort = acceptsBestEffort(worker, now);
     const bool fitsBestEffort = (candidate.acceptsBestEffort || needs.besideMisses)
         && needs.bestEffortMilliCores && hasIdleProcessors(candidate, *needs.bestEffortMilliCores);
     if (fitsBestEffort || needs.images)
         addInterferenceState(worker, candidate, now);
+    if (summary.hasProbation)
+        candidate.closeToTasks();
     return candidate;
 }
 
@@ -232,8 +243,27 @@
         return false;
     PlacementConstraints constraints = constraintsFor(step.ref);
     constraints.minHeadroom = minHeadroom;
+    std::vector<int> indexes = tasksToStart(step.ref);
+    const auto firstSuspect = std::stable_partition(indexes.begin(), indexes.end(), [&](int index) {
+        return !isSuspected({step.ref.job, step.ref.occurrence, step.ref.step, index});
+    });
+    if (!placeTasks(step, {indexes.begin(), firstSuspect}, constraints, pass, now))
+        return false;
+    if (firstSuspect == indexes.end())
+        return true;
+    constraints = constraintsFor(step.ref);
+    constraints.minHeadroom = minHeadroom;
+    constraints.onProbation = true;
+    return placeTasks(step, {firstSuspect, indexes.end()}, constraints, pass, now);
+}
+
+// Starts these tasks of the step. Returns true if and only if there were workers for all.
+bool Coordinator::placeTasks(const ReadyStep &step, std::span<const int> indexes,
+                             PlacementConstraints constraints, PlacementPass &pass,
+                             ClockReading now)
+{
     WorkerChooser chooser(*step.spec, constraints, pass.workers);
-    for (const int index : tasksToStart(step.ref)) {
+    for (const int index : indexes) {
         const auto chosen = chooser.choose();
         if (!chosen) {
             pass.unplaceable.add(*step.spec, constraints.service, constraints.minHeadroom);
@@ -394,6 +424,8 @@
     const WorkerIncarnation life = known.session.incarnation();
     known.runSummaryStale = true;
     markStale(known);
+    if (m_table.workerAddress(id) != known.info.address)
+        appendRecord(WorkerAddress{id, known.info.address});
     appendRecord(RunStarted{task, run, life});
     if (wasQueued)
         publishWhenDurable(task.job);
@@ -411,7 +443,8 @@
     const bool isRetry = known.failedStarts > 0;
     if (isRetry)
         known.blockedUntil = now.monotonic + m_settings.maxStartRetryDelay;
-    if (added.isProbe || isRetry)
+    added.onProbation = isSuspected(task);
+    if (added.isProbe || isRetry || added.onProbation)
         worker.closeToTasks(); // It is tried with this one task.
     m_runs.add(std::move(added));
     m_uncommittedStarts.push_back({0, {task, run}});
--- a/src/lib/steps/coordinatorreplies.cpp
+++ b/src/lib/steps/coordinatorreplies.cpp
@@ -63,7 +63,10 @@
                 now.monotonic - run->startedAt);
         if (sameLife && reply.outcome == CommandOutcome::NotSent)
             worker->second.session.markUnresponsive();
-        return endRun(key, RunOutcome::NeverStarted, {}, now);
+        endRun(key, RunOutcome::NeverStarted, {}, now);
+        if (sameLife && reply.outcome == CommandOutcome::WrongIncarnation)
+            meetOtherWorker(worker->second, now);
+        return;
     }
 }
 
@@ -75,6 +78,8 @@
         return;
     recordClock(worker->second, reply, now);
     noteUnanswered(worker->second, reply.outcome, reply.connectionClosed, now.monotonic);
+    if (reply.outcome == CommandOutcome::WrongIncarnation)
+        return meetOtherWorker(worker->second, now);
     Run *run = m_runs.find({order.task, order.run});
     if (!run || reply.outcome == CommandOutcome::Done)
         return;
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -23,8 +23,7 @@
         if (known.info == info)
             return known;
         // The list lags behind: it may still show a life that is over.
-        const WorkerIncarnation latest =
-            std::max(info.incarnation, known.session.incarnation());
+        const WorkerIncarnation latest = std::max(info.incarnation, known.session.incarnation());
         meetLife(known, latest, now); // Before `info` tells of the new life.
         known.info = info;
         known.info.incarnation = latest;
@@ -70,16 +69,18 @@
     Run run =
         makeRun({task, active.number}, job.spec.steps[task.step], active.worker, m_ownedSince);
     run.phase = RunPhase::Unconfirmed;
+    run.onProbation = isSuspected(task);
     m_runs.add(std::move(run));
     const std::string &id = active.worker.workerId;
     if (m_workers.contains(id))
         return noteRunsChanged(id);
-    // The platform has not listed the worker yet. If it never does, the worker's lease lapses and
-    // the run ends.
-    Worker worker{
-        {.incarnation = active.worker},
-        WorkerSession(active.worker, {}, m_firstFence, m_ownedSince, m_settings.workerSessions),
-        m_ownedSince};
+    // The platform has not listed the worker yet. If it never does, the run ends when the worker's
+    // lease lapses or another life of it is met at its address.
+    const std::string address = m_table.workerAddress(id);
+    Worker worker{{.incarnation = active.worker, .address = address},
+                  WorkerSession(active.worker, address, m_firstFence, m_ownedSince,
+                                m_settings.workerSessions),
+                  m_ownedSince};
     m_quarantine.addWorker(id);
     m_workers.emplace(id, std::move(worker));
     noteRunsChanged(id);
@@ -107,7 +108,7 @@
         if (reply.outcome == CommandOutcome::Fenced)
             worker.session.raiseFence(now.monotonic);
         if (reply.outcome == CommandOutcome::WrongIncarnation)
-            endLife(worker, "other-life", now);
+            meetOtherWorker(worker, now);
         return;
     }
     if (!worker.session.renewalAnswered(reply.report, now.monotonic)) {
@@ -118,6 +119,7 @@
         return;
     }
     worker.contact = Contact::Answers;
+    worker.lifeIsOver = false;
     if (!wasResponsive && worker.session.responsive())
         noteWorker(SchedulerEventKind::WorkerRecovered, id, "answered", silence);
     processEndReports(worker, reply.report, now);
@@ -161,6 +163,8 @@
         }
         if (run->incarnation != worker.session.incarnation())
             m_runs.setIncarnation(key, worker.session.incarnation());
+        run->outcomeOfCrash.reset();
+        clearIfLasting(worker, *run);
         const bool wasRunning = run->phase == RunPhase::Running;
         if (!wasRunning) {
             if (run->startFence == 0)
@@ -229,6 +233,9 @@
     if (!known)
         return;
     const Run run = *known;
+    const bool foundGone = how == RunOutcome::LeaseExpired || how == RunOutcome::NeverStarted;
+    if (foundGone)
+        how = run.outcomeOfCrash.value_or(how);
     m_runs.remove(key);
     m_stallChecks.cancel(key);
     noteRunsChanged(run.workerId);
@@ -395,9 +402,12 @@
         const Run &run = *m_runs.find(key);
         return run.phase == RunPhase::StartPending || now.monotonic < leaseEndOf(run);
     });
+    Worker &worker = m_workers.at(id);
+    if (worker.contact == Contact::ConnectionsClosed)
+        endLife(worker, "refused", now);
     if (!lapsedRuns.empty())
         noteWorker(SchedulerEventKind::WorkerLeaseExpired, id, "lease-over",
-                   now.monotonic - m_workers.at(id).session.lastAnswerAt());
+                   now.monotonic - worker.session.lastAnswerAt());
     for (const RunKey &key : lapsedRuns)
         endRun(key, RunOutcome::LeaseExpired, {}, now);
 }
--- a/src/lib/steps/job.cpp
+++ b/src/lib/steps/job.cpp
@@ -47,6 +47,10 @@
         return "alone";
     case RunOutcome::NeverStarted:
         return "never-started";
+    case RunOutcome::WorkerCrashed:
+        return "worker-crashed";
+    case RunOutcome::CausedCrash:
+        return "caused-crash";
     }
     return "unnamed";
 }
--- a/src/lib/steps/jobtable.cpp
+++ b/src/lib/steps/jobtable.cpp
@@ -1,6 +1,7 @@
 #include "savorywick/steps/jobtable.h"
 
 #include <algorithm>
+#include <set>
 
 namespace savorywick::steps {
 
@@ -10,6 +11,9 @@
 // failure counts once.
 constexpr int gangLeaderIndex = 0;
 
+// A job is given up once one of its tasks has caused this many crashes in a row: one may be chance.
+constexpr int maxCausedCrashes = 2;
+
 // Returns true if and only if the task had an active run with this number.
 bool eraseRun(Task &task, int number)
 {
@@ -17,6 +21,14 @@
         > 0;
 }
 
+// Notes what the end of a run says of crashes of its worker.
+void recordCrash(Task &task, RunOutcome outcome)
+{
+    const bool caused = outcome == RunOutcome::CausedCrash;
+    task.suspected = task.suspected || caused || outcome == RunOutcome::WorkerCrashed;
+    task.causedCrashes += caused ? 1 : 0;
+}
+
 } // namespace
 
 struct JobTable::RecordApplier
@@ -52,6 +64,10 @@
         const bool wasActive = eraseRun(*task, it.run);
         if (!it.checkpoint.empty())
             task->checkpoint = it.checkpoint;
+        if (wasActive)
+            recordCrash(*task, it.outcome);
+        if (task->causedCrashes >= maxCausedCrashes)
+            endJob(*job, JobState::Failed, it.wallMs);
         const StepSpec &spec = job->spec.steps[it.task.step];
         if (spec.gang)
             return endGangRun(*job, it);
@@ -64,6 +80,21 @@
             endJob(*job, JobState::Failed, it.wallMs);
     }
 
+    void operator()(const TaskCleared &it) const
+    {
+        Job *job = table.findJob(it.task.job);
+        Task *task = job ? findTask(*job, it.task) : nullptr;
+        if (!task)
+            return;
+        task->suspected = false;
+        task->causedCrashes = 0;
+    }
+
+    void operator()(const WorkerAddress &it) const
+    {
+        table.m_workerAddresses[it.workerId] = it.address;
+    }
+
     void operator()(const JobCancelled &it) const
     {
         if (Job *job = table.findJob(it.job))
@@ -184,9 +215,16 @@
     job.endedWallMs = wallMs;
 }
 
+std::string JobTable::workerAddress(std::string_view worker) const
+{
+    const auto it = m_workerAddresses.find(worker);
+    return it == m_workerAddresses.end() ? std::string() : it->second;
+}
+
 std::vector<Record> JobTable::snapshot() const
 {
     std::vector<Record> records;
+    std::set<std::string_view> workers; // That have runs.
     for (const auto &[id, job] : m_jobs) {
         records.emplace_back(JobAccepted{job.spec, job.acceptedWallMs});
         for (const auto &[k, occurrence] : job.occurrences) {
@@ -195,6 +233,8 @@
                 for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
                     if (!isFinal(job.state) || !tasks[i].activeRuns.empty())
                         records.emplace_back(TaskSnapshot{{id, k, s, i}, tasks[i]});
+                    for (const ActiveRun &run : tasks[i].activeRuns)
+                        workers.insert(run.worker.workerId);
                 }
             }
         }
@@ -202,6 +242,10 @@
     }
     for (const auto &[id, delegation] : m_delegations)
         records.emplace_back(delegation);
+    for (const auto &[id, address] : m_workerAddresses) {
+        if (workers.contains(id))
+            records.emplace_back(WorkerAddress{id, address});
+    }
     return records;
 }
 
--- a/src/lib/steps/placement.cpp
+++ b/src/lib/steps/placement.cpp
@@ -186,6 +186,8 @@
     bool eligible = false; // The worker can take the task.
     bool avoided = false;
     bool failedBefore = false;
+    bool hasNewRuns = false; // Only for tasks on probation, like `runCount`.
+    int runCount = 0;
     bool otherRack = false;
     int headroomCostSteps = 0; // Of best-effort tasks; 0 for others.
     int otherImages = 0; // Runs of other images; only for tasks with a latency target.
@@ -195,8 +197,8 @@
 
     auto key() const
     {
-        return std::tie(avoided, failedBefore, otherRack, headroomCostSteps, otherImages,
-                        accelerators, milliCores);
+        return std::tie(avoided, failedBefore, hasNewRuns, runCount, otherRack, headroomCostSteps,
+                        otherImages, accelerators, milliCores);
     }
 
     static Rank of(const StepSpec &spec, const PlacementConstraints &constraints,
@@ -219,6 +221,8 @@
     rank.failedBefore = std::find(constraints.avoidedWorkers.begin(),
                                   constraints.avoidedWorkers.end(), info.incarnation.workerId)
         != constraints.avoidedWorkers.end();
+    rank.hasNewRuns = constraints.onProbation && worker.hasNewRuns;
+    rank.runCount = constraints.onProbation ? worker.runCount : 0;
     rank.otherRack = !rack.empty() && rack != info.rack;
     rank.accelerators = worker.available.accelerators - spec.demand.accelerators;
     rank.milliCores = worker.available.milliCores - spec.demand.milliCores;
--- a/src/lib/steps/record.cpp
+++ b/src/lib/steps/record.cpp
@@ -157,6 +157,8 @@
         return it;
     }
 
+    bool atEnd() const { return m_rest.empty(); }
+
     void expectEnd() const
     {
         if (!m_rest.empty())
@@ -280,6 +282,8 @@
         w.text(it.state.checkpoint).number(static_cast<std::int64_t>(it.state.activeRuns.size()));
         for (const ActiveRun &run : it.state.activeRuns)
             w.number(run.number).worker(run.worker);
+        if (it.state.suspected) // Else it has caused none. Few tasks are suspected.
+            w.number(it.state.causedCrashes);
         return w.take();
     }
     std::string operator()(const JobStateSnapshot &it) const
@@ -287,6 +291,14 @@
         FieldWriter w('R');
         return w.text(it.job).number(static_cast<int>(it.state)).number(it.endedWallMs).take();
     }
+    std::string operator()(const TaskCleared &it) const
+    {
+        return FieldWriter('K').task(it.task).take();
+    }
+    std::string operator()(const WorkerAddress &it) const
+    {
+        return FieldWriter('A').text(it.workerId).text(it.address).take();
+    }
 };
 
 JobAccepted readJobAccepted(FieldReader &r)
@@ -315,7 +327,7 @@
     RunEnded it;
     it.task = r.task();
     it.run = r.number<int>();
-    it.outcome = r.enumerator(RunOutcome::NeverStarted);
+    it.outcome = r.enumerator(RunOutcome::CausedCrash);
     it.checkpoint = r.text();
     it.wallMs = r.number();
     return it;
@@ -336,6 +348,9 @@
         run.worker = r.worker();
         it.state.activeRuns.push_back(run);
     }
+    it.state.suspected = !r.atEnd();
+    if (it.state.suspected)
+        it.state.causedCrashes = r.number<int>();
     return it;
 }
 
@@ -377,6 +392,14 @@
         it.endedWallMs = r.number();
         return it;
     }
+    case 'K':
+        return TaskCleared{r.task()};
+    case 'A': {
+        WorkerAddress it;
+        it.workerId = r.text();
+        it.address = r.text();
+        return it;
+    }
     default:
         throwMalformed(line);
     }
--- a/src/lib/steps/schedulerevent.cpp
+++ b/src/lib/steps/schedulerevent.cpp
@@ -37,6 +37,8 @@
         return "worker-crashed";
     case SchedulerEventKind::RunSuspected:
         return "run-suspected";
+    case SchedulerEventKind::RunCleared:
+        return "run-cleared";
     case SchedulerEventKind::StepWaiting:
         return "step-waiting";
     }
--- a/src/node/schedulerlog.cpp
+++ b/src/node/schedulerlog.cpp
@@ -37,6 +37,7 @@
     case SchedulerEventKind::WorkerUnresponsive:
     case SchedulerEventKind::WorkerRecovered:
     case SchedulerEventKind::RunSuspected:
+    case SchedulerEventKind::RunCleared:
         return logNotable;
     }
     return logInfo;
--- a/tests/steps/coordinatorharness.h
+++ b/tests/steps/coordinatorharness.h
@@ -96,17 +96,26 @@
 
     // Ends the worker's process. Its host refuses connections until the worker is back after `down`
     // under a new id, at the address that it had.
-    void crash(const std::string &worker, Millis down = Millis{3'000})
+    void crash(const std::string &worker, Millis down)
     {
         m_backAt.emplace(worker, m_now + down);
         crashes.push_back(worker);
     }
 
+    // Crashes all workers that run.
+    void crashAll()
+    {
+        for (const WorkerInfo &it : m_workers) {
+            if (!m_backAt.contains(it.incarnation.workerId))
+                crash(it.incarnation.workerId, crashDowntime);
+        }
+    }
+
     // Returns how often the task was started.
     int startCount(const TaskRef &ref) const
     {
-        return static_cast<int>(std::count_if(
-            starts.begin(), starts.end(), [&](const auto &it) { return it.task == ref; }));
+        return static_cast<int>(std::count_if(starts.begin(), starts.end(),
+                                              [&](const auto &it) { return it.task == ref; }));
     }
 
     // Advances the time in small steps. Every renewal is answered with the runs that were started.
@@ -163,6 +172,7 @@
 
     std::vector<StartRunCommand> starts;
     std::set<std::string> crashingJobs; // Their first task crashes each worker that starts it.
+    Millis crashDowntime{3'000};
     std::vector<std::string> crashes; // The workers that have crashed, the earliest first.
     std::vector<StopRunCommand> stops;
     std::vector<ThrottleRunCommand> throttles;
@@ -255,7 +265,7 @@
             reportFailure(order);
         m_coordinator->handleStartReply(order, {CommandOutcome::Done, m_now.count()}, now());
         if (order.task.index == 0 && crashingJobs.contains(order.task.job))
-            crash(order.target.worker.workerId);
+            crash(order.target.worker.workerId, crashDowntime);
     }
     void respond(const StopRunCommand &order)
     {
--- a/tests/steps/jobtable_test.cpp
+++ b/tests/steps/jobtable_test.cpp
@@ -75,6 +75,58 @@
     }
 }
 
+TEST_CASE("A job is given up once a task has caused two crashes and no run has lasted between them")
+{
+    struct Case
+    {
+        std::vector<RunOutcome> outcomes;
+        bool clearedBetween = false;
+        bool givenUp = false;
+    };
+    const Case cases[] = {
+        {{RunOutcome::CausedCrash}, false, false},
+        {{RunOutcome::CausedCrash, RunOutcome::CausedCrash}, false, true},
+        {{RunOutcome::CausedCrash, RunOutcome::CausedCrash}, true, false},
+        {{RunOutcome::WorkerCrashed, RunOutcome::WorkerCrashed, RunOutcome::CausedCrash},
+         false,
+         false},
+        {{RunOutcome::WorkerCrashed, RunOutcome::CausedCrash, RunOutcome::CausedCrash},
+         false,
+         true},
+        {{RunOutcome::CausedCrash, RunOutcome::LeaseExpired, RunOutcome::CausedCrash}, false, true},
+    };
+    for (const Case &it : cases) {
+        for (const bool gang : {false, true}) {
+            JobTable table = tableWithJob(twoStepJob(gang));
+            int run = 0;
+            for (const RunOutcome outcome : it.outcomes) {
+                applyRun(table, {"j", 0, 0, 1}, ++run, outcome);
+                if (it.clearedBetween)
+                    table.apply(TaskCleared{{"j", 0, 0, 1}});
+            }
+            CHECK((jobState(table) == JobState::Failed) == it.givenUp);
+        }
+    }
+}
+
+TEST_CASE("A snapshot keeps what is known of crashes and the addresses of workers with runs")
+{
+    JobTable table = tableWithJob(twoStepJob());
+    table.apply(WorkerAddress{"w", "10.0.0.1:1"});
+    table.apply(WorkerAddress{"unused", "10.0.0.2:1"});
+    applyRun(table, {"j", 0, 0, 0}, 1, RunOutcome::CausedCrash);
+    table.apply(RunStarted{{"j", 0, 0, 1}, 1, worker});
+    JobTable copy;
+    for (const Record &it : table.snapshot())
+        copy.apply(decodeRecord(encodeRecord(it)));
+    CHECK(copy.workerAddress("w") == "10.0.0.1:1");
+    CHECK(copy.workerAddress("unused").empty());
+    CHECK(copy.find("j")->findTask({"j", 0, 0, 0})->suspected);
+    CHECK(copy.find("j")->findTask({"j", 0, 0, 0})->causedCrashes == 1);
+    applyRun(copy, {"j", 0, 0, 0}, 2, RunOutcome::CausedCrash);
+    CHECK((jobState(copy) == JobState::Failed));
+}
+
 TEST_CASE("A task keeps its latest checkpoint and its latest run number")
 {
     JobTable table = tableWithJob(twoStepJob());
--- a/tests/steps/record_test.cpp
+++ b/tests/steps/record_test.cpp
@@ -100,7 +100,11 @@
             JobCancelled{arbitraryText(), 18},
             JobPurged{arbitraryText()},
             JobDelegated{arbitraryText(), 3, 1'700'000'000'000},
+            RunEnded{task, 3, RunOutcome::CausedCrash, arbitraryText(), 17},
             TaskSnapshot{task, {4, 1, 2, false, arbitraryText(), {{4, worker}}}},
+            TaskSnapshot{task, {4, 1, 2, false, arbitraryText(), {{4, worker}}, true, 1}},
+            TaskCleared{task},
+            WorkerAddress{arbitraryText(), arbitraryText()},
             JobStateSnapshot{arbitraryText(), JobState::Failed, 19},
         };
         for (const Record &it : records) {
