Hold a crash against a task only where nothing else can be why

Now only confirmed runs of one job are the cause; any other crash makes suspects. A job is given up after two crashes that a task has caused or four under it in a row, so that doubt has an end within the budget of five starts. A worker has crashed if its host closes connections within two seconds of its last answer, whatever timed out in between; one that is silent for longer has not. Only a renewal tells which life answers. A suspected task waits for at most half a second for a worker without new runs, and others as long for one without a suspect; longer waits broke the promise that jobs with room run soon after faults.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -66,6 +66,12 @@
 
     // A worker that crashes may do so because of any run that it started within this time before.
     Millis crashWindow{1'500};
+    // A worker that has not answered for longer is silent or cut off. What becomes of it after that
+    // is no crash.
+    Millis maxSilenceBeforeCrash{2'000};
+    // How long a step waits for a worker where none of its tasks, and no other new run, is beside a
+    // suspected one, so that it is certain which run crashes the worker.
+    Millis maxIsolationWait{500};
     // After a crash that no run explains, workers may be failing by themselves. For this time a
     // task is not found to be the cause when a worker crashes under it for the first time.
     Millis unexplainedCrashMemory{10'000};
@@ -275,12 +281,6 @@
         Instant latestStartAt; // Of any run.
         bool hasProbation = false; // Some run is on probation.
     };
-    // What the calls to a worker have shown since it last answered one.
-    enum class Contact {
-        Answers,
-        ConnectionsClosed, // Its host closed or refused a connection: the worker is not running.
-        Silent, // A call timed out, so nothing is known of the worker.
-    };
     struct Worker
     {
         WorkerInfo info;
@@ -296,8 +296,9 @@
         Instant lastFailedStartAt;
         Instant blockedUntil; // It gets no starts until then.
         Instant avoidedUntil; // Until then it gets starts only if no other worker can take them.
-        Contact contact = Contact::Answers;
-        Instant contactLostAt; // When `contact` was last other than Answers.
+        // When its host first closed or refused a connection since the worker last answered.
+        std::optional<Instant> closedAt;
+        bool lastCallClosed = false; // So it did at the latest call that got no answer.
         bool lifeIsOver = false; // Another life of it, or another worker, has its address.
         bool dueTimesStale = false; // It is in `m_staleWorkers`.
         RunSummary runSummary;
@@ -310,6 +311,7 @@
         UnplaceableSteps unplaceable;
         UnplaceableSteps unplaceableSlowly; // Also not at low speed.
         UnplaceableSteps unplaceableBesideMisses; // Nor beside runs that miss their targets.
+        bool hasProbation = false; // Some worker has a run on probation.
     };
     // What placement passes need, of the steps that they place, to know of the workers.
     struct PassNeeds
@@ -393,12 +395,14 @@
     // Workers that crash, and the runs that may be why (coordinatorcrashes.cpp).
     static void noteUnanswered(Worker &worker, CommandOutcome outcome, bool connectionClosed,
                                Instant now);
+    static void noteAnswered(Worker &worker);
+    bool hasCrashed(const Worker &worker, Instant now) const;
     void endLife(Worker &worker, std::string_view why, ClockReading now);
     void meetLife(Worker &worker, const WorkerIncarnation &life, ClockReading now);
     void meetOtherWorker(Worker &worker, ClockReading now);
     std::vector<RunKey> suspectsOf(const Worker &worker) const;
     void judgeCrash(const Worker &worker, std::string_view why, ClockReading now);
-    bool mayBeChance(std::span<const RunKey> blamed, Instant now) const;
+    bool areCertainCause(std::span<const RunKey> suspects, Instant now) const;
     void clearIfLasting(Worker &worker, Run &run);
     bool isSuspected(const TaskRef &task) const;
 
@@ -440,7 +444,7 @@
     void placeReadySteps(ClockReading now);
     double minHeadroomAfter(Millis waited) const;
     bool mayStartSlowly(const StepRef &ref, const StepSpec &spec, Millis waited) const;
-    PlacementConstraints slowStartConstraintsFor(const StepRef &ref, Millis waited) const;
+    PlacementConstraints slowStartConstraintsFor(const StepRef &ref, Instant now) const;
     CandidateWorker candidateOf(Worker &worker, const PassNeeds &needs, Instant now);
     void tryQuarantinedWorkers(const ReadyStep &step, const PlacementPass &pass, ClockReading now);
     bool placeStep(const ReadyStep &step, PlacementPass &pass, ClockReading now);
@@ -456,7 +460,7 @@
     std::vector<StepRef> nextStepsToNote(Instant now) const;
     void noteWaitingSteps(ClockReading now);
     std::vector<int> tasksToStart(const StepRef &ref) const;
-    PlacementConstraints constraintsFor(const StepRef &ref) const;
+    PlacementConstraints constraintsFor(const StepRef &ref, Instant now) const;
 
     CoordinatorSettings m_settings;
     Fence m_firstFence; // Of a new session; above those of sessions that were forgotten.
--- a/include/savorywick/steps/job.h
+++ b/include/savorywick/steps/job.h
@@ -198,9 +198,9 @@
     std::string checkpoint;
     // There is more than one active run only if the step allows duplicates.
     std::vector<ActiveRun> activeRuns;
-    // A worker crashed under a run, which may be why, and no run has lasted since.
-    bool suspected = false;
-    // How many crashes it has been found to be the cause of since then.
+    // How many workers have crashed under its runs, which may be why, since a run last lasted; and
+    // how many of these crashes it has been found to be the cause of.
+    int crashes = 0;
     int causedCrashes = 0;
 };
 
--- a/include/savorywick/steps/placement.h
+++ b/include/savorywick/steps/placement.h
@@ -34,6 +34,7 @@
     bool acceptsBestEffort = true;
     int runCount = 0; // Runs that are on the worker.
     bool hasNewRuns = false; // Some were started so lately that they may yet crash it.
+    bool hasProbation = false; // One is of a task that is suspected of crashing workers.
     bool avoided = false; // It is the last choice, since it has lately failed to start runs.
 
     // Leaves no room for further tasks.
@@ -59,6 +60,8 @@
     bool besideMisses = false;
     // Whether the tasks are suspected of crashing their workers.
     bool onProbation = false;
+    // Whether the tasks may join a run on probation and, on probation, other new runs.
+    bool mayJoinSuspects = true;
 };
 
 // Returns true if and only if enough of the worker's processors are idle for a best-effort task
--- a/src/lib/steps/coordinatorcrashes.cpp
+++ b/src/lib/steps/coordinatorcrashes.cpp
@@ -8,17 +8,33 @@
 
 namespace savorywick::steps {
 
-// Notes what a call that got no answer shows of the worker. One that was silent at any time since
-// it last answered may have been cut off, and is not known to have crashed.
+// Notes what a call that got no answer shows of the worker.
 void Coordinator::noteUnanswered(Worker &worker, CommandOutcome outcome, bool connectionClosed,
                                  Instant now)
 {
     const bool unanswered = outcome == CommandOutcome::Unknown || connectionClosed;
-    if (!unanswered || worker.contact == Contact::Silent)
+    if (!unanswered)
         return;
-    if (worker.contact == Contact::Answers)
-        worker.contactLostAt = now;
-    worker.contact = connectionClosed ? Contact::ConnectionsClosed : Contact::Silent;
+    worker.lastCallClosed = connectionClosed;
+    if (connectionClosed && !worker.closedAt)
+        worker.closedAt = now;
+}
+
+// Notes that the life of the worker that the session is with has answered a renewal. Answers to
+// other orders don't tell which life they are of.
+void Coordinator::noteAnswered(Worker &worker)
+{
+    worker.closedAt.reset();
+    worker.lastCallClosed = false;
+    worker.lifeIsOver = false;
+}
+
+// Returns true if the worker, whose life is over, answered until shortly before its end and did not
+// leave.
+bool Coordinator::hasCrashed(const Worker &worker, Instant now) const
+{
+    const Millis silence = worker.closedAt.value_or(now) - worker.session.lastAnswerAt();
+    return !worker.info.draining && silence <= m_settings.maxSilenceBeforeCrash;
 }
 
 // Records that the life of the worker that the session is with is over.
@@ -26,8 +42,7 @@
 {
     if (std::exchange(worker.lifeIsOver, true))
         return;
-    const bool crashed = worker.contact != Contact::Silent && !worker.info.draining;
-    if (crashed)
+    if (hasCrashed(worker, now.monotonic))
         judgeCrash(worker, why, now);
 }
 
@@ -39,8 +54,7 @@
     const bool startKnown = worker.session.incarnation().startedWallMs != 0;
     if (startKnown) // Otherwise it may be the same life.
         endLife(worker, "restarted", now);
-    worker.lifeIsOver = false;
-    worker.contact = Contact::Answers;
+    noteAnswered(worker);
 }
 
 // Ends the runs of a worker at whose address another one answers. They are over, whatever is left
@@ -59,8 +73,7 @@
 // Returns the runs that may be why the worker crashed: those that it had started lately.
 std::vector<RunKey> Coordinator::suspectsOf(const Worker &worker) const
 {
-    const Instant lostAt =
-        worker.contact == Contact::Answers ? worker.session.lastAnswerAt() : worker.contactLostAt;
+    const Instant lostAt = worker.closedAt.value_or(worker.session.lastAnswerAt());
     std::vector<RunKey> suspects = m_runs.onWorker(worker.info.incarnation.workerId);
     std::erase_if(suspects, [&](const RunKey &key) {
         const Run &run = *m_runs.find(key);
@@ -70,8 +83,7 @@
     return suspects;
 }
 
-// Decides how the runs that may be why the worker crashed count as ended. Those on probation were
-// started where nothing else could be the cause, so they come before all others.
+// Decides how the runs that may be why the worker crashed count as ended.
 void Coordinator::judgeCrash(const Worker &worker, std::string_view why, ClockReading now)
 {
     ++m_counters.workersCrashed;
@@ -80,32 +92,32 @@
     const std::vector<RunKey> suspects = suspectsOf(worker);
     if (suspects.empty())
         m_unexplainedCrashAt = now.monotonic;
-    std::vector<RunKey> blamed = suspects;
-    std::erase_if(blamed, [&](const RunKey &it) { return !m_runs.find(it)->onProbation; });
-    if (blamed.empty())
-        blamed = suspects;
-    const bool chance = mayBeChance(blamed, now.monotonic);
+    const RunOutcome outcome = areCertainCause(suspects, now.monotonic) ? RunOutcome::CausedCrash
+                                                                        : RunOutcome::WorkerCrashed;
     for (const RunKey &key : suspects) {
         Run &run = *m_runs.find(key);
-        const bool isBlamed = std::find(blamed.begin(), blamed.end(), key) != blamed.end();
-        run.outcomeOfCrash =
-            isBlamed && !chance ? RunOutcome::CausedCrash : RunOutcome::WorkerCrashed;
-        noteRun(SchedulerEventKind::RunSuspected, run, toString(*run.outcomeOfCrash),
+        run.outcomeOfCrash = outcome;
+        noteRun(SchedulerEventKind::RunSuspected, run, toString(outcome),
                 now.monotonic - run.startedAt);
     }
 }
 
-// Returns true if it is not certain enough that the job of these runs crashed their worker.
-bool Coordinator::mayBeChance(std::span<const RunKey> blamed, Instant now) const
+// Returns true if it is certain enough that a run of these crashed their worker, and of which job
+// it is. A run that the worker has not confirmed may never have started there.
+bool Coordinator::areCertainCause(std::span<const RunKey> suspects, Instant now) const
 {
-    if (blamed.empty())
-        return true;
-    const bool oneJob = std::all_of(blamed.begin(), blamed.end(), [&](const RunKey &it) {
-        return it.task.job == blamed.front().task.job;
+    if (suspects.empty())
+        return false;
+    const Run &first = *m_runs.find(suspects.front());
+    const bool ofOneJob = std::all_of(suspects.begin(), suspects.end(), [&](const RunKey &it) {
+        return it.task.job == first.key.task.job;
+    });
+    const bool confirmed = std::all_of(suspects.begin(), suspects.end(), [&](const RunKey &it) {
+        return m_runs.find(it)->phase == RunPhase::Running;
     });
     const bool othersCrash =
         m_unexplainedCrashAt && now - *m_unexplainedCrashAt < m_settings.unexplainedCrashMemory;
-    return !oneJob || (othersCrash && !m_runs.find(blamed.front())->onProbation);
+    return ofOneJob && confirmed && (first.onProbation || !othersCrash);
 }
 
 // Ends the probation of a run that has lasted.
@@ -128,7 +140,7 @@
 {
     const Job *job = m_table.find(task.job);
     const Task *known = job ? job->findTask(task) : nullptr;
-    return known && known->suspected;
+    return known && known->crashes > 0;
 }
 
 } // namespace savorywick::steps
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -105,8 +105,7 @@
         && needs.bestEffortMilliCores && hasIdleProcessors(candidate, *needs.bestEffortMilliCores);
     if (fitsBestEffort || needs.images)
         addInterferenceState(worker, candidate, now);
-    if (summary.hasProbation)
-        candidate.closeToTasks();
+    candidate.hasProbation = summary.hasProbation;
     return candidate;
 }
 
@@ -167,7 +166,7 @@
     return steps;
 }
 
-PlacementConstraints Coordinator::constraintsFor(const StepRef &ref) const
+PlacementConstraints Coordinator::constraintsFor(const StepRef &ref, Instant now) const
 {
     PlacementConstraints constraints;
     constraints.service = m_table.find(ref.job)->spec.policy.service;
@@ -180,6 +179,7 @@
     }
     constraints.avoidedWorkers = m_quarantine.failedWorkers(ref.job);
     constraints.headroomEstimator = &m_headroomEstimator;
+    constraints.mayJoinSuspects = now - m_readySteps.at(ref) >= m_settings.maxIsolationWait;
     return constraints;
 }
 
@@ -193,6 +193,8 @@
     if (static_cast<int>(steps.size()) > m_settings.maxStepsPerPass)
         steps.resize(m_settings.maxStepsPerPass);
     PlacementPass pass{candidateWorkers(needsOf(steps, now.monotonic), now.monotonic), {}, {}};
+    pass.hasProbation = std::any_of(pass.workers.begin(), pass.workers.end(),
+                                    [](const CandidateWorker &it) { return it.hasProbation; });
     for (const ReadyStep &step : steps) {
         const bool allPlaced =
             step.spec->gang ? placeGang(step, pass, now) : placeStep(step, pass, now);
@@ -226,11 +228,12 @@
                         [&](const RunKey &it) { return it.task.occurrence == ref.occurrence; });
 }
 
-PlacementConstraints Coordinator::slowStartConstraintsFor(const StepRef &ref, Millis waited) const
+PlacementConstraints Coordinator::slowStartConstraintsFor(const StepRef &ref, Instant now) const
 {
-    PlacementConstraints constraints = constraintsFor(ref);
+    PlacementConstraints constraints = constraintsFor(ref, now);
     constraints.minHeadroom = m_settings.relaxedMinHeadroom;
     constraints.bestEffortSpeedPercent = lowSpeedPercent;
+    const Millis waited = now - m_readySteps.at(ref);
     constraints.besideMisses = waited >= m_settings.startBesideMissesAfter;
     return constraints;
 }
@@ -241,7 +244,7 @@
     const double minHeadroom = minHeadroomAfter(now.monotonic - step.since);
     if (pass.unplaceable.covers(*step.spec, step.job->spec.policy.service, minHeadroom))
         return false;
-    PlacementConstraints constraints = constraintsFor(step.ref);
+    PlacementConstraints constraints = constraintsFor(step.ref, now.monotonic);
     constraints.minHeadroom = minHeadroom;
     std::vector<int> indexes = tasksToStart(step.ref);
     const auto firstSuspect = std::stable_partition(indexes.begin(), indexes.end(), [&](int index) {
@@ -251,9 +254,10 @@
         return false;
     if (firstSuspect == indexes.end())
         return true;
-    constraints = constraintsFor(step.ref);
+    constraints = constraintsFor(step.ref, now.monotonic);
     constraints.minHeadroom = minHeadroom;
     constraints.onProbation = true;
+    pass.hasProbation = true;
     return placeTasks(step, {firstSuspect, indexes.end()}, constraints, pass, now);
 }
 
@@ -266,7 +270,9 @@
     for (const int index : indexes) {
         const auto chosen = chooser.choose();
         if (!chosen) {
-            pass.unplaceable.add(*step.spec, constraints.service, constraints.minHeadroom);
+            // Otherwise steps that wait for longer may find a worker.
+            if (constraints.mayJoinSuspects || !pass.hasProbation)
+                pass.unplaceable.add(*step.spec, constraints.service, constraints.minHeadroom);
             return false;
         }
         CandidateWorker &worker = pass.workers[*chosen];
@@ -281,8 +287,7 @@
 // Starts one task of the step at low speed, if there is a worker for it.
 void Coordinator::startOneSlowly(const ReadyStep &step, PlacementPass &pass, ClockReading now)
 {
-    const PlacementConstraints constraints =
-        slowStartConstraintsFor(step.ref, now.monotonic - step.since);
+    const PlacementConstraints constraints = slowStartConstraintsFor(step.ref, now.monotonic);
     UnplaceableSteps &unplaceable =
         constraints.besideMisses ? pass.unplaceableBesideMisses : pass.unplaceableSlowly;
     if (unplaceable.covers(*step.spec, constraints.service, constraints.minHeadroom))
@@ -303,7 +308,7 @@
     const bool waitedLongEnough = now.monotonic - step.since >= m_settings.tryQuarantinedAfter;
     if (!waitedLongEnough || step.spec->gang || m_quarantine.quarantinedCount() == 0)
         return;
-    const PlacementConstraints constraints = constraintsFor(step.ref);
+    const PlacementConstraints constraints = constraintsFor(step.ref, now.monotonic);
     if (couldEverRun(*step.spec, constraints, pass.workers))
         return;
     std::vector<CandidateWorker> quarantined;
@@ -336,9 +341,13 @@
 // Starts all tasks of the gang under one run number, or none. Returns true if and only if it did.
 bool Coordinator::placeGang(const ReadyStep &step, PlacementPass &pass, ClockReading now)
 {
-    PlacementConstraints constraints = constraintsFor(step.ref);
+    PlacementConstraints constraints = constraintsFor(step.ref, now.monotonic);
     if (!constraints.tasksPerWorker.empty())
         return false; // Members of the previous run have not ended yet.
+    const std::vector<int> members = tasksToStart(step.ref);
+    constraints.onProbation = std::any_of(members.begin(), members.end(), [&](int index) {
+        return isSuspected({step.ref.job, step.ref.occurrence, step.ref.step, index});
+    });
     std::vector<CandidateWorker> remaining = pass.workers;
     WorkerChooser chooser(*step.spec, constraints, remaining);
     std::vector<std::size_t> chosen;
@@ -391,10 +400,10 @@
     for (const StepRef &ref : steps) {
         const Millis waited = now.monotonic - m_readySteps.at(ref);
         const StepSpec &spec = m_table.find(ref.job)->spec.steps[ref.step];
-        PlacementConstraints constraints = constraintsFor(ref);
+        PlacementConstraints constraints = constraintsFor(ref, now.monotonic);
         constraints.minHeadroom = minHeadroomAfter(waited);
         if (mayStartSlowly(ref, spec, waited))
-            constraints = slowStartConstraintsFor(ref, waited);
+            constraints = slowStartConstraintsFor(ref, now.monotonic);
         const WaitReason reason = waitReasonOf(spec, constraints, workers);
         m_notes.push_back({SchedulerEventKind::StepWaiting,
                            {ref.job, ref.occurrence, ref.step, 0},
@@ -431,6 +440,8 @@
         publishWhenDurable(task.job);
     Run added = makeRun({task, run}, spec, life, now.monotonic);
     added.stepReadySince = m_readySteps.at(task.stepRef());
+    ++worker.runCount;
+    worker.hasNewRuns = true;
     worker.available -= added.allocated;
     worker.idleMilliCores -= spec.demand.milliCores;
     accountForStart(worker, spec, task.job, now.monotonic);
@@ -444,7 +455,8 @@
     if (isRetry)
         known.blockedUntil = now.monotonic + m_settings.maxStartRetryDelay;
     added.onProbation = isSuspected(task);
-    if (added.isProbe || isRetry || added.onProbation)
+    worker.hasProbation = worker.hasProbation || added.onProbation;
+    if (added.isProbe || isRetry)
         worker.closeToTasks(); // It is tried with this one task.
     m_runs.add(std::move(added));
     m_uncommittedStarts.push_back({0, {task, run}});
--- a/src/lib/steps/coordinatorreplies.cpp
+++ b/src/lib/steps/coordinatorreplies.cpp
@@ -13,10 +13,7 @@
     if (!reply.clockMs || reply.outcome == CommandOutcome::WrongIncarnation)
         return true;
     markStale(worker);
-    if (!worker.session.recordClock(*reply.clockMs, now.monotonic))
-        return false;
-    worker.contact = Contact::Answers;
-    return true;
+    return worker.session.recordClock(*reply.clockMs, now.monotonic);
 }
 
 void Coordinator::handleStartReply(const StartRunCommand &order, const CommandReply &reply,
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -118,8 +118,7 @@
         worker.session.update(life, worker.info.address, now.monotonic);
         return;
     }
-    worker.contact = Contact::Answers;
-    worker.lifeIsOver = false;
+    noteAnswered(worker);
     if (!wasResponsive && worker.session.responsive())
         noteWorker(SchedulerEventKind::WorkerRecovered, id, "answered", silence);
     processEndReports(worker, reply.report, now);
@@ -403,7 +402,7 @@
         return run.phase == RunPhase::StartPending || now.monotonic < leaseEndOf(run);
     });
     Worker &worker = m_workers.at(id);
-    if (worker.contact == Contact::ConnectionsClosed)
+    if (worker.lastCallClosed)
         endLife(worker, "refused", now);
     if (!lapsedRuns.empty())
         noteWorker(SchedulerEventKind::WorkerLeaseExpired, id, "lease-over",
--- a/src/lib/steps/jobtable.cpp
+++ b/src/lib/steps/jobtable.cpp
@@ -13,6 +13,8 @@
 
 // A job is given up once one of its tasks has caused this many crashes in a row: one may be chance.
 constexpr int maxCausedCrashes = 2;
+// Or once this many workers in a row have crashed under one of its tasks, whatever else may be why.
+constexpr int maxCrashes = 4;
 
 // Returns true if and only if the task had an active run with this number.
 bool eraseRun(Task &task, int number)
@@ -25,7 +27,7 @@
 void recordCrash(Task &task, RunOutcome outcome)
 {
     const bool caused = outcome == RunOutcome::CausedCrash;
-    task.suspected = task.suspected || caused || outcome == RunOutcome::WorkerCrashed;
+    task.crashes += caused || outcome == RunOutcome::WorkerCrashed ? 1 : 0;
     task.causedCrashes += caused ? 1 : 0;
 }
 
@@ -66,7 +68,7 @@
             task->checkpoint = it.checkpoint;
         if (wasActive)
             recordCrash(*task, it.outcome);
-        if (task->causedCrashes >= maxCausedCrashes)
+        if (task->causedCrashes >= maxCausedCrashes || task->crashes >= maxCrashes)
             endJob(*job, JobState::Failed, it.wallMs);
         const StepSpec &spec = job->spec.steps[it.task.step];
         if (spec.gang)
@@ -86,7 +88,7 @@
         Task *task = job ? findTask(*job, it.task) : nullptr;
         if (!task)
             return;
-        task->suspected = false;
+        task->crashes = 0;
         task->causedCrashes = 0;
     }
 
--- a/src/lib/steps/placement.cpp
+++ b/src/lib/steps/placement.cpp
@@ -212,6 +212,10 @@
     Rank rank;
     if (!fits(spec, constraints, worker) || !mayRun(spec, constraints, worker))
         return rank;
+    const bool joinsSuspects =
+        worker.hasProbation || (constraints.onProbation && worker.hasNewRuns);
+    if (joinsSuspects && !constraints.mayJoinSuspects)
+        return rank;
     rank.eligible = true;
     const WorkerInfo &info = *worker.info;
     const std::string &rack = spec.preferSameRack && !constraints.currentRack.empty()
--- a/src/lib/steps/record.cpp
+++ b/src/lib/steps/record.cpp
@@ -282,8 +282,8 @@
         w.text(it.state.checkpoint).number(static_cast<std::int64_t>(it.state.activeRuns.size()));
         for (const ActiveRun &run : it.state.activeRuns)
             w.number(run.number).worker(run.worker);
-        if (it.state.suspected) // Else it has caused none. Few tasks are suspected.
-            w.number(it.state.causedCrashes);
+        if (it.state.crashes > 0) // There are few such tasks.
+            w.number(it.state.crashes).number(it.state.causedCrashes);
         return w.take();
     }
     std::string operator()(const JobStateSnapshot &it) const
@@ -348,9 +348,10 @@
         run.worker = r.worker();
         it.state.activeRuns.push_back(run);
     }
-    it.state.suspected = !r.atEnd();
-    if (it.state.suspected)
-        it.state.causedCrashes = r.number<int>();
+    if (r.atEnd())
+        return it;
+    it.state.crashes = r.number<int>();
+    it.state.causedCrashes = r.number<int>();
     return it;
 }
 
--- a/tests/steps/shardsimulationfaults.h
+++ b/tests/steps/shardsimulationfaults.h
@@ -17,6 +17,8 @@
         replaceOwner();
     if (faultOccurs(50))
         injectWorkerFault(randomWorker());
+    if (m_changesCapacities && faultOccurs(60))
+        changeCapacity(randomWorker());
     if (faultOccurs(40))
         m_owner->setWorkers(listedWorkers(), now());
     for (SimulatedWorker &it : m_workers) {
@@ -70,6 +72,7 @@
     logEvent(" * " + worker.info.incarnation.workerId + " crashes");
     for (const SimulatedWorker::SimulatedRun &it : worker.runs) {
         --m_groundTruth[it.task].liveRuns;
+        ++m_groundTruth[it.task].crashes;
         m_brokenGangs.insert({{it.task.job, it.task.occurrence, it.task.step, 0}, it.run});
     }
     worker.runs.clear();
@@ -77,10 +80,43 @@
     worker.entryChangesAt = m_now + Millis{randomBelow(static_cast<int>(maxListDelay.count()))};
 }
 
+// Lets the worker at the address crash because of a run, and start again after some seconds.
+inline void ShardSimulation::crashSoon(const std::string &address)
+{
+    const Millis delay{5 + randomBelow(40)};
+    const Millis downtime{1'000 + randomBelow(7'000)};
+    const bool sameId = randomBelow(3) == 0;
+    schedule(delay, false, [this, address] {
+        SimulatedWorker &worker = *findWorkerAt(address);
+        worker.closesConnections = true;
+        if (worker.up)
+            crash(worker);
+    });
+    schedule(delay + downtime, false, [this, address, sameId] {
+        if (!findWorkerAt(address)->up)
+            restart(*findWorkerAt(address), sameId);
+    });
+}
+
+// Shrinks the worker's capacity, or restores it if it has shrunk. The list lags behind.
+inline void ShardSimulation::changeCapacity(SimulatedWorker &worker)
+{
+    constexpr ResourceVector fullCapacity{16'000, 32'000, 0};
+    const ResourceVector shrunk{2'000 + randomBelow(10'000), 4'000 + randomBelow(20'000), 0};
+    const bool isFull = worker.info.capacity == fullCapacity;
+    worker.earlierCapacity = worker.info.capacity;
+    worker.info.capacity = isFull ? shrunk : fullCapacity;
+    worker.capacityChangedAt = m_now;
+    worker.entryChangesAt = m_now + Millis{randomBelow(static_cast<int>(maxListDelay.count()))};
+    logEvent(" * " + worker.info.incarnation.workerId + " has room for "
+             + std::to_string(worker.info.capacity.milliCores));
+}
+
 // Starts a new life of the worker, under the same id or a new one. The list lags behind.
 inline void ShardSimulation::restart(SimulatedWorker &worker, bool sameId)
 {
     worker.up = true;
+    worker.closesConnections = false;
     worker.startedAt = m_now;
     worker.info.incarnation.startedWallMs = trueWallMs();
     if (!sameId)
@@ -105,6 +141,7 @@
     if (!worker.up)
         restart(worker, true);
     worker.info.draining = false;
+    worker.info.capacity = {16'000, 32'000, 0};
     worker.entryChangesAt = m_now;
 }
 
--- a/tests/steps/simulatedworker.h
+++ b/tests/steps/simulatedworker.h
@@ -26,6 +26,9 @@
     int liveRuns = 0; // Runs on workers that are up.
     bool doneAcknowledged = false; // The owner has acknowledged an end as Done.
     int failuresAcknowledged = 0; // Ends as Failed that the owner has acknowledged.
+    int failures = 0; // Ends as Failed, acknowledged or not.
+    int crashes = 0; // Of workers that had a run of it.
+    int startsAfterThreeCrashes = 0;
 };
 
 // What a worker does with start orders.
@@ -79,10 +82,13 @@
     Instant entryChangesAt; // When `entry` is next set to what is true.
     bool entryStays = false; // The entry is kept although the worker is down.
     bool up = true;
+    bool closesConnections = false; // While it is down, rather than leaving calls unanswered.
     bool partitioned = false; // It goes on working, but no call reaches it.
     int lostCallsPercent = 0; // The share of the calls that get no answer.
     StartBehaviour startBehaviour = StartBehaviour::Accepts;
     Instant leavesAt; // When a draining worker exits.
+    ResourceVector earlierCapacity; // Before the capacity last changed.
+    Instant capacityChangedAt;
     Instant startedAt;
     Fence fence = 0;
     std::int64_t leaseExpiryMs = 0; // On the worker's clock.
