Send no start to a worker that has shrunk since the run was placed

A worker's capacity may shrink and grow while it runs. Placement follows the list, but a start that waits for its record was sent whatever the list said meanwhile (found by a simulation of changing capacities: a commit of two seconds), and runs that a worker started late, which the owner stops, did not count at all. A start is checked against the worker's capacity as it is sent, and unknown runs count until the worker no longer reports them.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -299,6 +299,8 @@
         // When its host first closed or refused a connection since the worker last answered.
         std::optional<Instant> closedAt;
         bool lastCallClosed = false; // So it did at the latest call that got no answer.
+        // What runs need that the worker has and this owner does not know, until they are stopped.
+        ResourceVector allocatedToStrays;
         bool lifeIsOver = false; // Another life of it, or another worker, has its address.
         bool dueTimesStale = false; // It is in `m_staleWorkers`.
         RunSummary runSummary;
@@ -363,6 +365,8 @@
                     Millis age);
     void forgetExpiredJobs(ClockReading now);
     void forgetExpiredDelegations(ClockReading now);
+    ResourceVector availableOn(const Worker &worker) const;
+    bool fitsStill(const Worker &worker, const Run &run) const;
     void addStartOrders(std::vector<WorkerCommand> &orders, ClockReading now);
     void addStopOrders(std::vector<WorkerCommand> &orders, ClockReading now);
 
@@ -370,7 +374,7 @@
     Worker &findOrAddWorker(const WorkerInfo &info, ClockReading now);
     void processEndReports(Worker &worker, const WorkerReport &report, ClockReading now);
     void processRunningReports(Worker &worker, const WorkerReport &report, ClockReading now);
-    void stopUnknownRun(const Worker &worker, const RunningReport &report);
+    void stopUnknownRun(Worker &worker, const RunningReport &report);
     void endMissingRuns(Worker &worker, const WorkerReport &report, ClockReading now);
     void adoptRun(const Job &job, const TaskRef &task, const ActiveRun &active);
     void endRun(const RunKey &key, RunOutcome how, const std::string &checkpoint, ClockReading now);
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -377,6 +377,27 @@
     return orders;
 }
 
+// Returns the worker's capacity less what is booked, which is negative if the capacity has shrunk.
+// A run that is being stopped stays booked until its end.
+ResourceVector Coordinator::availableOn(const Worker &worker) const
+{
+    ResourceVector available = worker.info.capacity;
+    available -= m_runs.allocated(worker.info.incarnation.workerId);
+    available -= worker.allocatedToStrays;
+    return available;
+}
+
+// Returns true if and only if the worker has room for the run, which is booked there. Its capacity
+// may have shrunk since the run was placed.
+bool Coordinator::fitsStill(const Worker &worker, const Run &run) const
+{
+    const ResourceVector available = availableOn(worker);
+    const ResourceVector &needs = run.allocated;
+    return (needs.milliCores == 0 || available.milliCores >= 0)
+        && (needs.memoryMb == 0 || available.memoryMb >= 0)
+        && (needs.accelerators == 0 || available.accelerators >= 0);
+}
+
 void Coordinator::addStartOrders(std::vector<WorkerCommand> &orders, ClockReading now)
 {
     for (const RunKey &key : std::exchange(m_durableStarts, {})) {
@@ -388,7 +409,7 @@
         const bool mayStart = job && !isFinal(job->state) && !run->stopRequested
             && it != m_workers.end() && it->second.session.incarnation() == run->incarnation
             && it->second.session.responsive() && !it->second.lifeIsOver
-            && !it->second.info.draining;
+            && !it->second.info.draining && fitsStill(it->second, *run);
         if (!mayStart) {
             endRun(key, RunOutcome::NeverStarted, {}, now);
             continue;
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -67,8 +67,7 @@
 {
     const std::string &id = worker.info.incarnation.workerId;
     RunSummary &summary = worker.runSummary;
-    summary.available = worker.info.capacity;
-    summary.available -= m_runs.allocated(id);
+    summary.available = availableOn(worker);
     const int unusedMilliCores = m_runs.longRunningMilliCores(id) / fullPercent
         * (fullPercent - m_settings.longRunningUsagePercent);
     summary.idleMilliCores =
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -153,6 +153,7 @@
 void Coordinator::processRunningReports(Worker &worker, const WorkerReport &report,
                                         ClockReading now)
 {
+    const ResourceVector strays = std::exchange(worker.allocatedToStrays, {});
     for (const RunningReport &it : report.running) {
         const RunKey key{it.task, it.run};
         Run *run = m_runs.find(key);
@@ -192,12 +193,15 @@
         if (!wasRunning && worker.info.draining)
             evacuate(worker);
     }
+    worker.runSummaryStale = worker.runSummaryStale || strays != worker.allocatedToStrays;
 }
 
 // Stops a run that is unknown here, such as one that was given up before its delayed start order
 // took effect.
-void Coordinator::stopUnknownRun(const Worker &worker, const RunningReport &report)
+void Coordinator::stopUnknownRun(Worker &worker, const RunningReport &report)
 {
+    if (const StepSpec *spec = findStepSpec(report.task))
+        worker.allocatedToStrays += allocationFor(*spec);
     m_immediateOrders.emplace_back(
         StopRunCommand{worker.session.target(), report.task, report.run});
 }
--- a/tests/steps/coordinatorcrashsimulation_test.cpp
+++ b/tests/steps/coordinatorcrashsimulation_test.cpp
@@ -76,3 +76,21 @@
         simulation.finishAndVerify();
     }));
 }
+
+// Guards against starts that count on room that a worker no longer has, with what it still stops.
+TEST_CASE("No start exceeds a capacity that has shrunk")
+{
+    CHECK(rc::check("while capacities change and owners are replaced", [] {
+        ShardSimulation simulation(*rc::gen::inRange(0U, 1'000'000'000U), workers);
+        const HistoryOnFailure history(simulation);
+        simulation.changeCapacities();
+        const int jobs = *rc::gen::inRange(5, 40);
+        for (int i = 0; i < jobs; ++i) {
+            simulation.submit(randomJob(simulation, "job" + std::to_string(i)));
+            simulation.advance(*rc::gen::inRange(1, 60), true);
+            if (simulation.randomBelow(5) == 0)
+                simulation.cancel("job" + std::to_string(simulation.randomBelow(i + 1)));
+        }
+        simulation.finishAndVerify();
+    }));
+}
