Forget a ready step once its last task is tried on a quarantined worker

The step is removed from the ready ones with its last task; the new test failed before (one step ready).

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -457,6 +457,7 @@
     void startOneSlowly(const ReadyStep &step, PlacementPass &pass, ClockReading now);
     RunKey startTask(const ReadyStep &step, int index, CandidateWorker &worker, int speedPercent,
                      ClockReading now);
+    void forgetIfPlaced(const StepRef &ref);
     bool placeGang(const ReadyStep &step, PlacementPass &pass, ClockReading now);
     void restoreTurn(const Run &run);
     void startRun(const TaskRef &task, int run, const StepSpec &spec, CandidateWorker &worker,
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -297,6 +297,7 @@
     const RunKey started = startTask(step, tasksToStart(step.ref).front(), pass.workers[*chosen],
                                      lowSpeedPercent, now);
     m_runs.find(started)->besideMisses = constraints.besideMisses;
+    forgetIfPlaced(step.ref);
 }
 
 // Tries one task of a step on a quarantined worker if no other worker could ever run it: the probe
@@ -324,6 +325,14 @@
     CandidateWorker &worker = quarantined[*chosen];
     m_quarantine.hastenProbe(worker.info->incarnation.workerId, now.monotonic);
     startTask(step, tasksToStart(step.ref).front(), worker, fullPercent, now);
+    forgetIfPlaced(step.ref);
+}
+
+// Removes the step from the ready ones if all of its tasks are placed.
+void Coordinator::forgetIfPlaced(const StepRef &ref)
+{
+    if (tasksToStart(ref).empty())
+        m_readySteps.erase(ref);
 }
 
 RunKey Coordinator::startTask(const ReadyStep &step, int index, CandidateWorker &worker,
--- a/tests/steps/coordinatorprogress_test.cpp
+++ b/tests/steps/coordinatorprogress_test.cpp
@@ -431,3 +431,17 @@
     harness.advance(Millis{3'000});
     CHECK(harness.workersStartedOn("a").size() == 1);
 }
+
+// Guards against a process that ends because a step counts as ready although none of its tasks can
+// be started any more: the last one was tried on a quarantined worker.
+TEST_CASE("A step whose last task is tried on a quarantined worker waits no more")
+{
+    CoordinatorSettings settings;
+    settings.quarantine.initialProbeDelay = Millis{4'000};
+    CoordinatorHarness harness(1, settings);
+    quarantineByStalls(harness);
+    harness.submit("a", task(1'000));
+    while (harness.workersStartedOn("a").empty())
+        harness.advance(Millis{20});
+    CHECK(harness.coordinator().readyStepCount() == 0);
+}
