Take what was started at the last moment for the cause of a crash

Each task that crashed workers cost three to four of them, each with some nine other runs: on the first start it is among other new runs, and on a busy fleet there is often no worker without any. The crash follows the start within milliseconds. Where just runs of one job were started in the last quarter of a second, they are taken for the cause; the other new runs are suspected, as before.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -66,6 +66,8 @@
 
     // A worker that crashes may do so because of any run that it started within this time before.
     Millis crashWindow{1'500};
+    // If just runs of one job were started within this time before, they are taken for the cause.
+    Millis promptCrashWindow{250};
     // A worker that has not answered for longer is silent or cut off. What becomes of it after that
     // is no crash.
     Millis maxSilenceBeforeCrash{2'000};
@@ -404,9 +406,9 @@
     void endLife(Worker &worker, std::string_view why, ClockReading now);
     void meetLife(Worker &worker, const WorkerIncarnation &life, ClockReading now);
     void meetOtherWorker(Worker &worker, ClockReading now);
-    std::vector<RunKey> suspectsOf(const Worker &worker) const;
+    std::vector<RunKey> runsStartedWithin(const Worker &worker, Millis window) const;
     void judgeCrash(const Worker &worker, std::string_view why, ClockReading now);
-    bool areCertainCause(std::span<const RunKey> suspects, Instant now) const;
+    bool areCertainCause(std::span<const RunKey> causes, Instant now) const;
     void clearIfLasting(Worker &worker, Run &run);
     bool isSuspected(const TaskRef &task) const;
 
--- a/src/lib/steps/coordinatorcrashes.cpp
+++ b/src/lib/steps/coordinatorcrashes.cpp
@@ -70,49 +70,53 @@
     }
 }
 
-// Returns the runs that may be why the worker crashed: those that it had started lately.
-std::vector<RunKey> Coordinator::suspectsOf(const Worker &worker) const
+// Returns the runs that the worker had started within `window` before it was lost.
+std::vector<RunKey> Coordinator::runsStartedWithin(const Worker &worker, Millis window) const
 {
     const Instant lostAt = worker.closedAt.value_or(worker.session.lastAnswerAt());
-    std::vector<RunKey> suspects = m_runs.onWorker(worker.info.incarnation.workerId);
-    std::erase_if(suspects, [&](const RunKey &key) {
+    std::vector<RunKey> runs = m_runs.onWorker(worker.info.incarnation.workerId);
+    std::erase_if(runs, [&](const RunKey &key) {
         const Run &run = *m_runs.find(key);
-        return run.phase == RunPhase::StartPending
-            || lostAt - run.startedAt > m_settings.crashWindow;
+        return run.phase == RunPhase::StartPending || lostAt - run.startedAt > window;
     });
-    return suspects;
+    return runs;
 }
 
-// Decides how the runs that may be why the worker crashed count as ended.
+// Decides how the runs that may be why the worker crashed count as ended. What was started at the
+// last moment is the likely cause; where that is not certain, all that were started lately may be.
 void Coordinator::judgeCrash(const Worker &worker, std::string_view why, ClockReading now)
 {
     ++m_counters.workersCrashed;
     noteWorker(SchedulerEventKind::WorkerCrashed, worker.info.incarnation.workerId, why,
                now.monotonic - worker.session.lastAnswerAt());
-    const std::vector<RunKey> suspects = suspectsOf(worker);
+    const std::vector<RunKey> suspects = runsStartedWithin(worker, m_settings.crashWindow);
     if (suspects.empty())
         m_unexplainedCrashAt = now.monotonic;
-    const RunOutcome outcome = areCertainCause(suspects, now.monotonic) ? RunOutcome::CausedCrash
-                                                                        : RunOutcome::WorkerCrashed;
+    std::vector<RunKey> causes = runsStartedWithin(worker, m_settings.promptCrashWindow);
+    if (causes.empty())
+        causes = suspects;
+    const bool certain = areCertainCause(causes, now.monotonic);
     for (const RunKey &key : suspects) {
         Run &run = *m_runs.find(key);
-        run.outcomeOfCrash = outcome;
-        noteRun(SchedulerEventKind::RunSuspected, run, toString(outcome),
+        const bool isCause =
+            certain && std::find(causes.begin(), causes.end(), key) != causes.end();
+        run.outcomeOfCrash = isCause ? RunOutcome::CausedCrash : RunOutcome::WorkerCrashed;
+        noteRun(SchedulerEventKind::RunSuspected, run, toString(*run.outcomeOfCrash),
                 now.monotonic - run.startedAt);
     }
 }
 
 // Returns true if it is certain enough that a run of these crashed their worker, and of which job
 // it is. A run that the worker has not confirmed may never have started there.
-bool Coordinator::areCertainCause(std::span<const RunKey> suspects, Instant now) const
+bool Coordinator::areCertainCause(std::span<const RunKey> causes, Instant now) const
 {
-    if (suspects.empty())
+    if (causes.empty())
         return false;
-    const Run &first = *m_runs.find(suspects.front());
-    const bool ofOneJob = std::all_of(suspects.begin(), suspects.end(), [&](const RunKey &it) {
+    const Run &first = *m_runs.find(causes.front());
+    const bool ofOneJob = std::all_of(causes.begin(), causes.end(), [&](const RunKey &it) {
         return it.task.job == first.key.task.job;
     });
-    const bool confirmed = std::all_of(suspects.begin(), suspects.end(), [&](const RunKey &it) {
+    const bool confirmed = std::all_of(causes.begin(), causes.end(), [&](const RunKey &it) {
         return m_runs.find(it)->phase == RunPhase::Running;
     });
     const bool othersCrash =
