Stop no run as stalled while its worker can't be asked

A worker that was silent for some seconds had its running work stopped, and started again, once it answered: the time in which nobody heard of the run's progress counted as time without progress. Found while reading the logs of the crashed workers (stop-asked, "stalled", for workers that were gone). Such a run is looked at again when its worker answers, and the silence does not count. The new test failed before (one stop, one run counted as stalled).

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -394,6 +394,7 @@
     void endLapsedRuns(const std::string &id, ClockReading now);
     std::optional<Instant> stalledAt(const Run &run) const;
     void scheduleStallCheck(const Run &run);
+    void excuseSilence(const std::string &worker, Millis silence, Instant now);
     void stopStalledRuns(ClockReading now);
     void evacuate(const Worker &worker);
     const StepSpec *findStepSpec(const TaskRef &task) const;
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -119,6 +119,8 @@
         return;
     }
     noteAnswered(worker);
+    if (!wasResponsive)
+        excuseSilence(id, silence, now.monotonic);
     if (!wasResponsive && worker.session.responsive())
         noteWorker(SchedulerEventKind::WorkerRecovered, id, "answered", silence);
     processEndReports(worker, reply.report, now);
@@ -437,12 +439,27 @@
         m_stallChecks.schedule(run.key, *at);
 }
 
+// Lets the time for which the worker did not tell of its runs count for none of them.
+void Coordinator::excuseSilence(const std::string &worker, Millis silence, Instant now)
+{
+    for (const RunKey &key : m_runs.onWorker(worker)) {
+        Run &run = *m_runs.find(key);
+        run.lastProgressAt = std::min(now, run.lastProgressAt + silence);
+    }
+}
+
 void Coordinator::stopStalledRuns(ClockReading now)
 {
     for (const RunKey &key : m_stallChecks.takeDue(now.monotonic)) {
         ++m_counters.runsExamined;
         const Run &run = *m_runs.find(key);
         const auto at = stalledAt(run);
+        const auto worker = m_workers.find(run.workerId);
+        const bool silent = worker != m_workers.end() && !worker->second.session.responsive();
+        if (at && silent) { // It may be making progress.
+            m_stallChecks.schedule(key, now.monotonic + m_settings.stallTimeout);
+            continue;
+        }
         if (!at || now.monotonic < *at) {
             scheduleStallCheck(run);
             continue;
--- a/tests/steps/coordinatorprogress_test.cpp
+++ b/tests/steps/coordinatorprogress_test.cpp
@@ -445,3 +445,24 @@
         harness.advance(Millis{20});
     CHECK(harness.coordinator().readyStepCount() == 0);
 }
+
+// Guards against a run that is stopped, and its work lost, just because its worker could not be
+// asked how far it was.
+TEST_CASE("A run is not taken for stalled while its worker is silent")
+{
+    CoordinatorHarness harness(1);
+    harness.progressPercent = 10;
+    StepSpec step = task(1'000);
+    step.estimatedDuration = Millis{500};
+    harness.submit("a", step);
+    harness.advance(Millis{500});
+    harness.silentWorkers = {"w0"};
+    harness.advance(Millis{4'000});
+    harness.silentWorkers.clear();
+    harness.progressPercent = 60;
+    harness.advance(Millis{1'000});
+    CHECK(harness.stops.empty());
+    CHECK(harness.coordinator().counters().runsStalled == 0);
+    harness.advance(Millis{2'000}); // With those before, more than the time that a run is given.
+    CHECK(harness.coordinator().counters().runsStalled == 1);
+}
