--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -3,6 +3,8 @@
 #include "savorywick/clock.h"
 #include "savorywick/journal.h"
 #include "savorywick/quarantine.h"
+#include "savorywick/steps/coordinatorcounters.h"
+#include "savorywick/steps/coordinatorsettings.h"
 #include "savorywick/steps/duequeue.h"
 #include "savorywick/steps/jobtable.h"
 #include "savorywick/steps/latencyheadroom.h"
@@ -33,133 +35,12 @@
     std::int64_t wallMs = 0; // Milliseconds since 1970.
 };
 
-// The timing of the Coordinator and the thresholds of its decisions. Headroom is the latency target
-// of a long-running run divided by its tail latency.
-struct CoordinatorSettings
-{
-    WorkerSessionSettings workerSessions;
-    QuarantineOptions quarantine;
-    Millis endedJobRetention{150'000}; // An ended job is forgotten after this time.
-    // So is where a job was left to. Until then a repeated submission is sent to the same shard.
-    Millis delegationRetention{3'600'000};
-
-    // Stop orders are repeated until the run ends: after this time if the worker confirmed the
-    // last one, after the shorter delay if it refused it or did not answer.
-    Millis stopResendInterval{1'000};
-    Millis stopRetryDelay{250};
-    // A worker that refused a start, or left it unanswered, gets no other for the first of these
-    // times, which doubles with each such start in a row up to the second.
-    Millis startRetryDelay{500};
-    Millis maxStartRetryDelay{1'000};
-    // It is the last choice for the first of these times, which doubles likewise. So is a worker
-    // that left a renewal unanswered, for the first time.
-    Millis workerAvoidance{2'000};
-    Millis maxWorkerAvoidance{16'000};
-    // A worker that still answers is given tasks for this time after it left the platform's list.
-    Millis unlistedGracePeriod{2'500};
-
-    // A run is stopped, and started again, if it has made no progress for this time and for this
-    // share of its estimated duration. Best-effort runs are exempt; long-running ones have their
-    // own timeout below.
-    Millis stallTimeout{2'500};
-    int stallEstimatePercent = 60;
-
-    // A worker that crashes may do so because of any run that it started within this time before.
-    Millis crashWindow{1'500};
-    // If just runs of one job were started within this time before, they are taken for the cause.
-    Millis promptCrashWindow{250};
-    // A worker that has not answered for longer is silent or cut off. What becomes of it after that
-    // is no crash.
-    Millis maxSilenceBeforeCrash{2'000};
-    // How long a step waits for a worker where none of its tasks, and no other new run, is beside a
-    // suspected one, so that it is certain which run crashes the worker.
-    Millis maxIsolationWait{500};
-    // After a crash that no run explains, workers may be failing by themselves. For this time a
-    // task is not found to be the cause when a worker crashes under it for the first time.
-    Millis unexplainedCrashMemory{10'000};
-
-    // The time that a worker's measurement of a run covers: a measurement tells about the present
-    // load only if the load has not changed within this time.
-    Millis measurementWindow{500};
-    // All best-effort runs on a worker are throttled once a target has been missed for this time,
-    // whatever interference they are estimated to cause.
-    Millis maxTargetMiss{1'600};
-    // The headroom that a best-effort task must leave to each latency-critical run. The relaxed
-    // limit applies once the step has waited for `relaxHeadroomAfter`.
-    double minHeadroom = 1.05;
-    Millis relaxHeadroomAfter{3'000};
-    double relaxedMinHeadroom = 0.8;
-    // If nothing of its job runs after this wait, one best-effort task may start at low speed,
-    // where it leaves the relaxed headroom at that speed.
-    Millis startSlowlyAfter{1'500};
-    // After this wait it may also start beside long-running tasks that are expected to miss their
-    // targets without it.
-    Millis startBesideMissesAfter{5'000};
-    // A step that no worker outside the quarantine could ever run is tried on one in it after this
-    // wait.
-    Millis tryQuarantinedAfter{2'000};
-    // Best-effort runs are throttled if the headroom of a run beside them is below the first value,
-    // and as far as is estimated to raise it to the second.
-    double throttleBelowHeadroom = 1.05;
-    double throttleToHeadroom = 1.2;
-    // Below this headroom a worker with best-effort runs is asked for reports more often.
-    double monitorBelowHeadroom = 1.6;
-    Millis throttleInterval{450}; // The shortest time between two throttlings of a run.
-    // The time since the last missed target on the worker, and since the last change of the run's
-    // speed, after which a throttled run may be sped up.
-    Millis restoreSpeedDelay{900};
-    // The time since the last missed target after which a worker is given best-effort tasks again.
-    Millis bestEffortDelay{600};
-    // Replaces WorkerSessionSettings::maxRenewalWait for workers that are monitored closely.
-    Millis monitoredRenewalWait{400};
-    // The share of its booked processors that a long-running task is assumed to use. The rest
-    // counts as idle for best-effort tasks.
-    int longRunningUsagePercent = 35;
-
-    // A long-running task that has waited for this time is placed before all others.
-    Millis longRunningMaxWait{3'000};
-    // A long-running task that is not at work after this time without progress is moved.
-    Millis longRunningStartTimeout{6'000};
-    int maxStepsPerPass = 2'000; // Bounds the duration of one placement pass.
-    // The shortest time from a placement pass that left steps waiting to the next one, so that
-    // under overload the time spent on placement does not grow with the number of events.
-    Millis placementInterval{20};
-    // The longest time from one pass to the next while steps wait: some reasons to pass a worker
-    // over end by time alone.
-    Millis maxPlacementInterval{250};
-
-    // A step that has waited for this time is noted as waiting, a few steps at this interval.
-    Millis minNotedWait{2'000};
-    Millis waitNoteInterval{1'000};
-};
-
 // The result of Coordinator::submit().
 enum class SubmitResult {
     Accepted,
     Repeated, // A job with the same id is known; the submission has no effect.
 };
 
-// Counts of events since this owner took the shard over.
-struct CoordinatorCounters
-{
-    std::uint64_t jobsAccepted = 0;
-    std::uint64_t jobsRepeated = 0;
-    std::uint64_t runsStarted = 0;
-    std::uint64_t runsAdopted = 0; // Runs of an earlier owner that were found running.
-    std::map<RunOutcome, std::uint64_t> runsEnded;
-    std::map<CommandOutcome, std::uint64_t> startReplies;
-    std::uint64_t runsStalled = 0;
-    std::uint64_t workersQuarantined = 0;
-    std::uint64_t workersCrashed = 0;
-    std::uint64_t runsEvacuated = 0; // Runs moved off workers that are about to leave.
-    // How often tick(), takeOrders() and takeRenewals() looked at a worker, and at a run: what an
-    // event costs beyond the reply that it brought.
-    std::uint64_t workersExamined = 0;
-    std::uint64_t runsExamined = 0;
-
-    CoordinatorCounters &operator+=(const CoordinatorCounters &other);
-};
-
 // Schedules the jobs of one shard: decides which tasks start where, what the workers are ordered to
 // do, and what the reports of the workers mean for the jobs. The shard's owner uses one for as long
 // as it owns the shard.
@@ -392,12 +273,14 @@
     Instant nextLeaseEnd(const Worker &worker) const;
     void expireWorkers(ClockReading now);
     void endLapsedRuns(const std::string &id, ClockReading now);
+    void evacuate(const Worker &worker);
+    const StepSpec *findStepSpec(const TaskRef &task) const;
+
+    // Runs that make no progress (coordinatorstalls.cpp).
     std::optional<Instant> stalledAt(const Run &run) const;
     void scheduleStallCheck(const Run &run);
     void excuseSilence(const std::string &worker, Millis silence, Instant now);
     void stopStalledRuns(ClockReading now);
-    void evacuate(const Worker &worker);
-    const StepSpec *findStepSpec(const TaskRef &task) const;
 
     // Workers that crash, and the runs that may be why (coordinatorcrashes.cpp).
     static void noteUnanswered(Worker &worker, CommandOutcome outcome, bool connectionClosed,
--- /dev/null
+++ b/include/savorywick/steps/coordinatorcounters.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "savorywick/steps/job.h"
+#include "savorywick/steps/workercommands.h"
+
+#include <cstdint>
+#include <map>
+
+namespace savorywick::steps {
+
+// Counts of events since this owner took the shard over.
+struct CoordinatorCounters
+{
+    std::uint64_t jobsAccepted = 0;
+    std::uint64_t jobsRepeated = 0;
+    std::uint64_t runsStarted = 0;
+    std::uint64_t runsAdopted = 0; // Runs of an earlier owner that were found running.
+    std::map<RunOutcome, std::uint64_t> runsEnded;
+    std::map<CommandOutcome, std::uint64_t> startReplies;
+    std::uint64_t runsStalled = 0;
+    std::uint64_t workersQuarantined = 0;
+    std::uint64_t workersCrashed = 0;
+    std::uint64_t runsEvacuated = 0; // Runs moved off workers that are about to leave.
+    // How often tick(), takeOrders() and takeRenewals() looked at a worker, and at a run: what an
+    // event costs beyond the reply that it brought.
+    std::uint64_t workersExamined = 0;
+    std::uint64_t runsExamined = 0;
+
+    CoordinatorCounters &operator+=(const CoordinatorCounters &other);
+};
+
+} // namespace savorywick::steps
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -39,25 +39,6 @@
 
 } // namespace
 
-CoordinatorCounters &CoordinatorCounters::operator+=(const CoordinatorCounters &other)
-{
-    jobsAccepted += other.jobsAccepted;
-    jobsRepeated += other.jobsRepeated;
-    runsStarted += other.runsStarted;
-    runsAdopted += other.runsAdopted;
-    for (const auto &[outcome, n] : other.runsEnded)
-        runsEnded[outcome] += n;
-    for (const auto &[outcome, n] : other.startReplies)
-        startReplies[outcome] += n;
-    runsStalled += other.runsStalled;
-    workersQuarantined += other.workersQuarantined;
-    workersCrashed += other.workersCrashed;
-    runsEvacuated += other.runsEvacuated;
-    workersExamined += other.workersExamined;
-    runsExamined += other.runsExamined;
-    return *this;
-}
-
 Coordinator::Coordinator(std::uint64_t epoch, Instant ownedSince,
                          const CoordinatorSettings &settings)
     : m_settings(settings)
--- /dev/null
+++ b/src/lib/steps/coordinatorcounters.cpp
@@ -0,0 +1,24 @@
+#include "savorywick/steps/coordinatorcounters.h"
+
+namespace savorywick::steps {
+
+CoordinatorCounters &CoordinatorCounters::operator+=(const CoordinatorCounters &other)
+{
+    jobsAccepted += other.jobsAccepted;
+    jobsRepeated += other.jobsRepeated;
+    runsStarted += other.runsStarted;
+    runsAdopted += other.runsAdopted;
+    for (const auto &[outcome, n] : other.runsEnded)
+        runsEnded[outcome] += n;
+    for (const auto &[outcome, n] : other.startReplies)
+        startReplies[outcome] += n;
+    runsStalled += other.runsStalled;
+    workersQuarantined += other.workersQuarantined;
+    workersCrashed += other.workersCrashed;
+    runsEvacuated += other.runsEvacuated;
+    workersExamined += other.workersExamined;
+    runsExamined += other.runsExamined;
+    return *this;
+}
+
+} // namespace savorywick::steps
