--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -175,6 +175,7 @@
         Instant lastTargetMissAt; // The latest report of a missed latency target.
         bool hasThrottledRuns = false;
         bool hasLowHeadroom = false; // Some latency-critical run is below monitorBelowHeadroom.
+        int startsInFlight = 0; // Start orders without a reply.
         int failedStarts = 0; // Starts in a row that it refused or left unanswered.
         Instant lastFailedStartAt;
         Instant blockedUntil; // It gets no starts until then.
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -400,6 +400,7 @@
         run->startFence = session.fence();
         run->startedAt = now.monotonic;
         run->lastProgressAt = now.monotonic;
+        ++it->second.startsInFlight;
         orders.emplace_back(
             StartRunCommand{session.target(), key.task, key.number, job->spec.payload,
                             job->findTask(key.task)->checkpoint,
@@ -431,8 +432,10 @@
         ++m_counters.workersExamined;
         Worker &worker = m_workers.at(id);
         markStale(worker);
-        const Millis wait = needsMonitoring(worker) ? m_settings.monitoredRenewalWait
-                                                    : m_settings.workerSessions.maxRenewalWait;
+        Millis wait = needsMonitoring(worker) ? m_settings.monitoredRenewalWait
+                                              : m_settings.workerSessions.maxRenewalWait;
+        if (worker.startsInFlight > 0) // One that gets no reply is settled by the next renewal.
+            wait = Millis{0};
         if (auto renewal = worker.session.nextRenewal(m_runs.hasRunsOn(id), wait, now.monotonic,
                                                       m_latestLeaseEnd))
             renewals.emplace_back(std::move(*renewal));
--- a/src/lib/steps/coordinatorreplies.cpp
+++ b/src/lib/steps/coordinatorreplies.cpp
@@ -21,6 +21,8 @@
 {
     ++m_counters.startReplies[reply.outcome];
     const auto worker = m_workers.find(order.target.worker.workerId);
+    if (worker != m_workers.end() && worker->second.startsInFlight > 0)
+        --worker->second.startsInFlight;
     const bool sameLife = worker != m_workers.end()
         && worker->second.session.incarnation() == order.target.worker
         && recordClock(worker->second, reply, now);
--- a/tests/steps/coordinatorharness.h
+++ b/tests/steps/coordinatorharness.h
@@ -196,6 +196,8 @@
     std::map<std::string, CommandOutcome> startOutcomes;
     std::optional<std::int64_t> startClockMs; // The clock in those answers.
     std::vector<StartRunCommand> refusedStarts;
+    std::set<std::string> idleWorkers; // They leave start orders without a reply.
+    std::vector<RenewLeaseCommand> renewals; // That were sent.
     std::set<std::string> silentWorkers; // They answer no renewals.
     int fencedRenewals = 0; // That a worker refused, since it had seen a higher fence.
 
@@ -232,6 +234,7 @@
 
     void respond(const RenewLeaseCommand &order)
     {
+        renewals.push_back(order);
         if (const auto failure = crashedReply(order.target))
             return m_coordinator->handleRenewReply(
                 order, {failure->outcome, {}, failure->connectionClosed}, now());
@@ -267,6 +270,8 @@
     {
         if (const auto failure = crashedReply(order.target))
             return m_coordinator->handleStartReply(order, *failure, now());
+        if (idleWorkers.contains(order.target.worker.workerId))
+            return;
         const auto outcome = startOutcomes.find(order.target.worker.workerId);
         if (outcome != startOutcomes.end() && outcome->second != CommandOutcome::Done) {
             refusedStarts.push_back(order);
--- a/tests/steps/coordinatorprogress_test.cpp
+++ b/tests/steps/coordinatorprogress_test.cpp
@@ -466,3 +466,17 @@
     harness.advance(Millis{2'000}); // With those before, more than the time that a run is given.
     CHECK(harness.coordinator().counters().runsStalled == 1);
 }
+
+// Guards against a start without a reply that is settled a second late, since the renewal before
+// the one that settles it waits at the worker for the end of a run.
+TEST_CASE("A renewal does not wait at a worker while a start there has no reply")
+{
+    CoordinatorHarness harness(1);
+    harness.submit("a", task(1'000));
+    harness.advance(Millis{1'000});
+    CHECK(harness.renewals.back().maxWait > Millis{0});
+    harness.idleWorkers = {"w0"};
+    harness.submit("b", task(1'000));
+    harness.advance(Millis{500});
+    CHECK(harness.renewals.back().maxWait == Millis{0});
+}
