--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -36,6 +36,7 @@
     out.writeCounter("runs_stalled_total", c.runsStalled);
     out.writeCounter("runs_evacuated_total", c.runsEvacuated);
     out.writeCounter("workers_quarantined_total", c.workersQuarantined);
+    out.writeCounter("workers_crashed_total", c.workersCrashed);
     out.writeCounter("workers_examined_total", c.workersExamined);
     out.writeCounter("runs_examined_total", c.runsExamined);
     for (const auto &[how, n] : c.runsEnded)
--- a/tests/adapter/httpworkerclient_test.cpp
+++ b/tests/adapter/httpworkerclient_test.cpp
@@ -103,3 +103,14 @@
     CHECK(parseCommandReply({HttpOutcome::ResponseReceived, 200, {}, R"({"clockMs":5})"}).clockMs
           == 5);
 }
+
+TEST_CASE("A command without a response tells whether the connection was closed")
+{
+    for (const bool closed : {false, true}) {
+        for (const HttpOutcome outcome :
+             {HttpOutcome::NotSent, HttpOutcome::ConnectionLost, HttpOutcome::TimedOut}) {
+            const steps::CommandReply reply = parseCommandReply({outcome, 0, {}, {}, closed});
+            CHECK(reply.connectionClosed == closed);
+        }
+    }
+}
--- a/tests/net/httpclientconnection_test.cpp
+++ b/tests/net/httpclientconnection_test.cpp
@@ -180,3 +180,26 @@
         CHECK((result.outcome == it.outcome));
     }
 }
+
+// Guards against a peer that is silent being taken for one whose process has ended, or the reverse.
+TEST_CASE("A closed or refused connection is told from a peer that does not answer")
+{
+    EventLoop loop;
+    AsyncHttpClient client(loop);
+    std::string closedAddress;
+    {
+        ScriptedPeer closing({{"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"}}, true);
+        closedAddress = closing.address();
+        const HttpResult cutOff = exchange(loop, client, {.address = closedAddress});
+        CHECK((cutOff.outcome == HttpOutcome::ConnectionLost));
+        CHECK(cutOff.connectionClosed);
+    }
+    const HttpResult refused = exchange(loop, client, {.address = closedAddress});
+    CHECK((refused.outcome == HttpOutcome::NotSent));
+    CHECK(refused.connectionClosed);
+    ScriptedPeer silent({{"HTTP/1.1 200 OK\r\n"}}, false);
+    const HttpResult unanswered =
+        exchange(loop, client, {.address = silent.address(), .timeout = Millis{100}});
+    CHECK((unanswered.outcome == HttpOutcome::TimedOut));
+    CHECK_FALSE(unanswered.connectionClosed);
+}
