--- a/include/savorywick/steps/runtable.h
+++ b/include/savorywick/steps/runtable.h
@@ -66,6 +66,8 @@
     Millis latencyTarget;
     std::string image;
 
+    // The latest checkpoint that the worker reported; empty if there was none.
+    std::string checkpoint;
     // The progress in percent, as in RunningReport.
     int progressPercent = 0;
     // When `progressPercent` last changed, or when the run was started.
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -179,6 +179,8 @@
             noteConfirmedStart(key.task.job);
             endStartBackoff(worker);
         }
+        if (!it.checkpoint.empty())
+            run->checkpoint = it.checkpoint;
         if (it.progressPercent != run->progressPercent)
             run->lastProgressAt = now.monotonic;
         // Long-running tasks don't end by themselves: getting to work counts as their success.
@@ -253,7 +255,9 @@
     if (!job)
         return;
     const JobState before = job->state;
-    appendRecord(RunEnded{key.task, key.number, how, checkpoint, now.wallMs});
+    // A run that is only found to be gone reports no checkpoint at its end.
+    const std::string &resumeFrom = checkpoint.empty() ? run.checkpoint : checkpoint;
+    appendRecord(RunEnded{key.task, key.number, how, resumeFrom, now.wallMs});
     if (job->state != before) {
         noteRun(SchedulerEventKind::JobEnded, run, toString(job->state),
                 Millis{now.wallMs - job->dueWallMs(key.task.occurrence)});
--- a/tests/steps/coordinatorcrash_test.cpp
+++ b/tests/steps/coordinatorcrash_test.cpp
@@ -180,3 +180,26 @@
     CHECK(runningCount(shard, "serving") == 20);
     CHECK(shard.crashes.size() <= maxStarts * shard.crashingJobs.size());
 }
+
+// Guards against work that is done again from its start although the worker had told of a checkpoint
+// before it was lost.
+TEST_CASE("A run whose worker is lost resumes from the latest checkpoint that was reported")
+{
+    for (const bool crashes : {false, true}) {
+        CAPTURE(crashes);
+        CoordinatorHarness shard(2);
+        shard.submit("saving", tasks(1, 2'000));
+        shard.savedCheckpoint = "00aa";
+        shard.advance(Millis{2'000});
+        shard.savedCheckpoint = "00bb";
+        shard.advance(Millis{2'000});
+        const std::string worker = shard.starts.front().target.worker.workerId;
+        if (crashes)
+            shard.crash(worker, Millis{3'000});
+        else
+            shard.silentWorkers.insert(worker);
+        shard.advance(Millis{12'000});
+        REQUIRE(shard.starts.size() == 2);
+        CHECK(shard.starts.back().checkpoint == "00bb");
+    }
+}
--- a/tests/steps/coordinatorharness.h
+++ b/tests/steps/coordinatorharness.h
@@ -190,6 +190,7 @@
     bool stopsEndRuns = false; // Runs end when they are ordered to stop.
     std::optional<std::int64_t> stopClockMs; // The clock in the answers to stop orders.
     int progressPercent = 100; // That runs report.
+    std::string savedCheckpoint; // That runs report.
     int tailLatencyMs = 10; // That long-running runs report.
     std::set<std::string> failingWorkers; // They fail every run that is started from now on.
     // How these workers answer start orders. Unless it is Done, they don't start the run.
@@ -257,7 +258,8 @@
             const Run *run = m_coordinator->runs().find({it.task, it.run});
             const int measurement =
                 run && run->longRunning ? tailLatencyMs : milliCoresUsedBy({it.task, it.run});
-            reply.report.running.push_back({it.task, it.run, "", progressPercent, measurement});
+            reply.report.running.push_back(
+                {it.task, it.run, savedCheckpoint, progressPercent, measurement});
         }
         m_coordinator->handleRenewReply(order, reply, now());
     }
