Soak real processes against stand-ins of the platform

The soak starts processes of savorywick node on loopback addresses of its own, plays the store, the workers and the callers in its own process, and injects faults that overlap: entries killed, paused and stopped; workers that crash, also because of tasks, fall silent, carry out orders late, shrink and grow; a store that refuses, is silent or slow, loses answers or forgets its history. It checks what callers and workers see, and that every accepted job ends once the faults are over.

Its first run showed that a destroyed HTTP server leaves its connections open and goes on reading requests for a handler that is gone: it closes them now.

--- a/src/net/asynchttpserver.cpp
+++ b/src/net/asynchttpserver.cpp
@@ -202,6 +202,13 @@
             m_stream.socket().cancel(ignored);
     }
 
+    // Closes the connection, whatever it owes its client.
+    void abort()
+    {
+        error_code ignored; // The client may have closed the connection first.
+        m_stream.socket().close(ignored);
+    }
+
     // Returns true if and only if no request was read yet.
     bool isUnused() const { return !m_wasUsed; }
 
@@ -404,6 +411,8 @@
 {
     error_code ignored; // A destructor cannot report it.
     m_impl->acceptor.close(ignored);
+    for (Impl::Session *it : m_impl->sessions)
+        it->abort();
 }
 
 std::string AsyncHttpServer::listen(std::string_view address)
--- a/src/net/asynchttpserver.h
+++ b/src/net/asynchttpserver.h
@@ -61,6 +61,8 @@
     using Handler = std::function<void(HttpRequest request, Responder respond)>;
 
     AsyncHttpServer(EventLoop &loop, const AsyncHttpServerLimits &limits, Handler handler);
+    // Closes all connections at once, also those that wait for a response. Don't call it within the
+    // handler.
     ~AsyncHttpServer();
     AsyncHttpServer(const AsyncHttpServer &) = delete;
     AsyncHttpServer &operator=(const AsyncHttpServer &) = delete;
--- a/tests/net/httpserverend_test.cpp
+++ b/tests/net/httpserverend_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -166,3 +167,23 @@
         CHECK(countOf("whole", fixture.readAll(client)) == it.responses);
     }
 }
+
+// Guards against a server that goes on reading requests after its end, for a handler that is gone.
+TEST_CASE("The end of a server closes its connections")
+{
+    EventLoop loop;
+    int handled = 0;
+    auto server = std::make_unique<AsyncHttpServer>(
+        loop, AsyncHttpServerLimits{}, [&](const HttpRequest &, const auto &) { ++handled; });
+    const std::string address = server->listen("127.0.0.1:0");
+    AsyncHttpClient client(loop);
+    HttpOutcome outcome = HttpOutcome::ResponseReceived;
+    client.exchange({.address = address}, [&](const HttpResult &result) {
+        outcome = result.outcome;
+        loop.stop();
+    });
+    loop.runAfter(Millis{50}, [&] { server.reset(); });
+    loop.run();
+    CHECK((outcome == HttpOutcome::ConnectionLost));
+    CHECK(handled == 1);
+}
--- /dev/null
+++ b/tests/soak/workerstandin.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "platformstandin.h"
+#include "runledger.h"
+#include "savorywick/steps/workercommands.h"
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace savorywick::testing {
+
+// Stands in for a worker, as the platform's protocol describes it: it keeps a fence, a lease, its
+// runs and the ends that were not acknowledged, registers in the store, and starts whatever it is
+// told to. It checks from its side that no start exceeds its capacity, and reports all it sees to
+// the ledger.
+//
+// Its process can crash and come back, under a new id or the one that it had; it can fall silent,
+// and then carry out late what it was told meanwhile; its capacity can shrink and grow. Use several
+// in a soak, on the loop of the soak. Not thread-safe.
+//
+// Example:
+//   WorkerStandIn worker(loop, clock, store, ledger, "w1", "127.0.0.20:8080", seed);
+//   worker.crash(Millis{3'000}, true);
+class WorkerStandIn
+{
+public:
+    WorkerStandIn(EventLoop &loop, const BootClock &clock, PlatformStandIn &store,
+                  RunLedger &ledger, std::string name, std::string address, unsigned seed);
+
+    // Ends the process. A new life begins after `downtime`, under the same id or a new one.
+    void crash(Millis downtime, bool underNewId);
+    // Leaves all calls unanswered until setSilent(false), which carries out some of them late.
+    void setSilent(bool silent);
+    // Shrinks the capacity to `percent` of the full one, or restores it with 100.
+    void setCapacity(int percent);
+    bool isUp() const { return m_server != nullptr; }
+
+private:
+    struct LiveRun
+    {
+        steps::TaskRef task;
+        int number = 0;
+        Millis work;
+        Instant startedAt;
+        std::optional<Instant> stopsAt;
+    };
+    struct WaitingHold
+    {
+        Instant until;
+        AsyncHttpServer::Responder respond;
+    };
+    struct HeldCall
+    {
+        HttpRequest request;
+        AsyncHttpServer::Responder respond;
+    };
+
+    void beginLife(bool underNewId);
+    void tick();
+    void writeEntry();
+    void handle(const HttpRequest &request, const AsyncHttpServer::Responder &respond);
+    void start(const Json::Value &order, const AsyncHttpServer::Responder &respond);
+    void stop(const Json::Value &order, const AsyncHttpServer::Responder &respond);
+    void hold(const Json::Value &order, const AsyncHttpServer::Responder &respond);
+    void confirm(const AsyncHttpServer::Responder &respond) const;
+    void refuse(const AsyncHttpServer::Responder &respond, const char *reason) const;
+    void acknowledge(std::int64_t lastSeen);
+    void checkCapacity(const steps::TaskRef &task);
+    void addRun(const steps::TaskRef &task, int number);
+    void endRun(const LiveRun &run, steps::RunOutcome outcome);
+    void advanceRuns();
+    void answerHolds();
+    Json::Value report() const;
+    int randomBelow(int below)
+    {
+        return static_cast<int>(m_random() % static_cast<unsigned>(below));
+    }
+    std::int64_t clockMs() const { return (m_clock.now() - m_bornAt).count(); }
+
+    EventLoop &m_loop;
+    const BootClock &m_clock;
+    PlatformStandIn &m_store;
+    RunLedger &m_ledger;
+    const std::string m_address;
+    const std::string m_name; // The first part of its ids.
+    std::mt19937 m_random;
+    std::unique_ptr<AsyncHttpServer> m_server; // Null while the process is down.
+    std::string m_id;
+    int m_lives = 0;
+    Instant m_bornAt;
+    std::int64_t m_bornWallMs = 0;
+    Instant m_nextEntryAt;
+    std::optional<Instant> m_unlistedAt; // When the entry of a crashed life leaves the list.
+    std::string m_staleId;
+    std::int64_t m_sequence = 0;
+
+    std::uint64_t m_fence = 0;
+    std::int64_t m_leaseUntilMs = 0; // On the clock of this life.
+    std::list<LiveRun> m_runs;
+    std::vector<steps::RunEndReport> m_ends; // Not acknowledged.
+    std::int64_t m_lastEnd = 0;
+    std::int64_t m_lapsedEnd = 0; // The last end when the lease lapsed.
+    std::map<steps::TaskRef, int> m_highestEnded;
+    std::vector<WaitingHold> m_holds;
+    bool m_silent = false;
+    std::vector<HeldCall> m_heldCalls;
+    steps::ResourceVector m_capacity;
+    steps::ResourceVector m_earlierCapacity;
+    Instant m_capacityChangedAt;
+};
+
+} // namespace savorywick::testing
