--- a/include/savorywick/steps/coordinatorsettings.h
+++ b/include/savorywick/steps/coordinatorsettings.h
@@ -44,8 +44,8 @@
     // A worker that has not answered for longer is silent or cut off. What becomes of it after that
     // is no crash.
     Millis maxSilenceBeforeCrash{2'000};
-    // How long a step waits for a worker where none of its tasks, and no other new run, is beside a
-    // suspected one, so that it is certain which run crashes the worker.
+    // How long a suspected task waits for a worker without other new runs, and any task for one
+    // without a suspect, so that a crash tells which run is why.
     Millis maxIsolationWait{500};
     // After a crash that no run explains, workers may be failing by themselves. For this time a
     // task is not found to be the cause when a worker crashes under it for the first time.
--- a/src/lib/steps/coordinatorcrashes.cpp
+++ b/src/lib/steps/coordinatorcrashes.cpp
@@ -139,7 +139,8 @@
             worker.session.answeredRenewalSentAt() - run.startedAt);
 }
 
-// Returns true if and only if a worker crashed under the task's latest run, which may be why.
+// Returns true if and only if a worker crashed under a run of the task, which may be why, and none
+// has lasted since.
 bool Coordinator::isSuspected(const TaskRef &task) const
 {
     const Job *job = m_table.find(task.job);
--- a/tests/soak/platformstandin.cpp
+++ b/tests/soak/platformstandin.cpp
@@ -50,10 +50,10 @@
     : m_loop(loop)
     , m_clock(clock)
     , m_random(seed)
-    , m_server(std::make_unique<AsyncHttpServer>(loop, AsyncHttpServerLimits{},
-                                                 [this](HttpRequest request, Responder respond) {
-                                                     handle(std::move(request), std::move(respond));
-                                                 }))
+    , m_server(std::make_unique<AsyncHttpServer>(
+          loop, AsyncHttpServerLimits{}, [this](const HttpRequest &request, Responder respond) {
+              handle(request, std::move(respond));
+          }))
 {
     m_server->listen(address);
     answerFeedsInTime();
@@ -87,7 +87,7 @@
     m_forgottenVersion = m_version;
 }
 
-void PlatformStandIn::handle(HttpRequest request, Responder respond)
+void PlatformStandIn::handle(const HttpRequest &request, Responder respond)
 {
     switch (m_fault) {
     case StoreFault::None:
--- a/tests/soak/platformstandin.h
+++ b/tests/soak/platformstandin.h
@@ -55,6 +55,7 @@
         std::string part;
         std::string key;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the default.
         auto operator<=>(const RowKey &) const = default;
     };
     struct StoredValue
@@ -78,7 +79,7 @@
         AsyncHttpServer::Responder respond;
     };
 
-    void handle(HttpRequest request, AsyncHttpServer::Responder respond);
+    void handle(const HttpRequest &request, AsyncHttpServer::Responder respond);
     void execute(const HttpRequest &request, const AsyncHttpServer::Responder &respond);
     void transact(const HttpRequest &request, const AsyncHttpServer::Responder &respond);
     void readRows(const HttpRequest &request, const AsyncHttpServer::Responder &respond) const;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -93,7 +93,7 @@
     node["bounds"]["holdMaxMs"] = 4'000;
     node["bounds"]["status_s"] = 120;
     node["bounds"]["graceS"] = 6;
-    const std::string path = m_settings.directory + "/entry-" + std::to_string(entry) + ".json";
+    std::string path = m_settings.directory + "/entry-" + std::to_string(entry) + ".json";
     writeFile(path, node);
     return path;
 }
--- a/tests/steps/coordinatorcapacity_test.cpp
+++ b/tests/steps/coordinatorcapacity_test.cpp
@@ -11,13 +11,6 @@
 constexpr ResourceVector full{16'000, 32'000, 0};
 constexpr ResourceVector half{8'000, 16'000, 0};
 
-StepSpec tasks(int count, int milliCores)
-{
-    StepSpec spec = task(milliCores);
-    spec.taskCount = count;
-    return spec;
-}
-
 } // namespace
 
 // Guards against starts that count on room that a worker has lost, and on room that it never gets
--- a/tests/steps/coordinatorcrash_test.cpp
+++ b/tests/steps/coordinatorcrash_test.cpp
@@ -11,13 +11,6 @@
 // The rule of the platform: after three crashes under a task it may be started twice more.
 constexpr int maxStarts = 5;
 
-StepSpec tasks(int count, int milliCores)
-{
-    StepSpec spec = task(milliCores);
-    spec.taskCount = count;
-    return spec;
-}
-
 StepSpec longRunningTasks(int count)
 {
     StepSpec spec = longRunningTask();
@@ -181,8 +174,8 @@
     CHECK(shard.crashes.size() <= maxStarts * shard.crashingJobs.size());
 }
 
-// Guards against work that is done again from its start although the worker had told of a checkpoint
-// before it was lost.
+// Guards against work that is done again from its start although the worker had told of a
+// checkpoint before it was lost.
 TEST_CASE("A run whose worker is lost resumes from the latest checkpoint that was reported")
 {
     for (const bool crashes : {false, true}) {
--- a/tests/steps/coordinatorharness.h
+++ b/tests/steps/coordinatorharness.h
@@ -330,6 +330,14 @@
     return s;
 }
 
+// Returns a step of several such tasks.
+inline StepSpec tasks(int count, int milliCores)
+{
+    StepSpec spec = task(milliCores);
+    spec.taskCount = count;
+    return spec;
+}
+
 inline StepSpec longRunningTask()
 {
     StepSpec s = task(4'000);
