Send no renewals in a tight loop once no lease may be granted

An owner that had lost the store sent up to 83,513 renewals a second to 496 workers: a renewal that could grant no lease left the last one short, and an answer that leaves a short lease made the next renewal due at once. The next one is due after the usual delay now if the limit of leases was reached when it was sent.

--- a/include/savorywick/steps/workersession.h
+++ b/include/savorywick/steps/workersession.h
@@ -152,6 +152,7 @@
     Fence m_renewalFence = 0;
     bool m_renewalCoversRuns = false; // The worker had runs when the renewal was sent.
     bool m_renewalExtendsLease = false;
+    bool m_renewalMayGrant = false; // The limit of leases was not reached when it was sent.
     Instant m_renewalDueAt;
     Fence m_answeredFence = 0;
     Instant m_answeredSentAt;
--- a/src/lib/steps/workersession.cpp
+++ b/src/lib/steps/workersession.cpp
@@ -109,6 +109,7 @@
     if (mayGrant && m_clockMs && hasRuns && m_answeredWithRuns && !m_unresponsive)
         renewal.leaseUntilClockMs = grantLease(m_settings.leaseTerm, now, latestEnd);
     m_renewalExtendsLease = renewal.leaseUntilClockMs.has_value();
+    m_renewalMayGrant = mayGrant;
     // A worker with a short lease answers at once, so that there is time to repeat a lost renewal.
     const bool mayWait = renewal.leaseUntilClockMs && !wasShort && m_answeredFence == m_fence
         && m_durableEnds == m_appliedEnds;
@@ -129,7 +130,8 @@
     takeClock(report.clockMs, now);
     m_answeredWithRuns = m_renewalCoversRuns;
     m_leaseExtended = m_renewalCoversRuns && m_renewalExtendsLease;
-    const bool extendsNow = m_renewalCoversRuns && leaseIsShort();
+    // Where no lease may be granted any more, another renewal would extend none either.
+    const bool extendsNow = m_renewalCoversRuns && m_renewalMayGrant && leaseIsShort();
     const bool fenceRaised = m_fence != m_renewalFence;
     m_renewalDueAt = fenceRaised || extendsNow ? now : now + m_settings.renewalDelay;
     return true;
--- a/tests/steps/workersession_test.cpp
+++ b/tests/steps/workersession_test.cpp
@@ -175,6 +175,26 @@
     CHECK(now <= lastGrant + Millis{8'000});
 }
 
+// Guards against an owner that has lost the store and asks its workers in a tight loop: the answer to
+// a renewal without a lease made the next one due at once.
+TEST_CASE("Renewals that may grant no lease are sent no more often than others")
+{
+    WorkerSession session = startSession();
+    session.nextRenewal(true, maxWait, ownedSince);
+    session.renewalAnswered(reportAt(1'000), ownedSince);
+    session.nextRenewal(true, maxWait, ownedSince + renewalDelay);
+    session.renewalAnswered(reportAt(1'120), ownedSince + renewalDelay);
+    const Instant latestEnd = ownedSince + Millis{1'000};
+    int renewals = 0;
+    for (Instant now = latestEnd; now < latestEnd + Millis{1'200}; now = now + Millis{1}) {
+        if (!session.nextRenewal(true, Millis{0}, now, latestEnd))
+            continue;
+        ++renewals;
+        session.renewalAnswered(reportAt((now - ownedSince).count() + 1'000), now);
+    }
+    CHECK(renewals <= 1'200 / renewalDelay.count() + 1);
+}
+
 TEST_CASE("A lease of an earlier owner expires one longest term after the shard was taken over")
 {
     const WorkerSession session = startSession();
