Start nothing in availability zones that operators evacuate

Operators could not take a zone out of service: nothing read their request, and placement used all zones alike. EvacuatedZones tells in which zones tasks may be started, from the operators' requests and the age of the copy of them. The coordinator asks it whether a worker is a candidate (first runs, retries, gangs, slow starts, probes) and whether a start that waited for its commit may be sent. Runs in the zone go on. When a zone is evacuated, the fence of its workers with start orders under way is raised, so that a late order is void.

Without a bound in the settings nothing changes. The names contain "zone", since evacuate() and runs_evacuated_total are of draining workers.

The harness of the coordinator's tests can put a worker in a zone.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -6,6 +6,7 @@
 #include "savorywick/steps/coordinatorcounters.h"
 #include "savorywick/steps/coordinatorsettings.h"
 #include "savorywick/steps/duequeue.h"
+#include "savorywick/steps/evacuatedzones.h"
 #include "savorywick/steps/jobtable.h"
 #include "savorywick/steps/latencyheadroom.h"
 #include "savorywick/steps/placement.h"
@@ -95,6 +96,12 @@
 
     // Replaces the list of the shard's workers. Runs are moved off workers that are draining.
     void setWorkers(std::span<const WorkerInfo> workers, ClockReading now);
+    // Replaces what is known of evacuated zones. If the settings have a bound for evacuations,
+    // nothing is started before the first call, nor while the latest zones are out of date.
+    void setEvacuatedZones(const EvacuatedZones &zones, ClockReading now);
+    // Returns true if and only if there are workers, apart from those that leave or have left, and
+    // all of them are in evacuated zones.
+    bool areAllWorkersEvacuated() const;
     // Apply the worker's reply to an order that takeOrders() or takeRenewals() returned. Replies
     // may come late; those to orders for an earlier life of the worker don't affect its next one.
     void handleRenewReply(const RenewLeaseCommand &order, const RenewLeaseReply &reply,
@@ -323,6 +330,12 @@
                          const std::string &job, Instant now) const;
     void orderStartSpeed(const Worker &worker, Run &run, ClockReading now);
 
+    // Availability zones that operators have evacuated (coordinatorevacuation.cpp).
+    void noteZoneChange(const ZoneChange &change);
+    void voidStartsInFlight(std::string_view zone, Instant now);
+    bool mayStartInZoneOf(const Worker &worker, Instant now) const;
+    void withholdCapacity(CandidateWorker &candidate, Instant now) const;
+
     // Placement (coordinatorplacement.cpp).
     Instant placementAt() const;
     bool isUsable(const Worker &worker, Instant now) const;
@@ -361,6 +374,7 @@
     JobTable m_table;
     RunTable m_runs;
     Quarantine m_quarantine;
+    EvacuatedZones m_evacuatedZones;
     LatencyHeadroomEstimator m_headroomEstimator;
     CoordinatorCounters m_counters;
 
--- a/include/savorywick/steps/coordinatorcounters.h
+++ b/include/savorywick/steps/coordinatorcounters.h
@@ -21,6 +21,9 @@
     std::uint64_t workersQuarantined = 0;
     std::uint64_t workersCrashed = 0;
     std::uint64_t runsEvacuated = 0; // Runs moved off workers that are about to leave.
+    // Placed runs that were not started, since their zone was evacuated meanwhile or the zones that
+    // are evacuated were no longer known.
+    std::uint64_t startsWithheld = 0;
     // How often tick(), takeOrders() and takeRenewals() looked at a worker, and at a run: what an
     // event costs beyond the reply that it brought.
     std::uint64_t workersExamined = 0;
--- a/include/savorywick/steps/coordinatorsettings.h
+++ b/include/savorywick/steps/coordinatorsettings.h
@@ -2,6 +2,7 @@
 
 #include "savorywick/clock.h"
 #include "savorywick/quarantine.h"
+#include "savorywick/steps/evacuatedzones.h"
 #include "savorywick/steps/workersession.h"
 
 namespace savorywick::steps {
@@ -12,6 +13,7 @@
 {
     WorkerSessionSettings workerSessions;
     QuarantineOptions quarantine;
+    ZoneEvacuationSettings zoneEvacuation;
     Millis endedJobRetention{150'000}; // An ended job is forgotten after this time.
     // So is where a job was left to. Until then a repeated submission is sent to the same shard.
     Millis delegationRetention{3'600'000};
--- a/include/savorywick/steps/schedulerevent.h
+++ b/include/savorywick/steps/schedulerevent.h
@@ -29,6 +29,8 @@
     RunSuspected, // The run may be why its worker crashed.
     RunCleared, // The run of a suspected task has lasted, so that the task is suspected no more.
     StepWaiting, // A step has had a task that may start, and no worker for it, for long.
+    ZoneEvacuated, // An operator evacuates the availability zone: nothing is started there.
+    ZoneReturned, // The zone returns to service.
 };
 
 // Returns the name of the log event, such as "run-placed".
@@ -40,7 +42,7 @@
 struct SchedulerEvent
 {
     SchedulerEventKind kind = SchedulerEventKind::RunPlaced;
-    // The job is empty if and only if the event concerns a worker and no run.
+    // The job is empty if and only if the event concerns a worker or a zone and no run.
     TaskRef task;
     int run = 0;
     std::string worker;
@@ -53,9 +55,11 @@
     Millis age;
     // The processors left on the worker, in thousandths of a core, for RunPlaced; the new speed in
     // percent for RunThrottled; the progress in percent for RunConfirmed, RunEnded and
-    // StopRequested; the number of workers that may be given tasks for StepWaiting; 0 for other
-    // events.
+    // StopRequested; the number of workers that may be given tasks for StepWaiting; the number of
+    // runs in the zone for ZoneEvacuated and ZoneReturned; 0 for other events.
     int value = 0;
+    std::string zone = {}; // Only of ZoneEvacuated and ZoneReturned.
+    int workerCount = 0; // Workers in the zone.
 };
 
 } // namespace savorywick::steps
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -45,6 +45,7 @@
     , m_firstFence(epoch * fencesPerEpoch)
     , m_ownedSince(ownedSince)
     , m_quarantine(settings.quarantine)
+    , m_evacuatedZones(settings.zoneEvacuation)
 { }
 
 void Coordinator::takeOver(ClockReading now)
@@ -391,7 +392,9 @@
             && it != m_workers.end() && it->second.session.incarnation() == run->incarnation
             && it->second.session.responsive() && !it->second.lifeIsOver
             && !it->second.info.draining && fitsStill(it->second, *run);
-        if (!mayStart) {
+        const bool zoneAllows = !mayStart || mayStartInZoneOf(it->second, now.monotonic);
+        m_counters.startsWithheld += zoneAllows ? 0 : 1;
+        if (!mayStart || !zoneAllows) {
             endRun(key, RunOutcome::NeverStarted, {}, now);
             continue;
         }
--- a/src/lib/steps/coordinatorcounters.cpp
+++ b/src/lib/steps/coordinatorcounters.cpp
@@ -16,6 +16,7 @@
     workersQuarantined += other.workersQuarantined;
     workersCrashed += other.workersCrashed;
     runsEvacuated += other.runsEvacuated;
+    startsWithheld += other.startsWithheld;
     workersExamined += other.workersExamined;
     runsExamined += other.runsExamined;
     return *this;
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -25,7 +25,7 @@
 {
     if (!worker.everListed || worker.info.draining || !worker.session.responsive())
         return false;
-    if (worker.lifeIsOver)
+    if (worker.lifeIsOver || !mayStartInZoneOf(worker, now))
         return false;
     if (worker.unlistedSince && now - *worker.unlistedSince > m_settings.unlistedGracePeriod)
         return false;
@@ -105,6 +105,7 @@
     if (fitsBestEffort || needs.images)
         addInterferenceState(worker, candidate, now);
     candidate.hasProbation = summary.hasProbation;
+    withholdCapacity(candidate, now);
     return candidate;
 }
 
--- a/src/lib/steps/schedulerevent.cpp
+++ b/src/lib/steps/schedulerevent.cpp
@@ -41,6 +41,10 @@
         return "run-cleared";
     case SchedulerEventKind::StepWaiting:
         return "step-waiting";
+    case SchedulerEventKind::ZoneEvacuated:
+        return "zone-evacuated";
+    case SchedulerEventKind::ZoneReturned:
+        return "zone-returned";
     }
     return "unnamed";
 }
--- a/src/node/schedulerlog.cpp
+++ b/src/node/schedulerlog.cpp
@@ -22,6 +22,8 @@
     case SchedulerEventKind::WorkerQuarantined:
     case SchedulerEventKind::WorkerCrashed:
     case SchedulerEventKind::StepWaiting:
+    case SchedulerEventKind::ZoneEvacuated:
+    case SchedulerEventKind::ZoneReturned:
         return logInfo;
     case SchedulerEventKind::RunPlaced:
         return note.run > 1 ? logNotable : logRoutine;
@@ -48,6 +50,11 @@
 void log(const SchedulerEvent &note)
 {
     const Write write = writerFor(note);
+    if (!note.zone.empty()) {
+        write(toString(note.kind),
+              {{"zone", note.zone}, {"workers", note.workerCount}, {"runs", note.value}});
+        return;
+    }
     if (note.task.job.empty()) {
         write(toString(note.kind),
               {{"worker", note.worker}, {"why", note.reason}, {"ageMs", note.age.count()}});
--- a/tests/steps/coordinatorharness.h
+++ b/tests/steps/coordinatorharness.h
@@ -95,6 +95,12 @@
     // Returns the highest fence that this life of the worker has seen.
     Fence highestFence(const std::string &worker) const { return m_fences.at(worker); }
 
+    void setZone(int worker, const std::string &zone)
+    {
+        m_workers[worker].availabilityZone = zone;
+        m_coordinator->setWorkers(m_workers, now());
+    }
+
     void setDraining(int worker)
     {
         m_workers[worker].draining = true;
