Follow the operators' evacuations in every entry

The rows "evacuate/ZONE" of the table "op", which every entry follows for the configuration, now reach the owners: the feed reports the zones and up to when the copy is complete, the node keeps them for all shards that it owns or takes over, and the shards' capacities leave out what evacuated and returning zones do not offer.

If all workers of a shard are in evacuated zones, new jobs are refused with 503. The metrics show each zone, the age of the copy and the starts that were withheld.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -72,6 +72,7 @@
           loop, clock,
           [this](Millis processorTime, Millis maxLag) { reportShardLoads(processorTime, maxLag); })
     , m_platform(std::move(platform))
+    , m_evacuatedZones(settings.shardRunner.coordinator.zoneEvacuation)
     , m_shardCountChooser(settings.shardCount)
     , m_shardClient(http, m_clock)
     , m_shardServer(
@@ -140,6 +141,7 @@
              {"callerConnections", std::uint64_t{m_settings.connections.callers}},
              {"entryConnections", std::uint64_t{m_settings.connections.entries}},
              {"workerConnections", std::uint64_t{m_settings.connections.toWorkers.maxOpen}}});
+    watchEvacuations();
     m_platform.feed.watchQueues([this](steps::QueueConfiguration c) { applyQueues(std::move(c)); });
     m_ownership.start();
     m_loadReporter.start();
@@ -247,6 +249,7 @@
         watchWorkers();
     runner->setWorkers(workersOf(owned.shard));
     runner->setShardCapacities(shardCapacities());
+    runner->setEvacuatedZones(m_evacuatedZones);
     runner->open();
     if (owned.shard == 0)
         chooseShardCount();
@@ -271,6 +274,7 @@
 
 void Node::reportShardLoads(Millis processorTime, Millis maxLag)
 {
+    noteEvacuationAge();
     for (const auto &[shard, runner] : m_runners)
         logShardLoad(shard, runner->takeLoad(), processorTime, maxLag);
 }
@@ -356,15 +360,18 @@
     return workers;
 }
 
-// Returns the processors of each shard's workers, in thousandths of a core.
+// Returns the processors that each shard's workers offer, in thousandths of a core.
 std::vector<std::int64_t> Node::shardCapacities() const
 {
     std::vector<std::int64_t> milliCores(static_cast<std::size_t>(m_ownership.shardCount()));
     if (milliCores.empty())
         return milliCores;
+    constexpr std::int64_t wholePercent = 100;
+    const Instant now = m_clock.now();
     for (const steps::WorkerInfo &it : m_workers)
         milliCores[static_cast<std::size_t>(shardOf(it.incarnation.workerId))] +=
-            it.capacity.milliCores;
+            std::int64_t{it.capacity.milliCores}
+            * m_evacuatedZones.offeredPercent(it.availabilityZone, now) / wholePercent;
     return milliCores;
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -11,6 +11,7 @@
 #include "node/ownership.h"
 #include "node/shardlink.h"
 #include "node/shardrunner.h"
+#include "savorywick/steps/evacuatedzones.h"
 #include "savorywick/steps/queues.h"
 
 #include <functional>
@@ -48,7 +49,8 @@
     Millis maxOwnershipAge{6'000};
 };
 
-// Notifies a node of changes to the queue configuration and the list of workers.
+// Notifies a node of changes to the queue configuration, the list of workers and the zones that
+// operators evacuate.
 //
 // Implement it in a platform adapter. Each listener is called on the event loop: first when the
 // platform has delivered the initial value, then on every change.
@@ -63,8 +65,17 @@
     virtual void watchWorkers(std::function<void(std::vector<steps::WorkerInfo>)> listener) = 0;
     // Stops following the list of workers. The listener is not called any more.
     virtual void unwatchWorkers() = 0;
+    // Registers the listener for operators' requests to evacuate availability zones. It is called
+    // with the complete requests whenever they have been read, changed or not, and several times
+    // within `maxAge`. Call it before watchQueues(). A platform without such requests does nothing;
+    // then nothing is started if the node's settings have a bound for evacuations.
+    virtual void watchEvacuations(Millis /*maxAge*/,
+                                  std::function<void(steps::EvacuationReport)> /*listener*/)
+    { }
 };
 
+class PrometheusWriter;
+
 // A client whose connections the metrics tell of.
 struct NamedClient
 {
@@ -168,6 +179,10 @@
     void setWorkers(std::vector<steps::WorkerInfo> workers);
     std::vector<steps::WorkerInfo> workersOf(int shard) const;
     std::vector<std::int64_t> shardCapacities() const;
+    void watchEvacuations();
+    void applyEvacuations(const steps::EvacuationReport &report);
+    void noteEvacuationAge();
+    void writeEvacuationMetrics(PrometheusWriter &out) const;
     void chooseShardCount();
     void shareWorkersOut();
     void serveUntilDrained();
@@ -185,6 +200,8 @@
     NodePlatform m_platform;
     steps::QueueTable m_queues;
     std::vector<steps::WorkerInfo> m_workers;
+    steps::EvacuatedZones m_evacuatedZones;
+    bool m_evacuationsCurrent = true; // As last logged.
     ShardCountChooser m_shardCountChooser;
     ShardClient m_shardClient;
     ShardServer m_shardServer;
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -35,6 +35,7 @@
     out.writeCounter("runs_adopted_total", c.runsAdopted);
     out.writeCounter("runs_stalled_total", c.runsStalled);
     out.writeCounter("runs_evacuated_total", c.runsEvacuated);
+    out.writeCounter("starts_withheld_total", c.startsWithheld);
     out.writeCounter("workers_quarantined_total", c.workersQuarantined);
     out.writeCounter("workers_crashed_total", c.workersCrashed);
     out.writeCounter("workers_examined_total", c.workersExamined);
@@ -86,6 +87,7 @@
                          static_cast<std::uint64_t>(total.time.count()));
     addClients(out, m_platform.clients);
     m_loadReporter.writeMetrics(out);
+    writeEvacuationMetrics(out);
     out.writeHistogram("submit_commit_ms", m_shardLatencies.submitCommit);
     out.writeHistogram("submit_first_start_ms", m_shardLatencies.submitFirstStart);
     out.writeHistogram("shard_restore_ms", m_shardLatencies.restore);
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -30,6 +30,7 @@
     , m_dealer(owned.shard)
     , m_overloadGate(settings.overload)
     , m_passPacer(settings.passes)
+    , m_evacuatedZones(settings.coordinator.zoneEvacuation)
 { }
 
 steps::ClockReading ShardRunner::now() const
@@ -108,6 +109,7 @@
     m_journal.setRestoredBytes(m_restoredSnapshotBytes, m_reader.segmentBytes());
     m_coordinator.takeOver(now());
     m_coordinator.setWorkers(m_workers, now());
+    m_coordinator.setEvacuatedZones(m_evacuatedZones, now());
     m_dependencies.latencies.restore.record(m_dependencies.clock.now()
                                             - m_coordinator.ownedSince());
     logInfo("shard-restored",
@@ -131,7 +133,8 @@
         return onReply({ShardOutcome::StoreDown, {}, 0});
     }
     observeLag();
-    if (m_overloadGate.isClosed() && changes && std::holds_alternative<SubmitJob>(request)) {
+    const bool takesNoJobs = m_overloadGate.isClosed() || m_coordinator.areAllWorkersEvacuated();
+    if (takesNoJobs && changes && std::holds_alternative<SubmitJob>(request)) {
         ++m_load.overloadRefusals;
         return onReply({ShardOutcome::Overloaded, {}, 0});
     }
@@ -160,6 +163,15 @@
     m_dealer.setCapacities(std::move(milliCores));
 }
 
+void ShardRunner::setEvacuatedZones(const steps::EvacuatedZones &zones)
+{
+    m_evacuatedZones = zones;
+    if (!m_restored || m_ended)
+        return;
+    m_coordinator.setEvacuatedZones(m_evacuatedZones, now());
+    scheduleProcessing();
+}
+
 void ShardRunner::release()
 {
     if (m_ended)
--- a/src/node/shardrunner.h
+++ b/src/node/shardrunner.h
@@ -89,6 +89,8 @@
     // Sets the processors of the workers of each shard, in thousandths of a core. New jobs of
     // long-running tasks are shared out by them.
     void setShardCapacities(std::vector<std::int64_t> milliCores);
+    // Sets which availability zones are evacuated.
+    void setEvacuatedZones(const steps::EvacuatedZones &zones);
     // Releases the shard when all pending changes are durable. No new work is accepted meanwhile.
     void release();
     // Drops the shard immediately. Pending requests get an Undecided reply.
@@ -153,6 +155,7 @@
     WorkPacer m_passPacer;
     bool m_passDue = false; // A pass was asked for and put off.
     std::vector<steps::WorkerInfo> m_workers;
+    steps::EvacuatedZones m_evacuatedZones;
     std::deque<PendingReply> m_pendingReplies; // In the order of their `lsn`.
     bool m_restored = false;
     bool m_ended = false;
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -44,6 +44,7 @@
         steps::WorkerInfo worker;
         worker.incarnation = {"w", 1};
         worker.service = "fits";
+        worker.availabilityZone = "a";
         worker.capacity = {8'000, 8'000, 0};
         return worker;
     }
@@ -85,6 +86,7 @@
     ImmediateObjectStore objects;
     FakeWorker worker;
     PlainCodec codec;
+    std::optional<Millis> evacuationBound = {};
 };
 
 // An entry with its own event loop. It behaves like a killed process while its loop does not run.
@@ -96,7 +98,7 @@
         : m_cluster(cluster)
         , m_configured(configured)
         , m_http(m_loop)
-        , m_node(settings(name, shards), m_loop, m_clock, m_http,
+        , m_node(settings(cluster, name, shards), m_loop, m_clock, m_http,
                  {cluster.table, cluster.objects, *this, *this, cluster.codec})
         , m_addresses(m_node.start())
     { }
@@ -192,14 +194,24 @@
     }
     void unwatchWorkers() override { watchesWorkers = false; }
 
+    void watchEvacuations(Millis, std::function<void(steps::EvacuationReport)> listener) override
+    {
+        m_evacuationListener = std::move(listener);
+    }
+    void reportEvacuated(const steps::ZoneNames &zones)
+    {
+        m_evacuationListener({zones, m_clock.now()});
+    }
+
     bool watchesWorkers = false;
 
 private:
-    static NodeSettings settings(const std::string &name, int shards)
+    static NodeSettings settings(const TestCluster &cluster, const std::string &name, int shards)
     {
         NodeSettings s;
         s.name = name;
         s.ownership.lease.shardCount = shards;
+        s.shardRunner.coordinator.zoneEvacuation.bound = cluster.evacuationBound;
         for (std::string *it :
              {&s.callersAddress, &s.readinessAddress, &s.peersAddress, &s.metricsAddress})
             *it = "127.0.0.1:0";
@@ -208,6 +220,7 @@
 
     TestCluster &m_cluster;
     const bool m_configured;
+    std::function<void(steps::EvacuationReport)> m_evacuationListener;
     EventLoop m_loop;
     BootClock m_clock;
     AsyncHttpClient m_http;
@@ -309,3 +322,35 @@
     CHECK(entry.callerRequest("DELETE", "/q/id1").status == 200);
     CHECK(entry.reachesState("id1", "cancelled"));
 }
+
+// Guards against starts by an entry that does not know the evacuated zones, and by one that learned
+// of them before it owned the shard, also if the number of shards was agreed on since (0).
+TEST_CASE("An entry that becomes an owner starts nothing in zones that are evacuated already")
+{
+    for (const int shards : {1, 0}) {
+        CAPTURE(shards);
+        TestCluster cluster;
+        cluster.evacuationBound = Millis{600'000}; // Nothing gets too old here.
+        TestEntry first(cluster, true, "entry-a", shards);
+        for (int i = 0; i < maxPolls && first.callerRequest("POST", "/q/id1", "job").status != 200;
+             ++i)
+            first.runFor(pollInterval);
+        first.runFor(Millis{300});
+        TestEntry second(cluster, true, "entry-b", shards);
+        second.reportEvacuated({"a"});
+        first.drain();
+        for (int i = 0; i < maxPolls && !second.watchesWorkers; ++i) {
+            first.runFor(pollInterval);
+            second.runFor(pollInterval);
+        }
+        second.runFor(Millis{500});
+        CHECK(cluster.worker.starts == 0);
+        const HttpResult refusal = second.callerRequest("POST", "/q/id2", "job");
+        CHECK(refusal.status == 503); // All workers are in the zone.
+        CHECK_FALSE(headerValue(refusal.headers, "Retry-After").empty());
+        const std::string metrics = second.call(second.addresses().metrics, "GET", "/metrics").body;
+        CHECK(containsSample(metrics, "zone_evacuated{zone=\"a\"} 1"));
+        second.reportEvacuated({});
+        CHECK(second.reachesState("id1", "running"));
+    }
+}
