--- a/src/node/node.h
+++ b/src/node/node.h
@@ -57,6 +57,8 @@
 class ClusterFeed
 {
 public:
+    using EvacuationListener = std::function<void(const steps::EvacuationReport &)>;
+
     virtual ~ClusterFeed() = default;
 
     // Registers the listener for the queue configuration.
@@ -69,9 +71,7 @@
     // with the complete requests whenever they have been read, changed or not, and several times
     // within `maxAge`. Call it before watchQueues(). A platform without such requests does nothing;
     // then nothing is started if the node's settings have a bound for evacuations.
-    virtual void watchEvacuations(Millis /*maxAge*/,
-                                  std::function<void(steps::EvacuationReport)> /*listener*/)
-    { }
+    virtual void watchEvacuations(Millis /*maxAge*/, const EvacuationListener & /*listener*/) { }
 };
 
 class PrometheusWriter;
--- a/tests/adapter/nodefile_test.cpp
+++ b/tests/adapter/nodefile_test.cpp
@@ -65,3 +65,21 @@
     CHECK_THROWS_AS(parseNodeFile("no json"), Error);
     CHECK_THROWS_AS(loadNodeFile("no-such-file.json"), Error);
 }
+
+// Guards against a bound that is misread, so that operators rely on evacuations that never happen,
+// and against starts that stop in a deployment without a bound.
+TEST_CASE("Zones are evacuated only with a bound that can be kept")
+{
+    const auto fileWith = [](const std::string &bound) {
+        std::string file = validFile;
+        const std::string valid = "\"graceS\":4.5";
+        return parseNodeFile(file.replace(file.find(valid), valid.size(), bound))
+            .node.shardRunner.coordinator.zoneEvacuation;
+    };
+    CHECK_FALSE(fileWith("\"other\":1").bound.has_value());
+    CHECK(fileWith("\"evacuateMs\":5000").maxAge() == Millis{4'000});
+    for (const std::string value : {"\"5000\"", "1000", "-1", "0.5"}) {
+        CAPTURE(value);
+        CHECK_THROWS_AS(fileWith("\"evacuateMs\":" + value), Error);
+    }
+}
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -194,9 +194,9 @@
     }
     void unwatchWorkers() override { watchesWorkers = false; }
 
-    void watchEvacuations(Millis, std::function<void(steps::EvacuationReport)> listener) override
+    void watchEvacuations(Millis, const EvacuationListener &listener) override
     {
-        m_evacuationListener = std::move(listener);
+        m_evacuationListener = listener;
     }
     void reportEvacuated(const steps::ZoneNames &zones)
     {
@@ -220,7 +220,7 @@
 
     TestCluster &m_cluster;
     const bool m_configured;
-    std::function<void(steps::EvacuationReport)> m_evacuationListener;
+    EvacuationListener m_evacuationListener;
     EventLoop m_loop;
     BootClock m_clock;
     AsyncHttpClient m_http;
