Limit the best-effort runs that are started below the usual headroom

Cause: a best-effort step that has waited for 3 s may leave long-running tasks only 0.8 of their target, and after 1.5 s it may start at low speed. Both were meant for a job that suits no worker. Under overload every step waits that long, so all of them were placed where they do harm, were stopped and started again.

Change: steps::RelaxedStarts limits the runs in progress that were started so, by the number of workers; one is always allowed. A step is tried with the usual headroom first.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -10,6 +10,7 @@
 #include "savorywick/steps/jobtable.h"
 #include "savorywick/steps/latencyheadroom.h"
 #include "savorywick/steps/placement.h"
+#include "savorywick/steps/relaxedstarts.h"
 #include "savorywick/steps/runtable.h"
 #include "savorywick/steps/schedulerevent.h"
 #include "savorywick/steps/unplaceablesteps.h"
@@ -346,12 +347,14 @@
     std::vector<CandidateWorker> candidateWorkers(const PassNeeds &needs, Instant now);
     std::vector<ReadyStep> sortedReadySteps(ClockReading now) const;
     void placeReadySteps(ClockReading now);
-    double minHeadroomAfter(Millis waited) const;
+    bool mayRelaxHeadroom(const StepSpec &spec, Millis waited) const;
     bool mayStartSlowly(const StepRef &ref, const StepSpec &spec, Millis waited) const;
     PlacementConstraints slowStartConstraintsFor(const StepRef &ref, Instant now) const;
     CandidateWorker candidateOf(Worker &worker, const PassNeeds &needs, Instant now);
     void tryQuarantinedWorkers(const ReadyStep &step, const PlacementPass &pass, ClockReading now);
     bool placeStep(const ReadyStep &step, PlacementPass &pass, ClockReading now);
+    bool placeStepAt(const ReadyStep &step, double minHeadroom, PlacementPass &pass,
+                     ClockReading now);
     bool placeTasks(const ReadyStep &step, std::span<const int> indexes,
                     PlacementConstraints constraints, PlacementPass &pass, ClockReading now);
     void startOneSlowly(const ReadyStep &step, PlacementPass &pass, ClockReading now);
@@ -376,6 +379,7 @@
     Quarantine m_quarantine;
     EvacuatedZones m_evacuatedZones;
     LatencyHeadroomEstimator m_headroomEstimator;
+    RelaxedStarts m_relaxedStarts;
     CoordinatorCounters m_counters;
 
     std::map<std::string, Worker, std::less<>> m_workers;
--- a/include/savorywick/steps/coordinatorsettings.h
+++ b/include/savorywick/steps/coordinatorsettings.h
@@ -5,6 +5,8 @@
 #include "savorywick/steps/evacuatedzones.h"
 #include "savorywick/steps/workersession.h"
 
+#include <optional>
+
 namespace savorywick::steps {
 
 // The timing of the Coordinator and the thresholds of its decisions. Headroom is the latency target
@@ -70,6 +72,10 @@
     // After this wait it may also start beside long-running tasks that are expected to miss their
     // targets without it.
     Millis startBesideMissesAfter{5'000};
+    // Limits the runs in progress that were started with relaxed headroom or at low speed, so that
+    // under overload, when every step waits for long, most workers keep their headroom. Nothing
+    // means no limit.
+    std::optional<int> relaxedRunsPerHundredWorkers;
     // A step that no worker outside the quarantine could ever run is tried on one in it after this
     // wait.
     Millis tryQuarantinedAfter{2'000};
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -46,6 +46,7 @@
     , m_ownedSince(ownedSince)
     , m_quarantine(settings.quarantine)
     , m_evacuatedZones(settings.zoneEvacuation)
+    , m_relaxedStarts(settings.relaxedRunsPerHundredWorkers)
 { }
 
 void Coordinator::takeOver(ClockReading now)
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -209,19 +209,20 @@
         m_nextPlacementAt = now.monotonic + m_settings.placementInterval;
 }
 
-// Returns the headroom that a best-effort task must leave to latency-critical runs if its step has
-// waited for this time.
-double Coordinator::minHeadroomAfter(Millis waited) const
+// Returns true if and only if best-effort tasks of a step that has waited for this time may leave
+// latency-critical runs less than the usual headroom.
+bool Coordinator::mayRelaxHeadroom(const StepSpec &spec, Millis waited) const
 {
-    const bool relaxed = waited >= m_settings.relaxHeadroomAfter;
-    return relaxed ? m_settings.relaxedMinHeadroom : m_settings.minHeadroom;
+    return spec.bestEffort && !spec.gang && waited >= m_settings.relaxHeadroomAfter
+        && m_relaxedStarts.allowsMore(m_workers.size());
 }
 
 // Returns true if and only if one task of the step, which can't start at full speed, may start at
 // low speed: nothing of its occurrence of the job runs.
 bool Coordinator::mayStartSlowly(const StepRef &ref, const StepSpec &spec, Millis waited) const
 {
-    if (!spec.bestEffort || spec.gang || waited < m_settings.startSlowlyAfter)
+    if (!spec.bestEffort || spec.gang || waited < m_settings.startSlowlyAfter
+        || !m_relaxedStarts.allowsMore(m_workers.size()))
         return false;
     const std::vector<RunKey> keys = m_runs.ofJob(ref.job);
     return std::none_of(keys.begin(), keys.end(),
@@ -238,10 +239,21 @@
     return constraints;
 }
 
-// Starts as many of the step's tasks as there are workers for. Returns true if and only if all are.
+// Starts as many of the step's tasks as there are workers for, with less headroom than usual if it
+// may. Returns true if and only if all are started.
 bool Coordinator::placeStep(const ReadyStep &step, PlacementPass &pass, ClockReading now)
 {
-    const double minHeadroom = minHeadroomAfter(now.monotonic - step.since);
+    if (placeStepAt(step, m_settings.minHeadroom, pass, now))
+        return true;
+    return mayRelaxHeadroom(*step.spec, now.monotonic - step.since)
+        && placeStepAt(step, m_settings.relaxedMinHeadroom, pass, now);
+}
+
+// Starts as many of the step's tasks as there are workers for that keep this headroom. Returns true
+// if and only if all are started.
+bool Coordinator::placeStepAt(const ReadyStep &step, double minHeadroom, PlacementPass &pass,
+                              ClockReading now)
+{
     if (pass.unplaceable.covers(*step.spec, step.job->spec.policy.service, minHeadroom))
         return false;
     PlacementConstraints constraints = constraintsFor(step.ref, now.monotonic);
@@ -266,8 +278,11 @@
                              PlacementConstraints constraints, PlacementPass &pass,
                              ClockReading now)
 {
+    const bool relaxed = step.spec->bestEffort && constraints.minHeadroom < m_settings.minHeadroom;
     WorkerChooser chooser(*step.spec, constraints, pass.workers);
     for (const int index : indexes) {
+        if (relaxed && !m_relaxedStarts.allowsMore(m_workers.size()))
+            return false;
         const auto chosen = chooser.choose();
         if (!chosen) {
             // Otherwise steps that wait for longer may find a worker.
@@ -276,7 +291,9 @@
             return false;
         }
         CandidateWorker &worker = pass.workers[*chosen];
-        startTask(step, index, worker, fullPercent, now);
+        const RunKey started = startTask(step, index, worker, fullPercent, now);
+        if (relaxed)
+            m_relaxedStarts.add(started);
         ++constraints.tasksPerWorker[worker.info->incarnation.workerId];
         constraints.currentRack = worker.info->rack;
         chooser.noteTask(*chosen);
@@ -298,6 +315,7 @@
     const RunKey started = startTask(step, tasksToStart(step.ref).front(), pass.workers[*chosen],
                                      lowSpeedPercent, now);
     m_runs.find(started)->besideMisses = constraints.besideMisses;
+    m_relaxedStarts.add(started);
     forgetIfPlaced(step.ref);
 }
 
@@ -410,7 +428,8 @@
         const Millis waited = now.monotonic - m_readySteps.at(ref);
         const StepSpec &spec = m_table.find(ref.job)->spec.steps[ref.step];
         PlacementConstraints constraints = constraintsFor(ref, now.monotonic);
-        constraints.minHeadroom = minHeadroomAfter(waited);
+        constraints.minHeadroom = mayRelaxHeadroom(spec, waited) ? m_settings.relaxedMinHeadroom
+                                                                 : m_settings.minHeadroom;
         if (mayStartSlowly(ref, spec, waited))
             constraints = slowStartConstraintsFor(ref, now.monotonic);
         const WaitReason reason = waitReasonOf(spec, constraints, workers);
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -244,6 +244,7 @@
     if (foundGone)
         how = run.outcomeOfCrash.value_or(how);
     m_runs.remove(key);
+    m_relaxedStarts.remove(key);
     m_stallChecks.cancel(key);
     noteRunsChanged(run.workerId);
     m_placementNeeded = true;
