Refuse no caller that waits long enough for a slow store

Cause: ShardRunner::storeUnhealthy() refused every new job and cancel once one commit had been in flight for 700 ms, although commits went on to succeed. The owner did not know how long the caller of a request from another entry waits.

Change: SubmitJob and CancelJob carry the time by which their caller must have the answer; between entries it is the header `Answer-Within-Ms`, which earlier versions ignore. steps::CommitForecast measures commits and predicts when a change that is made now will be durable. The owner refuses only what would be later than its caller waits. Without the caller's time, or once an attempt to commit has ended without an answer, the threshold of 700 ms counts as before. `shard-load` reports `lateRefusals` and `commitExpectedMs`, the metrics have the histogram `commit_ms`.

Tests: commitforecast_test, shardlink_test, shardrunner_test and all other programs of tests/node pass in a release build.

--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -129,6 +129,7 @@
     const Millis remaining = pending->deadline - m_dependencies.clock.now();
     const int attempt = ++pending->attempt;
     pending->attemptInFlight = true;
+    setAnswerDueAt(pending->request, pending->deadline);
     pending->silenceTimer = m_dependencies.loop.runAfter(
         m_settings.ownerTimeout, [this, pending] { handleSilence(pending); });
     m_dependencies.sendToOwner(pending->key, pending->request,
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -80,7 +80,8 @@
                [this](int shard, const ShardRequest &request, const ShardReplyCallback &onReply) {
                    handleLocally(shard, request, onReply);
                },
-           .shardsFreed = [this] { m_ownership.observeNow(); }})
+           .shardsFreed = [this] { m_ownership.observeNow(); },
+           .now = [this] { return m_clock.now(); }})
     , m_callerApi(settings.callerApi,
                   {loop, clock, m_platform.callerCodec, m_queues,
                    [this](const std::string &key, const ShardRequest &request, Millis timeout,
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -88,6 +88,7 @@
     addClients(out, m_platform.clients);
     m_loadReporter.writeMetrics(out);
     writeEvacuationMetrics(out);
+    out.writeHistogram("commit_ms", m_shardLatencies.commit);
     out.writeHistogram("submit_commit_ms", m_shardLatencies.submitCommit);
     out.writeHistogram("submit_first_start_ms", m_shardLatencies.submitFirstStart);
     out.writeHistogram("shard_restore_ms", m_shardLatencies.restore);
--- a/src/node/shardlink.cpp
+++ b/src/node/shardlink.cpp
@@ -4,7 +4,9 @@
 #include "savorywick/errors.h"
 #include "savorywick/steps/record.h"
 
+#include <algorithm>
 #include <charconv>
+#include <cstdint>
 #include <optional>
 #include <sstream>
 #include <variant>
@@ -20,11 +22,14 @@
 //   DELETE /shards/N/jobs/ID         CancelJob
 //   GET    /shards/N/pending/QUEUE   CountPendingJobs
 //   POST   /freed                    notification that shards have become free
+// A request that may change state has the header `Answer-Within-Ms`: how many milliseconds its
+// caller still waits. A version that does not know it ignores it; without it, the time is unknown.
 // The reply to a shard request is three words: the outcome, the job's state and the pending count.
 // If the outcome is Delegated, the shard that the job was left to follows. An outcome that the
 // requester's version does not know counts as undecided, which is safe for all.
 constexpr std::string_view shardsPath = "/shards/";
 constexpr std::string_view shardsFreedPath = "/freed";
+constexpr const char *answerWithinHeader = "Answer-Within-Ms";
 constexpr Millis notificationTimeout{500};
 
 constexpr ShardOutcome allOutcomes[] = {ShardOutcome::Ok,         ShardOutcome::UnknownJob,
@@ -149,6 +154,16 @@
     return PeerRequest{shard, std::move(*request)};
 }
 
+// Returns how long the caller still waits, or std::nullopt if the request does not say.
+std::optional<Millis> parseAnswerWithin(const HttpRequest &http)
+{
+    const std::string_view text = headerValue(http.headers, answerWithinHeader);
+    std::int64_t n = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), n);
+    const bool isNumber = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+    return isNumber && n >= 0 ? std::optional(Millis{n}) : std::nullopt;
+}
+
 } // namespace
 
 void ShardClient::send(const std::string &peer, int shard, const ShardRequest &request,
@@ -159,6 +174,10 @@
     HttpCall call = std::visit(HttpCallBuilder{shard}, request);
     call.address = peer;
     call.timeout = timeout;
+    if (const auto dueAt = answerDueAt(request)) {
+        const Millis remaining = std::max(*dueAt - m_clock.now(), Millis{0});
+        call.headers.push_back({answerWithinHeader, std::to_string(remaining.count())});
+    }
     m_http.exchange(std::move(call),
                     [this, peer, onReply = std::move(onReply)](const HttpResult &response) {
                         recordOutcome(peer, response.outcome);
@@ -217,6 +236,8 @@
     }
     if (!peerRequest)
         return respond({.status = 400, .headers = {}, .body = {}});
+    if (const auto within = parseAnswerWithin(request); within && m_listeners.now)
+        setAnswerDueAt(peerRequest->request, m_listeners.now() + *within);
     m_listeners.shardRequested(peerRequest->shard, peerRequest->request,
                                [respond](const ShardReply &reply) {
                                    respond({.status = 200,
--- a/src/node/shardlink.h
+++ b/src/node/shardlink.h
@@ -13,7 +13,8 @@
 
 // Sends requests to shard owners in other entries.
 //
-// Requests are HTTP messages with short text bodies; a job is encoded as its journal record.
+// Requests are HTTP messages with short text bodies; a job is encoded as its journal record. A
+// request that may change state tells how long its caller still waits for the answer.
 // JSON-RPC is not used because its library dispatches synchronously, while a reply here has to wait
 // for a commit. After a connection failure only one request per `reconnectInterval` tries the entry
 // again. Other requests fail immediately with NotOwner, so that no caller waits for an entry that
@@ -58,6 +59,8 @@
         std::function<void(int shard, const ShardRequest &, ShardReplyCallback)>
             shardRequested; // Must call the callback exactly once.
         std::function<void()> shardsFreed; // Another entry has given up shards.
+        // Returns the present time. Without it, the callers' remaining time is not passed on.
+        std::function<Instant()> now = {};
     };
 
     explicit ShardServer(Listeners listeners)
--- a/src/node/shardload.h
+++ b/src/node/shardload.h
@@ -19,6 +19,7 @@
     std::uint64_t cancels = 0;
     std::uint64_t reads = 0;
     std::uint64_t storeRefusals = 0; // Requests refused because the store can't persist changes.
+    std::uint64_t lateRefusals = 0; // Those of them that would not have been durable in time.
     std::uint64_t overloadRefusals = 0; // New jobs refused because the owner was too far behind.
     std::uint64_t rounds = 0; // Passes over the shard's decisions.
     Millis maxRoundTime;
@@ -39,6 +40,7 @@
     std::size_t readySteps = 0; // Steps with tasks that wait for a worker.
     std::size_t workers = 0;
     Millis loopLag;
+    Millis expectedCommitTime; // What the next commit is expected to take.
 
     void countRequest(const ShardRequest &request);
     void countRound(Millis time);
--- a/src/node/shardrequest.cpp
+++ b/src/node/shardrequest.cpp
@@ -2,6 +2,22 @@
 
 namespace savorywick {
 
+std::optional<Instant> answerDueAt(const ShardRequest &request)
+{
+    if (const auto *submission = std::get_if<SubmitJob>(&request))
+        return submission->answerDueAt;
+    const auto *cancel = std::get_if<CancelJob>(&request);
+    return cancel ? cancel->answerDueAt : std::nullopt;
+}
+
+void setAnswerDueAt(ShardRequest &request, Instant dueAt)
+{
+    if (auto *submission = std::get_if<SubmitJob>(&request))
+        submission->answerDueAt = dueAt;
+    else if (auto *cancel = std::get_if<CancelJob>(&request))
+        cancel->answerDueAt = dueAt;
+}
+
 std::string_view toString(ShardOutcome outcome)
 {
     switch (outcome) {
--- a/src/node/shardrequest.h
+++ b/src/node/shardrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "savorywick/clock.h"
 #include "savorywick/steps/job.h"
 
 #include <functional>
@@ -11,6 +12,9 @@
 namespace savorywick {
 
 // Requests to the owner of a shard, which is this or another entry.
+//
+// Those that may change state carry the time by which their caller must have the answer, on the
+// clock of the entry that holds the request. It is unset if the sender did not tell it.
 
 // Accepts the job. Repeating it with the same job id has no further effect.
 struct SubmitJob
@@ -18,6 +22,7 @@
     steps::JobSpec spec;
     // Its home shard, that of its id's hash, has left it to the receiver.
     bool delegated = false;
+    std::optional<Instant> answerDueAt = {};
 };
 
 // Reads the state of a job.
@@ -30,6 +35,7 @@
 struct CancelJob
 {
     std::string jobId;
+    std::optional<Instant> answerDueAt = {};
 };
 
 // Counts the queue's pending jobs in the shard.
@@ -40,6 +46,12 @@
 
 using ShardRequest = std::variant<SubmitJob, GetJobState, CancelJob, CountPendingJobs>;
 
+// Returns the time by which the request's caller must have the answer, or std::nullopt if it is not
+// known or the request changes no state.
+std::optional<Instant> answerDueAt(const ShardRequest &request);
+// Sets that time of a request that may change state.
+void setAnswerDueAt(ShardRequest &request, Instant dueAt);
+
 // The outcome of a ShardRequest.
 enum class ShardOutcome {
     Ok,
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -31,6 +31,7 @@
     , m_overloadGate(settings.overload)
     , m_passPacer(settings.passes)
     , m_evacuatedZones(settings.coordinator.zoneEvacuation)
+    , m_commitForecast(settings.commitForecast)
 { }
 
 steps::ClockReading ShardRunner::now() const
@@ -128,8 +129,9 @@
     m_load.countRequest(request);
     // Without a valid lease, this entry's renewals did not reach the store.
     const bool changes = changesState(m_coordinator, request);
-    if (!hasValidLease() || (changes && storeUnhealthy())) {
+    if (!hasValidLease() || (changes && storeUnhealthy(request))) {
         ++m_load.storeRefusals;
+        m_load.lateRefusals += hasValidLease() && !m_lastCommitUnavailable ? 1 : 0;
         return onReply({ShardOutcome::StoreDown, {}, 0});
     }
     observeLag();
@@ -257,21 +259,30 @@
     if (!t)
         return;
     const Instant sentAt = m_dependencies.clock.now();
-    m_commitSentAt = sentAt;
+    m_commitForecast.commitSent(sentAt);
     m_dependencies.table.commit(*t, [weak = weak_from_this(), sentAt](const CommitResult &result) {
         const auto self = weak.lock();
         if (!self || self->m_ended)
             return;
-        self->m_load.countCommit(self->m_dependencies.clock.now() - sentAt,
-                                 result.outcome == CommitOutcome::Committed);
-        self->m_lastCommitUnavailable = result.outcome == CommitOutcome::Unavailable;
-        if (result.outcome != CommitOutcome::Unknown)
-            self->m_commitSentAt.reset();
+        self->measureCommit(sentAt, result.outcome);
         self->handleJournalEvent(
             self->m_journal.handleCommitResult(result, self->m_dependencies.clock.now()));
     });
 }
 
+void ShardRunner::measureCommit(Instant sentAt, CommitOutcome outcome)
+{
+    const Instant currentTime = m_dependencies.clock.now();
+    m_load.countCommit(currentTime - sentAt, outcome == CommitOutcome::Committed);
+    m_lastCommitUnavailable = outcome == CommitOutcome::Unavailable;
+    if (outcome == CommitOutcome::Unknown)
+        return m_commitForecast.attemptUnanswered();
+    if (outcome != CommitOutcome::Committed)
+        return m_commitForecast.commitEnded();
+    m_commitForecast.commitSucceeded(currentTime);
+    m_dependencies.latencies.commit.record(currentTime - sentAt);
+}
+
 void ShardRunner::readBack()
 {
     if (m_readingBack || !m_journal.needsReadBack())
@@ -284,7 +295,7 @@
         self->m_readingBack = false;
         if (!rows)
             return self->retryLater(&ShardRunner::readBack);
-        self->m_commitSentAt.reset();
+        self->m_commitForecast.commitEnded();
         self->handleJournalEvent(
             self->m_journal.handleReadBack(rows->front(), self->m_dependencies.clock.now()));
     });
@@ -338,6 +349,8 @@
     load.readySteps = m_coordinator.readyStepCount();
     load.workers = m_coordinator.workerCount();
     load.loopLag = m_dependencies.loopLag();
+    load.expectedCommitTime =
+        m_commitForecast.expectedLatency(m_dependencies.clock.now(), ownCommitDelay());
     return load;
 }
 
@@ -452,15 +465,18 @@
     });
 }
 
-bool ShardRunner::storeUnhealthy() const
+bool ShardRunner::storeUnhealthy(const ShardRequest &request) const
+{
+    return m_lastCommitUnavailable
+        || !m_commitForecast.mayAccept(answerDueAt(request), m_dependencies.clock.now(),
+                                       ownCommitDelay());
+}
+
+Millis ShardRunner::ownCommitDelay() const
 {
-    if (m_lastCommitUnavailable)
-        return true;
     // Sending the commit, reading its result and handling it each wait for the loop.
     constexpr int loopTurnsPerCommit = 3;
-    const Millis ownDelay = m_dependencies.loopLag() * loopTurnsPerCommit;
-    return m_commitSentAt
-        && m_dependencies.clock.now() - *m_commitSentAt > m_settings.slowCommitThreshold + ownDelay;
+    return m_dependencies.loopLag() * loopTurnsPerCommit;
 }
 
 void ShardRunner::observeLag()
--- a/src/node/shardrunner.h
+++ b/src/node/shardrunner.h
@@ -11,6 +11,7 @@
 #include "node/workpacer.h"
 #include "savorywick/clock.h"
 #include "savorywick/journal.h"
+#include "savorywick/steps/commitforecast.h"
 #include "savorywick/steps/coordinator.h"
 
 #include <deque>
@@ -30,9 +31,9 @@
     steps::CoordinatorSettings coordinator;
     OverloadGateSettings overload;
     WorkPacerSettings passes;
-    // A commit in flight for longer, beyond the delay by the loop's own lag, marks the store as
-    // unhealthy.
-    Millis slowCommitThreshold{700};
+    // When a slow store keeps a new change from being durable in time. The delay by the loop's own
+    // lag is left out of account.
+    steps::CommitForecastSettings commitForecast;
     Millis restoreRetryDelay{150}; // The delay before a failed read is retried.
     // The delay before a snapshot that was not stored is sent again. It is long, since a snapshot
     // is large and not urgent.
@@ -43,6 +44,7 @@
 // Latency histograms over all shards of an entry.
 struct ShardLatencies
 {
+    LatencyHistogram commit; // From sending a commit until it is known to have taken effect.
     LatencyHistogram submitCommit; // From a submission's receipt until it is durable.
     LatencyHistogram submitFirstStart; // From a job's due time to the placement of its first run.
     LatencyHistogram restore; // From acquiring a shard until it is restored.
@@ -129,6 +131,7 @@
     void logDecisions();
     void appendRecords();
     void commitNext();
+    void measureCommit(Instant sentAt, CommitOutcome outcome);
     void readBack();
     void handleJournalEvent(const JournalStatus &event);
     void sendDurableReplies(LogSequenceNumber durableLsn);
@@ -139,7 +142,8 @@
     void logSnapshot(bool stored, std::size_t bytes, Instant sentAt) const;
     void removeOldSnapshot();
     void scheduleWakeUp();
-    bool storeUnhealthy() const;
+    bool storeUnhealthy(const ShardRequest &request) const;
+    Millis ownCommitDelay() const;
     void observeLag();
     void end();
 
@@ -163,7 +167,7 @@
     bool m_readingBack = false;
     bool m_storingSnapshot = false; // One is being sent, or waits to be sent again.
     bool m_lastCommitUnavailable = false; // The store rejected the last commit without effect.
-    std::optional<Instant> m_commitSentAt; // Set until the outcome of the commit is known.
+    steps::CommitForecast m_commitForecast;
     ShardLoad m_load; // Since takeLoad() was called last, without the backlog.
     LogSequenceNumber m_reportedLsn = 0; // The durable one when takeLoad() was called last.
     std::optional<Instant> m_wakeUpAt;
--- a/tests/node/shardlink_test.cpp
+++ b/tests/node/shardlink_test.cpp
@@ -22,7 +22,8 @@
                             received = request;
                             onReply(m_reply);
                         },
-                    .shardsFreed = [this] { ++freedNotifications; }})
+                    .shardsFreed = [this] { ++freedNotifications; },
+                    .now = [this] { return m_clock.now(); }})
         , m_httpServer(
               m_loop, {},
               [this](const HttpRequest &request, const AsyncHttpServer::Responder &respond) {
@@ -161,6 +162,29 @@
     CHECK((reply->outcome == ShardOutcome::Undecided));
 }
 
+// Without it, an owner can't tell which callers wait long enough for a slow store.
+TEST_CASE("The time that a caller still waits reaches the owner")
+{
+    struct Case
+    {
+        ShardRequest request;
+        bool changesState;
+    };
+    for (const Case &it : {Case{SubmitJob{}, true}, Case{CancelJob{"j"}, true},
+                           Case{GetJobState{"j"}, false}, Case{CountPendingJobs{"q"}, false}}) {
+        CAPTURE(it.request.index());
+        PeerPair peers({ShardOutcome::Ok, {}, 0});
+        ShardRequest request = it.request;
+        peers.request(request);
+        REQUIRE(peers.received.has_value());
+        CHECK_FALSE(answerDueAt(*peers.received).has_value());
+        setAnswerDueAt(request, Instant{2'345});
+        peers.request(request);
+        const auto expected = it.changesState ? std::optional(Instant{2'345}) : std::nullopt;
+        CHECK((answerDueAt(*peers.received) == expected));
+    }
+}
+
 TEST_CASE("A connection failure is reported as NotOwner")
 {
     PeerPair peers({});
--- a/tests/node/shardrunner_test.cpp
+++ b/tests/node/shardrunner_test.cpp
@@ -198,6 +198,39 @@
     }
 }
 
+// Guards against an owner that refuses new jobs because one commit takes long, although their
+// callers wait long enough for it.
+TEST_CASE("While a commit takes long a job is refused only if its caller can't wait for it")
+{
+    struct Case
+    {
+        Millis remaining;
+        bool refused;
+    };
+    for (const Case &it : {Case{Millis{900}, true}, Case{Millis{2'500}, false}}) {
+        CAPTURE(it.remaining.count());
+        ShardFixture shard;
+        shard.request(ShardFixture::job("j"));
+        shard.clock.advance(Millis{1'000});
+        SubmitJob submit = ShardFixture::job("k");
+        submit.answerDueAt = shard.clock.now() + it.remaining;
+        shard.request(submit);
+        REQUIRE(shard.reply.has_value() == it.refused);
+        const ShardLoad load = shard.runner->takeLoad();
+        CHECK(load.lateRefusals == (it.refused ? 1 : 0));
+        CHECK(load.expectedCommitTime >= Millis{1'000});
+        if (it.refused) {
+            CHECK((shard.reply->outcome == ShardOutcome::StoreDown));
+            continue;
+        }
+        for (int i = 0; i < 2; ++i) { // The commit of the first job, then that of the second.
+            shard.table.finishCommits(CommitOutcome::Committed);
+            shard.runLoop();
+        }
+        CHECK((shard.durableRequest(GetJobState{"k"}) == ShardOutcome::Ok));
+    }
+}
+
 // An owner whose event loop was seconds behind took every new job, which put it further behind.
 TEST_CASE("An owner that is far behind refuses new jobs but serves all other requests")
 {
