Answer 503 for requests that reached no owner

Cause: CallerApi::handleSilence() and handleDeadline() counted a request as possibly applied as soon as its owner had not replied for 900 ms. A request may wait for a connection for that long, and its later NotOwner reply was ignored, since another attempt had been made; the caller got 504 and could not repeat it. HttpClientConnection::write() reported a connection as lost although its first write had failed without taking a byte.

Change: each attempt is open until its reply comes. A request is undecided while an attempt is open or after one ended without a known outcome; otherwise the answer is 503. A first write that fails ends the request as NotSent.

Tests: in callerapi_test, three cases of the new test gave 504 instead of 503 before the change; in httpclientconnection_test the new test found ConnectionLost instead of NotSent. All programs of tests/node, httpclientconnection_test, asynchttp_test and connectionallocator_test pass in a release build.

--- a/src/net/httpclientconnection.cpp
+++ b/src/net/httpclientconnection.cpp
@@ -132,8 +132,8 @@
     std::size_t n = m_socket.write_some(asio::buffer(m_request), ec);
     if (ec == asio::error::would_block)
         n = 0;
-    else if (ec)
-        return failLater(HttpOutcome::ConnectionLost, isClosedByPeer(ec));
+    else if (ec) // No byte was written: the peer had closed the connection before.
+        return failLater(HttpOutcome::NotSent, isClosedByPeer(ec));
     if (n == m_request.size())
         return;
     m_writing = true;
--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
 #include <utility>
 
 namespace savorywick {
@@ -16,12 +17,14 @@
     AsyncHttpServer::Responder respond;
     Instant receivedAt;
     Instant deadline; // The response must be sent by then, even if the outcome is unknown.
-    bool maybeApplied = false; // An earlier attempt may still take effect.
+    bool maybeApplied = false; // The outcome of an attempt will never be known.
     int attempt = 0; // The number of the last attempt.
-    bool attemptInFlight = false; // The owner has not replied to the last attempt.
+    std::set<int> openAttempts; // Those without a reply, which may still take effect.
     ShardOutcome lastOutcome = ShardOutcome::NotOwner; // Of the last attempt with a reply.
     EventLoop::TimerId deadlineTimer = 0;
     EventLoop::TimerId silenceTimer = 0; // Ends the wait before another attempt.
+
+    bool mayTakeEffect() const { return maybeApplied || !openAttempts.empty(); }
 };
 
 CallerApi::CallerApi(const CallerApiSettings &settings, Dependencies dependencies)
@@ -128,7 +131,7 @@
         return;
     const Millis remaining = pending->deadline - m_dependencies.clock.now();
     const int attempt = ++pending->attempt;
-    pending->attemptInFlight = true;
+    pending->openAttempts.insert(attempt);
     setAnswerDueAt(pending->request, pending->deadline);
     pending->silenceTimer = m_dependencies.loop.runAfter(
         m_settings.ownerTimeout, [this, pending] { handleSilence(pending); });
@@ -139,10 +142,10 @@
                                });
 }
 
-// Makes another attempt, for the owner may have gone. A reply to the last one still counts.
+// Makes another attempt, for the owner may have gone. A reply to the last one still counts: it may
+// tell that the attempt was never sent, as when it found no connection for this long.
 void CallerApi::handleSilence(const std::shared_ptr<PendingRequest> &pending)
 {
-    pending->maybeApplied = true;
     ++pending->attempt;
     if (m_dependencies.clock.now() + m_settings.retryInterval < pending->deadline)
         retryLater(pending);
@@ -166,13 +169,13 @@
         m_responseTimes.record(now - pending->receivedAt);
         return settle(pending, reply);
     }
+    pending->openAttempts.erase(attempt);
+    if (reply.outcome == ShardOutcome::Undecided)
+        pending->maybeApplied = true;
     if (attempt != pending->attempt)
         return; // A later attempt decides.
     m_dependencies.loop.cancel(pending->silenceTimer);
-    pending->attemptInFlight = false;
     pending->lastOutcome = reply.outcome;
-    if (reply.outcome == ShardOutcome::Undecided)
-        pending->maybeApplied = true;
     const Instant retryAt = now + m_settings.retryInterval;
     // A retry is safe: a job id is accepted only once, and the other requests are idempotent.
     const bool refused =
@@ -180,7 +183,7 @@
     const bool mayRetry = !refused && retryAt < pending->receivedAt + m_settings.maxRetryTime;
     // A request that may have taken effect is retried until its outcome is known, because the
     // caller has no way to find out.
-    if ((mayRetry || pending->maybeApplied) && retryAt < pending->deadline)
+    if ((mayRetry || pending->mayTakeEffect()) && retryAt < pending->deadline)
         return retryLater(pending);
     giveUp(pending, reply.outcome);
 }
@@ -196,9 +199,8 @@
 
 void CallerApi::handleDeadline(const std::shared_ptr<PendingRequest> &pending)
 {
-    if (pending->attemptInFlight)
-        pending->maybeApplied = true;
-    giveUp(pending, pending->attemptInFlight ? ShardOutcome::Undecided : pending->lastOutcome);
+    const bool isOpen = !pending->openAttempts.empty();
+    giveUp(pending, isOpen ? ShardOutcome::Undecided : pending->lastOutcome);
 }
 
 void CallerApi::giveUp(const std::shared_ptr<PendingRequest> &pending, ShardOutcome outcome)
@@ -207,7 +209,7 @@
     logInfo("request-refused",
             {{"requestId", pending->key},
              {"why", toString(outcome)},
-             {"undecided", pending->maybeApplied},
+             {"undecided", pending->mayTakeEffect()},
              {"waitedMs", (m_dependencies.clock.now() - pending->receivedAt).count()}});
     settle(pending, {outcome, {}, 0});
 }
@@ -227,7 +229,7 @@
     if (reply.outcome == ShardOutcome::UnknownJob)
         return {.status = 410, .headers = {}, .body = {}};
     if (reply.outcome != ShardOutcome::Ok) {
-        if (!pending.maybeApplied)
+        if (!pending.mayTakeEffect())
             return serviceUnavailable();
         return {.status = 504, .headers = {}, .body = {}};
     }
--- a/tests/net/httpclientconnection_test.cpp
+++ b/tests/net/httpclientconnection_test.cpp
@@ -203,3 +203,22 @@
     CHECK((unanswered.outcome == HttpOutcome::TimedOut));
     CHECK_FALSE(unanswered.connectionClosed);
 }
+
+// Guards against an unknown outcome of a request of which no byte was sent: its caller could not
+// try again.
+TEST_CASE("A request that an idle connection can't take any more counts as not sent")
+{
+    constexpr std::size_t unreadBytes =
+        8'000; // More than the peer reads, so that its close resets.
+    EventLoop loop;
+    AsyncHttpClient client(loop);
+    ScriptedPeer peer({{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}}, true,
+                      std::chrono::milliseconds(400));
+    HttpCall first{.address = peer.address(), .method = "POST"};
+    first.body = std::string(unreadBytes, 'x');
+    CHECK(exchange(loop, client, std::move(first)).status == 200);
+    peer.join(); // The loop has not run since, so the client has not noticed the reset.
+    const HttpResult result = exchange(loop, client, {.address = peer.address()});
+    CHECK((result.outcome == HttpOutcome::NotSent));
+    CHECK(result.connectionClosed);
+}
--- a/tests/node/callerapi_test.cpp
+++ b/tests/node/callerapi_test.cpp
@@ -28,7 +28,9 @@
                  [this](const std::string &, const ShardRequest &, Millis timeout,
                         const ShardReplyCallback &onReply) {
                      m_lastTimeout = timeout;
-                     if (replyDelay)
+                     if (lateFirstOutcome)
+                         replyLateOnce(onReply);
+                     else if (replyDelay)
                          replyLate(timeout, onReply);
                      else
                          replyNext(onReply);
@@ -72,6 +74,9 @@
     Millis lastTimeout() const { return m_lastTimeout; }
 
     std::optional<Millis> replyDelay; // How long the owner takes for each attempt.
+    // What it replies to the first attempt, after 70 ms; it replies NotOwner to the others, at
+    // once.
+    std::optional<ShardOutcome> lateFirstOutcome;
 
 private:
     // Replies Ok after `replyDelay`, unless the attempt ends without a reply before.
@@ -84,6 +89,12 @@
             onReply({outcome, steps::JobState::Running, 3});
         });
     }
+    void replyLateOnce(const ShardReplyCallback &onReply)
+    {
+        if (m_attempts++ > 0)
+            return onReply({ShardOutcome::NotOwner, {}, 0});
+        m_loop.runAfter(Millis{70}, [this, onReply] { onReply({*lateFirstOutcome, {}, 0}); });
+    }
     // Sends the owner's next reply after 100 ms of simulated time.
     void replyNext(const ShardReplyCallback &onReply)
     {
@@ -231,3 +242,30 @@
         CHECK(fixture.attempts() == (delayMs < settings.ownerTimeout.count() ? 1 : 2));
     }
 }
+
+// Guards against a 504 for a request that reached no owner: it waited for a connection for as long
+// as the entry waits before another attempt, and its caller could not try again.
+TEST_CASE("A request without a reply in time is undecided only as long as it may take effect")
+{
+    struct Case
+    {
+        const char *what;
+        ShardOutcome lateOutcome; // Of the first attempt, after another one has been made.
+        Millis ownerTimeout;
+        int status;
+    };
+    for (const Case &it : {Case{"never sent", ShardOutcome::NotOwner, Millis{50}, 503},
+                           Case{"never sent and known while the next attempt waits",
+                                ShardOutcome::NotOwner, Millis{65}, 503},
+                           Case{"refused", ShardOutcome::StoreDown, Millis{50}, 503},
+                           Case{"lost", ShardOutcome::Undecided, Millis{50}, 504}}) {
+        CAPTURE(it.what);
+        CallerApiSettings settings;
+        settings.ownerTimeout = it.ownerTimeout;
+        settings.retryInterval = Millis{15};
+        CallerApiFixture fixture({}, settings);
+        fixture.lateFirstOutcome = it.lateOutcome;
+        CHECK(fixture.request("POST", "/q/id1", "job", "short").status == it.status);
+        CHECK(fixture.attempts() > 1);
+    }
+}
