End a stop before the grace period is over although the loop is late

Cause: with a slow store a stop takes all of its time, since the release of a shard waits for commits. The times of its phases counted from when the event loop handled the signal, and each check came late by the loop's lag. Besides, the longest wait for a slow output at the end of the log counted for each piece of 4 KB.

Change: StopTimes counts from the time at which the signal came and lets the last two phases end earlier by twice the highest lag, at most by 15 % of the grace period. On a prompt loop the times are as before. LogBatch waits for its output once.

--- a/src/core/logbatch.cpp
+++ b/src/core/logbatch.cpp
@@ -92,7 +92,9 @@
 void LogBatch::write(Millis maxWait)
 {
     std::string_view rest = m_waiting;
-    while (!rest.empty() && streamReady(maxWait)) {
+    const BootClock clock;
+    const Instant giveUpAt = clock.now() + maxWait;
+    while (!rest.empty() && streamReady(std::max(giveUpAt - clock.now(), Millis{0}))) {
         const std::size_t length = pieceLength(rest);
         writeLogText(rest.substr(0, length - 1)); // The stream adds the last line break.
         rest.remove_prefix(length);
--- a/src/core/logbatch.h
+++ b/src/core/logbatch.h
@@ -40,7 +40,7 @@
     void add(std::string_view line, bool urgent);
 
 private:
-    // Writes whole lines while the stream becomes ready within `maxWait`.
+    // Writes whole lines while the stream becomes ready. All waits together last up to `maxWait`.
     void write(Millis maxWait);
     bool streamReady(Millis maxWait);
     bool hasDropped() const { return m_budget.hasDropped() || m_droppedByStream > 0; }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -11,6 +11,7 @@
 #include "node/ownership.h"
 #include "node/shardlink.h"
 #include "node/shardrunner.h"
+#include "node/stoptimes.h"
 #include "savorywick/steps/evacuatedzones.h"
 #include "savorywick/steps/queues.h"
 
@@ -146,10 +147,7 @@
     // The times of a stop, and the counts at its begin.
     struct Drain
     {
-        Instant startedAt;
-        Instant answersDueAt; // All requests that were read have a response by then.
-        Instant endSessionAt; // The session ends then at the latest.
-        Instant leaveAt; // The loop stops then, with connections open if need be.
+        StopTimes times;
         CallerAnswerCounts answersBefore;
         Instant leaveFrom; // The session has ended by then, or is given up.
     };
--- a/src/node/nodedrain.cpp
+++ b/src/node/nodedrain.cpp
@@ -17,54 +17,42 @@
 
 namespace {
 
-// The parts of the grace period after which answers are due, the session ends and the loop stops
-// with connections open if need be. Timers fire late on a loaded host; the rest covers that.
-constexpr std::int64_t answersDuePercent = 65;
-constexpr std::int64_t endSessionPercent = 85;
-constexpr std::int64_t leavePercent = 95;
-constexpr std::int64_t wholePercent = 100;
-
 constexpr Millis drainPollInterval{100};
 constexpr Millis closePollInterval{20};
 // How long new connections get to send their first request.
 constexpr Millis maxFirstRequestTime{500};
 constexpr Millis maxEndSessionTime{200}; // The store may not answer.
 
-Millis percentOf(Millis whole, std::int64_t percent)
-{
-    return Millis{whole.count() * percent / wholePercent};
-}
-
 } // namespace
 
 void Node::drain()
 {
     if (m_drain)
         return;
-    const Instant now = m_clock.now();
-    m_drain =
-        Drain{now, now + percentOf(m_settings.gracePeriod, answersDuePercent),
-              now + percentOf(m_settings.gracePeriod, endSessionPercent),
-              now + percentOf(m_settings.gracePeriod, leavePercent), m_callerApi.answerCounts()};
+    m_drain = Drain{StopTimes(m_settings.gracePeriod, m_clock.now(), m_loadReporter.lag()),
+                    m_callerApi.answerCounts(),
+                    {}};
     logInfo("draining",
             {{"shards", static_cast<int>(m_runners.size())},
              {"inFlight", static_cast<int>(m_callerServer.inFlight())},
              {"gracePeriodMs", m_settings.gracePeriod.count()}});
     m_ownership.drain();
     m_callerServer.drain();
-    m_callerApi.limitDeadlines(m_drain->answersDueAt);
+    m_callerApi.limitDeadlines(m_drain->times.answersDueAt());
     serveUntilDrained();
 }
 
 void Node::serveUntilDrained()
 {
     const Instant now = m_clock.now();
+    const Instant answersDueAt = m_drain->times.answersDueAt();
+    m_drain->times.observeLag(m_loadReporter.lag());
     const bool isIdle =
         m_runners.empty() && m_callerServer.inFlight() == 0 && m_peerServer.inFlight() == 0;
-    const bool balancerHasTurned = now - m_drain->startedAt >= m_settings.minDrainTime;
-    if (now >= m_drain->answersDueAt || (isIdle && balancerHasTurned))
+    const bool balancerHasTurned = now - m_drain->times.startedAt() >= m_settings.minDrainTime;
+    if (now >= answersDueAt || (isIdle && balancerHasTurned))
         return closeConnections();
-    m_loop.runAfter(std::min(drainPollInterval, m_drain->answersDueAt - now),
+    m_loop.runAfter(std::min(drainPollInterval, answersDueAt - now),
                     [this] { serveUntilDrained(); });
 }
 
@@ -82,10 +70,11 @@
 void Node::awaitFirstRequests(Instant closedAt)
 {
     const Instant now = m_clock.now();
+    m_drain->times.observeLag(m_loadReporter.lag());
     const std::size_t inFlight = m_callerServer.inFlight() + m_peerServer.inFlight();
     const bool waitedLongEnough = now - closedAt >= maxFirstRequestTime
         || m_callerServer.unusedConnections() + m_peerServer.unusedConnections() == 0;
-    if ((inFlight == 0 && waitedLongEnough) || now >= m_drain->endSessionAt)
+    if ((inFlight == 0 && waitedLongEnough) || m_drain->times.mustEndSession(now))
         return endSession();
     m_loop.runAfter(closePollInterval, [this, closedAt] { awaitFirstRequests(closedAt); });
 }
@@ -104,7 +93,8 @@
     m_peerServer.closeAnswered();
     const std::size_t open = m_callerServer.openConnections() + m_peerServer.openConnections();
     const Instant now = m_clock.now();
-    if ((open == 0 && now >= m_drain->leaveFrom) || now >= m_drain->leaveAt)
+    m_drain->times.observeLag(m_loadReporter.lag());
+    if ((open == 0 && now >= m_drain->leaveFrom) || m_drain->times.mustLeave(now))
         return leave();
     m_loop.runAfter(closePollInterval, [this] { awaitClosedConnections(); });
 }
@@ -132,7 +122,7 @@
              {"answered", counts.conclusive - before.conclusive},
              {"refused", counts.refused - before.refused},
              {"undecided", counts.undecided - before.undecided},
-             {"tookMs", (m_clock.now() - m_drain->startedAt).count()}});
+             {"tookMs", (m_clock.now() - m_drain->times.startedAt()).count()}});
 }
 
 } // namespace savorywick
--- a/tests/core/logbatch_test.cpp
+++ b/tests/core/logbatch_test.cpp
@@ -1,13 +1,17 @@
 #include "core/logbatch.h"
 
+#include "core/bootclock.h"
 #include "core/log.h"
 
 #include <doctest/doctest.h>
 #include <json/json.h>
 
+#include <atomic>
+#include <chrono>
 #include <iostream>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <fcntl.h>
@@ -78,6 +82,12 @@
     UnreadPipe(const UnreadPipe &) = delete;
     UnreadPipe &operator=(const UnreadPipe &) = delete;
 
+    // Reads up to a page.
+    void readPiece()
+    {
+        char buf[4'096];
+        [[maybe_unused]] const ssize_t n = ::read(m_ends[0], buf, sizeof buf);
+    }
     // Returns what was written since the last call.
     std::string read()
     {
@@ -194,3 +204,32 @@
     CHECK(text.find("\"n\":1000,") != std::string::npos);
     CHECK(text.find("\"n\":19999,") == std::string::npos);
 }
+
+// Guards against a process that outlives its grace period because its output is read slowly: the
+// longest wait at the end counted for each piece of up to 4 KB.
+TEST_CASE("The wait for a slow output at the end is bounded over all lines")
+{
+    constexpr std::chrono::milliseconds readPause{60}; // Shorter than the longest wait.
+    constexpr Millis bound{1'500}; // Each piece in turn would take more than 2 s.
+    UnreadPipe pipe;
+    std::atomic<bool> ended = false;
+    std::thread reader;
+    const BootClock clock;
+    Instant endsAt;
+    {
+        LogBatch batch([] {});
+        const std::string text(1'000, 'x');
+        for (int i = 0; i < 240; ++i)
+            logInfo("line", {{"text", text}});
+        reader = std::thread([&] {
+            while (!ended) {
+                pipe.readPiece();
+                std::this_thread::sleep_for(readPause);
+            }
+        });
+        endsAt = clock.now();
+    }
+    CHECK((clock.now() - endsAt).count() < bound.count());
+    ended = true;
+    reader.join();
+}
--- a/tests/node/nodedrain_test.cpp
+++ b/tests/node/nodedrain_test.cpp
@@ -7,10 +7,12 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <functional>
 #include <list>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -97,6 +99,15 @@
         m_loop.run();
     }
 
+    // Makes each turn of the loop from now on take this long.
+    void makeTurnsSlow(Millis turn)
+    {
+        m_loop.post([this, turn] {
+            std::this_thread::sleep_for(std::chrono::milliseconds(turn.count()));
+            makeTurnsSlow(turn);
+        });
+    }
+
     // Drains the entry and returns once it has stopped the loop.
     void drain()
     {
@@ -293,3 +304,25 @@
     CHECK(statusesOf(used) == "410 503");
     CHECK(statusesOf(fresh) == "503");
 }
+
+// Guards against an entry that the platform kills at the end of its grace period. A slow store
+// holds the release of its shard back and a request stays unread, so the stop takes all of its
+// time; the signal and each timer were handled late besides.
+TEST_CASE("A stopping entry whose event loop is late ends before its grace period is over")
+{
+    constexpr Millis turn{300};
+    DrainFixture fixture;
+    fixture.start();
+    fixture.runFor(Millis{1'000});
+    CallerConnection caller;
+    REQUIRE(caller.open(fixture.callers()));
+    REQUIRE(caller.send("GET /q/id1 HTTP/1.1\r\n")); // The rest never comes.
+    fixture.table.holdsCommits = true;
+    fixture.makeTurnsSlow(turn);
+    fixture.runFor(Millis{600}); // Until the lag has been measured.
+    const BootClock clock;
+    const Instant signalledAt = clock.now();
+    fixture.runFor(Millis{1}); // A turn, after which the signal is handled.
+    fixture.drain();
+    CHECK((clock.now() - signalledAt).count() < NodeSettings{}.gracePeriod.count());
+}
