Preempt runs for steps that would miss their deadlines

It orders ordinary stops, withholds the reserved room from other steps, and places the urgent task first once the room is free. Preempted steps come first in their class. Decisions are logged as preemption-planned and reservation-ended and counted; waiting steps are noted without the reserved room.

coordinatorpreemption_test passes: a burst on full workers, kinds of runs that are not preempted, two queues of different priority, a worker that stops its runs late, and the loss of the owner between the stop and the start. With the precedence, the withholding, the expiry, or a check of the kinds of runs removed for a trial, a case failed each time.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -10,6 +10,7 @@
 #include "savorywick/steps/jobtable.h"
 #include "savorywick/steps/latencyheadroom.h"
 #include "savorywick/steps/placement.h"
+#include "savorywick/steps/preemption.h"
 #include "savorywick/steps/relaxedstarts.h"
 #include "savorywick/steps/runtable.h"
 #include "savorywick/steps/schedulerevent.h"
@@ -370,6 +371,20 @@
     std::vector<int> tasksToStart(const StepRef &ref) const;
     PlacementConstraints constraintsFor(const StepRef &ref, Instant now) const;
 
+    // Preemption (coordinatorpreemption.cpp).
+    std::optional<PreemptibleRun> preemptibleRun(const Run &run, ClockReading now) const;
+    std::vector<PreemptionWorker> preemptionWorkers(PlacementPass &pass, ClockReading now) const;
+    void preemptForUrgentSteps(std::span<const ReadyStep> steps, PlacementPass &pass,
+                               ClockReading now);
+    bool preemptFor(const ReadyStep &step, std::span<PreemptionWorker> workers, int &plansLeft,
+                    ClockReading now);
+    void placeReservedSteps(std::vector<ReadyStep> &steps, PlacementPass &pass, ClockReading now);
+    std::optional<ReservationEnd> serveReservation(const Reservation &reservation,
+                                                   std::vector<ReadyStep> &steps,
+                                                   PlacementPass &pass, ClockReading now);
+    bool startReserved(const StepRef &ref, std::vector<ReadyStep> &steps, CandidateWorker &worker,
+                       ClockReading now);
+
     CoordinatorSettings m_settings;
     Fence m_firstFence; // Of a new session; above those of sessions that were forgotten.
     Instant m_ownedSince;
@@ -380,6 +395,7 @@
     EvacuatedZones m_evacuatedZones;
     LatencyHeadroomEstimator m_headroomEstimator;
     RelaxedStarts m_relaxedStarts;
+    PreemptionPlanner m_preemption;
     CoordinatorCounters m_counters;
 
     std::map<std::string, Worker, std::less<>> m_workers;
--- a/include/savorywick/steps/coordinatorcounters.h
+++ b/include/savorywick/steps/coordinatorcounters.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "savorywick/steps/job.h"
+#include "savorywick/steps/preemption.h"
 #include "savorywick/steps/workercommands.h"
 
 #include <cstdint>
@@ -24,6 +25,8 @@
     // Placed runs that were not started, since their zone was evacuated meanwhile or the zones that
     // are evacuated were no longer known.
     std::uint64_t startsWithheld = 0;
+    std::uint64_t runsPreempted = 0; // Runs stopped to make room for a higher priority.
+    std::map<ReservationEnd, std::uint64_t> reservationsEnded;
     // How often tick(), takeOrders() and takeRenewals() looked at a worker, and at a run: what an
     // event costs beyond the reply that it brought.
     std::uint64_t workersExamined = 0;
--- a/include/savorywick/steps/coordinatorsettings.h
+++ b/include/savorywick/steps/coordinatorsettings.h
@@ -3,6 +3,7 @@
 #include "savorywick/clock.h"
 #include "savorywick/quarantine.h"
 #include "savorywick/steps/evacuatedzones.h"
+#include "savorywick/steps/preemptionsettings.h"
 #include "savorywick/steps/workersession.h"
 
 #include <optional>
@@ -16,6 +17,7 @@
     WorkerSessionSettings workerSessions;
     QuarantineOptions quarantine;
     ZoneEvacuationSettings zoneEvacuation;
+    PreemptionSettings preemption;
     Millis endedJobRetention{150'000}; // An ended job is forgotten after this time.
     // So is where a job was left to. Until then a repeated submission is sent to the same shard.
     Millis delegationRetention{3'600'000};
--- a/include/savorywick/steps/placement.h
+++ b/include/savorywick/steps/placement.h
@@ -78,6 +78,7 @@
     bool longRunning = false;
     bool starved = false; // Long-running, and has waited too long.
     bool occurrenceStarted = false; // Some task of its occurrence has been started.
+    bool preempted = false; // A preempted task of it waits for its next run.
     Millis lateness; // Time since the job's deadline; negative before it.
     // Delay that the deadline still allows; negative if it can't be met. For a long-running step:
     // the time that it has waited, negated.
@@ -95,7 +96,8 @@
 //  - steps so late that completing them sooner makes no difference.
 // Within a group the queue's priority decides. Of one priority, steps with a deadline come before
 // long-running ones: they hold resources briefly, while long-running tasks would occupy whatever
-// is freed for good. Steps that can meet the deadline and whose occurrence has started come next,
+// is freed for good. Steps whose tasks were preempted come next, so that they are delayed only
+// once. Steps that can meet the deadline and whose occurrence has started come next,
 // so that under overload some jobs complete in time rather than all of them late; then those with
 // the least laxity.
 bool comesBefore(const ReadyStep &a, const ReadyStep &b);
--- a/include/savorywick/steps/runtable.h
+++ b/include/savorywick/steps/runtable.h
@@ -68,6 +68,8 @@
 
     // The latest checkpoint that the worker reported; empty if there was none.
     std::string checkpoint;
+    // When `checkpoint` last changed; not set before.
+    Instant checkpointedAt;
     // The progress in percent, as in RunningReport.
     int progressPercent = 0;
     // When `progressPercent` last changed, or when the run was started.
--- a/include/savorywick/steps/schedulerevent.h
+++ b/include/savorywick/steps/schedulerevent.h
@@ -31,6 +31,8 @@
     StepWaiting, // A step has had a task that may start, and no worker for it, for long.
     ZoneEvacuated, // An operator evacuates the availability zone: nothing is started there.
     ZoneReturned, // The zone returns to service.
+    PreemptionPlanned, // Room on the worker is reserved for the step, and runs there are stopped.
+    ReservationEnded, // The reservation of room for the step is over.
 };
 
 // Returns the name of the log event, such as "run-placed".
@@ -51,12 +53,15 @@
     // The time since the occurrence was due for JobStarted, RunPlaced and JobEnded, since the
     // worker last answered for events of workers' leases, and since the step has waited for
     // StepWaiting; the time that the run had been on its worker for RunSuspected. StopRequested and
-    // WorkerQuarantined have 0; other events have the time since the run was started.
+    // WorkerQuarantined have 0; PreemptionPlanned has the delay that the step's deadline still
+    // allows, and ReservationEnded the time since the reservation; other events have the time since
+    // the run was started.
     Millis age;
     // The processors left on the worker, in thousandths of a core, for RunPlaced; the new speed in
     // percent for RunThrottled; the progress in percent for RunConfirmed, RunEnded and
     // StopRequested; the number of workers that may be given tasks for StepWaiting; the number of
-    // runs in the zone for ZoneEvacuated and ZoneReturned; 0 for other events.
+    // runs in the zone for ZoneEvacuated and ZoneReturned, and of those that are stopped for
+    // PreemptionPlanned; 0 for other events.
     int value = 0;
     std::string zone = {}; // Only of ZoneEvacuated and ZoneReturned.
     int workerCount = 0; // Workers in the zone.
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -47,6 +47,7 @@
     , m_quarantine(settings.quarantine)
     , m_evacuatedZones(settings.zoneEvacuation)
     , m_relaxedStarts(settings.relaxedRunsPerHundredWorkers)
+    , m_preemption(settings.preemption)
 { }
 
 void Coordinator::takeOver(ClockReading now)
--- a/src/lib/steps/coordinatorcounters.cpp
+++ b/src/lib/steps/coordinatorcounters.cpp
@@ -17,6 +17,9 @@
     workersCrashed += other.workersCrashed;
     runsEvacuated += other.runsEvacuated;
     startsWithheld += other.startsWithheld;
+    runsPreempted += other.runsPreempted;
+    for (const auto &[end, n] : other.reservationsEnded)
+        reservationsEnded[end] += n;
     workersExamined += other.workersExamined;
     runsExamined += other.runsExamined;
     return *this;
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -150,6 +150,7 @@
         step.ref = ref;
         step.job = job;
         step.spec = &job->spec.steps[ref.step];
+        step.preempted = m_preemption.isPreempted(ref, now.monotonic);
         step.longRunning = step.spec->longRunning;
         step.since = since;
         step.occurrenceStarted = job->occurrences.contains(ref.occurrence);
@@ -195,6 +196,7 @@
     PlacementPass pass{candidateWorkers(needsOf(steps, now.monotonic), now.monotonic), {}, {}};
     pass.hasProbation = std::any_of(pass.workers.begin(), pass.workers.end(),
                                     [](const CandidateWorker &it) { return it.hasProbation; });
+    placeReservedSteps(steps, pass, now);
     for (const ReadyStep &step : steps) {
         const bool allPlaced =
             step.spec->gang ? placeGang(step, pass, now) : placeStep(step, pass, now);
@@ -205,6 +207,7 @@
         else
             tryQuarantinedWorkers(step, pass, now);
     }
+    preemptForUrgentSteps(steps, pass, now);
     if (!m_readySteps.empty())
         m_nextPlacementAt = now.monotonic + m_settings.placementInterval;
 }
@@ -423,7 +426,8 @@
     if (steps.empty())
         return;
     const PassNeeds needsOfAny{.images = true, .bestEffortMilliCores = 0, .besideMisses = true};
-    const std::vector<CandidateWorker> workers = candidateWorkers(needsOfAny, now.monotonic);
+    std::vector<CandidateWorker> workers = candidateWorkers(needsOfAny, now.monotonic);
+    m_preemption.withholdReserved(workers);
     for (const StepRef &ref : steps) {
         const Millis waited = now.monotonic - m_readySteps.at(ref);
         const StepSpec &spec = m_table.find(ref.job)->spec.steps[ref.step];
@@ -487,6 +491,7 @@
     if (added.isProbe || isRetry)
         worker.closeToTasks(); // It is tried with this one task.
     m_runs.add(std::move(added));
+    m_preemption.noteStart(task);
     m_uncommittedStarts.push_back({0, {task, run}});
     ++m_counters.runsStarted;
 }
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -179,8 +179,10 @@
             noteConfirmedStart(key.task.job);
             endStartBackoff(worker);
         }
-        if (!it.checkpoint.empty())
+        if (!it.checkpoint.empty() && it.checkpoint != run->checkpoint) {
             run->checkpoint = it.checkpoint;
+            run->checkpointedAt = now.monotonic;
+        }
         if (it.progressPercent != run->progressPercent)
             run->lastProgressAt = now.monotonic;
         // Long-running tasks don't end by themselves: getting to work counts as their success.
@@ -246,6 +248,7 @@
     m_runs.remove(key);
     m_relaxedStarts.remove(key);
     m_stallChecks.cancel(key);
+    m_preemption.noteEnd(key, now.monotonic);
     noteRunsChanged(run.workerId);
     m_placementNeeded = true;
     ++m_counters.runsEnded[how];
--- a/src/lib/steps/placement.cpp
+++ b/src/lib/steps/placement.cpp
@@ -146,6 +146,8 @@
         return priorityA < priorityB;
     if (a.longRunning != b.longRunning)
         return b.longRunning;
+    if (a.preempted != b.preempted)
+        return a.preempted;
     if (a.occurrenceStarted != b.occurrenceStarted && groupA <= bestEffortGroup && !a.longRunning)
         return a.occurrenceStarted;
     return std::tie(a.laxity, a.ref) < std::tie(b.laxity, b.ref);
--- a/src/lib/steps/schedulerevent.cpp
+++ b/src/lib/steps/schedulerevent.cpp
@@ -45,6 +45,10 @@
         return "zone-evacuated";
     case SchedulerEventKind::ZoneReturned:
         return "zone-returned";
+    case SchedulerEventKind::PreemptionPlanned:
+        return "preemption-planned";
+    case SchedulerEventKind::ReservationEnded:
+        return "reservation-ended";
     }
     return "unnamed";
 }
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -36,12 +36,15 @@
     out.writeCounter("runs_stalled_total", c.runsStalled);
     out.writeCounter("runs_evacuated_total", c.runsEvacuated);
     out.writeCounter("starts_withheld_total", c.startsWithheld);
+    out.writeCounter("runs_preempted_total", c.runsPreempted);
     out.writeCounter("workers_quarantined_total", c.workersQuarantined);
     out.writeCounter("workers_crashed_total", c.workersCrashed);
     out.writeCounter("workers_examined_total", c.workersExamined);
     out.writeCounter("runs_examined_total", c.runsExamined);
     for (const auto &[how, n] : c.runsEnded)
         out.writeCounter("runs_ended_total", "how", steps::toString(how), n);
+    for (const auto &[end, n] : c.reservationsEnded)
+        out.writeCounter("reservations_ended_total", "how", steps::toString(end), n);
     for (const auto &[outcome, n] : c.startReplies)
         out.writeCounter("start_replies_total", "outcome", steps::toString(outcome), n);
     out.writeGauge("open_steps", totals.readySteps);
--- a/src/node/schedulerlog.cpp
+++ b/src/node/schedulerlog.cpp
@@ -40,6 +40,8 @@
     case SchedulerEventKind::WorkerRecovered:
     case SchedulerEventKind::RunSuspected:
     case SchedulerEventKind::RunCleared:
+    case SchedulerEventKind::PreemptionPlanned:
+    case SchedulerEventKind::ReservationEnded:
         return logNotable;
     }
     return logInfo;
