--- a/tests/adapter/nodefile_test.cpp
+++ b/tests/adapter/nodefile_test.cpp
@@ -33,6 +33,15 @@
     CHECK(file.node.ownership.capacity == EntryCapacity{240, 10'500});
 }
 
+// Guards against a deployment that can't be run without preemption.
+TEST_CASE("Preemption is enabled unless the settings file disables it")
+{
+    std::string text = validFile;
+    CHECK(parseNodeFile(text).node.shardRunner.coordinator.preemption.enabled);
+    text.replace(text.find("\"unknownKey\":{}"), 15, "\"scheduling\":{\"preemption\":false}");
+    CHECK_FALSE(parseNodeFile(text).node.shardRunner.coordinator.preemption.enabled);
+}
+
 TEST_CASE("Without its limits a host's capacity is not known")
 {
     std::string text = validFile;
