Learn how long tasks take and use it for laxity and stalls

Callers' estimates are off by up to a factor of two, and laxity and stall detection were computed from them alone. Runs that were slowed, stopped, resumed, adopted or off the preferred rack don't count. The median replaces the estimate in the laxity of ready steps; the 95 % quantile replaces it in the time that a run may go without progress. Deadlines still follow from the caller's estimates. A few samples change little, and the state is lost at a takeover. CoordinatorSettings::durations disables it.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -6,6 +6,7 @@
 #include "savorywick/steps/coordinatorcounters.h"
 #include "savorywick/steps/coordinatorsettings.h"
 #include "savorywick/steps/duequeue.h"
+#include "savorywick/steps/durationestimator.h"
 #include "savorywick/steps/evacuatedzones.h"
 #include "savorywick/steps/jobtable.h"
 #include "savorywick/steps/latencyheadroom.h"
@@ -292,6 +293,12 @@
     void excuseSilence(const std::string &worker, Millis silence, Instant now);
     void stopStalledRuns(ClockReading now);
 
+    // Durations of tasks, learned from runs (coordinatordurations.cpp).
+    bool isOnPreferredRack(const TaskRef &task, const WorkerInfo &worker) const;
+    void noteStartConditions(Run &run, const WorkerInfo &worker, Instant now) const;
+    void observeDuration(const Run &run, RunOutcome how, Instant now);
+    Millis expectedCriticalPath(const Job &job, int step, Instant now) const;
+
     // Workers that crash, and the runs that may be why (coordinatorcrashes.cpp).
     static void noteUnanswered(Worker &worker, CommandOutcome outcome, bool connectionClosed,
                                Instant now);
@@ -396,6 +403,7 @@
     LatencyHeadroomEstimator m_headroomEstimator;
     RelaxedStarts m_relaxedStarts;
     PreemptionPlanner m_preemption;
+    DurationEstimator m_durations;
     CoordinatorCounters m_counters;
 
     std::map<std::string, Worker, std::less<>> m_workers;
--- a/include/savorywick/steps/coordinatorcounters.h
+++ b/include/savorywick/steps/coordinatorcounters.h
@@ -19,6 +19,7 @@
     std::map<RunOutcome, std::uint64_t> runsEnded;
     std::map<CommandOutcome, std::uint64_t> startReplies;
     std::uint64_t runsStalled = 0;
+    std::uint64_t durationsObserved = 0; // Runs that durations were learned from.
     std::uint64_t workersQuarantined = 0;
     std::uint64_t workersCrashed = 0;
     std::uint64_t runsEvacuated = 0; // Runs moved off workers that are about to leave.
--- a/include/savorywick/steps/coordinatorsettings.h
+++ b/include/savorywick/steps/coordinatorsettings.h
@@ -4,6 +4,7 @@
 #include "savorywick/quarantine.h"
 #include "savorywick/steps/evacuatedzones.h"
 #include "savorywick/steps/preemptionsettings.h"
+#include "savorywick/steps/durationestimator.h"
 #include "savorywick/steps/workersession.h"
 
 #include <optional>
@@ -37,6 +38,9 @@
     // A worker that still answers is given tasks for this time after it left the platform's list.
     Millis unlistedGracePeriod{2'500};
 
+    // Corrects the callers' estimates by what tasks were found to take, for the order of steps and
+    // for the detection of stalled runs.
+    DurationEstimatorSettings durations;
     // A run is stopped, and started again, if it has made no progress for this time and for this
     // share of its estimated duration. Best-effort runs are exempt; long-running ones have their
     // own timeout below.
--- a/include/savorywick/steps/placement.h
+++ b/include/savorywick/steps/placement.h
@@ -105,6 +105,9 @@
 // Returns, for each step of a job, the length of the critical path that begins with it: the largest
 // sum of estimates over a chain of dependent steps.
 std::vector<Millis> criticalPathLengths(std::span<const StepSpec> steps);
+// Returns the same if the steps take `durations` instead, one for each step.
+std::vector<Millis> criticalPathLengths(std::span<const StepSpec> steps,
+                                        std::span<const Millis> durations);
 // Returns the time from when a job is due to start until it should be complete.
 Millis relativeDeadlineOf(const JobSpec &spec);
 
--- a/include/savorywick/steps/runtable.h
+++ b/include/savorywick/steps/runtable.h
@@ -63,6 +63,11 @@
     bool longRunning = false;
     bool bestEffort = false;
     Millis estimatedDuration;
+    // How long a run like it takes at most, with few exceptions.
+    Millis longDuration;
+    // Its duration can't be compared with that of other runs: it began at a checkpoint, or on
+    // another rack than preferred.
+    bool hasUnusualStart = false;
     Millis latencyTarget;
     std::string image;
 
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -48,6 +48,7 @@
     , m_evacuatedZones(settings.zoneEvacuation)
     , m_relaxedStarts(settings.relaxedRunsPerHundredWorkers)
     , m_preemption(settings.preemption)
+    , m_durations(settings.durations)
 { }
 
 void Coordinator::takeOver(ClockReading now)
--- a/src/lib/steps/coordinatorcounters.cpp
+++ b/src/lib/steps/coordinatorcounters.cpp
@@ -13,6 +13,7 @@
     for (const auto &[outcome, n] : other.startReplies)
         startReplies[outcome] += n;
     runsStalled += other.runsStalled;
+    durationsObserved += other.durationsObserved;
     workersQuarantined += other.workersQuarantined;
     workersCrashed += other.workersCrashed;
     runsEvacuated += other.runsEvacuated;
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -160,7 +160,7 @@
         // Of long-running steps the one that has waited longest comes first.
         step.laxity = step.longRunning
             ? since - now.monotonic
-            : Millis{0} - step.lateness - criticalPathLengths(job->spec.steps)[ref.step];
+            : Millis{0} - step.lateness - expectedCriticalPath(*job, ref.step, now.monotonic);
         steps.push_back(step);
     }
     std::sort(steps.begin(), steps.end(), comesBefore);
@@ -472,6 +472,7 @@
         publishWhenDurable(task.job);
     Run added = makeRun({task, run}, spec, life, now.monotonic);
     added.stepReadySince = m_readySteps.at(task.stepRef());
+    noteStartConditions(added, known.info, now.monotonic);
     ++worker.runCount;
     worker.hasNewRuns = true;
     worker.available -= added.allocated;
--- a/src/lib/steps/coordinatorstalls.cpp
+++ b/src/lib/steps/coordinatorstalls.cpp
@@ -19,10 +19,9 @@
     const bool atWork = run.longRunning && run.progressPercent >= fullPercent;
     if (run.phase != RunPhase::Running || run.stopRequested || run.bestEffort || atWork)
         return {};
-    const Millis estimateShare =
-        run.estimatedDuration * m_settings.stallEstimatePercent / fullPercent;
+    const Millis durationShare = run.longDuration * m_settings.stallEstimatePercent / fullPercent;
     const Millis timeout = run.longRunning ? m_settings.longRunningStartTimeout
-                                           : std::max(m_settings.stallTimeout, estimateShare);
+                                           : std::max(m_settings.stallTimeout, durationShare);
     return run.lastProgressAt + timeout + Millis{1};
 }
 
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -255,6 +255,7 @@
     noteRun(SchedulerEventKind::RunEnded, run, toString(how), now.monotonic - run.startedAt,
             run.progressPercent);
     updateQuarantine(run, how, now);
+    observeDuration(run, how, now.monotonic);
     const Job *job = m_table.find(key.task.job);
     if (!job)
         return;
--- a/src/lib/steps/placement.cpp
+++ b/src/lib/steps/placement.cpp
@@ -163,10 +163,20 @@
 }
 
 std::vector<Millis> criticalPathLengths(std::span<const StepSpec> steps)
+{
+    std::vector<Millis> estimates;
+    estimates.reserve(steps.size());
+    for (const StepSpec &it : steps)
+        estimates.push_back(it.estimatedDuration);
+    return criticalPathLengths(steps, estimates);
+}
+
+std::vector<Millis> criticalPathLengths(std::span<const StepSpec> steps,
+                                        std::span<const Millis> durations)
 {
     std::vector<Millis> lengths(steps.size());
     for (std::size_t i = steps.size(); i-- > 0;) {
-        lengths[i] = lengths[i] + steps[i].estimatedDuration;
+        lengths[i] = lengths[i] + durations[i];
         for (const int predecessor : steps[i].dependsOn)
             lengths[predecessor] = std::max(lengths[predecessor], lengths[i]);
     }
--- a/src/lib/steps/runtable.cpp
+++ b/src/lib/steps/runtable.cpp
@@ -27,6 +27,7 @@
     run.longRunning = spec.longRunning;
     run.bestEffort = spec.bestEffort;
     run.estimatedDuration = spec.estimatedDuration;
+    run.longDuration = spec.estimatedDuration;
     run.latencyTarget = spec.latencyTarget;
     run.image = spec.image;
     return run;
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -34,6 +34,7 @@
     out.writeCounter("runs_started_total", c.runsStarted);
     out.writeCounter("runs_adopted_total", c.runsAdopted);
     out.writeCounter("runs_stalled_total", c.runsStalled);
+    out.writeCounter("durations_observed_total", c.durationsObserved);
     out.writeCounter("runs_evacuated_total", c.runsEvacuated);
     out.writeCounter("starts_withheld_total", c.startsWithheld);
     out.writeCounter("runs_preempted_total", c.runsPreempted);
