Start a second run of a task that takes too long

StepSpec::allowDuplicates was stored and never used: a step waited for its slowest task whatever the reason. The owner now starts one duplicate of a confirmed run if a new run is likely to end first by the learned durations and the reported progress (StragglerDetector). It goes to another rack if possible and another worker in any case, through the usual candidates and constraints, within a budget of one for ten runs (RetryBudget as it is) and never while work of the same service waits. There is no duplicate if the failure of both runs would exceed the attempts of the queue.

The slower run is stopped once the other has ended done. Its end counts neither as an attempt nor as a crash (JobTable) nor against its worker. run-duplicated is logged; duplicates_started_total and duplicates_won_total count. StragglerSettings::shareOfRuns of 0 disables it.

No run on a fleet was made.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -15,6 +15,7 @@
 #include "savorywick/steps/relaxedstarts.h"
 #include "savorywick/steps/runtable.h"
 #include "savorywick/steps/schedulerevent.h"
+#include "savorywick/steps/stragglerdetector.h"
 #include "savorywick/steps/unplaceablesteps.h"
 #include "savorywick/steps/workercommands.h"
 #include "savorywick/steps/workersession.h"
@@ -299,6 +300,18 @@
     void observeDuration(const Run &run, RunOutcome how, Instant now);
     Millis expectedCriticalPath(const Job &job, int step, Instant now) const;
 
+    // Second runs of tasks that take too long (coordinatorstragglers.cpp).
+    void trackStraggler(const Run &run, ClockReading now);
+    void settleStraggler(const Run &run, RunOutcome how);
+    bool isDone(const TaskRef &task) const;
+    bool mayDuplicate(const Run &run) const;
+    bool hasCompetitors(const ReadyStep &step, const PlacementPass &pass) const;
+    std::vector<RunningTask> tasksToDuplicate(ClockReading now);
+    void startDuplicates(ClockReading now);
+    void startDuplicate(const RunningTask &straggler, const ReadyStep &step, PlacementPass &pass,
+                        ClockReading now);
+    void stopRunsOfDoneTasks();
+
     // Workers that crash, and the runs that may be why (coordinatorcrashes.cpp).
     static void noteUnanswered(Worker &worker, CommandOutcome outcome, bool connectionClosed,
                                Instant now);
@@ -377,6 +390,7 @@
     void noteWaitingSteps(ClockReading now);
     std::vector<int> tasksToStart(const StepRef &ref) const;
     PlacementConstraints constraintsFor(const StepRef &ref, Instant now) const;
+    Instant readySince(const StepRef &ref, Instant now) const;
 
     // Preemption (coordinatorpreemption.cpp).
     std::optional<PreemptibleRun> preemptibleRun(const Run &run, ClockReading now) const;
@@ -404,6 +418,7 @@
     RelaxedStarts m_relaxedStarts;
     PreemptionPlanner m_preemption;
     DurationEstimator m_durations;
+    StragglerDetector m_stragglers;
     CoordinatorCounters m_counters;
 
     std::map<std::string, Worker, std::less<>> m_workers;
--- a/include/savorywick/steps/coordinatorcounters.h
+++ b/include/savorywick/steps/coordinatorcounters.h
@@ -20,6 +20,8 @@
     std::map<CommandOutcome, std::uint64_t> startReplies;
     std::uint64_t runsStalled = 0;
     std::uint64_t durationsObserved = 0; // Runs that durations were learned from.
+    std::uint64_t duplicatesStarted = 0; // Second runs of tasks that took too long.
+    std::uint64_t duplicatesWon = 0; // Those that ended done before the first run.
     std::uint64_t workersQuarantined = 0;
     std::uint64_t workersCrashed = 0;
     std::uint64_t runsEvacuated = 0; // Runs moved off workers that are about to leave.
--- a/include/savorywick/steps/coordinatorsettings.h
+++ b/include/savorywick/steps/coordinatorsettings.h
@@ -5,6 +5,7 @@
 #include "savorywick/steps/evacuatedzones.h"
 #include "savorywick/steps/preemptionsettings.h"
 #include "savorywick/steps/durationestimator.h"
+#include "savorywick/steps/stragglerdetector.h"
 #include "savorywick/steps/workersession.h"
 
 #include <optional>
@@ -41,6 +42,8 @@
     // Corrects the callers' estimates by what tasks were found to take, for the order of steps and
     // for the detection of stalled runs.
     DurationEstimatorSettings durations;
+    // Starts a second run of a task that takes too long, where the job allows it.
+    StragglerSettings stragglers;
     // A run is stopped, and started again, if it has made no progress for this time and for this
     // share of its estimated duration. Best-effort runs are exempt; long-running ones have their
     // own timeout below.
--- a/include/savorywick/steps/job.h
+++ b/include/savorywick/steps/job.h
@@ -51,8 +51,9 @@
     bool gang = false;
     // Whether placement prefers one rack for all tasks, because they run longer on several.
     bool preferSameRack = false;
-    // Whether copies of a task may run at the same time; the first to finish counts. The
-    // coordinator starts no copies yet.
+    // Whether two copies of a task may run at the same time; the first to finish counts. The
+    // coordinator starts a second one of a task that takes too long, unless the tasks are
+    // gang-scheduled or long-running.
     bool allowDuplicates = false;
     // Whether the tasks run until the job is cancelled, as those of a service do.
     bool longRunning = false;
--- a/include/savorywick/steps/schedulerevent.h
+++ b/include/savorywick/steps/schedulerevent.h
@@ -14,6 +14,7 @@
     RunPlaced, // A worker was chosen for the run.
     RunConfirmed, // The worker reported that it has the run.
     StartRefused, // The worker refused the start command, or the command did not reach it.
+    RunDuplicated, // A second run of a task was placed, since the first takes too long.
     RunEnded, // The run ended.
     StopRequested, // The run is to be stopped.
     StopFailed, // The worker refused to stop the run, or did not answer.
@@ -52,16 +53,16 @@
     std::string_view reason;
     // The time since the occurrence was due for JobStarted, RunPlaced and JobEnded, since the
     // worker last answered for events of workers' leases, and since the step has waited for
-    // StepWaiting; the time that the run had been on its worker for RunSuspected. StopRequested and
-    // WorkerQuarantined have 0; PreemptionPlanned has the delay that the step's deadline still
-    // allows, and ReservationEnded the time since the reservation; other events have the time since
-    // the run was started.
+    // StepWaiting; the time that the run had been on its worker for RunSuspected, and that the
+    // first run has taken for RunDuplicated. StopRequested and WorkerQuarantined have 0;
+    // PreemptionPlanned has the delay that the step's deadline still allows, and ReservationEnded
+    // the time since the reservation; other events have the time since the run was started.
     Millis age;
     // The processors left on the worker, in thousandths of a core, for RunPlaced; the new speed in
-    // percent for RunThrottled; the progress in percent for RunConfirmed, RunEnded and
-    // StopRequested; the number of workers that may be given tasks for StepWaiting; the number of
-    // runs in the zone for ZoneEvacuated and ZoneReturned, and of those that are stopped for
-    // PreemptionPlanned; 0 for other events.
+    // percent for RunThrottled; the progress of the first run for RunDuplicated; the progress in
+    // percent for RunConfirmed, RunEnded and StopRequested; the number of workers that may be given
+    // tasks for StepWaiting; the number of runs in the zone for ZoneEvacuated and ZoneReturned, and
+    // of those that are stopped for PreemptionPlanned; 0 for other events.
     int value = 0;
     std::string zone = {}; // Only of ZoneEvacuated and ZoneReturned.
     int workerCount = 0; // Workers in the zone.
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -49,6 +49,7 @@
     , m_relaxedStarts(settings.relaxedRunsPerHundredWorkers)
     , m_preemption(settings.preemption)
     , m_durations(settings.durations)
+    , m_stragglers(settings.stragglers, m_durations, ownedSince)
 { }
 
 void Coordinator::takeOver(ClockReading now)
@@ -71,6 +72,7 @@
         if (isFinal(job.state))
             stopJobRuns(job, "job-over");
     }
+    stopRunsOfDoneTasks();
     for (const auto &[id, delegation] : m_table.delegations())
         m_delegations.emplace(delegation.wallMs, id);
 }
@@ -306,6 +308,7 @@
     forgetExpiredDelegations(now);
     if (now.monotonic >= placementAt())
         placeReadySteps(now);
+    startDuplicates(now);
     noteWaitingSteps(now);
 }
 
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -180,10 +180,17 @@
     }
     constraints.avoidedWorkers = m_quarantine.failedWorkers(ref.job);
     constraints.headroomEstimator = &m_headroomEstimator;
-    constraints.mayJoinSuspects = now - m_readySteps.at(ref) >= m_settings.maxIsolationWait;
+    constraints.mayJoinSuspects = now - readySince(ref, now) >= m_settings.maxIsolationWait;
     return constraints;
 }
 
+// Returns since when the step has had tasks to start; `now` if it has none.
+Instant Coordinator::readySince(const StepRef &ref, Instant now) const
+{
+    const auto it = m_readySteps.find(ref);
+    return it == m_readySteps.end() ? now : it->second;
+}
+
 void Coordinator::placeReadySteps(ClockReading now)
 {
     m_placementNeeded = false;
@@ -471,7 +478,7 @@
     if (wasQueued)
         publishWhenDurable(task.job);
     Run added = makeRun({task, run}, spec, life, now.monotonic);
-    added.stepReadySince = m_readySteps.at(task.stepRef());
+    added.stepReadySince = readySince(task.stepRef(), now.monotonic);
     noteStartConditions(added, known.info, now.monotonic);
     ++worker.runCount;
     worker.hasNewRuns = true;
@@ -491,7 +498,7 @@
     worker.hasProbation = worker.hasProbation || added.onProbation;
     if (added.isProbe || isRetry)
         worker.closeToTasks(); // It is tried with this one task.
-    m_runs.add(std::move(added));
+    trackStraggler(m_runs.add(std::move(added)), now);
     m_preemption.noteStart(task);
     m_uncommittedStarts.push_back({0, {task, run}});
     ++m_counters.runsStarted;
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -70,7 +70,7 @@
         makeRun({task, active.number}, job.spec.steps[task.step], active.worker, m_ownedSince);
     run.phase = RunPhase::Unconfirmed;
     run.onProbation = isSuspected(task);
-    m_runs.add(std::move(run));
+    trackStraggler(m_runs.add(std::move(run)), {m_ownedSince});
     const std::string &id = active.worker.workerId;
     if (m_workers.contains(id))
         return noteRunsChanged(id);
@@ -256,6 +256,7 @@
             run.progressPercent);
     updateQuarantine(run, how, now);
     observeDuration(run, how, now.monotonic);
+    settleStraggler(run, how);
     const Job *job = m_table.find(key.task.job);
     if (!job)
         return;
@@ -284,6 +285,8 @@
 
 void Coordinator::updateQuarantine(const Run &run, RunOutcome how, ClockReading now)
 {
+    if (how == RunOutcome::Failed && isDone(run.key.task)) // A duplicate that was to be stopped.
+        how = RunOutcome::Stopped;
     if (how == RunOutcome::Done)
         m_quarantine.recordSuccess(run.key.task.job, run.workerId, now.monotonic);
     else if (how != RunOutcome::Failed && run.isProbe)
--- a/src/lib/steps/jobtable.cpp
+++ b/src/lib/steps/jobtable.cpp
@@ -64,6 +64,8 @@
         if (!task)
             return;
         const bool wasActive = eraseRun(*task, it.run);
+        if (task->done && !job->spec.steps[it.task.step].gang)
+            return; // The run was a duplicate that is no longer needed.
         if (!it.checkpoint.empty())
             task->checkpoint = it.checkpoint;
         if (wasActive)
--- a/src/lib/steps/schedulerevent.cpp
+++ b/src/lib/steps/schedulerevent.cpp
@@ -13,6 +13,8 @@
         return "run-confirmed";
     case SchedulerEventKind::StartRefused:
         return "start-refused";
+    case SchedulerEventKind::RunDuplicated:
+        return "run-duplicated";
     case SchedulerEventKind::RunEnded:
         return "run-ended";
     case SchedulerEventKind::StopRequested:
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -35,6 +35,8 @@
     out.writeCounter("runs_adopted_total", c.runsAdopted);
     out.writeCounter("runs_stalled_total", c.runsStalled);
     out.writeCounter("durations_observed_total", c.durationsObserved);
+    out.writeCounter("duplicates_started_total", c.duplicatesStarted);
+    out.writeCounter("duplicates_won_total", c.duplicatesWon);
     out.writeCounter("runs_evacuated_total", c.runsEvacuated);
     out.writeCounter("starts_withheld_total", c.startsWithheld);
     out.writeCounter("runs_preempted_total", c.runsPreempted);
--- a/src/node/schedulerlog.cpp
+++ b/src/node/schedulerlog.cpp
@@ -32,6 +32,7 @@
     case SchedulerEventKind::RunConfirmed:
     case SchedulerEventKind::RunThrottled:
         return logRoutine;
+    case SchedulerEventKind::RunDuplicated:
     case SchedulerEventKind::StartRefused:
     case SchedulerEventKind::StopRequested:
     case SchedulerEventKind::StopFailed:
--- a/tests/steps/coordinatorharness.h
+++ b/tests/steps/coordinatorharness.h
@@ -73,6 +73,12 @@
         m_coordinator->setWorkers(m_workers, now());
     }
 
+    void setRack(int worker, const std::string &rack)
+    {
+        m_workers[worker].rack = rack;
+        m_coordinator->setWorkers(m_workers, now());
+    }
+
     // Lists only these workers from now on.
     void listWorkers(const std::set<int> &indexes)
     {
