Begin no best-effort job as able to end in time that most likely can't

Cause: of best-effort jobs that wait, the one with the least laxity began first. Under overload it ended late, and made the next one late as well.

Change: a best-effort job that has not begun counts as able to meet its deadline only with some laxity left (minBestEffortLaxityPercent).

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -386,12 +386,14 @@
     void restoreTurn(const Run &run);
     void startRun(const TaskRef &task, int run, const StepSpec &spec, CandidateWorker &worker,
                   ClockReading now);
-    std::vector<StepRef> nextStepsToNote(Instant now) const;
-    void noteWaitingSteps(ClockReading now);
     std::vector<int> tasksToStart(const StepRef &ref) const;
     PlacementConstraints constraintsFor(const StepRef &ref, Instant now) const;
     Instant readySince(const StepRef &ref, Instant now) const;
 
+    // Notes on steps that wait (coordinatorwaits.cpp).
+    std::vector<StepRef> nextStepsToNote(Instant now) const;
+    void noteWaitingSteps(ClockReading now);
+
     // Preemption (coordinatorpreemption.cpp).
     std::optional<PreemptibleRun> preemptibleRun(const Run &run, ClockReading now) const;
     std::vector<PreemptionWorker> preemptionWorkers(PlacementPass &pass, ClockReading now) const;
--- a/include/savorywick/steps/coordinatorsettings.h
+++ b/include/savorywick/steps/coordinatorsettings.h
@@ -2,9 +2,9 @@
 
 #include "savorywick/clock.h"
 #include "savorywick/quarantine.h"
+#include "savorywick/steps/durationestimator.h"
 #include "savorywick/steps/evacuatedzones.h"
 #include "savorywick/steps/preemptionsettings.h"
-#include "savorywick/steps/durationestimator.h"
 #include "savorywick/steps/stragglerdetector.h"
 #include "savorywick/steps/workersession.h"
 
@@ -85,6 +85,10 @@
     // under overload, when every step waits for long, most workers keep their headroom. Nothing
     // means no limit.
     std::optional<int> relaxedRunsPerHundredWorkers;
+    // A best-effort job begins ahead of late ones only while its laxity is at least this share of
+    // its relative deadline. Its runs are throttled at times, so that with less it would most
+    // likely end late, and keep others from ending in time.
+    int minBestEffortLaxityPercent = 0;
     // A step that no worker outside the quarantine could ever run is tried on one in it after this
     // wait.
     Millis tryQuarantinedAfter{2'000};
--- a/include/savorywick/steps/placement.h
+++ b/include/savorywick/steps/placement.h
@@ -84,6 +84,9 @@
     // the time that it has waited, negated.
     Millis laxity;
     Millis relativeDeadline; // From when the job is due to start until it should be complete.
+    // The laxity that the step needs to count as able to meet the deadline if it is best-effort and
+    // its occurrence has not started.
+    Millis minLaxityToBegin;
 };
 
 // Returns true if and only if `a` should be placed before `b`.
@@ -91,7 +94,8 @@
 // Steps are placed in these groups, the first first:
 //  - long-running steps that have waited too long;
 //  - long-running steps, and steps that book processors and can still meet their job's deadline;
-//  - best-effort steps that can still meet it;
+//  - best-effort steps that can still meet it; of an occurrence that has not started, only with
+//    some laxity left, since best-effort runs are slowed down at times;
 //  - steps that can't meet it;
 //  - steps so late that completing them sooner makes no difference.
 // Within a group the queue's priority decides. Of one priority, steps with a deadline come before
--- a/include/savorywick/steps/relaxedstarts.h
+++ b/include/savorywick/steps/relaxedstarts.h
@@ -13,8 +13,8 @@
 //
 // A step that has found no worker for long may start below the usual headroom, so that a job which
 // suits no worker is not starved. Under overload all steps wait for long, and if all of them did so
-// every worker would be harmed. The limit keeps the exception to a few workers at a time; which steps
-// use it is decided by their order. Not thread-safe.
+// every worker would be harmed. The limit keeps the exception to a few workers at a time; which
+// steps use it is decided by their order. Not thread-safe.
 //
 // Example:
 //   RelaxedStarts relaxed(5);
--- a/src/lib/steps/placement.cpp
+++ b/src/lib/steps/placement.cpp
@@ -27,7 +27,8 @@
 {
     if (step.longRunning)
         return step.starved ? starvedGroup : bookingGroup;
-    if (step.laxity >= Millis{0})
+    const bool begins = step.spec->bestEffort && !step.occurrenceStarted;
+    if (step.laxity >= (begins ? step.minLaxityToBegin : Millis{0}))
         return step.spec->bestEffort ? bestEffortGroup : bookingGroup;
     const bool useless = step.lateness >= step.relativeDeadline * (uselessAfterDeadlines - 1);
     return useless ? uselessGroup : lateGroup;
