Make the evacuation tests fail when a single guard is missing

Trials with one guard removed at a time showed two cases that passed without the check of candidate workers: their worker was full, or never due for a probe. The worker now has room, the probe is due, and both cases check that nothing was placed that had to be withheld later.

--- a/tests/steps/coordinatorevacuation_test.cpp
+++ b/tests/steps/coordinatorevacuation_test.cpp
@@ -65,15 +65,15 @@
     gang.gang = true;
     for (const StepSpec &spec : {tasks(3, 1'000), gang, longRunningTask(), bestEffortTask()}) {
         ZonesHarness harness;
-        harness.submit("before", tasks(20, 1'000));
-        const auto before = harness.startsOn("w0");
-        REQUIRE(before > 0);
+        harness.submit("before", tasks(2, 9'000)); // One on each of the workers.
+        REQUIRE(harness.startsOn("w0") == 1);
         harness.report({"a"});
         harness.submit("after", spec);
         harness.reportFailure(harness.starts.front());
         harness.advanceReading({"a"}, Millis{6'000});
-        CHECK(harness.startsOn("w0") == before);
+        CHECK(harness.startsOn("w0") == 1);
         CHECK(harness.workersStartedOn("after").size() == static_cast<std::size_t>(spec.taskCount));
+        CHECK(harness.coordinator().counters().startsWithheld == 0); // None was even placed.
         CHECK(harness.stops.empty());
     }
 }
@@ -82,17 +82,22 @@
 TEST_CASE("No quarantined worker of an evacuated zone is probed")
 {
     ZonesHarness harness;
+    harness.setDraining(1);
     harness.failingWorkers = {"w0"};
-    for (int i = 0; i < 6; ++i)
-        harness.submit("failing" + std::to_string(i), tasks(2, 8'000));
-    harness.advanceReading({}, Millis{1'000});
+    for (const char *id : {"f1", "f2", "f3"})
+        harness.submit(id, task(1'000));
+    harness.advance(Millis{500});
     REQUIRE(harness.coordinator().counters().workersQuarantined == 1);
-    const auto before = harness.startsOn("w0");
-    harness.setDraining(1); // No other worker could run the step.
+    harness.failingWorkers.clear();
+    for (const char *id : {"f1", "f2", "f3"})
+        harness.coordinator().cancel(id, harness.now());
     harness.report({"a"});
     harness.submit("probe", task(1'000));
     harness.advanceReading({"a"}, Millis{40'000});
-    CHECK(harness.startsOn("w0") == before);
+    CHECK(harness.workersStartedOn("probe").empty());
+    CHECK(harness.coordinator().counters().startsWithheld == 0); // It was not even placed.
+    harness.advanceReading({}, Millis{8'000});
+    CHECK(harness.workersStartedOn("probe").size() == 1);
 }
 
 // Guards against a start order that is sent when its commit is durable, after the evacuation. The
