--- a/tests/adapter/nodefile_test.cpp
+++ b/tests/adapter/nodefile_test.cpp
@@ -79,16 +79,13 @@
 // and against starts that stop in a deployment without a bound.
 TEST_CASE("Zones are evacuated only with a bound that can be kept")
 {
-    const auto fileWith = [](const std::string &bound) {
+    const auto evacuationWith = [](const std::string &bound) {
         std::string file = validFile;
-        const std::string valid = "\"graceS\":4.5";
-        return parseNodeFile(file.replace(file.find(valid), valid.size(), bound))
-            .node.shardRunner.coordinator.zoneEvacuation;
+        file.replace(file.find("\"graceS\":4.5"), 12, bound);
+        return parseNodeFile(file).node.shardRunner.coordinator.zoneEvacuation;
     };
-    CHECK_FALSE(fileWith("\"other\":1").bound.has_value());
-    CHECK(fileWith("\"evacuateMs\":5000").maxAge() == Millis{4'000});
-    for (const std::string value : {"\"5000\"", "1000", "-1", "0.5"}) {
-        CAPTURE(value);
-        CHECK_THROWS_AS(fileWith("\"evacuateMs\":" + value), Error);
-    }
+    CHECK_FALSE(evacuationWith("\"other\":1").bound.has_value());
+    CHECK(evacuationWith("\"evacuateMs\":5000").maxAge() == Millis{4'000});
+    for (const std::string value : {"\"5000\"", "1000", "-1", "0.5"})
+        CHECK_THROWS_AS(evacuationWith("\"evacuateMs\":" + value), Error);
 }
