Refuse jobs that can't complete while useful and say when to retry

Cause: a caller whose job can't be done learns nothing, and Retry-After is always 1 s.

Change: the owner asks JobAdmission at submission. A refused job gets the outcome NoCapacity (no-capacity between entries) with a delay, and the caller 503 with it as Retry-After. A refusal changes nothing and awaits no commit; known jobs are never refused, and a request that may have been applied still ends as 504. Refusals are logged as job-refused with backlog, rate and forecast; metrics show backlog and rate by pool and decisions by queue.

AdmissionDigest lets an entry refuse by the owner's latest reply for a second.

An entry of an older version counts no-capacity as undecided and answers 504.

--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -32,11 +32,13 @@
     , m_dependencies(std::move(dependencies))
 { }
 
-HttpResponse CallerApi::serviceUnavailable() const
+// Without a time of the owner's, the one of the settings applies.
+HttpResponse CallerApi::serviceUnavailable(Millis retryAfter) const
 {
-    return {.status = 503,
-            .headers = {{"Retry-After", std::to_string(m_settings.retryAfterSeconds)}},
-            .body = {}};
+    constexpr std::int64_t msPerSecond = 1'000;
+    const std::int64_t seconds =
+        std::max<std::int64_t>(retryAfter.count() / msPerSecond, m_settings.retryAfterSeconds);
+    return {.status = 503, .headers = {{"Retry-After", std::to_string(seconds)}}, .body = {}};
 }
 
 void CallerApi::countAnswer(int status)
@@ -178,14 +180,14 @@
     pending->lastOutcome = reply.outcome;
     const Instant retryAt = now + m_settings.retryInterval;
     // A retry is safe: a job id is accepted only once, and the other requests are idempotent.
-    const bool refused =
-        reply.outcome == ShardOutcome::StoreDown || reply.outcome == ShardOutcome::Overloaded;
+    const bool refused = reply.outcome == ShardOutcome::StoreDown
+        || reply.outcome == ShardOutcome::Overloaded || reply.outcome == ShardOutcome::NoCapacity;
     const bool mayRetry = !refused && retryAt < pending->receivedAt + m_settings.maxRetryTime;
     // A request that may have taken effect is retried until its outcome is known, because the
     // caller has no way to find out.
     if ((mayRetry || pending->mayTakeEffect()) && retryAt < pending->deadline)
         return retryLater(pending);
-    giveUp(pending, reply.outcome);
+    giveUp(pending, reply.outcome, reply.retryAfter);
 }
 
 void CallerApi::armDeadline(const std::shared_ptr<PendingRequest> &pending)
@@ -203,7 +205,8 @@
     giveUp(pending, isOpen ? ShardOutcome::Undecided : pending->lastOutcome);
 }
 
-void CallerApi::giveUp(const std::shared_ptr<PendingRequest> &pending, ShardOutcome outcome)
+void CallerApi::giveUp(const std::shared_ptr<PendingRequest> &pending, ShardOutcome outcome,
+                       Millis retryAfter)
 {
     ++m_refusals[outcome];
     logInfo("request-refused",
@@ -211,7 +214,9 @@
              {"why", toString(outcome)},
              {"undecided", pending->mayTakeEffect()},
              {"waitedMs", (m_dependencies.clock.now() - pending->receivedAt).count()}});
-    settle(pending, {outcome, {}, 0});
+    ShardReply reply{outcome, {}, 0};
+    reply.retryAfter = retryAfter;
+    settle(pending, reply);
 }
 
 void CallerApi::settle(const std::shared_ptr<PendingRequest> &pending, const ShardReply &reply)
@@ -230,7 +235,7 @@
         return {.status = 410, .headers = {}, .body = {}};
     if (reply.outcome != ShardOutcome::Ok) {
         if (!pending.mayTakeEffect())
-            return serviceUnavailable();
+            return serviceUnavailable(reply.retryAfter);
         return {.status = 504, .headers = {}, .body = {}};
     }
     if (std::holds_alternative<GetJobState>(pending.request))
--- a/src/node/callerapi.h
+++ b/src/node/callerapi.h
@@ -3,6 +3,7 @@
 #include "core/latencyhistogram.h"
 #include "net/asynchttpserver.h"
 #include "net/eventloop.h"
+#include "node/admissiondigest.h"
 #include "node/shardrequest.h"
 #include "savorywick/clock.h"
 #include "savorywick/steps/queues.h"
@@ -58,7 +59,9 @@
     // most likely be unknown.
     Millis minTimeToServe{300};
     Millis defaultCallerTimeout{3'000}; // Applies if the caller states no timeout.
-    int retryAfterSeconds = 1; // Another entry takes over an ownerless shard within a few seconds.
+    // The least Retry-After: another entry takes over an ownerless shard within a few seconds.
+    int retryAfterSeconds = 1;
+    AdmissionDigestSettings digest; // Of the refusals of owners in other entries.
 };
 
 // How many requests were answered, by what their callers learned.
@@ -121,10 +124,11 @@
     void retryLater(const std::shared_ptr<PendingRequest> &pending);
     void armDeadline(const std::shared_ptr<PendingRequest> &pending);
     void handleDeadline(const std::shared_ptr<PendingRequest> &pending);
-    void giveUp(const std::shared_ptr<PendingRequest> &pending, ShardOutcome outcome);
+    void giveUp(const std::shared_ptr<PendingRequest> &pending, ShardOutcome outcome,
+                Millis retryAfter = {});
     void settle(const std::shared_ptr<PendingRequest> &pending, const ShardReply &reply);
     HttpResponse toResponse(const PendingRequest &pending, const ShardReply &reply) const;
-    HttpResponse serviceUnavailable() const;
+    HttpResponse serviceUnavailable(Millis retryAfter = {}) const;
 
     const CallerApiSettings m_settings;
     Dependencies m_dependencies;
--- a/src/node/jobrequests.cpp
+++ b/src/node/jobrequests.cpp
@@ -9,6 +9,24 @@
 
 namespace {
 
+void logRefusal(const steps::JobSpec &spec, const steps::JobAdmissionDecision &decision)
+{
+    constexpr std::int64_t milliPerCore = 1'000;
+    const steps::CompletionForecast &forecast = decision.forecast;
+    const steps::PoolBacklog &backlog = forecast.backlog;
+    logInfo("job-refused",
+            {{"requestId", spec.id},
+             {"queue", spec.policy.queue},
+             {"processors", toString(forecast.processors)},
+             {"backlogCoreMs", backlog.work / milliPerCore},
+             {"aheadCoreMs", (backlog.inTimeAhead + backlog.lateAhead) / milliPerCore},
+             {"rateMilliCores", static_cast<std::int64_t>(backlog.rate)},
+             {"rateAgeMs", backlog.rateAge.count()},
+             {"completesAfterMs", forecast.completesAfter.count()},
+             {"usefulForMs", forecast.usefulFor.count()},
+             {"retryAfterMs", decision.retryAfter.count()}});
+}
+
 class RequestHandler
 {
 public:
@@ -24,6 +42,8 @@
     {
         if (const auto shard = shardElsewhere(it))
             return delegated(*shard);
+        if (const auto refusal = refusalOf(it))
+            return *refusal;
         const auto result = m_coordinator.submit(it.spec, m_now);
         logInfo(result == steps::SubmitResult::Accepted ? "job-accepted" : "job-repeated",
                 {{"requestId", it.spec.id},
@@ -56,6 +76,21 @@
 private:
     static ShardReply delegated(int shard) { return {ShardOutcome::Delegated, {}, 0, shard}; }
 
+    // Returns the refusal of a job that could not complete while it is useful; nothing for others
+    // and for known jobs.
+    std::optional<ShardReply> refusalOf(const SubmitJob &it) const
+    {
+        if (m_coordinator.jobTable().find(it.spec.id))
+            return {};
+        const steps::JobAdmissionDecision decision = m_coordinator.decideAdmission(it.spec, m_now);
+        if (decision.admitted)
+            return {};
+        logRefusal(it.spec, decision);
+        ShardReply reply{ShardOutcome::NoCapacity, {}, 0};
+        reply.retryAfter = decision.retryAfter;
+        return reply;
+    }
+
     // Returns the other shard that the job is left to, or nothing if it belongs here.
     std::optional<int> shardElsewhere(const SubmitJob &it) const
     {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -75,6 +75,7 @@
     , m_evacuatedZones(settings.shardRunner.coordinator.zoneEvacuation)
     , m_shardCountChooser(settings.shardCount)
     , m_shardClient(http, m_clock)
+    , m_admissionDigest(settings.callerApi.digest)
     , m_shardServer(
           {.shardRequested =
                [this](int shard, const ShardRequest &request, const ShardReplyCallback &onReply) {
@@ -219,14 +220,18 @@
         m_ownership.observeNow();
         return onReply({ShardOutcome::NotOwner, {}, 0});
     }
-    m_shardClient.send(
-        owner->peerAddress, shard, request, timeout,
-        [this, sentAt = m_clock.now(), onReply = std::move(onReply)](const ShardReply &reply) {
-            recordOwnerReply(reply.outcome, m_clock.now() - sentAt);
-            if (reply.outcome == ShardOutcome::NotOwner)
-                m_ownership.observeNow();
-            onReply(reply);
-        });
+    const Instant now = m_clock.now();
+    if (const auto refusal = m_admissionDigest.refusalOf(owner->peerAddress, shard, request, now))
+        return onReply(*refusal);
+    m_shardClient.send(owner->peerAddress, shard, request, timeout,
+                       [this, sentAt = now, owner = owner->peerAddress, shard, request,
+                        onReply = std::move(onReply)](const ShardReply &reply) {
+                           recordOwnerReply(reply.outcome, m_clock.now() - sentAt);
+                           m_admissionDigest.observe(owner, shard, request, reply, m_clock.now());
+                           if (reply.outcome == ShardOutcome::NotOwner)
+                               m_ownership.observeNow();
+                           onReply(reply);
+                       });
 }
 
 void Node::handleLocally(int shard, const ShardRequest &request, const ShardReplyCallback &onReply)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -3,6 +3,7 @@
 #include "net/asynchttpclient.h"
 #include "net/asynchttpserver.h"
 #include "net/eventloop.h"
+#include "node/admissiondigest.h"
 #include "node/asyncstore.h"
 #include "node/asyncworkerclient.h"
 #include "node/callerapi.h"
@@ -202,6 +203,7 @@
     bool m_evacuationsCurrent = true; // As last logged.
     ShardCountChooser m_shardCountChooser;
     ShardClient m_shardClient;
+    AdmissionDigest m_admissionDigest;
     ShardServer m_shardServer;
     CallerApi m_callerApi;
     Ownership m_ownership;
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -1,6 +1,7 @@
 // Implements Node::metrics().
 
 #include "core/prometheuswriter.h"
+#include "node/admissionmetrics.h"
 #include "node/node.h"
 
 #include <span>
@@ -98,11 +99,16 @@
     out.writeHistogram("submit_commit_ms", m_shardLatencies.submitCommit);
     out.writeHistogram("submit_first_start_ms", m_shardLatencies.submitFirstStart);
     out.writeHistogram("shard_restore_ms", m_shardLatencies.restore);
+    out.writeCounter("jobs_refused_by_digest_total", m_admissionDigest.refusals());
     ShardTotals totals;
-    for (const auto &[shard, runner] : m_runners)
+    AdmissionMetrics admission;
+    for (const auto &[shard, runner] : m_runners) {
         totals.add(runner->coordinator());
+        admission.add(runner->coordinator().admission());
+    }
     if (!m_runners.empty())
         addShards(out, totals);
+    admission.write(out);
     return out.takeText();
 }
 
--- a/src/node/shardlink.cpp
+++ b/src/node/shardlink.cpp
@@ -25,7 +25,8 @@
 // A request that may change state has the header `Answer-Within-Ms`: how many milliseconds its
 // caller still waits. A version that does not know it ignores it; without it, the time is unknown.
 // The reply to a shard request is three words: the outcome, the job's state and the pending count.
-// If the outcome is Delegated, the shard that the job was left to follows. An outcome that the
+// If the outcome is Delegated, the shard that the job was left to follows; if it is NoCapacity, the
+// time after which to retry, in milliseconds. An outcome that the
 // requester's version does not know counts as undecided, which is safe for all.
 constexpr std::string_view shardsPath = "/shards/";
 constexpr std::string_view shardsFreedPath = "/freed";
@@ -34,8 +35,8 @@
 
 constexpr ShardOutcome allOutcomes[] = {ShardOutcome::Ok,         ShardOutcome::UnknownJob,
                                         ShardOutcome::NotOwner,   ShardOutcome::StoreDown,
-                                        ShardOutcome::Overloaded, ShardOutcome::Delegated,
-                                        ShardOutcome::Undecided};
+                                        ShardOutcome::Overloaded, ShardOutcome::NoCapacity,
+                                        ShardOutcome::Delegated,  ShardOutcome::Undecided};
 constexpr steps::JobState allStates[] = {steps::JobState::Queued, steps::JobState::Running,
                                          steps::JobState::Completed, steps::JobState::Failed,
                                          steps::JobState::Cancelled};
@@ -74,6 +75,8 @@
     text += ' ' + std::to_string(reply.pendingCount);
     if (reply.outcome == ShardOutcome::Delegated)
         text += ' ' + std::to_string(reply.shard);
+    if (reply.outcome == ShardOutcome::NoCapacity)
+        text += ' ' + std::to_string(reply.retryAfter.count());
     return text;
 }
 
@@ -98,6 +101,10 @@
     }
     if (reply.outcome == ShardOutcome::Delegated && !(in >> reply.shard))
         return {};
+    std::int64_t retryAfterMs = 0;
+    if (reply.outcome == ShardOutcome::NoCapacity && !(in >> retryAfterMs))
+        return {};
+    reply.retryAfter = Millis{retryAfterMs};
     return known ? std::optional(reply) : std::nullopt;
 }
 
--- a/src/node/shardload.cpp
+++ b/src/node/shardload.cpp
@@ -70,6 +70,7 @@
              {"storeRefusals", load.storeRefusals},
              {"lateRefusals", load.lateRefusals},
              {"overloadRefusals", load.overloadRefusals},
+             {"capacityRefusals", load.capacityRefusals},
              {"commits", load.commits},
              {"failedCommits", load.failedCommits},
              {"commitMaxMs", load.maxCommitTime.count()},
--- a/src/node/shardload.h
+++ b/src/node/shardload.h
@@ -21,6 +21,7 @@
     std::uint64_t storeRefusals = 0; // Requests refused because the store can't persist changes.
     std::uint64_t lateRefusals = 0; // Those of them that would not have been durable in time.
     std::uint64_t overloadRefusals = 0; // New jobs refused because the owner was too far behind.
+    std::uint64_t capacityRefusals = 0; // New jobs refused because of the backlog.
     std::uint64_t rounds = 0; // Passes over the shard's decisions.
     Millis maxRoundTime;
     std::uint64_t passes = 0; // Rounds that included the coordinator's own pass, such as placement.
--- a/src/node/shardrequest.cpp
+++ b/src/node/shardrequest.cpp
@@ -31,6 +31,8 @@
         return "store-down";
     case ShardOutcome::Overloaded:
         return "overloaded";
+    case ShardOutcome::NoCapacity:
+        return "no-capacity";
     case ShardOutcome::Delegated:
         return "delegated";
     case ShardOutcome::Undecided:
@@ -42,7 +44,7 @@
 bool hadNoEffect(ShardOutcome outcome)
 {
     return outcome == ShardOutcome::NotOwner || outcome == ShardOutcome::StoreDown
-        || outcome == ShardOutcome::Overloaded;
+        || outcome == ShardOutcome::Overloaded || outcome == ShardOutcome::NoCapacity;
 }
 
 } // namespace savorywick
--- a/src/node/shardrequest.h
+++ b/src/node/shardrequest.h
@@ -59,6 +59,7 @@
     NotOwner, // The receiving entry can't be reached, or does not own or serve the shard now.
     StoreDown, // Nothing was done, because the store can't persist changes now.
     Overloaded, // The job was not accepted: the owner is too far behind to take new ones.
+    NoCapacity, // The job was not accepted: it could not complete while it is useful.
     Delegated, // The job was left to another shard. Send the request there.
     Undecided, // No reply was received; the request may or may not take effect.
 };
@@ -76,6 +77,7 @@
     steps::JobState state = steps::JobState::Queued; // Set for GetJobState.
     int pendingCount = 0; // Set for CountPendingJobs.
     int shard = 0; // Set if the outcome is Delegated.
+    Millis retryAfter = {}; // Whole seconds; set if the outcome is NoCapacity.
 };
 
 using ShardReplyCallback = std::function<void(const ShardReply &)>;
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -141,7 +141,10 @@
         return onReply({ShardOutcome::Overloaded, {}, 0});
     }
     const ShardReply reply = applyRequest(m_coordinator, shard(), m_dealer, request, now());
-    if (!changes && !awaitsCommit(m_coordinator, request, reply))
+    if (reply.outcome == ShardOutcome::NoCapacity)
+        ++m_load.capacityRefusals;
+    const bool changed = changes && reply.outcome != ShardOutcome::NoCapacity;
+    if (!changed && !awaitsCommit(m_coordinator, request, reply))
         return onReply(reply);
     appendRecords();
     m_pendingReplies.push_back({m_journal.append({}), m_dependencies.clock.now(),
--- a/tests/node/callerapi_test.cpp
+++ b/tests/node/callerapi_test.cpp
@@ -269,3 +269,25 @@
         CHECK(fixture.attempts() > 1);
     }
 }
+
+// A caller that retries before the backlog has fallen only adds to the load.
+TEST_CASE("A job without capacity is refused immediately with the owner's retry time")
+{
+    for (const std::int64_t seconds : {0, 1, 17}) {
+        ShardReply reply = replyWith(ShardOutcome::NoCapacity);
+        reply.retryAfter = Millis{seconds * 1'000};
+        CallerApiFixture fixture({reply});
+        const HttpResponse r = fixture.request("POST", "/q/id1", "job");
+        CHECK(r.status == 503);
+        CHECK(fixture.attempts() == 1);
+        CHECK(headerValue(r.headers, "Retry-After") == (seconds == 17 ? "17" : "1"));
+    }
+}
+
+// A 503 guarantees that the job never runs, and the attempt without a reply may have been accepted.
+TEST_CASE("A job that may have been accepted is not reported as refused for lack of capacity")
+{
+    CallerApiFixture fixture(
+        {replyWith(ShardOutcome::Undecided), replyWith(ShardOutcome::NoCapacity)});
+    CHECK(fixture.request("POST", "/q/id1", "job", "short").status == 504);
+}
--- a/tests/node/shardlink_test.cpp
+++ b/tests/node/shardlink_test.cpp
@@ -216,3 +216,11 @@
     CHECK(peers.status({.method = "POST", .path = "/freed"}) == 200);
     CHECK(peers.freedNotifications == 1);
 }
+
+TEST_CASE("A refusal for lack of capacity arrives with its retry time")
+{
+    PeerPair peers({ShardOutcome::NoCapacity, {}, 0, 0, Millis{12'000}});
+    const ShardReply reply = peers.request(SubmitJob{});
+    CHECK((reply.outcome == ShardOutcome::NoCapacity));
+    CHECK(reply.retryAfter == Millis{12'000});
+}
