Hand over the shards of an owner that the store rejects

Cause: an owner whose commits to a shard were rejected, while its renewals and those of other entries landed, kept the shard: its lease stayed valid, and the release of a shard is itself a commit to it. Every new job of the shard was refused for as long as that lasted.

The log has `session-ends` with `store-rejects`, the metrics `rejection_handovers_total`.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -249,7 +249,8 @@
         ShardRunnerDependencies{
             m_loop, m_clock, m_platform.table, m_platform.objects, m_platform.workers,
             m_shardLatencies, [this] { return m_ownership.leaseValidUntil(); },
-            [this](int shard) { shardEnded(shard); }, [this] { return m_loadReporter.lag(); }});
+            [this](int shard) { shardEnded(shard); }, [this] { return m_loadReporter.lag(); },
+            [this](int shard, bool rejected) { m_ownership.commitEnded(shard, rejected); }});
     m_runners[owned.shard] = runner;
     if (m_runners.size() == 1)
         watchWorkers();
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -81,6 +81,7 @@
     out.writeCounter("caller_requests_unanswered_total", m_callerServer.counts().unanswered);
     out.writeCounter("caller_bytes_discarded_total", m_callerServer.counts().discardedBytes);
     out.writeGauge("owned_shards", m_runners.size());
+    out.writeCounter("rejection_handovers_total", m_ownership.rejectionHandovers());
     out.writeGauge("ready", isReady() ? 1 : 0);
     out.writeGauge("configuration_version", m_queues.configuration().version);
     out.writeHistogram("caller_answer_ms", m_callerApi.responseTimes());
--- a/src/node/ownership.cpp
+++ b/src/node/ownership.cpp
@@ -28,6 +28,7 @@
     , m_listeners(std::move(listeners))
     , m_shardCount(settings.lease.shardCount)
     , m_candidates(settings.candidates, m_peerAddress, settings.capacity, clock.now())
+    , m_rejection(settings.rejection)
 {
     m_settings.lease.shardCount = std::max(m_shardCount, 1);
     beginSession();
@@ -76,7 +77,7 @@
     const Instant now = m_clock.now();
     m_candidates.observe(m_leaseManager->livePeers(now),
                          static_cast<std::size_t>(m_settings.lease.shardCount), now);
-    if (m_draining)
+    if (m_draining || !m_rejection.mayClaim(now))
         return;
     if (!m_isCandidate && m_leaseManager->hasEarlierSession())
         return join("restarted");
@@ -126,6 +127,7 @@
         beginSession();
         join("expired");
     }
+    handOverIfRejected();
     renewLease();
     if (m_clock.now() >= m_nextObservationAt)
         observe();
@@ -259,6 +261,8 @@
     const bool isSlow = *m_lastObservedAt - m_lastObservationSentAt > m_settings.slowObservation;
     const bool wasBad = std::exchange(m_storeWasBad, isSlow);
     m_leaseManager->observe(entries, present, *m_lastObservedAt, isSlow || wasBad);
+    if (!isSlow && !wasBad) // Otherwise all entries count as live.
+        noteOtherRenewals();
     m_otherPeerAddresses.clear();
     for (const auto &[session, it] : m_leaseManager->entries()) {
         if (!it.row.error.empty())
@@ -390,6 +394,42 @@
     }
 }
 
+void Ownership::commitEnded(int shard, bool rejected)
+{
+    m_rejection.commitEnded(shard, rejected, m_clock.now());
+}
+
+void Ownership::noteOtherRenewals()
+{
+    for (const auto &[session, it] : m_leaseManager->entries()) {
+        const bool isNewlySeen = it.lastChangeSeenAt == *m_lastObservedAt;
+        if (session != m_leaseManager->session() && !it.row.draining && isNewlySeen)
+            m_rejection.renewalSeen(*m_lastObservedAt);
+    }
+}
+
+// Ends the session, so that the other entries can claim the shards at once.
+void Ownership::handOverIfRejected()
+{
+    const auto shard = m_rejection.shardToHandOver(m_clock.now());
+    if (!shard || m_draining)
+        return;
+    logWarning("session-ends",
+               {{"session", m_leaseManager->session()},
+                {"why", "store-rejects"},
+                {"shard", *shard},
+                {"shards", static_cast<int>(m_leaseManager->ownedShards().size())}});
+    ++m_rejectionHandovers;
+    m_rejection.handedOver(m_clock.now());
+    m_listeners.sessionLost();
+    const Transaction end = m_leaseManager->endSessionTransaction();
+    beginSession();
+    m_table.commit(end, [this, session = std::weak_ptr<int>(m_sessionToken)](const auto &result) {
+        if (!session.expired() && result.outcome == CommitOutcome::Committed)
+            m_listeners.entryExpired();
+    });
+}
+
 std::optional<ShardOwnerLocation> Ownership::ownerOf(int shard) const
 {
     const auto it = m_shardRows.find(shard);
@@ -406,6 +446,7 @@
 void Ownership::shardEnded(int shard)
 {
     m_leaseManager->forgetShard(shard);
+    m_rejection.shardEnded(shard);
     m_shardRows.erase(shard);
     observeNow();
 }
--- a/src/node/ownership.h
+++ b/src/node/ownership.h
@@ -6,7 +6,9 @@
 #include "node/shardcount.h"
 #include "savorywick/clock.h"
 #include "savorywick/shardlease.h"
+#include "savorywick/steps/storerejection.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -26,6 +28,7 @@
                              .clockDriftMargin = Millis{300},
                              .renewalInterval = Millis{700}};
     OwnerCandidateSettings candidates;
+    steps::StoreRejectionSettings rejection;
     Millis observeInterval{700}; // Between a candidate's reads of all ownership rows.
     Millis idleObserveInterval{2'500}; // Between those of the other entries.
     // An observation that takes longer tells of a slow store, in which renewals don't land in time.
@@ -102,6 +105,11 @@
 
     // Reads the ownership rows from the store now instead of at the next interval.
     void observeNow();
+    // Records that the store rejected a commit of an owned shard without effect, or answered it. If
+    // rejections last while the store serves other entries, this entry leaves its shards to them.
+    void commitEnded(int shard, bool rejected);
+    // Returns how often this entry has done so.
+    std::uint64_t rejectionHandovers() const { return m_rejectionHandovers; }
     // Records that this entry has lost or released the shard.
     void shardEnded(int shard);
     // Stops claiming shards, says so in the store and requests the release of all owned ones.
@@ -132,6 +140,8 @@
     Millis claimDelay() const;
     void finishClaim(const ShardClaim &claim, const CommitResult &result);
     void releaseExcessShards();
+    void noteOtherRenewals();
+    void handOverIfRejected();
     void recordRoundTrip(Millis taken);
 
     OwnershipSettings m_settings;
@@ -145,6 +155,8 @@
     int m_shardCount = 0;
     bool m_proposing = false;
     OwnerCandidates m_candidates;
+    steps::StoreRejection m_rejection;
+    std::uint64_t m_rejectionHandovers = 0;
     bool m_isCandidate = false; // The session has a row in the store, or is to get one.
     std::unique_ptr<ShardLeaseManager> m_leaseManager;
     std::map<int, ShardRow> m_shardRows;
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -280,6 +280,8 @@
     m_lastCommitUnavailable = outcome == CommitOutcome::Unavailable;
     if (outcome == CommitOutcome::Unknown)
         return m_commitForecast.attemptUnanswered();
+    if (m_dependencies.commitEnded)
+        m_dependencies.commitEnded(shard(), m_lastCommitUnavailable);
     if (outcome != CommitOutcome::Committed)
         return m_commitForecast.commitEnded();
     m_commitForecast.commitSucceeded(currentTime);
--- a/src/node/shardrunner.h
+++ b/src/node/shardrunner.h
@@ -63,6 +63,8 @@
     std::function<Instant()> leaseValidUntil;
     std::function<void(int shard)> ended; // Called once, when the shard is lost or released.
     std::function<Millis()> loopLag; // Returns how late the loop runs what is due now.
+    // If set, called when the store has rejected a commit without effect, or has answered it.
+    std::function<void(int shard, bool rejected)> commitEnded = {};
 };
 
 // Runs one owned shard on an event loop: restores its state from the store, then carries out the
--- a/tests/node/ownership_test.cpp
+++ b/tests/node/ownership_test.cpp
@@ -246,3 +246,21 @@
         CHECK(joined == (readTime < Millis{50}));
     }
 }
+
+// Guards against an owner that keeps a shard whose commits the store rejects, while its renewals
+// and those of others land.
+TEST_CASE("An owner whose commits the store rejects leaves its shard to another entry")
+{
+    EventLoop loop;
+    ImmediateTable table;
+    OwningEntry owner(table, loop, "a", strongCapacity);
+    OwningEntry other(table, loop, "b", weakCapacity);
+    owner.ownership().start();
+    REQUIRE(becomesOwner(loop, owner, 0));
+    other.ownership().start();
+    for (int i = 0; i < steps::StoreRejectionSettings{}.minRejections; ++i)
+        owner.ownership().commitEnded(0, true);
+    CHECK(becomesOwner(loop, other, 0));
+    CHECK_FALSE(owner.owns(0));
+    CHECK(owner.ownership().rejectionHandovers() == 1);
+}
