--- a/tests/steps/shardsimulation.h
+++ b/tests/steps/shardsimulation.h
@@ -221,6 +221,8 @@
         settings.quarantine.probeTimeout = Millis{10'000};
         settings.quarantine.failureWindow = Millis{60'000};
         settings.endedJobRetention = Millis{3'600'000};
+        settings.durations.minWeight = 5; // Owners are replaced too often to learn more.
+        settings.stragglers.shareOfRuns = 1;
         return settings;
     }
 
