--- a/tests/steps/stepplacement_test.cpp
+++ b/tests/steps/stepplacement_test.cpp
@@ -190,6 +190,28 @@
     }
 }
 
+// Load: more best-effort jobs than can end in time. Those with the least laxity would go first, end
+// late, and make the next ones late as well.
+TEST_CASE("A best-effort job with too little laxity begins after those that can end in time")
+{
+    StepSpec bestEffort;
+    bestEffort.bestEffort = true;
+    const Job job;
+    const auto step = [&](int laxityMs, bool started) {
+        ReadyStep it;
+        it.job = &job;
+        it.spec = &bestEffort;
+        it.laxity = Millis{laxityMs};
+        it.relativeDeadline = Millis{1'000};
+        it.minLaxityToBegin = Millis{300};
+        it.occurrenceStarted = started;
+        return it;
+    };
+    CHECK(comesBefore(step(300, false), step(299, false)));
+    CHECK(comesBefore(step(0, true), step(299, false))); // What has begun is ended first.
+    CHECK(comesBefore(step(300, false), step(-1, true)));
+}
+
 TEST_CASE("The relative deadline follows from the critical path of the steps")
 {
     JobSpec spec;
