Leave runs out of the search that no urgent step can preempt

The search collected all checkpointing runs, also where all runs have the priority of the urgent step or a higher one. It leaves those out now. A step whose job has failed on workers is no reason any more to pass over like steps of other jobs: it avoids those workers, the others need not.

All programs of tests/steps, tests/node and tests/adapter pass.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -399,8 +399,10 @@
     void noteWaitingSteps(ClockReading now);
 
     // Preemption (coordinatorpreemption.cpp).
-    std::optional<PreemptibleRun> preemptibleRun(const Run &run, ClockReading now) const;
-    std::vector<PreemptionWorker> preemptionWorkers(PlacementPass &pass, ClockReading now) const;
+    std::optional<PreemptibleRun> preemptibleRun(const Run &run, int priority,
+                                                 ClockReading now) const;
+    std::vector<PreemptionWorker> preemptionWorkers(PlacementPass &pass, int priority,
+                                                    ClockReading now) const;
     void preemptForUrgentSteps(std::span<const ReadyStep> steps, PlacementPass &pass,
                                ClockReading now);
     bool preemptFor(const ReadyStep &step, std::span<PreemptionWorker> workers, int &plansLeft,
--- a/src/lib/steps/coordinatorpreemption.cpp
+++ b/src/lib/steps/coordinatorpreemption.cpp
@@ -25,11 +25,14 @@
 
 } // namespace
 
-// Returns what the preemption of the run would cost, or nothing if it must not be preempted.
-std::optional<PreemptibleRun> Coordinator::preemptibleRun(const Run &run, ClockReading now) const
+// Returns what the preemption of the run for a step of this priority would cost, or nothing if the
+// run must not be preempted.
+std::optional<PreemptibleRun> Coordinator::preemptibleRun(const Run &run, int priority,
+                                                          ClockReading now) const
 {
     const Job *job = m_table.find(run.key.task.job);
-    if (!job || run.phase != RunPhase::Running || run.stopRequested)
+    if (!job || job->spec.policy.priority <= priority || run.phase != RunPhase::Running
+        || run.stopRequested)
         return {};
     const StepSpec &spec = job->spec.steps[run.key.task.step];
     // Probes and runs on probation are there to learn from their ends.
@@ -44,7 +47,8 @@
     return found;
 }
 
-std::vector<PreemptionWorker> Coordinator::preemptionWorkers(PlacementPass &pass,
+// Returns the workers of the pass with the runs that may be preempted for steps of this priority.
+std::vector<PreemptionWorker> Coordinator::preemptionWorkers(PlacementPass &pass, int priority,
                                                              ClockReading now) const
 {
     std::vector<PreemptionWorker> workers;
@@ -52,7 +56,7 @@
     for (CandidateWorker &candidate : pass.workers) {
         PreemptionWorker worker{&candidate, {}};
         for (const RunKey &key : m_runs.onWorker(candidate.info->incarnation.workerId)) {
-            if (auto run = preemptibleRun(*m_runs.find(key), now))
+            if (auto run = preemptibleRun(*m_runs.find(key), priority, now))
                 worker.runs.push_back(std::move(*run));
         }
         workers.push_back(std::move(worker));
@@ -61,7 +65,8 @@
 }
 
 // Stops runs for urgent steps that the pass has found no room for. Call it after all steps were
-// tried. A step is passed over if a like one of the same or a higher priority found no plan.
+// tried: steps of a higher priority come first among the urgent ones. A step is passed over if a
+// like one of the same or a higher priority found no plan, unless its job has failed on workers.
 void Coordinator::preemptForUrgentSteps(std::span<const ReadyStep> steps, PlacementPass &pass,
                                         ClockReading now)
 {
@@ -77,9 +82,10 @@
             || withoutPlan.covers(*step.spec, service, 0))
             continue;
         if (workers.empty())
-            workers = preemptionWorkers(pass, now);
+            workers = preemptionWorkers(pass, step.job->spec.policy.priority, now);
         m_preemption.notePlanning(now.monotonic);
-        if (!preemptFor(step, workers, plansLeft, now))
+        const bool avoidsWorkers = !m_quarantine.failedWorkers(step.ref.job).empty();
+        if (!preemptFor(step, workers, plansLeft, now) && !avoidsWorkers)
             withoutPlan.add(*step.spec, service, 0);
         if (plansLeft == 0 || --stepsLeft == 0)
             return;
