--- a/tests/steps/coordinatorpreemption_test.cpp
+++ b/tests/steps/coordinatorpreemption_test.cpp
@@ -8,14 +8,14 @@
 
 namespace {
 
-CoordinatorSettings enabled()
+CoordinatorSettings settingsWith(bool enabled)
 {
     CoordinatorSettings settings;
-    settings.preemption.enabled = true;
+    settings.preemption.enabled = enabled;
     return settings;
 }
 
-// A short task that fills half a worker.
+// A task that fills half a worker and, in its own job, must start within 1.5 s.
 StepSpec urgentTask()
 {
     StepSpec spec = task(8'000);
@@ -34,9 +34,9 @@
 // Workers full of checkpointing tasks of queues with a low priority, and urgent jobs.
 struct Shard : CoordinatorHarness
 {
-    explicit Shard(int workers, const StepSpec &filler = batchTask(),
-                   const CoordinatorSettings &settings = enabled(), int fillerPriority = 5)
-        : CoordinatorHarness(workers, settings)
+    explicit Shard(int workers, const StepSpec &filler = batchTask(), int fillerPriority = 5,
+                   bool enabled = true)
+        : CoordinatorHarness(workers, settingsWith(enabled))
     {
         progressPercent = 20;
         savedCheckpoint = "saved";
@@ -56,9 +56,6 @@
         step();
     }
 
-    // Submits a job that must be started within 1.5 s.
-    void submitUrgent(const std::string &id) { submitWith(0, id, urgentTask()); }
-
     std::uint64_t ended(ReservationEnd how)
     {
         const auto &all = coordinator().counters().reservationsEnded;
@@ -76,7 +73,7 @@
     shard.stopsEndRuns = true;
     shard.submitWith(5, "abatch", batchTask()); // Waits, and its id comes first.
     for (const char *id : {"u0", "u1", "u2"})
-        shard.submitUrgent(id);
+        shard.submitWith(0, id, urgentTask());
     shard.advance(Millis{1'000});
     CHECK(shard.coordinator().counters().runsPreempted == 2); // Two urgent tasks fit on a worker.
     for (const char *id : {"u0", "u1", "u2"}) {
@@ -104,27 +101,21 @@
         int fillerPriority = 5;
         bool enabled = true;
     };
-    Case longRunning{"long-running", batchTask()};
-    longRunning.filler.longRunning = true;
-    Case gang{"gang", batchTask()};
-    gang.filler.gang = true;
-    Case bestEffort{"best-effort that holds the memory", task(2'000), true};
-    bestEffort.filler.checkpointing = true;
-    bestEffort.filler.bestEffort = true;
-    bestEffort.filler.demand.memoryMb = 32'000;
-    const std::vector<Case> cases{{"checkpointing", batchTask(), true},
-                                  {"no checkpoints", task(16'000)},
-                                  {"same priority", batchTask(), false, 0},
-                                  {"disabled", batchTask(), false, 5, false},
-                                  longRunning,
-                                  gang,
-                                  bestEffort};
-    for (const Case &it : cases) {
+    StepSpec longRunning = batchTask();
+    longRunning.longRunning = true;
+    StepSpec gang = batchTask();
+    gang.gang = true;
+    StepSpec bestEffort = batchTask();
+    bestEffort.bestEffort = true;
+    bestEffort.demand = {2'000, 32'000, 0};
+    for (const Case &it :
+         {Case{"checkpointing", batchTask(), true}, Case{"no checkpoints", task(16'000)},
+          Case{"same priority", batchTask(), false, 0},
+          Case{"disabled", batchTask(), false, 5, false}, Case{"long-running", longRunning},
+          Case{"gang", gang}, Case{"best-effort that holds the memory", bestEffort, true}}) {
         CAPTURE(it.what);
-        CoordinatorSettings settings;
-        settings.preemption.enabled = it.enabled;
-        Shard shard(1, it.filler, settings, it.fillerPriority);
-        shard.submitUrgent("u");
+        Shard shard(1, it.filler, it.fillerPriority, it.enabled);
+        shard.submitWith(0, "u", urgentTask());
         shard.advance(Millis{500});
         CHECK(shard.stops.empty() == !it.preempts);
     }
@@ -185,7 +176,7 @@
 TEST_CASE("If the owner is lost between the stop and the start both tasks still run")
 {
     Shard shard(1);
-    shard.submitUrgent("u");
+    shard.submitWith(0, "u", urgentTask());
     REQUIRE(shard.stops.size() == 1);
     shard.replaceOwner();
     shard.reportEnd("w0", {shard.stops[0].task, 1}, RunOutcome::Stopped);
--- a/tests/steps/preemption_test.cpp
+++ b/tests/steps/preemption_test.cpp
@@ -8,19 +8,21 @@
 
 namespace {
 
+using Indexes = std::vector<int>;
 constexpr Instant now{1'000'000};
 
 PreemptibleRun run(int index, int milliCores, Millis lostWork = Millis{1'000})
 {
-    PreemptibleRun it{{{"batch", 0, 0, index}, 1}, 5, {milliCores, 1'000, 0}};
-    it.lostWork = lostWork;
-    it.remainingWork = Millis{60'000};
-    it.laxity = Millis{100'000};
-    it.age = Millis{1'000};
-    return it;
+    return {{{"batch", 0, 0, index}, 1},
+            5,
+            {milliCores, 1'000, 0},
+            lostWork,
+            Millis{60'000},
+            Millis{100'000},
+            {}};
 }
 
-// An urgent step of 4 processors and full workers with these runs.
+// An urgent step of 4 processors and workers without free processors, with these runs.
 struct Fleet
 {
     explicit Fleet(const std::vector<std::vector<PreemptibleRun>> &runs)
@@ -29,12 +31,7 @@
     {
         job.spec.policy.priority = 1;
         spec.demand = {4'000, 1'000, 0};
-        spec.estimatedDuration = Millis{500};
-        step.job = &job;
-        step.spec = &spec;
-        step.laxity = Millis{1'000};
         for (std::size_t i = 0; i < runs.size(); ++i) {
-            infos[i].incarnation.workerId = std::to_string(i);
             candidates[i].info = &infos[i];
             candidates[i].available = {0, 8'000, 0};
             workers.push_back({&candidates[i], runs[i]});
@@ -42,25 +39,20 @@
     }
 
     // Returns the indexes of the runs that are preempted, or nothing without a plan.
-    std::optional<std::vector<int>> preempted(const PreemptionPlanner &planner = planWith({}))
+    std::optional<Indexes> preempted(const PreemptionPlanner &planner, Instant at = now) const
     {
-        const auto plan = planner.plan(step, {}, workers, now);
+        const auto plan = planner.plan(step, {}, workers, at);
         if (!plan)
             return {};
-        std::vector<int> indexes;
+        Indexes indexes;
         for (const std::size_t it : plan->runs)
             indexes.push_back(workers[plan->worker].runs[it].key.task.index);
         return indexes;
     }
 
-    static PreemptionPlanner planWith(const PreemptionSettings &settings)
-    {
-        return PreemptionPlanner(settings);
-    }
-
     Job job;
     StepSpec spec;
-    ReadyStep step;
+    ReadyStep step{.job = &job, .spec = &spec, .laxity = Millis{1'000}};
     std::vector<WorkerInfo> infos;
     std::vector<CandidateWorker> candidates;
     std::vector<PreemptionWorker> workers;
@@ -72,34 +64,31 @@
 // although they must not be.
 TEST_CASE("The runs with the least loss on one worker are preempted")
 {
-    using Indexes = std::vector<int>;
-    struct Case
-    {
-        const char *what;
-        std::vector<std::vector<PreemptibleRun>> runs; // By worker.
-        std::optional<Indexes> preempted;
-    };
     const auto changed = [](void (*change)(PreemptibleRun &)) {
         PreemptibleRun it = run(0, 8'000, Millis{0});
         change(it);
         return it;
     };
-    const auto soonLate = changed([](PreemptibleRun &it) { it.laxity = Millis{-10'000}; });
+    const auto late = changed([](PreemptibleRun &it) { it.laxity = Millis{-10'000}; });
     const auto equal = changed([](PreemptibleRun &it) { it.priority = 1; });
     const auto nearlyDone = changed([](PreemptibleRun &it) { it.remainingWork = Millis{900}; });
     const auto resumed = changed([](PreemptibleRun &it) { it.key.number = 2; });
-    const auto longResumed = changed([](PreemptibleRun &it) {
-        it.key.number = 2;
-        it.age = Millis{10'000};
-    });
+    auto longResumed = resumed;
+    longResumed.age = Millis{10'000};
     const auto memoryOnly = changed([](PreemptibleRun &it) { it.allocated = {0, 8'000, 0}; });
+    struct Case
+    {
+        const char *what;
+        std::vector<std::vector<PreemptibleRun>> runs; // By worker.
+        std::optional<Indexes> preempted;
+    };
     const std::vector<Case> cases{
         {"saved last", {{run(1, 4'000, Millis{500}), run(2, 4'000, Millis{100})}}, Indexes{2}},
         {"other worker", {{run(1, 4'000)}, {run(2, 4'000, Millis{100})}}, Indexes{2}},
         {"fewer runs", {{run(1, 2'000), run(2, 2'000)}, {run(3, 4'000)}}, Indexes{3}},
         {"no unneeded run", {{run(1, 1'000, Millis{0}), run(2, 4'000)}}, Indexes{2}},
         {"too small together", {{run(1, 2'000)}, {run(2, 2'000)}}, {}},
-        {"late job costs more", {{soonLate, run(1, 4'000, Millis{400})}}, Indexes{1}},
+        {"late job costs more", {{late, run(1, 4'000, Millis{400})}}, Indexes{1}},
         {"same priority", {{equal}}, {}},
         {"nearly done", {{nearlyDone}}, {}},
         {"resumed lately", {{resumed}}, {}},
@@ -108,26 +97,25 @@
     };
     for (const Case &it : cases) {
         CAPTURE(it.what);
-        CHECK(Fleet(it.runs).preempted() == it.preempted);
+        CHECK(Fleet(it.runs).preempted(PreemptionPlanner({})) == it.preempted);
     }
 }
 
 // Guards against preemption for steps that gain nothing by it.
 TEST_CASE("Only steps that are urgent and can complete in time may preempt runs")
 {
-    const PreemptionPlanner planner({});
     Fleet fleet({});
-    CHECK(planner.isUrgent(fleet.step));
-    for (const int laxityMs : {-1, 0, 249, 2'001}) {
+    for (const int laxityMs : {-1, 0, 249, 250, 2'000, 2'001}) {
         CAPTURE(laxityMs);
-        ReadyStep step = fleet.step;
-        step.laxity = Millis{laxityMs};
-        CHECK_FALSE(planner.isUrgent(step));
+        fleet.step.laxity = Millis{laxityMs};
+        const bool inBounds = laxityMs >= 250 && laxityMs <= 2'000;
+        CHECK(PreemptionPlanner({}).isUrgent(fleet.step) == inBounds);
     }
+    fleet.step.laxity = Millis{1'000};
     for (bool StepSpec::*kind : {&StepSpec::longRunning, &StepSpec::bestEffort, &StepSpec::gang}) {
         fleet.spec = {};
         fleet.spec.*kind = true;
-        CHECK_FALSE(planner.isUrgent(fleet.step));
+        CHECK_FALSE(PreemptionPlanner({}).isUrgent(fleet.step));
     }
 }
 
@@ -139,31 +127,39 @@
     Fleet fleet({{run(0, 8'000), run(1, 4'000)}});
     planner.apply({0, {0}, {}}, fleet.step, fleet.workers, now);
     CHECK(planner.reservationCount(fleet.step.ref) == 1);
-    CHECK(fleet.preempted(planner) == std::vector<int>{});
-    CHECK_FALSE(planner.plan(fleet.step, {}, fleet.workers, now + Millis{2'000}));
+    CHECK(fleet.preempted(planner) == Indexes{});
+    CHECK_FALSE(fleet.preempted(planner, now + Millis{2'000}));
     planner.noteEnd(run(0, 8'000).key, now);
     CHECK(planner.isPreempted({"batch", 0, 0}, now));
     CHECK_FALSE(planner.isPreempted({"batch", 0, 0}, now + Millis{30'000}));
 }
 
+// Guards against an owner that spends its time on searching for runs to preempt.
+TEST_CASE("Plans are sought once per interval and only if preemption is enabled")
+{
+    CHECK_FALSE(PreemptionPlanner({}).mayPlan(now));
+    PreemptionPlanner planner({.enabled = true});
+    CHECK(planner.mayPlan(now));
+    planner.notePlanning(now);
+    CHECK_FALSE(planner.mayPlan(now + Millis{249}));
+    CHECK(planner.mayPlan(now + Millis{250}));
+}
+
 // Guards against plans that stop runs without making room, or runs that are not needed for it.
 TEST_CASE("Every plan makes room and needs each of its runs")
 {
     CHECK(rc::check("for any runs", [] {
-        std::vector<PreemptibleRun> runs;
-        runs.resize(*rc::gen::inRange(0, 12));
+        std::vector<PreemptibleRun> runs(*rc::gen::inRange(0, 12));
         for (int i = 0; i < static_cast<int>(runs.size()); ++i)
             runs[i] = run(i, *rc::gen::inRange(0, 6'000), Millis{*rc::gen::inRange(0, 99)});
-        Fleet fleet({runs});
-        const auto preempted = fleet.preempted();
-        if (!preempted)
-            return;
-        RC_ASSERT(preempted->size() <= 4U);
+        const Indexes preempted =
+            Fleet({runs}).preempted(PreemptionPlanner({})).value_or(Indexes{});
+        RC_ASSERT(preempted.size() <= 4U);
         int freed = 0;
-        for (const int it : *preempted)
+        for (const int it : preempted)
             freed += runs[it].allocated.milliCores;
-        RC_ASSERT(freed >= 4'000);
-        for (const int it : *preempted)
+        RC_ASSERT(preempted.empty() || freed >= 4'000);
+        for (const int it : preempted)
             RC_ASSERT(freed - runs[it].allocated.milliCores < 4'000);
     }));
 }
