Try a long-running task on a quarantined worker if the others are at their limit

Coordinator::tryQuarantinedWorkers() took these workers for merely full. Long-running tasks don't end, so the task waited for the probe.

Change: couldEverRun() regards the limit for each worker if the step is long-running. A step whose tasks end still waits for that.

Tests: the new case of coordinatorprogress_test started one task instead of two before; it passes now.

--- a/include/savorywick/steps/placement.h
+++ b/include/savorywick/steps/placement.h
@@ -115,7 +115,8 @@
 // Returns the time from when a job is due to start until it should be complete.
 Millis relativeDeadlineOf(const JobSpec &spec);
 
-// Returns true if and only if some of the workers could run a task of the step if it were empty.
+// Returns true if and only if some of the workers could run a task of the step if it were empty, or
+// held only the step's own tasks that are long-running.
 bool couldEverRun(const StepSpec &spec, const PlacementConstraints &constraints,
                   std::span<const CandidateWorker> workers);
 
--- a/src/lib/steps/placement.cpp
+++ b/src/lib/steps/placement.cpp
@@ -158,8 +158,10 @@
                   std::span<const CandidateWorker> workers)
 {
     return std::any_of(workers.begin(), workers.end(), [&](const CandidateWorker &it) {
-        return hasServiceAndLabel(spec, constraints, *it.info)
-            && spec.demand.fitsIn(it.info->capacity);
+        // The long-running tasks that a worker has of the step make no room for others of it.
+        const bool suits = spec.longRunning ? mayRun(spec, constraints, it)
+                                            : hasServiceAndLabel(spec, constraints, *it.info);
+        return suits && spec.demand.fitsIn(it.info->capacity);
     });
 }
 
--- a/tests/steps/coordinatorprogress_test.cpp
+++ b/tests/steps/coordinatorprogress_test.cpp
@@ -432,6 +432,32 @@
     CHECK(harness.workersStartedOn("a").size() == 1);
 }
 
+// Guards against a long-running task that waits for a quarantined worker's probe, seconds later,
+// because its step already has on each other worker as many tasks as it may. Those never end. A
+// step whose tasks end waits for that instead.
+TEST_CASE("A task is tried on a quarantined worker if the others have all that their limit allows")
+{
+    for (const bool longRunning : {true, false}) {
+        CAPTURE(longRunning);
+        CoordinatorSettings settings;
+        settings.quarantine.initialProbeDelay = Millis{60'000};
+        CoordinatorHarness harness(2, settings);
+        harness.failingWorkers = {"w0"};
+        for (int i = 0; i < 8; ++i)
+            harness.submit("failing" + std::to_string(i), task(1'000));
+        harness.advance(Millis{500});
+        REQUIRE(harness.coordinator().counters().workersQuarantined == 1);
+        harness.failingWorkers.clear();
+        StepSpec step = task(1'000);
+        step.longRunning = longRunning;
+        step.taskCount = 2;
+        step.maxTasksPerWorker = 1;
+        harness.submit("a", step);
+        harness.advance(Millis{3'000});
+        CHECK(harness.workersStartedOn("a").size() == (longRunning ? 2 : 1));
+    }
+}
+
 // Guards against a process that ends because a step counts as ready although none of its tasks can
 // be started any more: the last one was tried on a quarantined worker.
 TEST_CASE("A step whose last task is tried on a quarantined worker waits no more")
