--- a/src/node/ownership.h
+++ b/src/node/ownership.h
@@ -73,7 +73,8 @@
         std::function<void(const OwnedShard &)> shardAcquired; // This entry now owns the shard.
         std::function<void(int shard)> releaseRequested; // Release it, then call shardEnded().
         std::function<void()> sessionLost; // Drop all shards immediately.
-        // This entry has expired another one, whose shards are free now: tell the other entries.
+        // This entry has expired another one, or has ended its own session before its shards were
+        // released. The shards are free now: tell the other entries.
         std::function<void()> entryExpired;
         std::function<void()> shardCountAgreed = [] {}; // shardCount() is set from now on.
     };
