Refuse no job of a queue whose policy states no deadline

Cause: a queue without slackFactor and targetDurationMs has the default policy, by which a job is late unless it starts at once. Under load its jobs would have been refused although nobody set a deadline.

Change: JobAdmission::mayRefuse() exempts the default policy; such jobs still count as work before others.

Tests: jobadmission, backlogestimator, refusedjobs, admissiondigest and jobrefusal pass.

--- a/include/savorywick/steps/backlogestimator.h
+++ b/include/savorywick/steps/backlogestimator.h
@@ -121,8 +121,8 @@
     // outlive this object.
     void setDurations(const DurationPredictor &durations) { m_durations = &durations; }
 
-    // Returns true if and only if the job counts: it has a deadline, no schedule and no
-    // long-running task.
+    // Returns true if and only if the job counts: it has no schedule, no long-running task and a
+    // deadline, if only that of the default policy.
     static bool counts(const JobSpec &spec);
     // Returns what the job requires.
     JobDemand demandOf(const JobSpec &spec) const;
--- a/include/savorywick/steps/jobadmission.h
+++ b/include/savorywick/steps/jobadmission.h
@@ -68,6 +68,9 @@
 public:
     explicit JobAdmission(const JobAdmissionSettings &settings);
 
+    // Returns true if and only if such a job may be refused at all: it counts for the backlog, and
+    // the policy of its queue states a deadline, as the default policy does not.
+    static bool mayRefuse(const JobSpec &spec);
     // Replaces the caller's estimates of durations, as BacklogEstimator::setDurations() does.
     void setDurations(const DurationPredictor &durations) { m_backlog.setDurations(durations); }
     // Adds a job that was accepted before.
--- a/src/lib/steps/jobadmission.cpp
+++ b/src/lib/steps/jobadmission.cpp
@@ -61,6 +61,14 @@
     , m_refused(settings.maxRefusedJobs, settings.retryGrace)
 { }
 
+bool JobAdmission::mayRefuse(const JobSpec &spec)
+{
+    const QueuePolicy defaults;
+    const bool hasDeadline = spec.policy.slackFactor != defaults.slackFactor
+        || spec.policy.targetDuration != defaults.targetDuration;
+    return hasDeadline && BacklogEstimator::counts(spec);
+}
+
 void JobAdmission::apply(const Record &record, const JobTable &table)
 {
     if (const auto *accepted = std::get_if<JobAccepted>(&record)) {
@@ -126,7 +134,7 @@
     advance(now, wallMs);
     QueueAdmissionCounts &counts = m_counts[spec.policy.queue];
     JobAdmissionDecision decision;
-    if (!m_settings.enabled || !BacklogEstimator::counts(spec)) {
+    if (!m_settings.enabled || !mayRefuse(spec)) {
         ++counts.admitted;
         return decision;
     }
--- a/src/node/admissiondigest.cpp
+++ b/src/node/admissiondigest.cpp
@@ -47,7 +47,7 @@
 
 bool AdmissionDigest::covers(const Refusal &refusal, const steps::JobSpec &spec) const
 {
-    if (!steps::BacklogEstimator::counts(spec) || spec.policy.priority < refusal.priority)
+    if (!steps::JobAdmission::mayRefuse(spec) || spec.policy.priority < refusal.priority)
         return false;
     const steps::JobDemand demand = m_demands.demandOf(spec);
     const steps::JobDemand &refused = refusal.demand;
--- a/src/node/admissiondigest.h
+++ b/src/node/admissiondigest.h
@@ -2,7 +2,7 @@
 
 #include "node/shardrequest.h"
 #include "savorywick/clock.h"
-#include "savorywick/steps/backlogestimator.h"
+#include "savorywick/steps/jobadmission.h"
 
 #include <cstdint>
 #include <deque>
@@ -54,6 +54,7 @@
         int shard = 0;
         std::string queue;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the default.
         auto operator<=>(const Place &) const = default;
     };
     struct Refusal
