--- a/tests/steps/refusedjobs_test.cpp
+++ b/tests/steps/refusedjobs_test.cpp
@@ -11,8 +11,9 @@
 {
     RefusedJobs refused(2, Millis{1'000});
     const ProcessorPool pool{"s", ProcessorClass::Booked};
-    for (int i = 1; i <= 3; ++i)
-        refused.add("j" + std::to_string(i), {"s", i, {100, 0}, Instant{i * 1'000}});
+    for (std::int64_t i = 1; i <= 3; ++i)
+        refused.add("j" + std::to_string(i),
+                    {"s", static_cast<int>(i), {100, 0}, Instant{i * 1'000}});
     CHECK(refused.count() == 2);
     CHECK(refused.expectedWork(pool, 3) == 200);
     CHECK(refused.expectedWork(pool, 2) == 100);
