--- a/tests/steps/workersession_test.cpp
+++ b/tests/steps/workersession_test.cpp
@@ -175,8 +175,8 @@
     CHECK(now <= lastGrant + Millis{8'000});
 }
 
-// Guards against an owner that has lost the store and asks its workers in a tight loop: the answer to
-// a renewal without a lease made the next one due at once.
+// Guards against an owner that has lost the store and asks its workers in a tight loop: the answer
+// to a renewal without a lease made the next one due at once.
 TEST_CASE("Renewals that may grant no lease are sent no more often than others")
 {
     WorkerSession session = startSession();
