--- a/include/savorywick/steps/preemptionsettings.h
+++ b/include/savorywick/steps/preemptionsettings.h
@@ -4,7 +4,7 @@
 
 namespace savorywick::steps {
 
-// When runs are preempted, and how many. The times are design values, not measured ones.
+// When runs are preempted, and how many.
 struct PreemptionSettings
 {
     bool enabled = false;
