--- a/include/savorywick/steps/jobadmission.h
+++ b/include/savorywick/steps/jobadmission.h
@@ -13,7 +13,7 @@
 
 struct JobAdmissionSettings
 {
-    bool enabled = true; // Otherwise every job is admitted, and no backlog is kept.
+    bool enabled = true;
     // Sets the horizon as well: BacklogSettings::usefulDeadlines.
     BacklogSettings backlog;
     Millis minRetryAfter{1'000};
@@ -74,11 +74,7 @@
     // Replaces the caller's estimates of durations, as BacklogEstimator::setDurations() does.
     void setDurations(const DurationPredictor &durations) { m_backlog.setDurations(durations); }
     // Adds a job that was accepted before.
-    void restore(const Job &job)
-    {
-        if (m_settings.enabled)
-            m_backlog.addJob(job);
-    }
+    void restore(const Job &job) { m_backlog.addJob(job); }
     // Takes in a record that has been applied to `table`.
     void apply(const Record &record, const JobTable &table);
     // Sets the present time. Call it at least every few hundred milliseconds.
--- a/src/lib/steps/jobadmission.cpp
+++ b/src/lib/steps/jobadmission.cpp
@@ -71,8 +71,6 @@
 
 void JobAdmission::apply(const Record &record, const JobTable &table)
 {
-    if (!m_settings.enabled)
-        return;
     if (const auto *accepted = std::get_if<JobAccepted>(&record)) {
         m_backlog.addJob(*table.find(accepted->spec.id));
     } else if (const auto *started = std::get_if<RunStarted>(&record)) {
@@ -89,8 +87,6 @@
 
 void JobAdmission::advance(Instant now, std::int64_t wallMs)
 {
-    if (!m_settings.enabled)
-        return;
     m_backlog.advance(now, wallMs);
     m_refused.advance(now);
 }
