--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -57,7 +57,8 @@
 {
     m_admission.advance(now.monotonic, now.wallMs);
     for (const auto &[id, job] : m_table.jobs()) {
-        m_admission.restore(job);
+        if (m_settings.admission.enabled)
+            m_admission.restore(job);
         m_durableJobs[id] = {job.state, job.spec.policy.queue, showsStart(job)};
         adjustPendingCount(m_durableJobs[id], 1);
         if (isFinal(job.state))
@@ -91,7 +92,8 @@
 void Coordinator::appendRecord(const Record &record)
 {
     m_table.apply(record);
-    m_admission.apply(record, m_table);
+    if (m_settings.admission.enabled)
+        m_admission.apply(record, m_table);
     m_records.push_back(encodeRecord(record));
 }
 
