Search the workers once for a best-effort step that may start below the usual headroom

Cause: a waiting best-effort step was tried with the usual headroom and then with less, each a search of all workers, also where the number of such starts has no limit, so that the first search decides nothing. Under overload hundreds of steps wait, and the owner's processor was spent on it. With learned durations off, an owner still copied the estimates of each waiting step and tracked runs as possible stragglers.

Change: without a limit only the relaxed headroom is tried, as before the limit was added, and no such runs are remembered; without learned durations the estimates are used directly and no run is tracked.

--- a/include/savorywick/steps/relaxedstarts.h
+++ b/include/savorywick/steps/relaxedstarts.h
@@ -29,13 +29,19 @@
         : m_runsPerHundredWorkers(runsPerHundredWorkers)
     { }
 
+    bool isLimited() const { return m_runsPerHundredWorkers.has_value(); }
     // Returns true if and only if a further such run may be started among `workerCount` workers.
     bool allowsMore(std::size_t workerCount) const;
-    // Notes that the run was started below the usual headroom.
-    void add(const RunKey &run) { m_runs.insert(run); }
+    // Notes that the run was started below the usual headroom. Has no effect without a limit.
+    void add(const RunKey &run)
+    {
+        if (isLimited())
+            m_runs.insert(run);
+    }
     // Notes that the run has ended. It need not have been added.
     void remove(const RunKey &run) { m_runs.erase(run); }
 
+    // Returns how many of the runs that were added have not ended.
     std::size_t count() const { return m_runs.size(); }
 
 private:
--- a/src/lib/steps/coordinatordurations.cpp
+++ b/src/lib/steps/coordinatordurations.cpp
@@ -68,6 +68,8 @@
 // Returns how long the critical path that begins with the step is expected to take.
 Millis Coordinator::expectedCriticalPath(const Job &job, int step, Instant now) const
 {
+    if (!m_settings.durations.enabled)
+        return criticalPathLengths(job.spec.steps)[step];
     return criticalPathLengths(job.spec.steps, m_durations.expectedDurations(job.spec, now))[step];
 }
 
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -255,10 +255,12 @@
 // may. Returns true if and only if all are started.
 bool Coordinator::placeStep(const ReadyStep &step, PlacementPass &pass, ClockReading now)
 {
-    if (placeStepAt(step, m_settings.minHeadroom, pass, now))
-        return true;
-    return mayRelaxHeadroom(*step.spec, now.monotonic - step.since)
-        && placeStepAt(step, m_settings.relaxedMinHeadroom, pass, now);
+    const bool mayRelax = mayRelaxHeadroom(*step.spec, now.monotonic - step.since);
+    // A second search of all workers is worth its time only where few may be started so.
+    if (mayRelax && !m_relaxedStarts.isLimited())
+        return placeStepAt(step, m_settings.relaxedMinHeadroom, pass, now);
+    return placeStepAt(step, m_settings.minHeadroom, pass, now)
+        || (mayRelax && placeStepAt(step, m_settings.relaxedMinHeadroom, pass, now));
 }
 
 // Starts as many of the step's tasks as there are workers for that keep this headroom. Returns true
--- a/src/lib/steps/coordinatorstragglers.cpp
+++ b/src/lib/steps/coordinatorstragglers.cpp
@@ -41,6 +41,8 @@
     const bool isDuplicate = m_runs.ofTask(run.key.task).size() > 1;
     if (run.phase == RunPhase::Unconfirmed)
         m_stragglers.addAdopted(run.key);
+    else if (!m_settings.durations.enabled)
+        return; // Without learned durations no run counts as a straggler.
     else if (isDuplicate)
         m_stragglers.addDuplicate(run.key, now.monotonic);
     else
