Limit best-effort work on each worker by what was measured there

A sixth of the best-effort runs is started beside long-running tasks, makes them miss their target, is stopped and started again, since a worker that has just missed a target is given the same load again after 0.6 s. BestEffortLimit keeps a limit for each worker and set of images: it falls in proportion to the load when headroom is short and rises slowly while it is used up. Off unless scheduling.bestEffortLimit is true. Not measured yet.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -3,6 +3,7 @@
 #include "savorywick/clock.h"
 #include "savorywick/journal.h"
 #include "savorywick/quarantine.h"
+#include "savorywick/steps/besteffortlimit.h"
 #include "savorywick/steps/coordinatorcounters.h"
 #include "savorywick/steps/coordinatorsettings.h"
 #include "savorywick/steps/duequeue.h"
@@ -174,6 +175,7 @@
         ResourceVector available;
         int idleMilliCores = 0;
         std::vector<CriticalRun> criticalRuns;
+        std::string criticalImages; // The set of their images.
         std::vector<BestEffortLoad> plannedLoads;
         int runCount = 0;
         Instant latestStartAt; // Of any run.
@@ -341,12 +343,20 @@
     std::optional<std::vector<BestEffortLoad>> steadyBestEffortLoads(std::span<const RunKey> keys,
                                                                      ClockReading now) const;
     std::vector<BestEffortLoad> plannedBestEffortLoads(std::span<const RunKey> keys) const;
+    double milliCoresInUse(std::span<const RunKey> keys) const;
     bool keepsHeadroom(std::span<const RunKey> keys, std::span<const BestEffortLoad> added) const;
     std::set<RunKey> runsToThrottle(std::span<const RunKey> keys, const Run &victim,
                                     double headroom) const;
     void throttleRuns(Worker &worker, std::span<const RunKey> keys,
                       const std::set<RunKey> &selected, ClockReading now);
-    void restoreSpeed(Worker &worker, std::span<const RunKey> keys, ClockReading now);
+    void restoreSpeed(Worker &worker, std::span<const RunKey> keys, std::optional<int> limit,
+                      ClockReading now);
+    std::optional<int> updateBestEffortLimit(Worker &worker, std::span<const RunKey> keys,
+                                             std::optional<double> headroom, ClockReading now);
+    void applyBestEffortLimit(const Worker &worker, CandidateWorker &candidate, int milliCores,
+                              Instant now);
+    std::set<RunKey> runsAboveLimit(std::span<const RunKey> keys, int limit) const;
+    void stopForInterference(const Worker &worker, const RunKey &key, ClockReading now);
     void setSpeed(const Worker &worker, Run &run, int percent, std::string_view why,
                   ClockReading now);
     bool needsMonitoring(const Worker &worker) const;
@@ -424,6 +434,7 @@
     EvacuatedZones m_evacuatedZones;
     LatencyHeadroomEstimator m_headroomEstimator;
     RelaxedStarts m_relaxedStarts;
+    BestEffortLimit m_bestEffortLimit;
     PreemptionPlanner m_preemption;
     DurationEstimator m_durations;
     StragglerDetector m_stragglers;
--- a/include/savorywick/steps/coordinatorcounters.h
+++ b/include/savorywick/steps/coordinatorcounters.h
@@ -28,6 +28,9 @@
     // Placed runs that were not started, since their zone was evacuated meanwhile or the zones that
     // are evacuated were no longer known.
     std::uint64_t startsWithheld = 0;
+    // Workers that the limit of best-effort work kept from a start, once between two measurements.
+    std::uint64_t bestEffortStartsPrevented = 0;
+    std::uint64_t runsStoppedForInterference = 0;
     std::uint64_t runsPreempted = 0; // Runs stopped to make room for a higher priority.
     std::map<ReservationEnd, std::uint64_t> reservationsEnded;
     // How often tick(), takeOrders() and takeRenewals() looked at a worker, and at a run: what an
--- a/include/savorywick/steps/coordinatorsettings.h
+++ b/include/savorywick/steps/coordinatorsettings.h
@@ -2,6 +2,7 @@
 
 #include "savorywick/clock.h"
 #include "savorywick/quarantine.h"
+#include "savorywick/steps/besteffortlimit.h"
 #include "savorywick/steps/durationestimator.h"
 #include "savorywick/steps/evacuatedzones.h"
 #include "savorywick/steps/jobadmission.h"
@@ -111,6 +112,8 @@
     // The share of its booked processors that a long-running task is assumed to use. The rest
     // counts as idle for best-effort tasks.
     int longRunningUsagePercent = 35;
+    // Limits best-effort work on each worker by what was measured there.
+    BestEffortLimitSettings bestEffortLimit;
 
     // A long-running task that has waited for this time is placed before all others.
     Millis longRunningMaxWait{3'000};
--- a/include/savorywick/steps/placement.h
+++ b/include/savorywick/steps/placement.h
@@ -35,6 +35,7 @@
     int runCount = 0; // Runs that are on the worker.
     bool hasNewRuns = false; // Some were started so lately that they may yet crash it.
     bool hasProbation = false; // One is of a task that is suspected of crashing workers.
+    std::string_view images; // The set of images of its latency-critical runs.
     bool avoided = false; // It is the last choice, since it has lately failed to start runs.
 
     // Leaves no room for further tasks.
@@ -51,6 +52,8 @@
     std::string service; // Only workers of this service may run the step.
     std::map<std::string, int> tasksPerWorker; // The step's tasks that are placed, by worker.
     std::vector<std::string> avoidedWorkers; // Workers that the job has failed on.
+    // Sets of images of latency-critical runs that the step's tasks have interfered with lately.
+    std::vector<std::string> avoidedImages;
     // The rack of the step's placed tasks, for same-rack steps; empty if there are none.
     std::string currentRack;
     const LatencyHeadroomEstimator *headroomEstimator = nullptr; // If null, minHeadroom is ignored.
@@ -67,6 +70,9 @@
 // Returns true if and only if enough of the worker's processors are idle for a best-effort task
 // that requests `milliCores`.
 bool hasIdleProcessors(const CandidateWorker &worker, int milliCores);
+// Returns how many idle processors a worker must have at most so that hasIdleProcessors() is false
+// for all requests above `milliCores`.
+int idleProcessorsFor(int milliCores);
 
 // A step whose predecessors are done and that has tasks to start, with what decides its precedence.
 struct ReadyStep
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -47,6 +47,7 @@
     , m_quarantine(settings.quarantine)
     , m_evacuatedZones(settings.zoneEvacuation)
     , m_relaxedStarts(settings.relaxedRunsPerHundredWorkers)
+    , m_bestEffortLimit(settings.bestEffortLimit)
     , m_preemption(settings.preemption)
     , m_durations(settings.durations)
     , m_stragglers(settings.stragglers, m_durations, ownedSince)
--- a/src/lib/steps/coordinatorcounters.cpp
+++ b/src/lib/steps/coordinatorcounters.cpp
@@ -20,6 +20,8 @@
     workersCrashed += other.workersCrashed;
     runsEvacuated += other.runsEvacuated;
     startsWithheld += other.startsWithheld;
+    bestEffortStartsPrevented += other.bestEffortStartsPrevented;
+    runsStoppedForInterference += other.runsStoppedForInterference;
     runsPreempted += other.runsPreempted;
     for (const auto &[end, n] : other.reservationsEnded)
         reservationsEnded[end] += n;
--- a/src/lib/steps/coordinatorinterference.cpp
+++ b/src/lib/steps/coordinatorinterference.cpp
@@ -5,6 +5,7 @@
 #include "savorywick/steps/coordinator.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace savorywick::steps {
@@ -79,6 +80,7 @@
     const bool observes =
         loads && now.monotonic - worker.lastObservedAt >= m_settings.measurementWindow;
     bool targetMissed = false;
+    std::optional<double> lowest;
     std::set<RunKey> selected;
     worker.hasLowHeadroom = false;
     for (const RunKey &key : keys) {
@@ -89,6 +91,7 @@
         if (observes)
             m_headroomEstimator.observe({key.task.job, run.image, *headroom}, *loads,
                                         now.monotonic);
+        lowest = std::min(*headroom, lowest.value_or(*headroom));
         targetMissed = targetMissed || *headroom < 1;
         worker.hasLowHeadroom =
             worker.hasLowHeadroom || *headroom < m_settings.monitorBelowHeadroom;
@@ -103,10 +106,13 @@
         worker.targetMissedSince.reset();
     else if (!worker.targetMissedSince)
         worker.targetMissedSince = now.monotonic;
+    const auto limit = updateBestEffortLimit(worker, keys, lowest, now);
+    if (targetMissed && limit)
+        selected.merge(runsAboveLimit(keys, *limit));
     if (targetMissed || !selected.empty())
         throttleRuns(worker, keys, selected, now);
     else
-        restoreSpeed(worker, keys, now);
+        restoreSpeed(worker, keys, limit, now);
 }
 
 // Returns the measured load of the best-effort runs, or nothing if it has changed within the time
@@ -140,6 +146,19 @@
     return loads;
 }
 
+// Returns how many thousandths of a processor the best-effort runs use at the speeds that they are
+// limited to.
+double Coordinator::milliCoresInUse(std::span<const RunKey> keys) const
+{
+    double sum = 0;
+    for (const RunKey &key : keys) {
+        const Run &run = *m_runs.find(key);
+        if (run.bestEffort && run.phase == RunPhase::Running)
+            sum += milliCoresAt(run, run.speedPercent);
+    }
+    return sum;
+}
+
 // Returns the best-effort runs to throttle by one step so that the run `victim` is estimated to
 // reach throttleToHeadroom. Those whose throttling gains most are selected first.
 std::set<RunKey> Coordinator::runsToThrottle(std::span<const RunKey> keys, const Run &victim,
@@ -197,21 +216,26 @@
         const int speed = nextLowerSpeed(run.speedPercent);
         if (speed == 0 && run.besideMisses && missesAlone(keys, now.monotonic))
             continue;
+        // With a limit the load doesn't rise again, so slow runs may do no harm any more.
+        if (speed == 0 && m_bestEffortLimit.isEnabled() && !persists)
+            continue;
         setSpeed(worker, run, speed, persists ? "harm-lasts" : "little-headroom", now);
         if (speed == 0)
-            requestStop(key, "harms");
+            stopForInterference(worker, key, now);
     }
 }
 
 // Raises the speed of throttled runs by one step as long as all latency-critical runs are estimated
-// to keep enough headroom.
-void Coordinator::restoreSpeed(Worker &worker, std::span<const RunKey> keys, ClockReading now)
+// to keep enough headroom and the limit, if there is one, allows it.
+void Coordinator::restoreSpeed(Worker &worker, std::span<const RunKey> keys,
+                               std::optional<int> limit, ClockReading now)
 {
     if (!worker.hasThrottledRuns
         || now.monotonic - worker.lastTargetMissAt < m_settings.restoreSpeedDelay)
         return;
     worker.hasThrottledRuns = false;
     std::vector<BestEffortLoad> added;
+    double used = milliCoresInUse(keys);
     for (const RunKey &key : keys) {
         Run &run = *m_runs.find(key);
         if (!run.bestEffort || run.stopRequested || run.speedPercent == fullSpeed)
@@ -220,12 +244,13 @@
         if (now.monotonic - run.speedChangedAt < m_settings.restoreSpeedDelay)
             continue;
         std::vector<BestEffortLoad> withRun = added;
-        addLoad(withRun, run.image,
-                milliCoresAt(run, nextHigherSpeed(run.speedPercent))
-                    - milliCoresAt(run, run.speedPercent));
-        if (!keepsHeadroom(keys, withRun))
+        const double increase = milliCoresAt(run, nextHigherSpeed(run.speedPercent))
+            - milliCoresAt(run, run.speedPercent);
+        addLoad(withRun, run.image, increase);
+        if ((limit && used + increase > *limit) || !keepsHeadroom(keys, withRun))
             continue;
         added = std::move(withRun);
+        used += increase;
         setSpeed(worker, run, nextHigherSpeed(run.speedPercent), "headroom", now);
     }
 }
@@ -244,6 +269,90 @@
     });
 }
 
+// Updates the limit of the worker's best-effort runs after a report with this lowest headroom of a
+// latency-critical run. Returns the limit, or nothing if there is none.
+std::optional<int> Coordinator::updateBestEffortLimit(Worker &worker, std::span<const RunKey> keys,
+                                                      std::optional<double> headroom,
+                                                      ClockReading now)
+{
+    if (!m_bestEffortLimit.isEnabled() || !headroom)
+        return {};
+    if (worker.runSummaryStale)
+        summarizeRuns(worker);
+    const std::string &id = worker.info.incarnation.workerId;
+    std::vector<RunKey> steady;
+    std::copy_if(keys.begin(), keys.end(), std::back_inserter(steady), [&](const RunKey &key) {
+        const Run &run = *m_runs.find(key);
+        return now.monotonic - std::max(run.confirmedAt, run.speedChangedAt)
+            >= m_settings.measurementWindow;
+    });
+    const int room = worker.runSummary.idleMilliCores + m_runs.bestEffortMilliCores(id);
+    const std::string &images = worker.runSummary.criticalImages;
+    m_bestEffortLimit.observe({id, images, static_cast<int>(milliCoresInUse(keys)),
+                               static_cast<int>(milliCoresInUse(steady)), room, *headroom},
+                              now.monotonic);
+    return m_bestEffortLimit.limitFor({id, images, room, *headroom}, now.monotonic);
+}
+
+// Reduces what the worker offers to best-effort tasks, of which the smallest requests `milliCores`,
+// to what its limit leaves.
+void Coordinator::applyBestEffortLimit(const Worker &worker, CandidateWorker &candidate,
+                                       int milliCores, Instant now)
+{
+    candidate.images = worker.runSummary.criticalImages;
+    if (!m_bestEffortLimit.isEnabled() || candidate.latencyCriticalRuns.empty())
+        return;
+    const std::string &id = worker.info.incarnation.workerId;
+    double lowest = candidate.latencyCriticalRuns.front().expectedHeadroom;
+    for (const LatencyCriticalRun &it : candidate.latencyCriticalRuns)
+        lowest = std::min(lowest, it.expectedHeadroom);
+    const int requested = m_runs.bestEffortMilliCores(id);
+    const int room = candidate.idleMilliCores + requested;
+    const int limit = m_bestEffortLimit.limitFor({id, candidate.images, room, lowest}, now);
+    if (limit >= room)
+        return;
+    candidate.idleMilliCores =
+        std::min(candidate.idleMilliCores, idleProcessorsFor(limit - requested));
+    if (!hasIdleProcessors(candidate, milliCores) && m_bestEffortLimit.notePrevented(id))
+        ++m_counters.bestEffortStartsPrevented;
+}
+
+// Returns the best-effort runs to throttle by one step so that they use no more than the limit, the
+// ones that were started last first, since they have lost least.
+std::set<RunKey> Coordinator::runsAboveLimit(std::span<const RunKey> keys, int limit) const
+{
+    std::vector<const Run *> runs;
+    for (const RunKey &key : keys) {
+        const Run &run = *m_runs.find(key);
+        if (run.bestEffort && !run.stopRequested && run.phase == RunPhase::Running)
+            runs.push_back(&run);
+    }
+    std::sort(runs.begin(), runs.end(), [](const Run *a, const Run *b) {
+        return a->startedAt != b->startedAt ? a->startedAt > b->startedAt : a->key < b->key;
+    });
+    double used = milliCoresInUse(keys);
+    std::set<RunKey> selected;
+    for (const Run *run : runs) {
+        const int slower = nextLowerSpeed(run->speedPercent);
+        if (used <= limit)
+            break;
+        if (slower == 0)
+            continue;
+        used -= milliCoresAt(*run, run->speedPercent) - milliCoresAt(*run, slower);
+        selected.insert(run->key);
+    }
+    return selected;
+}
+
+// Stops a run that interferes even at the lowest speed, so that it moves to another worker.
+void Coordinator::stopForInterference(const Worker &worker, const RunKey &key, ClockReading now)
+{
+    requestStop(key, "harms");
+    ++m_counters.runsStoppedForInterference;
+    if (m_bestEffortLimit.isEnabled())
+        m_bestEffortLimit.noteStop(key.task, worker.runSummary.criticalImages, now.monotonic);
+}
+
 // Orders the worker to limit the run to a share of its speed.
 void Coordinator::setSpeed(const Worker &worker, Run &run, int percent, std::string_view why,
                            ClockReading now)
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -75,6 +75,7 @@
     const std::vector<RunKey> keys = m_runs.onWorker(id);
     summary.plannedLoads = plannedBestEffortLoads(keys);
     summary.criticalRuns.clear();
+    std::set<std::string_view> images;
     summary.runCount = static_cast<int>(keys.size());
     summary.latestStartAt = {};
     summary.hasProbation = false;
@@ -82,9 +83,14 @@
         const Run &run = *m_runs.find(key);
         summary.latestStartAt = std::max(summary.latestStartAt, run.startedAt);
         summary.hasProbation = summary.hasProbation || run.onProbation;
-        if (run.longRunning && run.latencyTarget != Millis{0})
+        if (run.longRunning && run.latencyTarget != Millis{0}) {
             summary.criticalRuns.push_back({key.task.job, run.image});
+            images.insert(run.image);
+        }
     }
+    summary.criticalImages.clear();
+    for (const std::string_view image : images)
+        summary.criticalImages.append(image).append(1, '\n');
     worker.runSummaryStale = false;
 }
 
@@ -104,6 +110,8 @@
         && needs.bestEffortMilliCores && hasIdleProcessors(candidate, *needs.bestEffortMilliCores);
     if (fitsBestEffort || needs.images)
         addInterferenceState(worker, candidate, now);
+    if (fitsBestEffort)
+        applyBestEffortLimit(worker, candidate, *needs.bestEffortMilliCores, now);
     candidate.hasProbation = summary.hasProbation;
     withholdCapacity(candidate, now);
     return candidate;
@@ -181,6 +189,7 @@
             constraints.currentRack = it->second.info.rack;
     }
     constraints.avoidedWorkers = m_quarantine.failedWorkers(ref.job);
+    constraints.avoidedImages = m_bestEffortLimit.avoidedImages(ref, now);
     constraints.headroomEstimator = &m_headroomEstimator;
     constraints.mayJoinSuspects = now - readySince(ref, now) >= m_settings.maxIsolationWait;
     return constraints;
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -406,6 +406,7 @@
         std::erase(m_staleWorkers, &it->second);
         m_firstFence = std::max(m_firstFence, it->second.session.fence() + 1);
         m_quarantine.removeWorker(id);
+        m_bestEffortLimit.removeWorker(id);
         m_workers.erase(it);
     }
 }
--- a/src/lib/steps/placement.cpp
+++ b/src/lib/steps/placement.cpp
@@ -52,6 +52,11 @@
     return it == constraints.tasksPerWorker.end() || it->second < spec.maxTasksPerWorker;
 }
 
+bool contains(const std::vector<std::string> &names, std::string_view name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
 bool mayRun(const StepSpec &spec, const PlacementConstraints &constraints,
             const CandidateWorker &worker)
 {
@@ -135,6 +140,11 @@
     return worker.idleMilliCores * 100LL >= std::int64_t{milliCores} * minBestEffortIdlePercent;
 }
 
+int idleProcessorsFor(int milliCores)
+{
+    return milliCores * minBestEffortIdlePercent / 100;
+}
+
 bool comesBefore(const ReadyStep &a, const ReadyStep &b)
 {
     const int groupA = groupOf(a);
@@ -200,7 +210,7 @@
 {
     bool eligible = false; // The worker can take the task.
     bool avoided = false;
-    bool failedBefore = false;
+    bool failedBefore = false; // It failed tasks of the job, or they interfered with its runs.
     bool hasNewRuns = false; // Only for tasks on probation, like `runCount`.
     int runCount = 0;
     bool otherRack = false;
@@ -237,9 +247,8 @@
         ? constraints.currentRack
         : spec.preferredRack;
     rank.avoided = worker.avoided;
-    rank.failedBefore = std::find(constraints.avoidedWorkers.begin(),
-                                  constraints.avoidedWorkers.end(), info.incarnation.workerId)
-        != constraints.avoidedWorkers.end();
+    rank.failedBefore = contains(constraints.avoidedWorkers, info.incarnation.workerId)
+        || (!worker.images.empty() && contains(constraints.avoidedImages, worker.images));
     rank.hasNewRuns = constraints.onProbation && worker.hasNewRuns;
     rank.runCount = constraints.onProbation ? worker.runCount : 0;
     rank.otherRack = !rack.empty() && rack != info.rack;
