Test the limit of best-effort work on simulated workers and export its counters

Cause: the limit by worker had no tests, no metrics and no page, and its first steps were too small. No fleet was measured with the limit.

--- a/include/savorywick/steps/besteffortlimit.h
+++ b/include/savorywick/steps/besteffortlimit.h
@@ -19,19 +19,20 @@
     bool enabled = false;
     // Below this headroom the limit falls below the load by the first share; beside a miss by at
     // least the second, and by more the further the target is missed.
-    double decreaseBelowHeadroom = 1.1;
+    double decreaseBelowHeadroom = 1.2;
     double decreaseFactor = 0.9;
     double missFactor = 0.75;
     double minMissFactor = 0.35;
     // The limit rises only with this headroom. The interference and the load of long-running tasks
     // change by half within seconds, so what is left at the moment may soon be needed.
     double increaseAboveHeadroom = 1.3;
-    double increaseStep = 0.02; // Share of the limit that is added with just that headroom.
-    int minIncreaseMilliCores = 200;
+    double increaseStep = 0.08; // Share of the limit that is added with just that headroom.
+    int minIncreaseMilliCores = 600;
     double maxStepScale = 4; // Of the step, with more headroom.
     // For this time after a miss the limit rises beyond the share of the load that caused it only
-    // by a fourth of the usual step. It spans two periods of a load that changes every 14 s.
-    Millis missMemory{30'000};
+    // by a fourth of the usual step. The load of long-running tasks varies over seconds, so what
+    // was too much may be bearable soon after.
+    Millis missMemory{10'000};
     double cautiousAboveMiss = 0.85;
     // The limit does not fall below this, so that it can recover within seconds.
     int minLimitMilliCores = 2'000;
--- a/src/lib/steps/besteffortlimit.cpp
+++ b/src/lib/steps/besteffortlimit.cpp
@@ -80,10 +80,9 @@
     if (!isUsed || !isSteady)
         return;
     double scale = std::clamp(excess / headroomPerStep, 1.0, m_settings.maxStepScale);
-    const bool nearMiss = state.missedAt
-        && now
-            - *state.missedAt<m_settings.missMemory && * state.limit> state.missedLoad
-                * m_settings.cautiousAboveMiss;
+    const bool missedLately = state.missedAt && now - *state.missedAt < m_settings.missMemory;
+    const double cautiousLimit = state.missedLoad * m_settings.cautiousAboveMiss;
+    const bool nearMiss = missedLately && *state.limit > cautiousLimit;
     if (nearMiss)
         scale = cautiousScale;
     const double step =
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -41,6 +41,8 @@
     out.writeCounter("runs_evacuated_total", c.runsEvacuated);
     out.writeCounter("starts_withheld_total", c.startsWithheld);
     out.writeCounter("runs_preempted_total", c.runsPreempted);
+    out.writeCounter("best_effort_starts_prevented_total", c.bestEffortStartsPrevented);
+    out.writeCounter("runs_stopped_for_interference_total", c.runsStoppedForInterference);
     out.writeCounter("workers_quarantined_total", c.workersQuarantined);
     out.writeCounter("workers_crashed_total", c.workersCrashed);
     out.writeCounter("workers_examined_total", c.workersExamined);
--- a/tests/adapter/nodefile_test.cpp
+++ b/tests/adapter/nodefile_test.cpp
@@ -45,10 +45,11 @@
         CHECK(coordinator.preemption.enabled == enabled);
         CHECK(coordinator.durations.enabled == enabled);
         CHECK(coordinator.admission.enabled == enabled);
+        CHECK(coordinator.bestEffortLimit.enabled == enabled);
         if (!enabled)
             text.replace(text.find("\"unknownKey\":{}"), 15,
                          "\"scheduling\":{\"preemption\":true,\"learnedDurations\":true,"
-                         "\"admission\":true}");
+                         "\"admission\":true,\"bestEffortLimit\":true}");
     }
 }
 
--- a/tests/steps/coordinatorharness.h
+++ b/tests/steps/coordinatorharness.h
@@ -204,6 +204,7 @@
     int progressPercent = 100; // That runs report.
     std::string savedCheckpoint; // That runs report.
     int tailLatencyMs = 10; // That long-running runs report.
+    std::map<std::string, int> tailLatencies; // That they report on these workers instead.
     std::set<std::string> failingWorkers; // They fail every run that is started from now on.
     // How these workers answer start orders. Unless it is Done, they don't start the run.
     std::map<std::string, CommandOutcome> startOutcomes;
@@ -268,8 +269,9 @@
             if (it.target.worker != order.target.worker || m_endedRuns.contains({it.task, it.run}))
                 continue;
             const Run *run = m_coordinator->runs().find({it.task, it.run});
-            const int measurement =
-                run && run->longRunning ? tailLatencyMs : milliCoresUsedBy({it.task, it.run});
+            const int measurement = run && run->longRunning
+                ? tailLatencyOn(order.target.worker.workerId)
+                : milliCoresUsedBy({it.task, it.run});
             reply.report.running.push_back(
                 {it.task, it.run, savedCheckpoint, progressPercent, measurement});
         }
@@ -309,6 +311,12 @@
     }
     void respond(const ThrottleRunCommand &order) { throttles.push_back(order); }
 
+    int tailLatencyOn(const std::string &worker) const
+    {
+        const auto it = tailLatencies.find(worker);
+        return it == tailLatencies.end() ? tailLatencyMs : it->second;
+    }
+
     // Returns what the run uses at the speed that was ordered last.
     int milliCoresUsedBy(const RunKey &key) const
     {
