--- a/review/harness/deployment.cpp
+++ b/review/harness/deployment.cpp
@@ -61,7 +61,7 @@
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
     // The sockets of the case must not stay open in the child.
-    constexpr int maxInherited = 4'096;
+    constexpr int maxInherited = 20'000;
     for (int fd = STDERR_FILENO + 1; fd < maxInherited; ++fd)
         ::close(fd);
     ::execve(arguments[0], const_cast<char *const *>(arguments),
--- a/review/harness/minion.cpp
+++ b/review/harness/minion.cpp
@@ -13,6 +13,7 @@
 using Responder = AsyncHttpServer::Responder;
 
 constexpr Millis tickInterval{10};
+constexpr Millis idleTickInterval{100};
 constexpr Millis entryInterval{1'100}; // 'heartbeatMs'
 constexpr Millis unlistingDelay{3'300}; // Three check-in intervals.
 constexpr std::size_t maxEndsPerReport = 500; // "The others are returned again (500 at a time)."
@@ -67,6 +68,20 @@
     m_loop.runAfter(downtime, [this] { beginLife(true); });
 }
 
+void Minion::setSlowness(double factor)
+{
+    advance();
+    m_slowness = factor;
+}
+
+void Minion::vanish()
+{
+    if (!isUp())
+        return;
+    die();
+    m_loop.runAfter(unlistingDelay, [this, id = m_id] { m_store.remove("servers", id); });
+}
+
 void Minion::crashAndReturnAs(const std::string &kind, Millis downtime)
 {
     if (!isUp())
@@ -101,7 +116,8 @@
         if (m_clock.now() >= m_nextEntryAt)
             writeEntry();
     }
-    m_loop.runAfter(tickInterval, [this] { tick(); });
+    const bool isIdle = m_live.empty() && m_holds.empty();
+    m_loop.runAfter(isIdle ? idleTickInterval : tickInterval, [this] { tick(); });
 }
 
 void Minion::writeEntry()
@@ -252,8 +268,11 @@
     const bool lapsed = clockMs() > m_leaseUntilMs;
     if (lapsed)
         m_lapsedEnd = m_lastEnd;
+    const Instant before = std::exchange(m_advancedAt, now);
     for (auto it = m_live.begin(); it != m_live.end();) {
-        const bool worked = it->work && now - it->startedAt >= *it->work;
+        const Millis passed = now - std::max(before, it->startedAt);
+        it->workedMs += static_cast<double>(passed.count()) / m_slowness;
+        const bool worked = it->work && it->workedMs >= static_cast<double>(it->work->count());
         const bool stopped = it->stopsAt && now >= *it->stopsAt;
         if (!lapsed && !stopped && !worked) {
             ++it;
@@ -283,9 +302,9 @@
     json["active"] = Json::arrayValue;
     json["finished"] = Json::arrayValue;
     for (const Live &it : m_live) {
-        const Millis passed = m_clock.now() - it.startedAt;
-        const std::int64_t percent = it.work ? passed.count() * wholePercent / it.work->count()
-            : passed >= startupTime          ? wholePercent
+        const auto worked = static_cast<std::int64_t>(it.workedMs);
+        const std::int64_t percent = it.work ? worked * wholePercent / it.work->count()
+            : worked >= startupTime.count()  ? wholePercent
                                              : 0;
         Json::Value row = Json::arrayValue;
         row.append(toString(it.task));
--- a/review/harness/minion.h
+++ b/review/harness/minion.h
@@ -63,9 +63,14 @@
 
     // Ends the process as SIGKILL does. A new life, under a new id, begins after the time.
     void crash(Millis downtime);
-    // Likewise, but the new life has the id that the minion had, and is of this kind.
+    // Lets all work take `factor` times as long as usual from now on.
+    void setSlowness(double factor);
+    // Ends the process for good.
+    void vanish();
+    // Crashes, but the new life has the id that the minion had, and is of this kind.
     void crashAndReturnAs(const std::string &kind, Millis downtime);
     const std::string &kind() const { return m_settings.kind; }
+    const std::string &id() const { return m_id; }
     bool isUp() const { return m_server != nullptr; }
     std::size_t runCount() const { return m_live.size(); }
     std::size_t unacknowledgedEnds() const { return m_ends.size(); }
@@ -79,6 +84,7 @@
         Instant startedAt;
         std::optional<Instant> stopsAt;
         std::size_t seenIndex = 0;
+        double workedMs = 0;
     };
     struct End
     {
@@ -133,6 +139,8 @@
     std::int64_t m_lapsedEnd = 0; // The last end when the lease lapsed.
     std::map<steps::TaskRef, int> m_highestEnded;
     std::vector<WaitingHold> m_holds;
+    double m_slowness = 1;
+    Instant m_advancedAt;
 };
 
 } // namespace savorywick::review
