--- a/review/harness/minion.cpp
+++ b/review/harness/minion.cpp
@@ -48,15 +48,33 @@
     m_lastEnd = 0;
     m_lapsedEnd = 0;
     m_highestEnded.clear();
+    m_isUp = true;
+    listen();
+    m_record.line("minion " + m_id + " is up at " + m_settings.address + ", of kind "
+                  + m_settings.kind + ", born " + std::to_string(m_bornWallMs));
+    writeEntry();
+}
+
+void Minion::listen()
+{
     AsyncHttpServerLimits limits;
     limits.idleTimeout = Millis{600'000};
     m_server = std::make_unique<AsyncHttpServer>(
         m_loop, limits,
         [this](const HttpRequest &request, const Responder &respond) { handle(request, respond); });
     m_server->listen(m_settings.address);
-    m_record.line("minion " + m_id + " is up at " + m_settings.address + ", of kind "
-                  + m_settings.kind + ", born " + std::to_string(m_bornWallMs));
-    writeEntry();
+}
+
+void Minion::cutOff(Millis duration)
+{
+    m_record.line("minion " + m_id + " is cut off, with " + std::to_string(m_live.size())
+                  + " runs");
+    m_holds.clear();
+    m_server.reset();
+    m_loop.runAfter(duration, [this] {
+        listen();
+        m_record.line("minion " + m_id + " can be reached again");
+    });
 }
 
 void Minion::crash(Millis downtime)
@@ -106,6 +124,7 @@
     m_live.clear();
     m_holds.clear();
     m_server.reset();
+    m_isUp = false;
 }
 
 void Minion::tick()
--- a/review/harness/minion.h
+++ b/review/harness/minion.h
@@ -63,6 +63,9 @@
 
     // Ends the process as SIGKILL does. A new life, under a new id, begins after the time.
     void crash(Millis downtime);
+    // Cuts the minion off from all callers: channels are reset and new ones refused for this time,
+    // while it runs on and still reaches the store.
+    void cutOff(Millis duration);
     // Lets all work take `factor` times as long as usual from now on.
     void setSlowness(double factor);
     // Ends the process for good.
@@ -71,7 +74,7 @@
     void crashAndReturnAs(const std::string &kind, Millis downtime);
     const std::string &kind() const { return m_settings.kind; }
     const std::string &id() const { return m_id; }
-    bool isUp() const { return m_server != nullptr; }
+    bool isUp() const { return m_isUp; }
     std::size_t runCount() const { return m_live.size(); }
     std::size_t unacknowledgedEnds() const { return m_ends.size(); }
 
@@ -101,6 +104,7 @@
     };
 
     void beginLife(bool underNewId);
+    void listen();
     void die();
     void tick();
     void writeEntry();
@@ -124,7 +128,8 @@
     Record &m_record;
     RunsSeen &m_runs;
     MinionSettings m_settings;
-    std::unique_ptr<AsyncHttpServer> m_server; // Null while the process is down.
+    std::unique_ptr<AsyncHttpServer> m_server; // Null while nobody can reach the minion.
+    bool m_isUp = false; // The process runs.
     std::string m_id;
     int m_lives = 0;
     Instant m_bornAt;
