--- a/review/harness/deployment.cpp
+++ b/review/harness/deployment.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/json.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -12,6 +13,7 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -27,6 +29,18 @@
 constexpr Millis callTime{3'000}; // 'time limit' of the small deployments.
 constexpr Millis retryDelay{300};
 
+// Lets the process, and the entries after it, hold as many descriptors as a case needs, if the
+// system allows it that many.
+void raiseDescriptorLimit()
+{
+    constexpr rlim_t neededDescriptors = 8'192;
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        return;
+    limit.rlim_cur = std::max(limit.rlim_cur, std::min(limit.rlim_max, neededDescriptors));
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 } // namespace
 
 EntryProcess::EntryProcess(std::string program, std::string settingsPath, std::string logPath)
@@ -307,6 +321,7 @@
         std::cerr << "usage: case PROGRAM FOLDER RECORD\n";
         return cannotRun;
     }
+    raiseDescriptorLimit();
     try {
         const BootClock clock;
         Record record(clock, argv[3]);
