Take no run for gone that a report with a full list of ends leaves out

Cause: a worker lists at most 500 ends in an answer, and returns the others once the first are acknowledged. endMissingRuns() took a run that is in neither list for gone, ended it as lapsed and placed it again.

Evidence, from the log and the record of the case on: 820, 793 and 227 ends waited on the workers; 460 runs ended as lapsed, although no lease lapsed; run 1 of task 95 ended on its worker as end 651, was ended by the owner as lapsed, and its end was acknowledged afterwards.

The report now says whether it may leave runs out, because its list of ends is full or a row can't be read. Then no run is taken for gone or for stalled, and the next page is asked for as soon as the ends of the one before are durable. Metrics count such reports, and the ends of runs that no owner knows.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -277,6 +277,7 @@
     void processRunningReports(Worker &worker, const WorkerReport &report, ClockReading now);
     void stopUnknownRun(Worker &worker, const RunningReport &report);
     void endMissingRuns(Worker &worker, const WorkerReport &report, ClockReading now);
+    void excuseUnlistedRuns(const Worker &worker, const WorkerReport &report, ClockReading now);
     void adoptRun(const Job &job, const TaskRef &task, const ActiveRun &active);
     void endRun(const RunKey &key, RunOutcome how, const std::string &checkpoint, ClockReading now);
     void updateQuarantine(const Run &run, RunOutcome how, ClockReading now);
--- a/include/savorywick/steps/coordinatorcounters.h
+++ b/include/savorywick/steps/coordinatorcounters.h
@@ -17,6 +17,10 @@
     std::uint64_t runsStarted = 0;
     std::uint64_t runsAdopted = 0; // Runs of an earlier owner that were found running.
     std::map<RunOutcome, std::uint64_t> runsEnded;
+    // Reports of workers that may leave out runs that have ended.
+    std::uint64_t partialReports = 0;
+    // Ends that workers told of runs that had been given up, or that no owner knew.
+    std::uint64_t endsOfUnknownRuns = 0;
     std::map<CommandOutcome, std::uint64_t> startReplies;
     std::uint64_t runsStalled = 0;
     std::uint64_t durationsObserved = 0; // Runs that durations were learned from.
--- a/include/savorywick/steps/workercommands.h
+++ b/include/savorywick/steps/workercommands.h
@@ -149,8 +149,12 @@
     // When the incarnation that answers started, in wall-clock milliseconds since the Unix epoch.
     std::int64_t startedWallMs = 0;
     std::vector<RunningReport> running;
-    // Ended runs that are not acknowledged yet, the earliest first. The list may be incomplete.
+    // Ended runs that are not acknowledged yet, the earliest first.
     std::vector<RunEndReport> ended;
+    // Whether runs that the worker has, or that have ended there, may be in neither list, since it
+    // tells of a limited number of ends at a time. It tells of further ones once the first are
+    // acknowledged.
+    bool isPartial = false;
 };
 
 // The outcome of a renewal, with the worker's answer if there is one.
--- a/include/savorywick/steps/workersession.h
+++ b/include/savorywick/steps/workersession.h
@@ -133,6 +133,13 @@
 
 private:
     void reset(Instant now);
+    // Returns true if and only if acknowledging the ends that are durable makes the worker tell of
+    // further ones.
+    bool hasFurtherEnds() const
+    {
+        return m_reportWasPartial && m_durableEnds == m_appliedEnds
+            && m_durableEnds > m_answeredAck;
+    }
     void takeClock(std::int64_t clockMs, Instant now);
     std::int64_t grantLease(Millis term, Instant now, std::optional<Instant> latestEnd);
     // Returns true if and only if the worker has been granted a lease, and may have no more than
@@ -160,6 +167,7 @@
     bool m_answeredWithRuns = false;
     // The latest renewal granted a full lease, and was answered.
     bool m_leaseExtended = false;
+    bool m_reportWasPartial = false; // The latest one; the next tells of more.
     Instant m_lastAnswerAt;
     bool m_unresponsive = false;
 
--- a/src/lib/steps/coordinatorcounters.cpp
+++ b/src/lib/steps/coordinatorcounters.cpp
@@ -12,6 +12,8 @@
         runsEnded[outcome] += n;
     for (const auto &[outcome, n] : other.startReplies)
         startReplies[outcome] += n;
+    partialReports += other.partialReports;
+    endsOfUnknownRuns += other.endsOfUnknownRuns;
     runsStalled += other.runsStalled;
     durationsObserved += other.durationsObserved;
     duplicatesStarted += other.duplicatesStarted;
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -140,8 +140,10 @@
         highest = std::max(highest, end.endNumber);
         const RunKey key{end.task, end.run};
         const Run *run = m_runs.find(key);
-        if (!run || run->workerId != worker.info.incarnation.workerId)
+        if (!run || run->workerId != worker.info.incarnation.workerId) {
+            ++m_counters.endsOfUnknownRuns;
             continue;
+        }
         noteConfirmedStart(key.task.job);
         endRun(key, end.outcome, end.checkpoint, now);
     }
@@ -214,9 +216,11 @@
 
 // Ends the runs that are certainly gone: the report contains them neither as running nor as ended,
 // and the worker either had them before the renewal was sent, or has seen a fence that voids their
-// start orders.
+// start orders. After a partial report none is: what it leaves out may have ended as done.
 void Coordinator::endMissingRuns(Worker &worker, const WorkerReport &report, ClockReading now)
 {
+    if (report.isPartial)
+        return excuseUnlistedRuns(worker, report, now);
     std::set<RunKey> running;
     for (const RunningReport &it : report.running)
         running.insert({it.task, it.run});
@@ -235,6 +239,20 @@
     }
 }
 
+// Lets no run count as stalled that the partial report leaves out, as it may have ended.
+void Coordinator::excuseUnlistedRuns(const Worker &worker, const WorkerReport &report,
+                                     ClockReading now)
+{
+    ++m_counters.partialReports;
+    std::set<RunKey> running;
+    for (const RunningReport &it : report.running)
+        running.insert({it.task, it.run});
+    for (const RunKey &key : m_runs.onWorker(worker.info.incarnation.workerId)) {
+        if (!running.contains(key))
+            m_runs.find(key)->lastProgressAt = now.monotonic;
+    }
+}
+
 void Coordinator::endRun(const RunKey &key, RunOutcome how, const std::string &checkpoint,
                          ClockReading now)
 {
--- a/src/lib/steps/workersession.cpp
+++ b/src/lib/steps/workersession.cpp
@@ -51,6 +51,7 @@
     m_answeredFence = 0;
     m_answeredWithRuns = false;
     m_leaseExtended = false;
+    m_reportWasPartial = false;
     m_clockMs.reset();
     m_leaseUntilClockMs = 0;
     m_leasesEndAt = {};
@@ -82,6 +83,8 @@
         return m_renewalDueAt;
     if (m_durableEnds < m_appliedEnds)
         return m_lastAnswerAt + m_settings.maxAckDelay;
+    if (hasFurtherEnds() && !m_unresponsive)
+        return m_lastAnswerAt;
     return hasRuns ? m_renewalDueAt : m_renewalDueAt + m_settings.idleRenewalDelay;
 }
 
@@ -112,7 +115,7 @@
     m_renewalMayGrant = mayGrant;
     // A worker with a short lease answers at once, so that there is time to repeat a lost renewal.
     const bool mayWait = renewal.leaseUntilClockMs && !wasShort && m_answeredFence == m_fence
-        && m_durableEnds == m_appliedEnds;
+        && m_durableEnds == m_appliedEnds && !m_reportWasPartial;
     if (mayWait)
         renewal.maxWait = maxWait;
     return renewal;
@@ -127,6 +130,7 @@
     m_answeredFence = m_renewalFence;
     m_answeredSentAt = m_renewalSentAt;
     m_answeredAck = std::max(m_answeredAck, m_renewalAck);
+    m_reportWasPartial = report.isPartial;
     takeClock(report.clockMs, now);
     m_answeredWithRuns = m_renewalCoversRuns;
     m_leaseExtended = m_renewalCoversRuns && m_renewalExtendsLease;
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -34,6 +34,8 @@
     out.writeCounter("jobs_repeated_total", c.jobsRepeated);
     out.writeCounter("runs_started_total", c.runsStarted);
     out.writeCounter("runs_adopted_total", c.runsAdopted);
+    out.writeCounter("partial_reports_total", c.partialReports);
+    out.writeCounter("ends_of_unknown_runs_total", c.endsOfUnknownRuns);
     out.writeCounter("runs_stalled_total", c.runsStalled);
     out.writeCounter("durations_observed_total", c.durationsObserved);
     out.writeCounter("duplicates_started_total", c.duplicatesStarted);
--- a/tests/adapter/workerreport_test.cpp
+++ b/tests/adapter/workerreport_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <string>
+#include <vector>
 
 using namespace savorywick;
 using namespace savorywick::platform;
@@ -137,3 +138,40 @@
         CHECK(body.reason == it.reason);
     }
 }
+
+// Guards against tasks that run again since a report was taken for complete that lists the first
+// 500 of the worker's ends, or has a row that can't be read and may be of any run.
+TEST_CASE("A report that may leave runs out is marked as partial")
+{
+    struct Case
+    {
+        std::string what;
+        int ends = 0;
+        std::string oddRow;
+        bool partial = false;
+    };
+    for (const Case &it : std::vector<Case>{
+             {"no ends", 0, "", false},
+             {"one end less than a page", 499, "", false},
+             {"a page of ends", 500, "", true},
+             {"a page of ends with one that can't be read", 499, R"([500,"a.0.1.9",1,"odd",""])",
+              true},
+             {"an end that can't be read", 2, R"([3,"a.0.1.9",1,"odd",""])", true},
+             {"an end that the general reader takes", 2, R"([3,"a\u002e0.1.9",1,"done",""])",
+              false},
+         }) {
+        CAPTURE(it.what);
+        std::string rows = it.oddRow;
+        for (int i = it.ends; i > 0; --i)
+            rows = "[" + std::to_string(i) + R"(,"a.0.0.)" + std::to_string(i) + R"(",1,"done",""])"
+                + (rows.empty() ? "" : "," + rows);
+        const auto report =
+            parseWorkerReport(R"({"clockMs":1,"active":[],"finished":[)" + rows + "]}");
+        REQUIRE(report.has_value());
+        CHECK(report->isPartial == it.partial);
+    }
+    const auto report =
+        parseWorkerReport(R"({"clockMs":1,"active":[["odd",1,"",0]],"finished":[]})");
+    REQUIRE(report.has_value());
+    CHECK(report->isPartial);
+}
--- a/tests/steps/coordinatorharness.h
+++ b/tests/steps/coordinatorharness.h
@@ -190,6 +190,7 @@
     }
 
     bool commits = true; // Whether records become durable.
+    std::size_t maxListedEnds = 500; // That a worker tells of at a time.
     // Runs that workers have though no owner knows of them, by worker.
     std::map<std::string, std::vector<RunningReport>> strays;
     std::vector<StartRunCommand> starts;
@@ -261,9 +262,7 @@
         RenewLeaseReply reply{CommandOutcome::Done, {}};
         reply.report.clockMs = m_now.count();
         reply.report.startedWallMs = m_startedWallMs[order.target.worker.workerId];
-        if (const auto it = m_endReports.find(order.target.worker.workerId);
-            it != m_endReports.end())
-            reply.report.ended = it->second;
+        listEnds(order, reply.report);
         reply.report.running = strays[order.target.worker.workerId];
         for (const StartRunCommand &it : starts) {
             if (it.target.worker != order.target.worker || m_endedRuns.contains({it.task, it.run}))
@@ -277,6 +276,18 @@
         }
         m_coordinator->handleRenewReply(order, reply, now());
     }
+    // Lists the ends that are not acknowledged, up to the limit.
+    void listEnds(const RenewLeaseCommand &order, WorkerReport &report)
+    {
+        const std::string &id = order.target.worker.workerId;
+        std::int64_t &acked = m_ackedEnds[id];
+        acked = std::max(acked, order.ackedEndNumber);
+        for (const RunEndReport &it : m_endReports[id]) {
+            if (it.endNumber > acked && report.ended.size() < maxListedEnds)
+                report.ended.push_back(it);
+        }
+        report.isPartial = report.ended.size() == maxListedEnds;
+    }
     void refuseRenewal(const RenewLeaseCommand &order)
     {
         ++fencedRenewals;
@@ -336,6 +347,7 @@
     std::vector<std::string> m_journal;
     LogSequenceNumber m_lsn = 0;
     std::map<std::string, std::vector<RunEndReport>> m_endReports;
+    std::map<std::string, std::int64_t> m_ackedEnds; // The highest acknowledged, by worker.
     std::set<RunKey> m_endedRuns;
     std::map<std::string, Instant> m_backAt; // When crashed workers are back under new ids.
     std::map<std::string, Fence> m_fences; // The highest that each worker has seen.
--- a/tests/steps/shardsimulation.h
+++ b/tests/steps/shardsimulation.h
@@ -111,6 +111,9 @@
         submit(spec);
     }
 
+    // Lets workers tell of this many ends at a time, the earliest first.
+    void limitListedEnds(std::size_t limit) { m_maxListedEnds = limit; }
+
     // Lets the capacity of workers shrink and grow while faults are injected.
     void changeCapacities() { m_changesCapacities = true; }
 
@@ -460,6 +463,7 @@
     std::map<std::uint64_t, std::int64_t> m_wallSkews; // Of all owners, by epoch.
     std::set<std::string> m_crashingJobs;
     bool m_changesCapacities = false;
+    std::size_t m_maxListedEnds = 500;
     std::vector<SimulatedWorker> m_workers;
     int m_livesByNewId = 0; // Workers that have started again under a new id.
     std::unique_ptr<Coordinator> m_owner;
--- a/tests/steps/shardsimulationworkers.h
+++ b/tests/steps/shardsimulationworkers.h
@@ -46,6 +46,9 @@
         reply.report.running.push_back(
             {it.task, it.run, "", it.progressPercent(m_now), measurementOf(worker, it)});
     reply.report.ended = worker.unacknowledgedEnds;
+    reply.report.isPartial = reply.report.ended.size() >= m_maxListedEnds;
+    if (reply.report.isPartial)
+        reply.report.ended.resize(m_maxListedEnds);
     return reply;
 }
 
