Hand a waiting job over to a shard that has workers for it

Cause: jobs and workers are dealt to shards by hashes of their ids, for good, and what a job needs is not regarded. One of two workers of the kind was lost, so its shard had none, and nothing moved between shards.

Evidence, from the log of the case on: step-waiting with no-usable-worker and 616 workers in shard 0, for each job whose id hashes there, until the end; the jobs of the other shard ran at once; no start was refused or unanswered.

A job now goes to a shard whose workers suit it when it is accepted. One that waits without runs is handed over at any later time, in three durable steps: it leaves, it is taken with all its state, it is forgotten. The receiver can't refuse, and knows a repetition by the number of the hand-over, so the sender may repeat it until it has an answer.

With it: an owner counts records as durable before it answers for them, as a state that was asked for at once was unknown; a repeated submission is sent on by a shard that has left the job to another, whoever sent it.

Delegations move out of Coordinator into JobTransfers.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -11,6 +11,7 @@
 #include "savorywick/steps/evacuatedzones.h"
 #include "savorywick/steps/jobadmission.h"
 #include "savorywick/steps/jobtable.h"
+#include "savorywick/steps/jobtransfers.h"
 #include "savorywick/steps/latencyheadroom.h"
 #include "savorywick/steps/placement.h"
 #include "savorywick/steps/preemption.h"
@@ -42,6 +43,13 @@
     std::int64_t wallMs = 0; // Milliseconds since 1970.
 };
 
+// A job that waits, and its steps that wait for a worker.
+struct WaitingJob
+{
+    std::string job;
+    std::vector<int> steps; // Sorted; each once, whatever its occurrences.
+};
+
 // The result of Coordinator::submit().
 enum class SubmitResult {
     Accepted,
@@ -85,11 +93,23 @@
     JobAdmissionDecision decideAdmission(const JobSpec &spec, ClockReading now);
     // Accepts the job unless one with the same id is known.
     SubmitResult submit(const JobSpec &spec, ClockReading now);
-    // Leaves the job, which is unknown here, to another shard. Once that is durable the caller must
-    // be sent there.
-    void delegate(const std::string &job, int shard, ClockReading now);
-    // Returns the shard that the job was left to, or nothing if it was not.
-    std::optional<int> delegatedTo(std::string_view job) const;
+    // Returns what was left or handed over to other shards. Once a job's delegation is durable its
+    // callers must be sent there. Jobs that are known are handed over by handOver() only.
+    JobTransfers &transfers() { return m_transfers; }
+    const JobTransfers &transfers() const { return m_transfers; }
+    // Returns the workers that have not answered for `minSilence`, unless they are most of them:
+    // then it is rather this owner that is cut off.
+    std::set<std::string> silentWorkers(Millis minSilence, ClockReading now) const;
+    // Returns the jobs without runs that have steps which wait for a worker for at least `minWait`.
+    std::vector<WaitingJob> waitingJobs(Millis minWait, ClockReading now) const;
+    // Begins to hand the job over to another shard if it has no runs and has not ended; nothing of
+    // it is started here any more. Returns true if and only if it did.
+    bool handOver(const std::string &job, int shard, ClockReading now);
+    // Forgets the job if this is its latest hand-over, at which the other shard has taken it now.
+    // Returns true if and only if it did.
+    bool confirmHandover(const std::string &job, int handovers, ClockReading now);
+    // Takes the job over from another shard. A repetition has no effect.
+    void takeJob(const JobTransfer &transfer, ClockReading now);
     // Cancels the job and requests its runs to stop; has no effect if the job has ended. Returns
     // false if the job is unknown.
     bool cancel(const std::string &job, ClockReading now);
@@ -257,6 +277,7 @@
     void adjustPendingCount(const DurableJob &job, int delta);
     void noteConfirmedStart(const std::string &job);
     void openDueOccurrences(const Job &job, ClockReading now);
+    void closeSteps(const std::string &job);
     void refreshOccurrence(const Job &job, int occurrence, ClockReading now);
     void refreshStep(const Job &job, const StepRef &ref, ClockReading now);
     void stopJobRuns(const Job &job, std::string_view why);
@@ -265,7 +286,6 @@
     void noteWorker(SchedulerEventKind kind, const std::string &worker, std::string_view why,
                     Millis age);
     void forgetExpiredJobs(ClockReading now);
-    void forgetExpiredDelegations(ClockReading now);
     ResourceVector availableOn(const Worker &worker) const;
     bool fitsStill(const Worker &worker, const Run &run) const;
     void addStartOrders(std::vector<WorkerCommand> &orders, ClockReading now);
@@ -430,6 +450,7 @@
     Instant m_ownedSince;
     std::optional<Instant> m_latestLeaseEnd; // Of workers' leases that are granted from now on.
     JobTable m_table;
+    JobTransfers m_transfers;
     RunTable m_runs;
     Quarantine m_quarantine;
     EvacuatedZones m_evacuatedZones;
@@ -454,8 +475,6 @@
     DueQueue<std::string> m_dueOccurrences; // The same jobs, by the wall-clock time of that one.
     std::set<std::pair<std::int64_t, std::string>> m_endedJobs; // Time of the end in ms, and id.
 
-    std::set<std::pair<std::int64_t, std::string>> m_delegations; // Time in ms, and id.
-
     std::vector<SchedulerEvent> m_notes;
     std::vector<std::string> m_records;
     LogSequenceNumber m_appended = 0;
--- a/include/savorywick/steps/coordinatorcounters.h
+++ b/include/savorywick/steps/coordinatorcounters.h
@@ -14,6 +14,8 @@
 {
     std::uint64_t jobsAccepted = 0;
     std::uint64_t jobsRepeated = 0;
+    std::uint64_t jobsHandedOver = 0; // Jobs that were accepted here and moved to another shard.
+    std::uint64_t jobsTaken = 0; // Jobs that were moved here from other shards.
     std::uint64_t runsStarted = 0;
     std::uint64_t runsAdopted = 0; // Runs of an earlier owner that were found running.
     std::map<RunOutcome, std::uint64_t> runsEnded;
--- a/include/savorywick/steps/jobtable.h
+++ b/include/savorywick/steps/jobtable.h
@@ -4,12 +4,21 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace savorywick::steps {
 
+// What a shard knows of a job that was handed over to it, or that it is handing over.
+struct JobHandover
+{
+    int count = 0; // How often the job has been handed over.
+    std::optional<int> to; // The shard that it is being handed over to.
+    bool complete = false; // The job's state has arrived as a whole, or is being handed over.
+};
+
 // The durable state of a shard's jobs, built by replaying the records of its journal.
 //
 // Use it to restore the state of a shard and to keep it up to date. Tables to which the same
@@ -24,6 +33,7 @@
 public:
     using Jobs = std::map<std::string, Job, std::less<>>;
     using Delegations = std::map<std::string, JobDelegated, std::less<>>;
+    using Handovers = std::map<std::string, JobHandover, std::less<>>;
 
     // Applies the record. A record of an unknown job or task, such as a job that was purged, is
     // ignored.
@@ -35,6 +45,11 @@
     // Returns the jobs that were left to other shards, by id.
     const Delegations &delegations() const { return m_delegations; }
 
+    // Returns the jobs that were handed over to this shard, or that it is handing over, by id. One
+    // stays here when its job is purged, until it is purged again, so that a late repetition of
+    // the hand-over has no effect.
+    const Handovers &handovers() const { return m_handovers; }
+
     // Returns the worker's address, or an empty string if it is unknown.
     std::string workerAddress(std::string_view worker) const;
 
@@ -42,6 +57,8 @@
     // of an ended job only those that still have a run are included, as no others matter any more,
     // and of the addresses only those of workers that have runs.
     std::vector<Record> snapshot() const;
+    // Returns the records among them that are of this job, of which the last is a JobStateSnapshot.
+    std::vector<Record> snapshotOf(const Job &job) const;
 
 private:
     struct RecordApplier;
@@ -55,6 +72,7 @@
 
     Jobs m_jobs;
     Delegations m_delegations;
+    Handovers m_handovers;
     std::map<std::string, std::string, std::less<>> m_workerAddresses; // By id.
 };
 
--- a/include/savorywick/steps/record.h
+++ b/include/savorywick/steps/record.h
@@ -68,13 +68,31 @@
     std::string job;
 };
 
-// The job, whose id hashes to this shard, was left to another shard. It is accepted there or
-// nowhere.
+// The job was left to another shard. One that was handed over is accepted there; one that this
+// shard has never accepted, although its id hashes to it, is accepted there or nowhere.
 struct JobDelegated
 {
     std::string job;
     int shard = 0;
     std::int64_t wallMs = 0;
+    int handovers = 0; // How often the job had been handed over, this time included.
+};
+
+// The job is being handed over to another shard, and starts nothing here any more. JobDelegated
+// follows once the other shard has it.
+struct JobLeaving
+{
+    std::string job;
+    int shard = 0;
+    int handovers = 0; // How often the job has been handed over, this time included.
+};
+
+// The job is taken over from another shard. What was known of it here is void, and the records of
+// its state follow, the last of which is a JobStateSnapshot. Until then it isn't taken.
+struct JobArrived
+{
+    std::string job;
+    int handovers = 0;
 };
 
 // The state of a task when a snapshot was taken.
@@ -92,9 +110,9 @@
     std::int64_t endedWallMs = 0;
 };
 
-using Record =
-    std::variant<JobAccepted, RunStarted, RunEnded, JobCancelled, JobPurged, JobDelegated,
-                 TaskSnapshot, JobStateSnapshot, TaskCleared, WorkerAddress>;
+using Record = std::variant<JobAccepted, RunStarted, RunEnded, JobCancelled, JobPurged,
+                            JobDelegated, TaskSnapshot, JobStateSnapshot, TaskCleared,
+                            WorkerAddress, JobLeaving, JobArrived>;
 
 // Returns the record as one line of text without a line end.
 std::string encodeRecord(const Record &record);
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -44,6 +44,7 @@
     : m_settings(settings)
     , m_firstFence(epoch * fencesPerEpoch)
     , m_ownedSince(ownedSince)
+    , m_transfers(m_table, [this](const Record &it) { appendRecord(it); })
     , m_quarantine(settings.quarantine)
     , m_evacuatedZones(settings.zoneEvacuation)
     , m_relaxedStarts(settings.relaxedRunsPerHundredWorkers)
@@ -57,8 +58,9 @@
 void Coordinator::takeOver(ClockReading now)
 {
     m_admission.advance(now.monotonic, now.wallMs);
+    m_transfers.takeOver(now.wallMs);
     for (const auto &[id, job] : m_table.jobs()) {
-        if (m_settings.admission.enabled)
+        if (m_settings.admission.enabled && !m_transfers.leavingTo(id))
             m_admission.restore(job);
         m_durableJobs[id] = {job.state, job.spec.policy.queue, showsStart(job)};
         adjustPendingCount(m_durableJobs[id], 1);
@@ -78,8 +80,6 @@
             stopJobRuns(job, "job-over");
     }
     stopRunsOfDoneTasks();
-    for (const auto &[id, delegation] : m_table.delegations())
-        m_delegations.emplace(delegation.wallMs, id);
 }
 
 std::vector<std::string> Coordinator::snapshot() const
@@ -116,18 +116,6 @@
     return SubmitResult::Accepted;
 }
 
-void Coordinator::delegate(const std::string &job, int shard, ClockReading now)
-{
-    appendRecord(JobDelegated{job, shard, now.wallMs});
-    m_delegations.emplace(now.wallMs, job);
-}
-
-std::optional<int> Coordinator::delegatedTo(std::string_view job) const
-{
-    const auto it = m_table.delegations().find(job);
-    return it == m_table.delegations().end() ? std::nullopt : std::optional(it->second.shard);
-}
-
 bool Coordinator::cancel(const std::string &job, ClockReading now)
 {
     const Job *known = m_table.find(job);
@@ -185,8 +173,11 @@
     }
     DurableJob &published = m_durableJobs[update.job];
     published.state = *update.state;
-    if (const Job *job = m_table.find(update.job))
+    if (const Job *job = m_table.find(update.job)) {
         published.queue = job->spec.policy.queue;
+        if (m_table.handovers().contains(update.job))
+            published.startConfirmed = published.startConfirmed || showsStart(*job);
+    }
     adjustPendingCount(published, 1);
 }
 
@@ -206,19 +197,23 @@
     it->second.startConfirmed = true;
 }
 
-// Makes the steps of the job's due occurrences ready. If the job has ended, removes all of its
-// ready steps instead.
+// Lets no step of the job be ready any more.
+void Coordinator::closeSteps(const std::string &job)
+{
+    m_nextOccurrence.erase(job);
+    m_dueOccurrences.cancel(job);
+    for (auto it = m_readySteps.lower_bound({job, 0, 0});
+         it != m_readySteps.end() && it->first.job == job;)
+        it = m_readySteps.erase(it);
+}
+
+// Makes the steps of the job's due occurrences ready. If the job has ended or leaves, removes all
+// of its ready steps instead.
 void Coordinator::openDueOccurrences(const Job &job, ClockReading now)
 {
     const std::string &id = job.spec.id;
-    if (isFinal(job.state)) {
-        m_nextOccurrence.erase(id);
-        m_dueOccurrences.cancel(id);
-        for (auto it = m_readySteps.lower_bound({id, 0, 0});
-             it != m_readySteps.end() && it->first.job == id;)
-            it = m_readySteps.erase(it);
-        return;
-    }
+    if (isFinal(job.state) || m_transfers.leavingTo(id))
+        return closeSteps(id);
     int k = 0;
     const auto next = m_nextOccurrence.find(id);
     if (next != m_nextOccurrence.end())
@@ -295,21 +290,13 @@
         const std::string forgotten = id;
         m_endedJobs.erase(m_endedJobs.begin());
         appendRecord(JobPurged{forgotten});
+        m_transfers.notePurged(forgotten, now.wallMs);
         m_quarantine.removeJob(forgotten);
         m_headroomEstimator.forgetJob(forgotten);
         publishWhenDurable(forgotten);
     }
 }
 
-void Coordinator::forgetExpiredDelegations(ClockReading now)
-{
-    const std::int64_t retentionMs = m_settings.delegationRetention.count();
-    while (!m_delegations.empty() && m_delegations.begin()->first + retentionMs <= now.wallMs) {
-        appendRecord(JobPurged{m_delegations.begin()->second});
-        m_delegations.erase(m_delegations.begin());
-    }
-}
-
 void Coordinator::tick(ClockReading now)
 {
     m_admission.advance(now.monotonic, now.wallMs);
@@ -318,7 +305,7 @@
     for (const std::string &id : m_dueOccurrences.takeDue(Instant{now.wallMs}))
         openDueOccurrences(*m_table.find(id), now);
     forgetExpiredJobs(now);
-    forgetExpiredDelegations(now);
+    m_transfers.forgetExpired(m_settings.delegationRetention, now.wallMs);
     if (now.monotonic >= placementAt())
         placeReadySteps(now);
     startDuplicates(now);
--- a/src/lib/steps/coordinatorcounters.cpp
+++ b/src/lib/steps/coordinatorcounters.cpp
@@ -6,6 +6,8 @@
 {
     jobsAccepted += other.jobsAccepted;
     jobsRepeated += other.jobsRepeated;
+    jobsHandedOver += other.jobsHandedOver;
+    jobsTaken += other.jobsTaken;
     runsStarted += other.runsStarted;
     runsAdopted += other.runsAdopted;
     for (const auto &[outcome, n] : other.runsEnded)
--- a/src/lib/steps/jobadmission.cpp
+++ b/src/lib/steps/jobadmission.cpp
@@ -82,6 +82,11 @@
         m_backlog.removeJob(cancelled->job);
     } else if (const auto *purged = std::get_if<JobPurged>(&record)) {
         m_backlog.removeJob(purged->job);
+    } else if (const auto *leaving = std::get_if<JobLeaving>(&record)) {
+        m_backlog.removeJob(leaving->job);
+    } else if (const auto *state = std::get_if<JobStateSnapshot>(&record)) {
+        m_backlog.removeJob(state->job); // It was added before its state had arrived.
+        m_backlog.addJob(*table.find(state->job));
     }
 }
 
--- a/src/lib/steps/jobtable.cpp
+++ b/src/lib/steps/jobtable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace savorywick::steps {
 
@@ -107,11 +108,31 @@
 
     void operator()(const JobPurged &it) const
     {
-        table.m_jobs.erase(it.job);
+        if (table.m_jobs.erase(it.job) > 0)
+            return;
         table.m_delegations.erase(it.job);
+        table.m_handovers.erase(it.job);
+    }
+
+    void operator()(const JobDelegated &it) const
+    {
+        table.m_jobs.erase(it.job);
+        table.m_handovers.erase(it.job);
+        table.m_delegations[it.job] = it;
     }
 
-    void operator()(const JobDelegated &it) const { table.m_delegations[it.job] = it; }
+    void operator()(const JobLeaving &it) const
+    {
+        if (table.m_jobs.contains(it.job))
+            table.m_handovers[it.job] = {it.handovers, it.shard, true};
+    }
+
+    void operator()(const JobArrived &it) const
+    {
+        table.m_jobs.erase(it.job);
+        table.m_delegations.erase(it.job);
+        table.m_handovers[it.job] = {it.handovers, {}, false};
+    }
 
     void operator()(const TaskSnapshot &it) const
     {
@@ -127,6 +148,9 @@
 
     void operator()(const JobStateSnapshot &it) const
     {
+        if (const auto handover = table.m_handovers.find(it.job);
+            handover != table.m_handovers.end())
+            handover->second.complete = true;
         Job *job = table.findJob(it.job);
         if (!job)
             return;
@@ -225,24 +249,43 @@
     return it == m_workerAddresses.end() ? std::string() : it->second;
 }
 
+std::vector<Record> JobTable::snapshotOf(const Job &job) const
+{
+    std::vector<Record> records;
+    records.emplace_back(JobAccepted{job.spec, job.acceptedWallMs});
+    for (const auto &[k, occurrence] : job.occurrences) {
+        for (int s = 0; s < static_cast<int>(occurrence.steps.size()); ++s) {
+            const std::vector<Task> &tasks = occurrence.steps[s].tasks;
+            for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
+                if (!isFinal(job.state) || !tasks[i].activeRuns.empty())
+                    records.emplace_back(TaskSnapshot{{job.spec.id, k, s, i}, tasks[i]});
+            }
+        }
+    }
+    records.emplace_back(JobStateSnapshot{job.spec.id, job.state, job.endedWallMs});
+    return records;
+}
+
 std::vector<Record> JobTable::snapshot() const
 {
     std::vector<Record> records;
-    std::set<std::string_view> workers; // That have runs.
+    std::set<std::string> workers; // That have runs.
+    for (const auto &[id, handover] : m_handovers) {
+        records.emplace_back(JobArrived{id, handover.count});
+        if (handover.complete) // Also if the job is forgotten.
+            records.emplace_back(JobStateSnapshot{id, JobState::Completed, 0});
+    }
     for (const auto &[id, job] : m_jobs) {
-        records.emplace_back(JobAccepted{job.spec, job.acceptedWallMs});
-        for (const auto &[k, occurrence] : job.occurrences) {
-            for (int s = 0; s < static_cast<int>(occurrence.steps.size()); ++s) {
-                const std::vector<Task> &tasks = occurrence.steps[s].tasks;
-                for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
-                    if (!isFinal(job.state) || !tasks[i].activeRuns.empty())
-                        records.emplace_back(TaskSnapshot{{id, k, s, i}, tasks[i]});
-                    for (const ActiveRun &run : tasks[i].activeRuns)
-                        workers.insert(run.worker.workerId);
-                }
+        for (Record &it : snapshotOf(job)) {
+            if (const auto *task = std::get_if<TaskSnapshot>(&it)) {
+                for (const ActiveRun &run : task->state.activeRuns)
+                    workers.insert(run.worker.workerId);
             }
+            records.push_back(std::move(it));
         }
-        records.emplace_back(JobStateSnapshot{id, job.state, job.endedWallMs});
+        const auto handover = m_handovers.find(id);
+        if (handover != m_handovers.end() && handover->second.to)
+            records.emplace_back(JobLeaving{id, *handover->second.to, handover->second.count});
     }
     for (const auto &[id, delegation] : m_delegations)
         records.emplace_back(delegation);
--- a/src/lib/steps/record.cpp
+++ b/src/lib/steps/record.cpp
@@ -272,7 +272,19 @@
     }
     std::string operator()(const JobDelegated &it) const
     {
-        return FieldWriter('D').text(it.job).number(it.shard).number(it.wallMs).take();
+        FieldWriter w('D');
+        w.text(it.job).number(it.shard).number(it.wallMs);
+        if (it.handovers > 0) // There are few such jobs.
+            w.number(it.handovers);
+        return w.take();
+    }
+    std::string operator()(const JobLeaving &it) const
+    {
+        return FieldWriter('L').text(it.job).number(it.shard).number(it.handovers).take();
+    }
+    std::string operator()(const JobArrived &it) const
+    {
+        return FieldWriter('N').text(it.job).number(it.handovers).take();
     }
     std::string operator()(const TaskSnapshot &it) const
     {
@@ -382,6 +394,21 @@
         it.job = r.text();
         it.shard = r.number<int>();
         it.wallMs = r.number();
+        if (!r.atEnd())
+            it.handovers = r.number<int>();
+        return it;
+    }
+    case 'L': {
+        JobLeaving it;
+        it.job = r.text();
+        it.shard = r.number<int>();
+        it.handovers = r.number<int>();
+        return it;
+    }
+    case 'N': {
+        JobArrived it;
+        it.job = r.text();
+        it.handovers = r.number<int>();
         return it;
     }
     case 'T':
--- a/src/node/jobdealer.cpp
+++ b/src/node/jobdealer.cpp
@@ -1,5 +1,7 @@
 #include "node/jobdealer.h"
 
+#include <numeric>
+#include <optional>
 #include <utility>
 
 namespace savorywick {
@@ -27,16 +29,24 @@
 
 int JobDealer::choose(const steps::JobSpec &spec)
 {
+    std::vector<int> steps(spec.steps.size());
+    std::iota(steps.begin(), steps.end(), 0);
+    const bool knowsFit = m_fit && m_ownShard < m_fit->shardCount();
+    const auto better = knowsFit ? m_fit->betterShard(spec, steps, m_ownShard) : std::nullopt;
+    const int first = better.value_or(m_ownShard);
     const std::int64_t demand = longRunningDemand(spec);
     if (demand == 0 || m_ownShard >= static_cast<int>(m_capacities.size()))
-        return m_ownShard;
-    int best = m_ownShard;
+        return first;
+    const auto suitsAsWell = [&](int shard) {
+        return !knowsFit || m_fit->suits(spec, steps, shard) || !m_fit->suits(spec, steps, first);
+    };
+    int best = first;
     const auto fullness = [&](int shard) {
         return static_cast<double>(m_dealt[shard] + demand)
             / static_cast<double>(m_capacities[shard]);
     };
     for (int shard = 0; shard < static_cast<int>(m_capacities.size()); ++shard) {
-        if (m_capacities[shard] > 0
+        if (m_capacities[shard] > 0 && suitsAsWell(shard)
             && (m_capacities[best] == 0 || fullness(shard) < fullness(best)))
             best = shard;
     }
--- a/src/node/jobdealer.h
+++ b/src/node/jobdealer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "savorywick/steps/job.h"
+#include "savorywick/steps/shardfit.h"
 
 #include <cstdint>
 #include <vector>
@@ -10,11 +11,12 @@
 // Decides which shard a new job of long-running tasks is to run in, so that the shards' workers are
 // equally full.
 //
-// Use one in the owner of each shard, for the jobs whose ids hash to it. Long-running tasks hold
-// most of the processors and hold them for long, so shards that got them by hash alone would differ
-// in room by more than they have free. Each owner deals its own jobs evenly by what they demand and
-// by what the shards' workers offer; then the sums over all owners are even as well, without any
-// word between them. Other jobs stay. It is pure and not thread-safe.
+// A job goes to its home shard unless the workers of another one suit its steps better (see
+// steps::ShardFit). Use one in the owner of each shard, for the jobs whose ids hash to it.
+// Long-running tasks hold most of the processors and hold them for long, so shards that got them by
+// hash alone would differ in room by more than they have free. Each owner deals its own jobs evenly
+// by what they demand and by what the shards' workers offer; then the sums over all owners are even
+// as well, without any word between them. It is pure and not thread-safe.
 //
 // Example:
 //   dealer.setCapacities(milliCoresByShard);
@@ -22,9 +24,11 @@
 class JobDealer
 {
 public:
-    // `ownShard` is the shard that the ids hash to.
-    explicit JobDealer(int ownShard)
+    // `ownShard` is the shard that the ids hash to. Without `fit`, which must outlive this object,
+    // all shards suit all jobs.
+    explicit JobDealer(int ownShard, const steps::ShardFit *fit = nullptr)
         : m_ownShard(ownShard)
+        , m_fit(fit)
     { }
 
     // Sets the processors of each shard's workers, in thousandths of a core.
@@ -35,6 +39,7 @@
 
 private:
     const int m_ownShard;
+    const steps::ShardFit *m_fit;
     std::vector<std::int64_t> m_capacities; // By shard.
     std::vector<std::int64_t> m_dealt; // What was demanded of each shard by jobs of this owner.
 };
--- a/src/node/jobrequests.cpp
+++ b/src/node/jobrequests.cpp
@@ -53,15 +53,18 @@
     }
     ShardReply operator()(const CancelJob &it) const
     {
-        if (const auto shard = m_coordinator.delegatedTo(it.jobId))
+        if (const auto shard = m_coordinator.transfers().delegatedTo(it.jobId))
             return delegated(*shard);
+        // The receiver may run it already, and can be told once the sender knows that it has it.
+        if (m_coordinator.transfers().leavingTo(it.jobId))
+            return {ShardOutcome::NotOwner, {}, 0};
         const bool known = m_coordinator.cancel(it.jobId, m_now);
         logInfo("job-cancelled", {{"requestId", it.jobId}, {"known", known}});
         return {known ? ShardOutcome::Ok : ShardOutcome::UnknownJob, {}, 0};
     }
     ShardReply operator()(const GetJobState &it) const
     {
-        if (const auto shard = m_coordinator.delegatedTo(it.jobId))
+        if (const auto shard = m_coordinator.transfers().delegatedTo(it.jobId))
             return delegated(*shard);
         const auto state = m_coordinator.durableState(it.jobId);
         if (!state)
@@ -72,6 +75,18 @@
     {
         return {ShardOutcome::Ok, {}, m_coordinator.pendingJobCount(it.queue)};
     }
+    ShardReply operator()(const TakeJob &it) const
+    {
+        const steps::JobTransfer &transfer = it.transfer;
+        const bool isNew = !m_coordinator.transfers().hasTaken(transfer.job, transfer.handovers);
+        m_coordinator.takeJob(transfer, m_now);
+        logInfo("job-taken-over",
+                {{"requestId", transfer.job},
+                 {"shard", m_shard},
+                 {"handovers", transfer.handovers},
+                 {"repeated", !isNew}});
+        return {ShardOutcome::Ok, {}, 0};
+    }
 
 private:
     static ShardReply delegated(int shard) { return {ShardOutcome::Delegated, {}, 0, shard}; }
@@ -94,14 +109,14 @@
     // Returns the other shard that the job is left to, or nothing if it belongs here.
     std::optional<int> shardElsewhere(const SubmitJob &it) const
     {
+        if (const auto shard = m_coordinator.transfers().delegatedTo(it.spec.id))
+            return shard;
         if (it.delegated || m_coordinator.jobTable().find(it.spec.id))
             return {};
-        if (const auto shard = m_coordinator.delegatedTo(it.spec.id))
-            return shard;
         const int shard = m_dealer.choose(it.spec);
         if (shard == m_shard)
             return {};
-        m_coordinator.delegate(it.spec.id, shard, m_now);
+        m_coordinator.transfers().delegate(it.spec.id, shard, m_now.wallMs);
         logInfo("job-delegated", {{"requestId", it.spec.id}, {"shard", shard}});
         return shard;
     }
@@ -118,9 +133,11 @@
 {
     if (const auto *submission = std::get_if<SubmitJob>(&request))
         return !coordinator.jobTable().find(submission->spec.id);
+    if (const auto *take = std::get_if<TakeJob>(&request))
+        return !coordinator.transfers().hasTaken(take->transfer.job, take->transfer.handovers);
     const auto *cancel = std::get_if<CancelJob>(&request);
     const steps::Job *job = cancel ? coordinator.jobTable().find(cancel->jobId) : nullptr;
-    return job && !isFinal(job->state);
+    return job && !isFinal(job->state) && !coordinator.transfers().leavingTo(cancel->jobId);
 }
 
 ShardReply applyRequest(steps::Coordinator &coordinator, int shard, JobDealer &dealer,
@@ -136,6 +153,8 @@
         return false;
     if (const auto *submission = std::get_if<SubmitJob>(&request))
         return !coordinator.durableState(submission->spec.id);
+    if (std::holds_alternative<TakeJob>(request))
+        return true; // Its first copy may not be durable yet.
     const auto *cancel = std::get_if<CancelJob>(&request);
     if (!cancel)
         return false;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Millis shardCountPollInterval{100};
+constexpr int maxFollowedDelegations = 16; // Of one job, from shard to shard.
 
 AsyncHttpServerLimits limitsFor(std::size_t maxConnections, const ConnectionShares &shares)
 {
@@ -175,14 +176,15 @@
         return sendToOwner(0, request, timeout, std::move(onReply));
     sendToOwner(shardOf(key), request, timeout,
                 [this, request, timeout, onReply = std::move(onReply)](const ShardReply &reply) {
-                    followDelegation(request, timeout, reply, onReply);
+                    followDelegation(request, timeout, reply, 0, onReply);
                 });
 }
 
-// Sends the request on if its job was left to another shard. The home shard forgets that after a
-// long time, so then all shards are asked for a job that it does not know.
+// Sends the request on if its job was left or handed over to another shard, which may have handed
+// it over in turn. Shards forget that after a long time, so then all shards are asked for a job
+// that is not known.
 void Node::followDelegation(const ShardRequest &request, Millis timeout, const ShardReply &reply,
-                            const ShardReplyCallback &onReply)
+                            int followed, const ShardReplyCallback &onReply)
 {
     if (reply.outcome == ShardOutcome::UnknownJob)
         return sendToAllShards(request, timeout, reply, addJobReply, onReply);
@@ -192,7 +194,13 @@
     ShardRequest delegated = request;
     if (auto *submission = std::get_if<SubmitJob>(&delegated))
         submission->delegated = true;
-    sendToOwner(reply.shard, delegated, timeout, onReply);
+    if (followed >= maxFollowedDelegations)
+        return sendToAllShards(delegated, timeout, {ShardOutcome::UnknownJob, {}, 0}, addJobReply,
+                               onReply);
+    sendToOwner(reply.shard, delegated, timeout,
+                [this, delegated, timeout, followed, onReply](const ShardReply &next) {
+                    followDelegation(delegated, timeout, next, followed + 1, onReply);
+                });
 }
 
 void Node::sendToAllShards(const ShardRequest &request, Millis timeout, const ShardReply &initial,
@@ -250,7 +258,12 @@
             m_loop, m_clock, m_platform.table, m_platform.objects, m_platform.workers,
             m_shardLatencies, [this] { return m_ownership.leaseValidUntil(); },
             [this](int shard) { shardEnded(shard); }, [this] { return m_loadReporter.lag(); },
-            [this](int shard, bool rejected) { m_ownership.commitEnded(shard, rejected); }});
+            [this](int shard, bool rejected) { m_ownership.commitEnded(shard, rejected); },
+            &m_shardFit,
+            [this](int shard, const ShardRequest &request, Millis timeout,
+                   ShardReplyCallback onReply) {
+                sendToOwner(shard, request, timeout, std::move(onReply));
+            }});
     m_runners[owned.shard] = runner;
     if (m_runners.size() == 1)
         watchWorkers();
@@ -320,11 +333,13 @@
 void Node::unwatchWorkers()
 {
     m_platform.feed.unwatchWorkers();
+    m_shardFit.assign({}, {}, 0);
     m_workers.clear();
 }
 
 void Node::setWorkers(std::vector<steps::WorkerInfo> workers)
 {
+    m_shardFit.assign({}, {}, 0);
     m_workers = std::move(workers);
     if (m_ownership.shardCount() == 0)
         return m_shardCountChooser.observe(m_workers.size(), m_clock.now());
@@ -350,12 +365,22 @@
 
 void Node::shareWorkersOut()
 {
+    assignWorkersToShards();
     for (const auto &[shard, runner] : m_runners)
         runner->setShardCapacities(shardCapacities());
     for (const auto &[shard, runner] : m_runners)
         runner->setWorkers(workersOf(shard));
 }
 
+void Node::assignWorkersToShards()
+{
+    std::vector<int> shards;
+    shards.reserve(m_workers.size());
+    for (const steps::WorkerInfo &it : m_workers)
+        shards.push_back(shardOf(it.incarnation.workerId));
+    m_shardFit.assign(m_workers, shards, m_ownership.shardCount());
+}
+
 std::vector<steps::WorkerInfo> Node::workersOf(int shard) const
 {
     std::vector<steps::WorkerInfo> workers;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -159,7 +159,7 @@
     void sendToOwner(int shard, const ShardRequest &request, Millis timeout,
                      ShardReplyCallback onReply);
     void followDelegation(const ShardRequest &request, Millis timeout, const ShardReply &reply,
-                          const ShardReplyCallback &onReply);
+                          int followed, const ShardReplyCallback &onReply);
     // Adds the reply of one more shard to those of the others.
     using AddReply = void (*)(ShardReply &sum, const ShardReply &reply);
     void sendToAllShards(const ShardRequest &request, Millis timeout, const ShardReply &initial,
@@ -184,6 +184,7 @@
     void writeEvacuationMetrics(PrometheusWriter &out) const;
     void chooseShardCount();
     void shareWorkersOut();
+    void assignWorkersToShards();
     void serveUntilDrained();
     void closeConnections();
     void awaitFirstRequests(Instant closedAt);
@@ -199,6 +200,7 @@
     NodePlatform m_platform;
     steps::QueueTable m_queues;
     std::vector<steps::WorkerInfo> m_workers;
+    steps::ShardFit m_shardFit; // Of `m_workers`.
     steps::EvacuatedZones m_evacuatedZones;
     bool m_evacuationsCurrent = true; // As last logged.
     ShardCountChooser m_shardCountChooser;
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -32,6 +32,8 @@
     const steps::CoordinatorCounters &c = totals.counters;
     out.writeCounter("jobs_accepted_total", c.jobsAccepted);
     out.writeCounter("jobs_repeated_total", c.jobsRepeated);
+    out.writeCounter("jobs_handed_over_total", c.jobsHandedOver);
+    out.writeCounter("jobs_taken_over_total", c.jobsTaken);
     out.writeCounter("runs_started_total", c.runsStarted);
     out.writeCounter("runs_adopted_total", c.runsAdopted);
     out.writeCounter("partial_reports_total", c.partialReports);
--- a/src/node/shardlink.cpp
+++ b/src/node/shardlink.cpp
@@ -18,6 +18,9 @@
 // The protocol between entries:
 //   POST   /shards/N/jobs            SubmitJob; the body is a JobAccepted record
 //   POST   /shards/N/delegated-jobs  SubmitJob that its home shard has left to this one; likewise
+//   POST   /shards/N/taken-jobs      TakeJob; the body is a JobArrived record and the job's state,
+//   a
+//                                    record a line
 //   GET    /shards/N/jobs/ID         GetJobState
 //   DELETE /shards/N/jobs/ID         CancelJob
 //   GET    /shards/N/pending/QUEUE   CountPendingJobs
@@ -65,6 +68,14 @@
     {
         return call("GET", "pending/" + it.queue);
     }
+    HttpCall operator()(const TakeJob &it) const
+    {
+        const steps::JobTransfer &transfer = it.transfer;
+        std::string body = steps::encodeRecord(steps::JobArrived{transfer.job, transfer.handovers});
+        for (const steps::Record &record : transfer.state)
+            body += '\n' + steps::encodeRecord(record);
+        return call("POST", "taken-jobs", std::move(body));
+    }
 };
 
 std::string encodeReply(const ShardReply &reply)
@@ -123,6 +134,26 @@
     ShardRequest request;
 };
 
+// Throws Error(InvalidInput) if a line is not a record.
+std::optional<ShardRequest> parseTakeJob(const std::string &body)
+{
+    std::istringstream lines(body);
+    std::string line;
+    std::getline(lines, line);
+    const steps::Record first = steps::decodeRecord(line);
+    const auto *arrived = std::get_if<steps::JobArrived>(&first);
+    if (!arrived)
+        return {};
+    TakeJob request{{arrived->job, arrived->handovers, {}}};
+    while (std::getline(lines, line))
+        request.transfer.state.push_back(steps::decodeRecord(line));
+    if (const std::string fault = faultOf(request.transfer); !fault.empty()) {
+        logWarning("job-transfer-unreadable", {{"requestId", arrived->job}, {"why", fault}});
+        return {};
+    }
+    return request;
+}
+
 std::optional<ShardRequest> parseRequest(const HttpRequest &http, std::string_view rest)
 {
     constexpr std::string_view jobs = "jobs/";
@@ -134,6 +165,8 @@
             return SubmitJob{accepted->spec, delegated};
         return {};
     }
+    if (http.method == "POST" && rest == "taken-jobs")
+        return parseTakeJob(http.body);
     if (http.method == "GET" && rest.starts_with(jobs))
         return GetJobState{std::string(rest.substr(jobs.size()))};
     if (http.method == "DELETE" && rest.starts_with(jobs))
--- a/src/node/shardload.cpp
+++ b/src/node/shardload.cpp
@@ -27,6 +27,7 @@
     void operator()(const CancelJob &) const { ++load.cancels; }
     void operator()(const GetJobState &) const { ++load.reads; }
     void operator()(const CountPendingJobs &) const { ++load.reads; }
+    void operator()(const TakeJob &) const { ++load.takenJobs; }
 };
 
 } // namespace
@@ -61,6 +62,7 @@
              {"cpuMs", processorTime.count()},
              {"lagMs", load.loopLag.count()},
              {"lagMaxMs", maxLag.count()},
+             {"takenJobs", load.takenJobs},
              {"rounds", load.rounds},
              {"passes", load.passes},
              {"roundMaxMs", load.maxRoundTime.count()},
--- a/src/node/shardload.h
+++ b/src/node/shardload.h
@@ -18,6 +18,7 @@
     std::uint64_t submissions = 0; // Requests by kind, whatever the reply.
     std::uint64_t cancels = 0;
     std::uint64_t reads = 0;
+    std::uint64_t takenJobs = 0; // Jobs that other shards handed over, with repetitions.
     std::uint64_t storeRefusals = 0; // Requests refused because the store can't persist changes.
     std::uint64_t lateRefusals = 0; // Those of them that would not have been durable in time.
     std::uint64_t overloadRefusals = 0; // New jobs refused because the owner was too far behind.
--- a/src/node/shardrequest.h
+++ b/src/node/shardrequest.h
@@ -2,6 +2,7 @@
 
 #include "savorywick/clock.h"
 #include "savorywick/steps/job.h"
+#include "savorywick/steps/jobtransfers.h"
 
 #include <functional>
 #include <optional>
@@ -44,7 +45,13 @@
     std::string queue;
 };
 
-using ShardRequest = std::variant<SubmitJob, GetJobState, CancelJob, CountPendingJobs>;
+// Takes a job over from another shard, which must not be refused. Repeating it has no effect.
+struct TakeJob
+{
+    steps::JobTransfer transfer;
+};
+
+using ShardRequest = std::variant<SubmitJob, GetJobState, CancelJob, CountPendingJobs, TakeJob>;
 
 // Returns the time by which the request's caller must have the answer, or std::nullopt if it is not
 // known or the request changes no state.
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -27,7 +27,21 @@
     , m_reader(owned)
     , m_journal(owned, settings.journal)
     , m_coordinator(owned.row.epoch, m_dependencies.clock.now(), settings.coordinator)
-    , m_dealer(owned.shard)
+    , m_dealer(owned.shard, m_dependencies.shardFit)
+    , m_mover(
+          owned.shard, settings.jobMover,
+          m_dependencies.sendToShard ? m_dependencies.shardFit : nullptr,
+          [this](int shard, const ShardRequest &request, Millis timeout,
+                 const ShardReplyCallback &onReply) {
+              m_dependencies.sendToShard(
+                  shard, request, timeout,
+                  [weak = weak_from_this(), onReply](const ShardReply &reply) {
+                      const auto self = weak.lock();
+                      if (self && !self->m_ended)
+                          onReply(reply);
+                  });
+          },
+          [this](const std::string &job, int handovers) { finishHandover(job, handovers); })
     , m_overloadGate(settings.overload)
     , m_passPacer(settings.passes)
     , m_evacuatedZones(settings.coordinator.zoneEvacuation)
@@ -213,6 +227,8 @@
     const Instant beganAt = m_dependencies.clock.now();
     observeLag();
     tick();
+    if (!m_journal.releasing())
+        m_mover.chooseJobs(m_coordinator, now());
     for (int round = 0; round < maxOrderRounds; ++round) {
         appendRecords();
         m_coordinator.recordsDurable(m_journal.durableLsn());
@@ -220,6 +236,8 @@
         if (!m_coordinator.hasRecords())
             break;
     }
+    if (hasValidLease() && !m_journal.releasing() && m_dependencies.sendToShard)
+        m_mover.sendJobs(m_coordinator, m_journal.durableLsn(), m_dependencies.clock.now());
     logDecisions();
     storeSnapshot();
     commitNext();
@@ -249,11 +267,21 @@
     }
 }
 
+void ShardRunner::finishHandover(const std::string &job, int handovers)
+{
+    if (!m_coordinator.confirmHandover(job, handovers, now()))
+        return;
+    logInfo("job-handed-over", {{"requestId", job}, {"shard", shard()}, {"handovers", handovers}});
+    scheduleProcessing();
+}
+
 void ShardRunner::appendRecords()
 {
     if (m_journal.releasing() || m_journal.fenced())
         return;
-    m_coordinator.recordsAppended(m_journal.append(m_coordinator.takeRecords()));
+    const LogSequenceNumber lsn = m_journal.append(m_coordinator.takeRecords());
+    m_coordinator.recordsAppended(lsn);
+    m_mover.recordsAppended(lsn);
 }
 
 void ShardRunner::commitNext()
@@ -308,6 +336,8 @@
 
 void ShardRunner::handleJournalEvent(const JournalStatus &event)
 {
+    // Whoever gets a reply may ask for the job's state at once.
+    m_coordinator.recordsDurable(event.durableLsn);
     sendDurableReplies(event.durableLsn);
     if (event.fenced || event.released) {
         logInfo(event.fenced ? "shard-lost" : "shard-released",
--- a/src/node/shardrunner.h
+++ b/src/node/shardrunner.h
@@ -5,6 +5,7 @@
 #include "node/asyncstore.h"
 #include "node/asyncworkerclient.h"
 #include "node/jobdealer.h"
+#include "node/jobmover.h"
 #include "node/overloadgate.h"
 #include "node/shardload.h"
 #include "node/shardrequest.h"
@@ -34,6 +35,7 @@
     // When a slow store keeps a new change from being durable in time. The delay by the loop's own
     // lag is left out of account.
     steps::CommitForecastSettings commitForecast;
+    JobMoverSettings jobMover;
     Millis restoreRetryDelay{150}; // The delay before a failed read is retried.
     // The delay before a snapshot that was not stored is sent again. It is long, since a snapshot
     // is large and not urgent.
@@ -65,6 +67,10 @@
     std::function<Millis()> loopLag; // Returns how late the loop runs what is due now.
     // If set, called when the store has rejected a commit without effect, or has answered it.
     std::function<void(int shard, bool rejected)> commitEnded = {};
+    // If both are set, jobs are moved to shards whose workers suit them: the shards' workers, and
+    // what sends a request to the owner of a shard.
+    const steps::ShardFit *shardFit = nullptr;
+    JobMover::Send sendToShard = {};
 };
 
 // Runs one owned shard on an event loop: restores its state from the store, then carries out the
@@ -131,6 +137,7 @@
     void process();
     void tick();
     void logDecisions();
+    void finishHandover(const std::string &job, int handovers);
     void appendRecords();
     void commitNext();
     void measureCommit(Instant sentAt, CommitOutcome outcome);
@@ -157,6 +164,7 @@
     Journal m_journal;
     steps::Coordinator m_coordinator;
     JobDealer m_dealer;
+    JobMover m_mover;
     OverloadGate m_overloadGate;
     WorkPacer m_passPacer;
     bool m_passDue = false; // A pass was asked for and put off.
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -9,7 +9,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <utility>
+#include <vector>
 
 using namespace savorywick;
 using namespace savorywick::testing;
@@ -72,6 +74,7 @@
     }
 
     int starts = 0;
+    bool isListed = true;
 
 private:
     BootClock m_clock;
@@ -190,10 +193,20 @@
     void watchWorkers(std::function<void(std::vector<steps::WorkerInfo>)> listener) override
     {
         watchesWorkers = true;
-        listener({m_cluster.worker.info()});
+        m_workerListener = std::move(listener);
+        listWorkers();
     }
     void unwatchWorkers() override { watchesWorkers = false; }
 
+    // Tells the entry of the worker, if it is listed.
+    void listWorkers()
+    {
+        std::vector<steps::WorkerInfo> workers;
+        if (m_cluster.worker.isListed)
+            workers.push_back(m_cluster.worker.info());
+        m_workerListener(std::move(workers));
+    }
+
     void watchEvacuations(Millis, const EvacuationListener &listener) override
     {
         m_evacuationListener = listener;
@@ -221,6 +234,7 @@
     TestCluster &m_cluster;
     const bool m_configured;
     EvacuationListener m_evacuationListener;
+    std::function<void(std::vector<steps::WorkerInfo>)> m_workerListener;
     EventLoop m_loop;
     BootClock m_clock;
     AsyncHttpClient m_http;
@@ -323,6 +337,61 @@
     CHECK(entry.reachesState("id1", "cancelled"));
 }
 
+// Guards against jobs that wait for ever in a shard without a suitable worker: they were accepted
+// while no shard had one, and the only one that comes is in one of the three.
+TEST_CASE("Jobs that wait move to the shard that gets a worker for them and are found there")
+{
+    TestCluster cluster;
+    cluster.worker.isListed = false;
+    TestEntry entry(cluster, true, "entry-a", 3);
+    REQUIRE(entry.becomesReady());
+    const std::vector<std::string> ids{"id1", "id2", "id3", "id4", "id5", "id6"};
+    for (const std::string &id : ids) {
+        for (int i = 0; i < maxPolls; ++i) {
+            if (entry.callerRequest("POST", "/q/" + id, "job").status == 200)
+                break;
+            entry.runFor(pollInterval);
+        }
+        CHECK(entry.callerRequest("GET", "/q/" + id).body == "queued");
+    }
+    cluster.worker.isListed = true;
+    entry.listWorkers();
+    for (const std::string &id : ids) {
+        CAPTURE(id);
+        CHECK(entry.reachesState(id, "running"));
+        CHECK(entry.callerRequest("POST", "/q/" + id, "job").status == 200);
+    }
+    CHECK(entry.callerRequest("DELETE", "/q/id1").status == 200);
+    CHECK(entry.reachesState("id1", "cancelled"));
+    cluster.worker.finishAll();
+    for (const std::string &id : ids)
+        CHECK(entry.reachesState(id, id == "id1" ? "cancelled" : "completed"));
+    CHECK(cluster.worker.starts == 6);
+    const std::string metrics = entry.call(entry.addresses().metrics, "GET", "/metrics").body;
+    CHECK(metrics.find("savorywick_jobs_handed_over_total") != std::string::npos);
+    CHECK_FALSE(containsSample(metrics, "jobs_handed_over_total 0"));
+}
+
+// Guards against a job that is accepted where no worker suits it although one in another shard
+// does.
+TEST_CASE("Jobs go to the shard with a worker for them when they are accepted")
+{
+    TestCluster cluster;
+    TestEntry entry(cluster, true, "entry-a", 3);
+    REQUIRE(entry.becomesReady());
+    for (const char *id : {"id1", "id2", "id3", "id4", "id5", "id6"}) {
+        CAPTURE(id);
+        for (int i = 0; i < maxPolls; ++i) {
+            if (entry.callerRequest("POST", std::string("/q/") + id, "job").status == 200)
+                break;
+            entry.runFor(pollInterval);
+        }
+        CHECK(entry.reachesState(id, "running"));
+    }
+    const std::string metrics = entry.call(entry.addresses().metrics, "GET", "/metrics").body;
+    CHECK(containsSample(metrics, "jobs_handed_over_total 0"));
+}
+
 // Guards against starts by an entry that does not know the evacuated zones, and by one that learned
 // of them before it owned the shard, also if the number of shards was agreed on since (0).
 TEST_CASE("An entry that becomes an owner starts nothing in zones that are evacuated already")
--- a/tests/steps/coordinatorharness.h
+++ b/tests/steps/coordinatorharness.h
@@ -38,6 +38,11 @@
 
     Coordinator &coordinator() { return *m_coordinator; }
     ClockReading now() const { return {m_now, m_now.count()}; }
+    const std::vector<WorkerInfo> &workers() const { return m_workers; }
+    // Returns the log sequence number up to which all records are durable.
+    LogSequenceNumber durableLsn() const { return m_lsn; }
+    // Returns the log sequence number of the latest record.
+    LogSequenceNumber appendedLsn() const { return m_journal.size(); }
 
     void submit(const std::string &id, const StepSpec &stepSpec)
     {
@@ -55,9 +60,10 @@
         m_coordinator->submit(spec, now());
     }
 
-    // Replaces the owner by one that restores the journal.
+    // Replaces the owner by one that restores what of the journal is durable.
     void replaceOwner()
     {
+        m_journal.resize(m_lsn);
         m_coordinator = std::make_unique<Coordinator>(++m_epoch, m_now, m_settings);
         for (const std::string &it : m_journal)
             m_coordinator->restore(decodeRecord(it));
@@ -73,6 +79,12 @@
         m_coordinator->setWorkers(m_workers, now());
     }
 
+    void setLabels(int worker, const std::vector<std::string> &labels)
+    {
+        m_workers[worker].labels = labels;
+        m_coordinator->setWorkers(m_workers, now());
+    }
+
     void setRack(int worker, const std::string &rack)
     {
         m_workers[worker].rack = rack;
