Leave odd entries and rows out without losing the others

Here nothing ended, but a row nested too deeply, or with a negative version, kept its whole page from being read, so that no change was followed; capacities were narrowed to other numbers, also negative ones; an address that can't be called made a worker; figures of reports were cast to integers that can't hold them.

Figures of reports are bounded, and a report with an impossible clock is refused.

--- a/tests/adapter/tablestore_test.cpp
+++ b/tests/adapter/tablestore_test.cpp
@@ -125,3 +125,31 @@
 {
     CHECK(percentEncode("a b/c&d") == "a%20b%2Fc%26d");
 }
+
+// Guards against one odd row that keeps all changes of its page from being followed, and against a
+// version that ends the feed since no other is above it.
+TEST_CASE("A row that can't be read hides no other row of its page")
+{
+    const std::string deep = std::string(5'000, '[') + std::string(5'000, ']');
+    for (const std::string &row : {
+             R"({"key":"odd","value":)" + deep + R"(,"ver":5})",
+             std::string(R"({"key":"odd","value":"Zm9v","ver":-1})"),
+             std::string(R"({"key":"odd","value":"Zm9v","ver":99999999999999999999})"),
+             std::string(R"({"key":"odd","value":"%%%","ver":5})"),
+             deep,
+             std::string("7"),
+         }) {
+        CAPTURE(row.substr(0, 60));
+        const auto page =
+            parsePage(R"({"rows":[{"key":"a","value":"Zm9v","ver":4},)" + row
+                      + R"(,{"key":"b","value":"","ver":6}],"ver":9,"hasMore":true})");
+        REQUIRE(page.has_value());
+        CHECK(page->storeVersion == 9);
+        CHECK(page->hasMore);
+        REQUIRE(page->rows.size() == 2);
+        CHECK(page->rows[0].key == "a");
+        CHECK(page->rows[1].key == "b");
+    }
+    CHECK_FALSE(parsePage(R"({"rows":[],"ver":-1})").has_value());
+    CHECK_FALSE(parsePage(R"(/**/{"rows":[],"ver":-1})").has_value());
+}
--- a/tests/adapter/workerentry_test.cpp
+++ b/tests/adapter/workerentry_test.cpp
@@ -147,3 +147,58 @@
     rows.erase("i-2");
     CHECK(entries.update(rows));
 }
+
+// Guards against capacities that are narrowed to another number, also a negative one, and workers
+// that can't be called: another writer left one odd entry among those of the workers.
+TEST_CASE("A worker entry with an impossible figure or address is rejected")
+{
+    const auto with = [](const std::string &from, const std::string &to) {
+        std::string text = workerEntry;
+        return text.replace(text.find(from), from.size(), to);
+    };
+    const std::string deep = std::string(5'000, '[') + std::string(5'000, ']');
+    for (const std::string &text : {
+             with("16000", "4295031296"),
+             with("16000", "3000000000"),
+             with("16000", "18446744073709551616"),
+             with("16000", "1e300"),
+             with("16000", "-5"),
+             with("16000", "0"),
+             with("32768", "-1"),
+             with("32768", "4294967296"),
+             with("32768}", "32768,\"gpu\":-1}"),
+             with("32768}", "32768,\"gpu\":4294967297}"),
+             with("1700000000123", "-1"),
+             with("1700000000123", "9223372036854775807"),
+             with("10.0.0.9:80", "10.0.0.9:99999"),
+             with("10.0.0.9:80", "10.0.0.9:-1"),
+             with("10.0.0.9:80", "10.0.0.9"),
+             with("10.0.0.9:80", "matching.example:80"),
+             with("10.0.0.9:80", ""),
+             with("\"sequence\":4", "\"sequence\":" + deep),
+         }) {
+        CAPTURE(text.substr(0, 300));
+        CHECK_FALSE(parseWorkerEntry("i-1", text).has_value());
+    }
+    CHECK(parseWorkerEntry("i-1", with("4000", "-4000"))->minRemainingTime == Millis{0});
+    CHECK(parseWorkerEntry("i-1", with("4000", "9223372036854775807"))->minRemainingTime
+          < Millis{10'000'000'000});
+}
+
+TEST_CASE("An odd entry hides no other and one that was readable is ignored from then on")
+{
+    TableFeed::Rows rows;
+    rows["i-1"] = {"i-1", workerEntry, 1, false};
+    rows["i-2"] = {"i-2", std::string(5'000, '['), 2, false};
+    rows["i-3"] = {"i-3", "", 3, false};
+    WorkerEntries entries;
+    CHECK(entries.update(rows));
+    CHECK(entries.workers().size() == 1);
+    rows["i-2"] = {"i-2", workerEntry, 4, false};
+    CHECK(entries.update(rows));
+    CHECK(entries.workers().size() == 2);
+    rows["i-1"].value = R"({"capacity":{"cpu":1e300}})";
+    CHECK(entries.update(rows));
+    REQUIRE(entries.workers().size() == 1);
+    CHECK(entries.workers()[0].incarnation.workerId == "i-2");
+}
--- a/tests/adapter/workerreport_test.cpp
+++ b/tests/adapter/workerreport_test.cpp
@@ -175,3 +175,41 @@
     REQUIRE(report.has_value());
     CHECK(report->isPartial);
 }
+
+// Guards against figures that are cast to integers that can't hold them.
+TEST_CASE("Impossible figures of a report are bounded or the report is rejected")
+{
+    struct Case
+    {
+        std::string percent;
+        std::string measurement;
+        int expectedPercent = 0;
+        int expectedMeasurement = 0;
+    };
+    for (const Case &it : std::vector<Case>{
+             {"41.9", "30", 41, 30},
+             {"1e300", "1e300", 100, 1'000'000'000},
+             {"-1e300", "-7", 0, 0},
+             {"4294967338", "9223372036854775807", 100, 1'000'000'000},
+             {"250", "0.5", 100, 0},
+         }) {
+        CAPTURE(it.percent);
+        const std::string body = R"({"clockMs":1,"active":[["a.0.1.17",2,"",)" + it.percent + ","
+            + it.measurement + R"(]],"finished":[]})";
+        for (const std::string &text : {body, "/**/" + body}) {
+            const auto report = parseWorkerReport(text);
+            REQUIRE(report.has_value());
+            REQUIRE(report->running.size() == 1);
+            CHECK(report->running[0].progressPercent == it.expectedPercent);
+            CHECK(report->running[0].measurement == it.expectedMeasurement);
+        }
+    }
+    for (const std::string times :
+         {R"("clockMs":9223372036854775807)", R"("clockMs":-9223372036854775808)",
+          R"("clockMs":1,"born":-1)", R"("clockMs":1,"born":9223372036854775807)"}) {
+        CAPTURE(times);
+        const std::string body = "{" + times + R"(,"active":[],"finished":[]})";
+        CHECK_FALSE(parseWorkerReport(body).has_value());
+        CHECK_FALSE(parseWorkerReport("/**/" + body).has_value());
+    }
+}
