Close three gaps of the hand-over that a read-through found

- A repetition of an early hand-over was taken by a shard of whose later one only a part had arrived.
- A job of long-running tasks that no shard suits wholly could be dealt to one that suits it worse.

--- a/src/lib/steps/jobtransfers.cpp
+++ b/src/lib/steps/jobtransfers.cpp
@@ -113,8 +113,11 @@
     if (left != m_table.delegations().end() && left->second.handovers >= handovers)
         return true;
     const auto known = m_table.handovers().find(job);
-    return known != m_table.handovers().end() && known->second.complete
-        && known->second.count >= handovers;
+    if (known == m_table.handovers().end())
+        return false;
+    // Of the latest hand-over, only a part may have arrived.
+    return known->second.count > handovers
+        || (known->second.count == handovers && known->second.complete);
 }
 
 void JobTransfers::take(const JobTransfer &transfer)
--- a/src/node/jobdealer.cpp
+++ b/src/node/jobdealer.cpp
@@ -37,16 +37,15 @@
     const std::int64_t demand = longRunningDemand(spec);
     if (demand == 0 || m_ownShard >= static_cast<int>(m_capacities.size()))
         return first;
-    const auto suitsAsWell = [&](int shard) {
-        return !knowsFit || m_fit->suits(spec, steps, shard) || !m_fit->suits(spec, steps, first);
-    };
+    const auto suits = [&](int shard) { return !knowsFit || m_fit->suits(spec, steps, shard); };
+    const bool mayChoose = suits(first); // Else it is the only one that suits the job so well.
     int best = first;
     const auto fullness = [&](int shard) {
         return static_cast<double>(m_dealt[shard] + demand)
             / static_cast<double>(m_capacities[shard]);
     };
     for (int shard = 0; shard < static_cast<int>(m_capacities.size()); ++shard) {
-        if (m_capacities[shard] > 0 && suitsAsWell(shard)
+        if (mayChoose && m_capacities[shard] > 0 && suits(shard)
             && (m_capacities[best] == 0 || fullness(shard) < fullness(best)))
             best = shard;
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -194,8 +194,10 @@
     ShardRequest delegated = request;
     if (auto *submission = std::get_if<SubmitJob>(&delegated))
         submission->delegated = true;
+    if (followed >= maxFollowedDelegations && std::holds_alternative<SubmitJob>(request))
+        return onReply({ShardOutcome::Undecided, {}, 0}); // Else several shards could accept it.
     if (followed >= maxFollowedDelegations)
-        return sendToAllShards(delegated, timeout, {ShardOutcome::UnknownJob, {}, 0}, addJobReply,
+        return sendToAllShards(request, timeout, {ShardOutcome::UnknownJob, {}, 0}, addJobReply,
                                onReply);
     sendToOwner(reply.shard, delegated, timeout,
                 [this, delegated, timeout, followed, onReply](const ShardReply &next) {
--- a/tests/node/jobdealer_test.cpp
+++ b/tests/node/jobdealer_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <random>
+#include <string>
 #include <vector>
 
 using namespace savorywick;
@@ -81,3 +82,30 @@
     for (int i = 0; i < 10; ++i)
         CHECK(dealer.choose(job(1, 1'000, true)) == 0);
 }
+
+// Guards against a job that is dealt to a shard with room that has no worker which suits it.
+TEST_CASE("A job is dealt only to shards whose workers suit it as well as any")
+{
+    std::vector<steps::WorkerInfo> workers(3);
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+        workers[i].incarnation.workerId = "w" + std::to_string(i);
+        workers[i].capacity = {64'000, 64'000, 0};
+    }
+    workers[1].labels = {"b"};
+    workers[2].labels = {"b"};
+    steps::ShardFit fit;
+    fit.assign(workers, std::vector<int>{0, 1, 2}, 3);
+    JobDealer dealer(0, &fit);
+    dealer.setCapacities({640'000, 6'400, 64'000});
+    steps::JobSpec needsLabel = job(2, 8'000, true);
+    needsLabel.steps[0].neededLabel = "b";
+    CHECK(dealer.choose(needsLabel) == 2);
+    CHECK(dealer.choose(job(2, 8'000, true)) == 0);
+    steps::JobSpec tooWide = needsLabel; // Two of its tasks at a time are the most anywhere.
+    tooWide.steps[0].taskCount = 3;
+    tooWide.steps[0].maxTasksPerWorker = 2;
+    for (int i = 0; i < 10; ++i)
+        CHECK(dealer.choose(tooWide) > 0);
+    needsLabel.steps[0].longRunning = false;
+    CHECK(dealer.choose(needsLabel) > 0);
+}
--- a/tests/node/jobmover_test.cpp
+++ b/tests/node/jobmover_test.cpp
@@ -410,6 +410,7 @@
     transfers.takeOver(1);
     CHECK_FALSE(table.find("j"));
     CHECK_FALSE(transfers.hasTaken("j", 1));
+    CHECK(transfers.hasTaken("j", 0)); // A late repetition of an earlier one must not be taken.
     transfers.take(transfer);
     CHECK(transfers.hasTaken("j", 1));
     CHECK_FALSE(transfers.hasTaken("j", 2));
