--- a/tests/adapter/workerreport_test.cpp
+++ b/tests/adapter/workerreport_test.cpp
@@ -161,10 +161,17 @@
               false},
          }) {
         CAPTURE(it.what);
-        std::string rows = it.oddRow;
-        for (int i = it.ends; i > 0; --i)
-            rows = "[" + std::to_string(i) + R"(,"a.0.0.)" + std::to_string(i) + R"(",1,"done",""])"
-                + (rows.empty() ? "" : "," + rows);
+        std::string rows;
+        for (int i = 1; i <= it.ends; ++i) {
+            rows += i > 1 ? ",[" : "[";
+            rows += std::to_string(i);
+            rows += R"(,"a.0.0.)";
+            rows += std::to_string(i);
+            rows += R"(",1,"done",""])";
+        }
+        if (!rows.empty() && !it.oddRow.empty())
+            rows += ",";
+        rows += it.oddRow;
         const auto report =
             parseWorkerReport(R"({"clockMs":1,"active":[],"finished":[)" + rows + "]}");
         REQUIRE(report.has_value());
