--- a/bench/shardfit_bench.cpp
+++ b/bench/shardfit_bench.cpp
@@ -2,9 +2,11 @@
 // workers in 50 shards.
 
 #include "measure.h"
+#include "report.h"
 #include "savorywick/steps/shardfit.h"
 
-#include <cstdio>
+#include <cstdlib>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -54,8 +56,8 @@
     const double suits = micros(10'000, [&] { fit.suits(usual, steps, 0); });
     const JobSpec rare = jobThatNeeds("b");
     const double better = micros(10, [&] { fit.betterShard(rare, steps, 0); });
-    std::printf(R"({"bench":"shardfit","assignMicros":%.0f,"suitsMicros":%.2f,"betterMicros":%.0f})"
-                "\n",
-                assign, suits, better);
-    return 0;
+    bench::reportTableHeader("workers", {"new list us", "own shard us", "better shard us"});
+    bench::report("shardfit", std::to_string(workerCount) + " in 50 shards",
+                  {{"new list us", assign}, {"own shard us", suits}, {"better shard us", better}});
+    return EXIT_SUCCESS;
 }
