Tell for how long a long-running task had no run and on what it waited

The event long-running-restarted now tells it at each start after a lost run, in its parts and with the owner's epoch, and the metric longest_gap_of_long_running_ms shows the longest gap that is open.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -4,6 +4,7 @@
 #include "savorywick/journal.h"
 #include "savorywick/quarantine.h"
 #include "savorywick/steps/besteffortlimit.h"
+#include "savorywick/steps/clockreading.h"
 #include "savorywick/steps/coordinatorcounters.h"
 #include "savorywick/steps/coordinatorsettings.h"
 #include "savorywick/steps/duequeue.h"
@@ -13,6 +14,7 @@
 #include "savorywick/steps/jobtable.h"
 #include "savorywick/steps/jobtransfers.h"
 #include "savorywick/steps/latencyheadroom.h"
+#include "savorywick/steps/longrunninggaps.h"
 #include "savorywick/steps/placement.h"
 #include "savorywick/steps/preemption.h"
 #include "savorywick/steps/relaxedstarts.h"
@@ -35,14 +37,6 @@
 
 namespace savorywick::steps {
 
-// The current time on two clocks: the process's monotonic clock, for timeouts and leases, and the
-// time of day, for schedules and whatever is stored.
-struct ClockReading
-{
-    Instant monotonic;
-    std::int64_t wallMs = 0; // Milliseconds since 1970.
-};
-
 // A job that waits, and its steps that wait for a worker.
 struct WaitingJob
 {
@@ -176,6 +170,7 @@
     const CoordinatorCounters &counters() const { return m_counters; }
     const RunTable &runs() const { return m_runs; }
     const JobAdmission &admission() const { return m_admission; }
+    const LongRunningGaps &longRunningGaps() const { return m_longRunningGaps; }
     // Returns how many steps have tasks that wait for a worker and may start.
     std::size_t readyStepCount() const { return m_readySteps.size(); }
     // Returns the number of known workers, including unlisted ones that may still have runs.
@@ -300,6 +295,7 @@
     void excuseUnlistedRuns(const Worker &worker, const WorkerReport &report, ClockReading now);
     void adoptRun(const Job &job, const TaskRef &task, const ActiveRun &active);
     void endRun(const RunKey &key, RunOutcome how, const std::string &checkpoint, ClockReading now);
+    Instant lastSeenAt(const Run &run) const;
     void updateQuarantine(const Run &run, RunOutcome how, ClockReading now);
     void recordFailure(const Run &run, std::string_view why, ClockReading now);
     void stopGangMembers(const RunKey &key);
@@ -461,6 +457,7 @@
     DurationEstimator m_durations;
     StragglerDetector m_stragglers;
     JobAdmission m_admission;
+    LongRunningGaps m_longRunningGaps;
     CoordinatorCounters m_counters;
 
     std::map<std::string, Worker, std::less<>> m_workers;
--- a/include/savorywick/steps/schedulerevent.h
+++ b/include/savorywick/steps/schedulerevent.h
@@ -2,6 +2,7 @@
 
 #include "savorywick/clock.h"
 #include "savorywick/steps/job.h"
+#include "savorywick/steps/longrunninggaps.h"
 
 #include <string>
 #include <string_view>
@@ -12,6 +13,7 @@
 enum class SchedulerEventKind {
     JobStarted, // The first run of the job was placed.
     RunPlaced, // A worker was chosen for the run.
+    LongRunningRestarted, // A worker was chosen for a long-running task that had lost its run.
     RunConfirmed, // The worker reported that it has the run.
     StartRefused, // The worker refused the start command, or the command did not reach it.
     RunDuplicated, // A second run of a task was placed, since the first takes too long.
@@ -53,7 +55,7 @@
     std::string_view reason;
     // The time since the occurrence was due for JobStarted, RunPlaced and JobEnded, since the
     // worker last answered for events of workers' leases, and since the step has waited for
-    // StepWaiting; the time that the run had been on its worker for RunSuspected, and that the
+    // StepWaiting; the whole gap for LongRunningRestarted; the time that the run had been on its worker for RunSuspected, and that the
     // first run has taken for RunDuplicated. StopRequested and WorkerQuarantined have 0;
     // PreemptionPlanned has the delay that the step's deadline still allows, and ReservationEnded
     // the time since the reservation; other events have the time since the run was started.
@@ -66,6 +68,7 @@
     int value = 0;
     std::string zone = {}; // Only of ZoneEvacuated and ZoneReturned.
     int workerCount = 0; // Workers in the zone.
+    std::optional<LongRunningGap> gap = {}; // Only of LongRunningRestarted.
 };
 
 } // namespace savorywick::steps
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -53,6 +53,7 @@
     , m_durations(settings.durations)
     , m_stragglers(settings.stragglers, m_durations, ownedSince)
     , m_admission(settings.admission)
+    , m_longRunningGaps(epoch)
 { }
 
 void Coordinator::takeOver(ClockReading now)
@@ -202,6 +203,7 @@
 {
     m_nextOccurrence.erase(job);
     m_dueOccurrences.cancel(job);
+    m_longRunningGaps.forgetJob(job);
     for (auto it = m_readySteps.lower_bound({job, 0, 0});
          it != m_readySteps.end() && it->first.job == job;)
         it = m_readySteps.erase(it);
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -456,6 +456,11 @@
         noteRun(SchedulerEventKind::JobStarted, added, "first-run", waited);
     noteRun(SchedulerEventKind::RunPlaced, added, spec.bestEffort ? "fill-in" : "room", waited,
             worker.available.milliCores);
+    if (const auto gap = m_longRunningGaps.noteStart(task, now.monotonic)) {
+        noteRun(SchedulerEventKind::LongRunningRestarted, added, toString(gap->outcome),
+                gap->total);
+        m_notes.back().gap = gap;
+    }
     added.isProbe = m_quarantine.beginProbe(id, now.monotonic);
     const bool isRetry = known.failedStarts > 0;
     if (isRetry)
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -70,6 +70,8 @@
         makeRun({task, active.number}, job.spec.steps[task.step], active.worker, m_ownedSince);
     run.phase = RunPhase::Unconfirmed;
     run.onProbation = isSuspected(task);
+    if (run.longRunning)
+        m_longRunningGaps.noteAdopted(task, m_ownedSince);
     trackStraggler(m_runs.add(std::move(run)), {m_ownedSince});
     const std::string &id = active.worker.workerId;
     if (m_workers.contains(id))
@@ -169,6 +171,8 @@
             m_runs.setIncarnation(key, worker.session.incarnation());
         run->outcomeOfCrash.reset();
         clearIfLasting(worker, *run);
+        if (run->longRunning)
+            m_longRunningGaps.noteSeen(key.task);
         const bool wasRunning = run->phase == RunPhase::Running;
         if (!wasRunning) {
             if (run->startFence == 0)
@@ -291,6 +295,8 @@
         stopJobRuns(*job, "job-over");
         return;
     }
+    if (run.longRunning)
+        m_longRunningGaps.noteEnd(key.task, how, lastSeenAt(run), now.monotonic);
     if (how == RunOutcome::Done)
         stopDuplicateRuns(key.task);
     else if (job->spec.steps[key.task.step].gang)
@@ -301,6 +307,15 @@
         restoreTurn(run);
 }
 
+// Returns when the run's worker last answered, or when the run was started if that is later.
+Instant Coordinator::lastSeenAt(const Run &run) const
+{
+    const auto worker = m_workers.find(run.workerId);
+    return worker == m_workers.end()
+        ? run.startedAt
+        : std::max(run.startedAt, worker->second.session.lastAnswerAt());
+}
+
 void Coordinator::updateQuarantine(const Run &run, RunOutcome how, ClockReading now)
 {
     if (how == RunOutcome::Failed && isDone(run.key.task)) // A duplicate that was to be stopped.
--- a/src/lib/steps/schedulerevent.cpp
+++ b/src/lib/steps/schedulerevent.cpp
@@ -9,6 +9,8 @@
         return "job-started";
     case SchedulerEventKind::RunPlaced:
         return "run-placed";
+    case SchedulerEventKind::LongRunningRestarted:
+        return "long-running-restarted";
     case SchedulerEventKind::RunConfirmed:
         return "run-confirmed";
     case SchedulerEventKind::StartRefused:
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -4,6 +4,7 @@
 #include "node/admissionmetrics.h"
 #include "node/node.h"
 
+#include <algorithm>
 #include <span>
 
 namespace savorywick {
@@ -17,9 +18,11 @@
     std::size_t readySteps = 0;
     std::size_t activeRuns = 0;
     std::size_t workers = 0;
+    Millis longestGap; // That a long-running task has had no run.
 
-    void add(const steps::Coordinator &coordinator)
+    void add(const steps::Coordinator &coordinator, Instant now)
     {
+        longestGap = std::max(longestGap, coordinator.longRunningGaps().longest(now));
         counters += coordinator.counters();
         readySteps += coordinator.readyStepCount();
         activeRuns += coordinator.runs().all().size();
@@ -60,6 +63,8 @@
     out.writeGauge("open_steps", totals.readySteps);
     out.writeGauge("active_runs", totals.activeRuns);
     out.writeGauge("workers", totals.workers);
+    out.writeGauge("longest_gap_of_long_running_ms",
+                   static_cast<std::uint64_t>(totals.longestGap.count()));
 }
 
 // All samples of a metric follow each other, as the format demands.
@@ -110,7 +115,7 @@
     ShardTotals totals;
     AdmissionMetrics admission;
     for (const auto &[shard, runner] : m_runners) {
-        totals.add(runner->coordinator());
+        totals.add(runner->coordinator(), m_clock.now());
         admission.add(runner->coordinator().admission());
     }
     if (!m_runners.empty())
--- a/src/node/schedulerlog.cpp
+++ b/src/node/schedulerlog.cpp
@@ -24,6 +24,7 @@
     case SchedulerEventKind::StepWaiting:
     case SchedulerEventKind::ZoneEvacuated:
     case SchedulerEventKind::ZoneReturned:
+    case SchedulerEventKind::LongRunningRestarted:
         return logInfo;
     case SchedulerEventKind::RunPlaced:
         return note.run > 1 ? logNotable : logRoutine;
@@ -48,6 +49,21 @@
     return logInfo;
 }
 
+void logGap(const SchedulerEvent &note, Write write)
+{
+    write(toString(note.kind),
+          {{"requestId", note.task.job},
+           {"task", steps::toString(note.task)},
+           {"run", note.run},
+           {"worker", note.worker},
+           {"why", note.reason},
+           {"gapMs", note.gap->total.count()},
+           {"untilKnownMs", note.gap->untilKnown.count()},
+           {"untilPlacedMs", note.gap->untilPlaced.count()},
+           {"sinceTakeover", note.gap->sinceTakeover},
+           {"epoch", note.gap->epoch}});
+}
+
 } // namespace
 
 void log(const SchedulerEvent &note)
@@ -63,6 +79,8 @@
               {{"worker", note.worker}, {"why", note.reason}, {"ageMs", note.age.count()}});
         return;
     }
+    if (note.gap)
+        return logGap(note, write);
     write(toString(note.kind),
           {{"requestId", note.task.job},
            {"task", steps::toString(note.task)},
--- a/tests/node/schedulerlog_test.cpp
+++ b/tests/node/schedulerlog_test.cpp
@@ -48,6 +48,7 @@
              Case{SchedulerEventKind::WorkerLeaseExpired, 0, "lease-over", Kept::Always},
              Case{SchedulerEventKind::WorkerQuarantined, 0, "failures", Kept::Always},
              Case{SchedulerEventKind::StepWaiting, 0, "no-room", Kept::Always},
+             Case{SchedulerEventKind::LongRunningRestarted, 2, "lapsed", Kept::Always},
              Case{SchedulerEventKind::StartRefused, 1, "rejected", Kept::UnlessMany},
              Case{SchedulerEventKind::WorkerUnresponsive, 0, "unknown", Kept::UnlessMany},
              Case{SchedulerEventKind::RunPlaced, 2, "room", Kept::UnlessMany},
