Show that long-running tasks lost with their owner wait for too long

The test starts real entries with stand-ins of the platform and of workers, and loses workers for good at the moment at which all entries lose power. The bounds are those of the target: 9 s from the end of the last run, or 7 s from the end of the trouble.

What the soak and the new test share is a class of its own now, SoakDeployment; the soak itself is as it was.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -1,15 +1,7 @@
 #pragma once
 
-#include "nodeprocess.h"
-#include "platformstandin.h"
-#include "runledger.h"
-#include "soakcallers.h"
-#include "workerstandin.h"
+#include "soakdeployment.h"
 
-#include "core/bootclock.h"
-#include "net/eventloop.h"
-
-#include <memory>
 #include <random>
 #include <string>
 #include <vector>
@@ -57,17 +49,13 @@
     SoakResult run();
 
 private:
-    std::string ipOf(int host) const;
-    void writeConfiguration();
-    std::string writeNodeFile(int entry);
     void submitJobs();
     SoakJob randomJob();
     void injectFaults();
     void injectFault();
-    void injectEntryFault(NodeProcess &entry, int kind);
+    void injectEntryFault(std::size_t entry, int kind);
     void injectWorkerFault(WorkerStandIn &worker, int kind);
     void injectStoreFault();
-    void keepEntriesRunning();
     void endFaults();
     void awaitEnds();
     bool isSettled(const SoakJob &job) const;
@@ -82,14 +70,7 @@
 
     SoakSettings m_settings;
     std::mt19937 m_random;
-    BootClock m_clock;
-    EventLoop m_loop;
-    RunLedger m_ledger;
-    std::unique_ptr<PlatformStandIn> m_store;
-    std::vector<std::unique_ptr<WorkerStandIn>> m_workers;
-    std::vector<std::unique_ptr<NodeProcess>> m_entries;
-    std::vector<Instant> m_restartAt; // By entry: it is not started again before.
-    std::unique_ptr<SoakCallers> m_callers;
+    SoakDeployment m_deployment;
     Instant m_faultsEndAt;
     Instant m_settledBy;
     bool m_faultsOver = false;
--- a/tests/soak/workerstandin.cpp
+++ b/tests/soak/workerstandin.cpp
@@ -18,7 +18,6 @@
 constexpr Millis tickInterval{50};
 constexpr Millis entryInterval{1'100};
 constexpr Millis unlistingDelay{3'300};
-constexpr Millis maxLeaseTerm{4'000};
 constexpr Millis stopTime{60};
 constexpr Millis startupTime{300}; // Until a long-running task is at work.
 constexpr Millis crashDelay{10}; // From the start of a run to the crash that it causes.
@@ -31,7 +30,7 @@
 
 WorkerStandIn::WorkerStandIn(EventLoop &loop, const BootClock &clock, PlatformStandIn &store,
                              RunLedger &ledger, std::string name, std::string address,
-                             unsigned seed)
+                             unsigned seed, Millis maxLeaseTerm)
     : m_loop(loop)
     , m_clock(clock)
     , m_store(store)
@@ -39,6 +38,7 @@
     , m_address(std::move(address))
     , m_name(std::move(name))
     , m_random(seed)
+    , m_maxLeaseTerm(maxLeaseTerm)
     , m_capacity(fullCapacity)
 {
     beginLife(true);
@@ -72,6 +72,18 @@
 {
     if (!isUp())
         return;
+    endLife();
+    m_loop.runAfter(downtime, [this, underNewId] { beginLife(underNewId); });
+}
+
+void WorkerStandIn::vanish()
+{
+    if (isUp())
+        endLife();
+}
+
+void WorkerStandIn::endLife()
+{
     for (const LiveRun &it : m_runs)
         m_ledger.noteLostRun(it.task);
     m_runs.clear();
@@ -81,7 +93,6 @@
     m_server.reset();
     m_staleId = m_id;
     m_unlistedAt = m_clock.now() + unlistingDelay;
-    m_loop.runAfter(downtime, [this, underNewId] { beginLife(underNewId); });
 }
 
 void WorkerStandIn::setSilent(bool silent)
@@ -188,7 +199,8 @@
         return confirm(respond);
     if (untilMs <= clockMs())
         return refuse(respond, "late");
-    m_leaseUntilMs = std::max(m_leaseUntilMs, std::min(untilMs, clockMs() + maxLeaseTerm.count()));
+    m_leaseUntilMs =
+        std::max(m_leaseUntilMs, std::min(untilMs, clockMs() + m_maxLeaseTerm.count()));
     const auto ended = m_highestEnded.find(*task);
     if (ended != m_highestEnded.end() && ended->second >= number)
         return refuse(respond, "old");
@@ -253,8 +265,9 @@
 {
     acknowledge(order["lastSeen"].asInt64());
     if (order.isMember("untilMs"))
-        m_leaseUntilMs = std::max(
-            m_leaseUntilMs, std::min(order["untilMs"].asInt64(), clockMs() + maxLeaseTerm.count()));
+        m_leaseUntilMs =
+            std::max(m_leaseUntilMs,
+                     std::min(order["untilMs"].asInt64(), clockMs() + m_maxLeaseTerm.count()));
     m_holds.push_back({m_clock.now() + Millis{order["waitMs"].asInt64()}, respond});
     answerHolds();
 }
--- a/tests/soak/workerstandin.h
+++ b/tests/soak/workerstandin.h
@@ -31,10 +31,15 @@
 {
 public:
     WorkerStandIn(EventLoop &loop, const BootClock &clock, PlatformStandIn &store,
-                  RunLedger &ledger, std::string name, std::string address, unsigned seed);
+                  RunLedger &ledger, std::string name, std::string address, unsigned seed,
+                  Millis maxLeaseTerm);
 
     // Ends the process. A new life begins after `downtime`, under the same id or a new one.
     void crash(Millis downtime, bool underNewId);
+    // Ends the process for good.
+    void vanish();
+    // Returns how many runs it has.
+    std::size_t runCount() const { return m_runs.size(); }
     // Leaves all calls unanswered until setSilent(false), which carries out some of them late.
     void setSilent(bool silent);
     // Shrinks the capacity to `percent` of the full one, or restores it with 100.
@@ -62,6 +67,7 @@
     };
 
     void beginLife(bool underNewId);
+    void endLife();
     void tick();
     void writeEntry();
     void handle(const HttpRequest &request, const AsyncHttpServer::Responder &respond);
@@ -90,6 +96,7 @@
     const std::string m_address;
     const std::string m_name; // The first part of its ids.
     std::mt19937 m_random;
+    const Millis m_maxLeaseTerm;
     std::unique_ptr<AsyncHttpServer> m_server; // Null while the process is down.
     std::string m_id;
     int m_lives = 0;
