--- a/include/savorywick/journal.h
+++ b/include/savorywick/journal.h
@@ -4,6 +4,7 @@
 #include "savorywick/platform.h"
 #include "savorywick/shardrow.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -24,7 +25,9 @@
     Millis commitInterval{50}; // Mean interval between commits under load; limits the store's load.
     int commitBurst = 10; // Commits that may follow at once after an idle time; at least 1.
     Millis initialRetryDelay{50}; // Doubles with each retry of the same commit.
-    Millis maxRetryDelay{2'000}; // The upper bound of that delay.
+    Millis maxRetryDelay{300}; // The upper bound of that delay.
+    // The limit of leases is written without other work once it is to rise by so much.
+    Millis leaseLimitStep{1'000};
     // A snapshot is due once the segments since the last one number at least `snapshotMinSegments`
     // and hold at least as many bytes as it, or once they number at least `snapshotMaxSegments`.
     std::uint64_t snapshotMinSegments = 256;
@@ -94,6 +97,15 @@
     // Error(Fenced) once the shard is lost, released or being released.
     LogSequenceNumber append(std::span<const std::string> records);
 
+    // Lets the next commits raise the time at which every lease on the shard's workers is over, on
+    // the store's clock. It never falls. No lease may be granted beyond leaseLimitMs().
+    void raiseLeaseLimit(std::int64_t storeMs)
+    {
+        m_wantedLeaseLimitMs = std::max(m_wantedLeaseLimitMs, storeMs);
+    }
+    // Returns the time that the shard's row tells, or 0 if none was ever written.
+    std::int64_t leaseLimitMs() const { return m_confirmedRow.leasesEndMs; }
+
     // Returns the transaction to commit now, or nothing if none is due. Each returned transaction
     // must be committed and its result reported by handleCommitResult().
     std::optional<Transaction> nextCommit(Instant now);
@@ -181,6 +193,7 @@
     Instant m_retryAt;
     Millis m_retryDelay;
 
+    std::int64_t m_wantedLeaseLimitMs = 0;
     std::uint64_t m_commitCount = 0;
     std::optional<Snapshot> m_snapshot; // The one under way.
     std::size_t m_lastSnapshotBytes = 0;
--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "savorywick/clock.h"
 #include "savorywick/journal.h"
 #include "savorywick/quarantine.h"
 #include "savorywick/steps/besteffortlimit.h"
@@ -9,6 +8,7 @@
 #include "savorywick/steps/coordinatorsettings.h"
 #include "savorywick/steps/duequeue.h"
 #include "savorywick/steps/durationestimator.h"
+#include "savorywick/steps/earlierleases.h"
 #include "savorywick/steps/evacuatedzones.h"
 #include "savorywick/steps/jobadmission.h"
 #include "savorywick/steps/jobtable.h"
@@ -37,13 +37,6 @@
 
 namespace savorywick::steps {
 
-// A job that waits, and its steps that wait for a worker.
-struct WaitingJob
-{
-    std::string job;
-    std::vector<int> steps; // Sorted; each once, whatever its occurrences.
-};
-
 // The result of Coordinator::submit().
 enum class SubmitResult {
     Accepted,
@@ -78,6 +71,9 @@
 
     // Applies a record of the journal. Call it for all records in order, before takeOver().
     void restore(const Record &record) { m_table.apply(record); }
+    // Sets by when the leases of earlier owners are over, if that is known, on the store's clock
+    // and on this process's. Call it before takeOver().
+    void setEarlierLeasesEnd(std::int64_t endMs, Instant at) { m_earlierLeases.setEnd(endMs, at); }
     // Starts to act on the restored state. Must be called once, before all functions below.
     void takeOver(ClockReading now);
     // Returns the state as journal records that restore() accepts.
@@ -152,9 +148,9 @@
     void recordsDurable(LogSequenceNumber lsn);
     // Returns the orders to send now.
     std::vector<WorkerCommand> takeOrders(ClockReading now);
-    // Lets no lease of a worker last beyond `latestEnd` that is granted from now on. An owner that
-    // has lost touch with the store may have a successor already, which takes all earlier leases
-    // for over once the longest term has passed since it took the shard.
+    // Lets every lease that is granted from now on expire by `latestEnd`. An owner that has lost
+    // touch with the store may have a successor already, which takes all earlier leases for over
+    // by then.
     void limitLeases(Instant latestEnd) { m_latestLeaseEnd = latestEnd; }
     // Returns only the renewals among the orders to send now. They rest on no record, so they may
     // be sent while the shard's lease is in doubt; running tasks then keep their leases, up to the
@@ -304,12 +300,18 @@
     void markStale(Worker &worker);
     void noteRunsChanged(const std::string &workerId);
     void refreshDueTimes();
+    void evacuate(const Worker &worker);
+    const StepSpec *findStepSpec(const TaskRef &task) const;
+
+    // Leases of this owner and of earlier ones (coordinatorleases.cpp).
+    WorkerSession makeSession(const WorkerIncarnation &life, const std::string &address) const;
+    void recordConfirmation(Run &run);
+    void recordSilence(const Worker &worker, Instant now);
+    void recordAnswer(const std::string &worker);
     Instant leaseEndOf(const Run &run) const;
     Instant nextLeaseEnd(const Worker &worker) const;
     void expireWorkers(ClockReading now);
     void endLapsedRuns(const std::string &id, ClockReading now);
-    void evacuate(const Worker &worker);
-    const StepSpec *findStepSpec(const TaskRef &task) const;
 
     // Runs that make no progress (coordinatorstalls.cpp).
     std::optional<Instant> stalledAt(const Run &run) const;
@@ -444,6 +446,7 @@
     CoordinatorSettings m_settings;
     Fence m_firstFence; // Of a new session; above those of sessions that were forgotten.
     Instant m_ownedSince;
+    EarlierLeases m_earlierLeases;
     std::optional<Instant> m_latestLeaseEnd; // Of workers' leases that are granted from now on.
     JobTable m_table;
     JobTransfers m_transfers;
--- /dev/null
+++ b/include/savorywick/steps/earlierleases.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "savorywick/clock.h"
+#include "savorywick/journal.h"
+#include "savorywick/steps/record.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace savorywick::steps {
+
+// What a new owner of a shard knows of the leases that earlier owners granted to workers, and what
+// it leaves to the next one.
+//
+// The shard's row tells a time on the store's clock by which all of these leases are over. Of a
+// worker that does not answer the owner either, a WorkerSilent record keeps that time, so that the
+// wait does not begin anew with the next owner. As long as there is such a record the worker must
+// be granted nothing; once it has answered, a WorkerHeard record withdraws it. Use one for each
+// owner. Not thread-safe.
+//
+// Example:
+//   leases.setEnd(row.leasesEndMs, endsAt);
+//   if (const auto record = leases.noteSilence(worker, table.silentUntilMs(worker), now))
+//       append(*record);
+class EarlierLeases
+{
+public:
+    // Sets by when all leases of earlier owners are over, on the store's clock and on this
+    // process's.
+    void setEnd(std::int64_t endMs, Instant endsAt) { m_end = {endMs, endsAt}; }
+    // Returns by when those of a worker are over, whose record tells `recordedMs`, or nothing if it
+    // is not known.
+    std::optional<Instant> endOf(std::optional<std::int64_t> recordedMs) const;
+
+    // Returns the record to append as a worker to which this owner has granted nothing does not
+    // answer, or nothing if there is one already or it would be of no use.
+    std::optional<WorkerSilent> noteSilence(const std::string &worker,
+                                            std::optional<std::int64_t> recordedMs,
+                                            Instant now) const;
+    // Returns the record to append when a worker answers that has a WorkerSilent record, or nothing
+    // if it is appended already. No lease may be granted to the worker until it is durable.
+    std::optional<WorkerHeard> noteAnswer(const std::string &worker);
+    // Returns true if and only if no lease may be granted to the worker yet.
+    bool withholds(std::string_view worker) const { return m_withheld.contains(worker); }
+
+    // Reports the log sequence number of the records appended since the last call.
+    void recordsAppended(LogSequenceNumber lsn);
+    // Reports that all records up to `lsn` are durable.
+    void recordsDurable(LogSequenceNumber lsn);
+
+private:
+    struct End
+    {
+        std::int64_t storeMs = 0;
+        Instant at;
+    };
+    struct UncommittedAnswer
+    {
+        LogSequenceNumber lsn = 0; // 0 until the record is appended.
+        std::string worker;
+    };
+
+    std::optional<End> m_end;
+    std::deque<UncommittedAnswer> m_uncommitted; // In the order of their records.
+    std::set<std::string, std::less<>> m_withheld;
+};
+
+} // namespace savorywick::steps
--- a/include/savorywick/steps/job.h
+++ b/include/savorywick/steps/job.h
@@ -182,6 +182,7 @@
 {
     int number = 0;
     WorkerIncarnation worker;
+    bool confirmed = false; // The worker reported that it has it; set for long-running ones only.
 };
 
 // The durable state of a task.
--- a/include/savorywick/steps/jobtable.h
+++ b/include/savorywick/steps/jobtable.h
@@ -53,9 +53,12 @@
     // Returns the worker's address, or an empty string if it is unknown.
     std::string workerAddress(std::string_view worker) const;
 
+    // Returns the time that the worker's WorkerSilent record tells, unless it was heard since.
+    std::optional<std::int64_t> silentUntilMs(std::string_view worker) const;
+
     // Returns records that produce this state when they are applied to an empty table. Of the tasks
     // of an ended job only those that still have a run are included, as no others matter any more,
-    // and of the addresses only those of workers that have runs.
+    // and of what is known of workers only that of those that have runs.
     std::vector<Record> snapshot() const;
     // Returns the records among them that are of this job, of which the last is a JobStateSnapshot.
     std::vector<Record> snapshotOf(const Job &job) const;
@@ -74,6 +77,7 @@
     Delegations m_delegations;
     Handovers m_handovers;
     std::map<std::string, std::string, std::less<>> m_workerAddresses; // By id.
+    std::map<std::string, std::int64_t, std::less<>> m_silentUntilMs; // By the worker's id.
 };
 
 } // namespace savorywick::steps
--- a/include/savorywick/steps/jobtransfers.h
+++ b/include/savorywick/steps/jobtransfers.h
@@ -14,6 +14,13 @@
 
 namespace savorywick::steps {
 
+// A job that waits, and its steps that wait for a worker.
+struct WaitingJob
+{
+    std::string job;
+    std::vector<int> steps; // Sorted; each once, whatever its occurrences.
+};
+
 // A job without runs, as one shard hands it over to another.
 struct JobTransfer
 {
--- a/include/savorywick/steps/record.h
+++ b/include/savorywick/steps/record.h
@@ -30,6 +30,14 @@
     WorkerIncarnation worker;
 };
 
+// A worker reported that it has the long-running run, so no later life of it can take the start
+// over any more.
+struct RunConfirmed
+{
+    TaskRef task;
+    int run = 0;
+};
+
 // A run of the task ended.
 struct RunEnded
 {
@@ -55,6 +63,20 @@
     std::string address;
 };
 
+// The worker did not answer a new owner. All leases that it has from any owner so far are over by
+// this time on the store's clock, in milliseconds.
+struct WorkerSilent
+{
+    std::string workerId;
+    std::int64_t leasesEndMs = 0;
+};
+
+// The worker answers, so that it may be granted leases again: WorkerSilent no longer holds.
+struct WorkerHeard
+{
+    std::string workerId;
+};
+
 // A caller cancelled the job.
 struct JobCancelled
 {
@@ -110,9 +132,10 @@
     std::int64_t endedWallMs = 0;
 };
 
-using Record = std::variant<JobAccepted, RunStarted, RunEnded, JobCancelled, JobPurged,
-                            JobDelegated, TaskSnapshot, JobStateSnapshot, TaskCleared,
-                            WorkerAddress, JobLeaving, JobArrived>;
+using Record =
+    std::variant<JobAccepted, RunStarted, RunEnded, JobCancelled, JobPurged, JobDelegated,
+                 TaskSnapshot, JobStateSnapshot, TaskCleared, WorkerAddress, JobLeaving, JobArrived,
+                 RunConfirmed, WorkerSilent, WorkerHeard>;
 
 // Returns the record as one line of text without a line end.
 std::string encodeRecord(const Record &record);
--- a/include/savorywick/steps/runtable.h
+++ b/include/savorywick/steps/runtable.h
@@ -44,6 +44,8 @@
     // When the start command was sent. Before that, or if an earlier owner sent it, when this owner
     // learned of the run.
     Instant startedAt;
+    // The journal tells that the worker has the run.
+    bool confirmationRecorded = false;
     // When the worker first confirmed that it has the run.
     Instant confirmedAt;
     // Since when the step had been waiting for a worker; for a run of an earlier owner, when this
--- a/include/savorywick/steps/schedulerevent.h
+++ b/include/savorywick/steps/schedulerevent.h
@@ -55,10 +55,11 @@
     std::string_view reason;
     // The time since the occurrence was due for JobStarted, RunPlaced and JobEnded, since the
     // worker last answered for events of workers' leases, and since the step has waited for
-    // StepWaiting; the whole gap for LongRunningRestarted; the time that the run had been on its worker for RunSuspected, and that the
-    // first run has taken for RunDuplicated. StopRequested and WorkerQuarantined have 0;
-    // PreemptionPlanned has the delay that the step's deadline still allows, and ReservationEnded
-    // the time since the reservation; other events have the time since the run was started.
+    // StepWaiting; the whole gap for LongRunningRestarted; the time that the run had been on its
+    // worker for RunSuspected, and that the first run has taken for RunDuplicated. StopRequested
+    // and WorkerQuarantined have 0; PreemptionPlanned has the delay that the step's deadline still
+    // allows, and ReservationEnded the time since the reservation; other events have the time since
+    // the run was started.
     Millis age;
     // The processors left on the worker, in thousandths of a core, for RunPlaced; the new speed in
     // percent for RunThrottled; the progress of the first run for RunDuplicated; the progress in
--- a/include/savorywick/steps/workersession.h
+++ b/include/savorywick/steps/workersession.h
@@ -35,6 +35,12 @@
     Millis expiryMargin{250};
     // The rate of the slowest worker clock, in percent of this process's clock.
     int minClockRatePercent = 97;
+
+    // Returns the longest time in which the slowest clock advances by `clockTime`.
+    Millis longestFor(Millis clockTime) const;
+    // Returns how long after its end a lease has surely expired that ends no more than `span` after
+    // the worker's clock was read.
+    Millis expiryDelay(Millis span) const;
 };
 
 // The session of a shard's owner with one worker: fence, lease, worker clock and acknowledgements
@@ -55,9 +61,11 @@
 {
 public:
     // `firstFence` must be higher than every fence that an earlier owner used. `ownedSince` is when
-    // the shard was taken over; no earlier owner sent a command after it.
+    // the shard was taken over; no earlier owner sent a command after it. `earlierGrantsEndAt` is
+    // when what earlier owners granted is over, if it is known: see confirmedRunsEndAt().
     WorkerSession(const WorkerIncarnation &incarnation, std::string address, Fence firstFence,
-                  Instant ownedSince, const WorkerSessionSettings &settings);
+                  Instant ownedSince, const WorkerSessionSettings &settings,
+                  std::optional<Instant> earlierGrantsEndAt = {});
 
     // Changes the address. A different incarnation resets the session and raises the fence.
     void update(const WorkerIncarnation &incarnation, std::string address, Instant now);
@@ -103,6 +111,8 @@
     // only if hasAnswered() is true.
     std::int64_t grantStartLease(Instant now, std::optional<Instant> latestEnd = {});
 
+    // Returns true if and only if this owner has granted the worker a lease.
+    bool hasGranted() const { return m_hasGranted; }
     // Returns true if and only if the present incarnation has answered a renewal.
     bool hasAnswered() const { return m_answeredFence != 0; }
     // Returns true if and only if the present incarnation has answered a renewal with the present
@@ -118,6 +128,10 @@
     bool leaseExpired(Instant now) const { return now >= leaseExpiresAt(); }
     // Returns from when on leaseExpired() is true unless the session changes.
     Instant leaseExpiresAt() const;
+    // Returns from when on every run of an earlier owner is over that the worker was known to have
+    // then. It can be earlier than leaseExpiresAt(): a start that the worker had not confirmed may
+    // have been taken over by its next life, which may have taken the longest lease for it.
+    Instant confirmedRunsEndAt() const;
     // Returns from when on all leases of runs that an earlier incarnation confirmed have expired.
     // A run that none has confirmed may have been taken over by the present one. Call it only if
     // update() was called with another incarnation.
@@ -146,7 +160,6 @@
     // the short one of a start, or the rest of one.
     bool leaseIsShort() const { return m_leaseUntilClockMs > 0 && !m_leaseExtended; }
     Instant ownLeaseEnd(std::int64_t untilClockMs) const;
-    Millis longestFor(Millis clockTime) const;
 
     WorkerSessionSettings m_settings;
     WorkerIncarnation m_incarnation;
@@ -183,6 +196,10 @@
     Instant m_leasesEndAt;
     // When every lease of earlier owners, and every one granted to earlier incarnations, has.
     Instant m_earlierLeasesEndAt;
+    // When every lease that earlier owners granted has, by the clock of the life they granted it
+    // to.
+    Instant m_earlierGrantsEndAt;
+    bool m_hasGranted = false; // This owner has granted a lease.
     Instant m_formerLifeEndsAt; // Of the latest earlier incarnation; none if it is not set.
     std::int64_t m_appliedEnds = 0;
     std::int64_t m_durableEnds = 0;
--- a/src/lib/journal.cpp
+++ b/src/lib/journal.cpp
@@ -61,7 +61,10 @@
 
 bool Journal::hasWork() const
 {
-    return !m_queuedRecords.empty() || m_releasing || (m_snapshot && m_snapshot->stored);
+    const bool raisesLeaseLimit =
+        m_wantedLeaseLimitMs - m_confirmedRow.leasesEndMs >= m_settings.leaseLimitStep.count();
+    return !m_queuedRecords.empty() || m_releasing || (m_snapshot && m_snapshot->stored)
+        || raisesLeaseLimit;
 }
 
 std::optional<Instant> Journal::nextCommitAt() const
@@ -100,6 +103,7 @@
     addSegment(t);
     addSnapshot(t);
     addDeletes(t);
+    m_inFlightRow.leasesEndMs = std::max(m_inFlightRow.leasesEndMs, m_wantedLeaseLimitMs);
     if (m_releasing && m_queuedRecords.empty()) {
         m_inFlightRow.owner.clear();
         m_inFlightRow.peer.clear();
--- a/src/lib/shardrow.cpp
+++ b/src/lib/shardrow.cpp
@@ -52,6 +52,7 @@
     parsed.snapshot = json["snapshot"].asUInt64();
     parsed.first = json.get("first", 1).asUInt64();
     parsed.object = json["object"].asString();
+    parsed.leasesEndMs = json["leasesEndMs"].asInt64();
     parsed.commit = json["commit"].asString();
     return parsed;
 }
@@ -66,6 +67,8 @@
     json["snapshot"] = Json::UInt64(row.snapshot);
     json["first"] = Json::UInt64(row.first);
     json["object"] = row.object;
+    if (row.leasesEndMs != 0)
+        json["leasesEndMs"] = Json::Int64(row.leasesEndMs);
     json["commit"] = row.commit;
     return internal::toJsonText(json);
 }
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -329,11 +329,13 @@
     stamp(m_uncommittedStarts);
     stamp(m_uncommittedAcks);
     stamp(m_uncommittedStates);
+    m_earlierLeases.recordsAppended(lsn);
 }
 
 void Coordinator::recordsDurable(LogSequenceNumber lsn)
 {
     m_durable = lsn;
+    m_earlierLeases.recordsDurable(lsn);
     const auto isDurable = [lsn](const auto &held) {
         return !held.empty() && held.front().lsn != 0 && held.front().lsn <= lsn;
     };
@@ -447,8 +449,10 @@
                                               : m_settings.workerSessions.maxRenewalWait;
         if (worker.startsInFlight > 0) // One that gets no reply is settled by the next renewal.
             wait = Millis{0};
-        if (auto renewal = worker.session.nextRenewal(m_runs.hasRunsOn(id), wait, now.monotonic,
-                                                      m_latestLeaseEnd))
+        const auto latestEnd =
+            m_earlierLeases.withholds(id) ? std::optional(now.monotonic) : m_latestLeaseEnd;
+        if (auto renewal =
+                worker.session.nextRenewal(m_runs.hasRunsOn(id), wait, now.monotonic, latestEnd))
             renewals.emplace_back(std::move(*renewal));
     }
     return renewals;
--- /dev/null
+++ b/src/lib/steps/coordinatorleases.cpp
@@ -0,0 +1,116 @@
+// The part of Coordinator that knows when the leases of workers are over, its own and those of
+// earlier owners.
+
+#include "savorywick/steps/coordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace savorywick::steps {
+
+WorkerSession Coordinator::makeSession(const WorkerIncarnation &life,
+                                       const std::string &address) const
+{
+    return {life,
+            address,
+            m_firstFence,
+            m_ownedSince,
+            m_settings.workerSessions,
+            m_earlierLeases.endOf(m_table.silentUntilMs(life.workerId))};
+}
+
+// Records that a worker has the long-running run. For others the record would cost more than it
+// saves: they end soon.
+void Coordinator::recordConfirmation(Run &run)
+{
+    m_longRunningGaps.noteSeen(run.key.task);
+    if (!std::exchange(run.confirmationRecorded, true))
+        appendRecord(RunConfirmed{run.key.task, run.key.number});
+}
+
+// Records for the next owner that a worker with runs of earlier owners does not answer.
+void Coordinator::recordSilence(const Worker &worker, Instant now)
+{
+    const std::string &id = worker.info.incarnation.workerId;
+    if (worker.session.hasGranted() || !m_runs.hasRunsOn(id))
+        return;
+    if (const auto record = m_earlierLeases.noteSilence(id, m_table.silentUntilMs(id), now))
+        appendRecord(*record);
+}
+
+// Withdraws what is recorded of the worker's silence, before it is granted a lease.
+void Coordinator::recordAnswer(const std::string &worker)
+{
+    if (!m_table.silentUntilMs(worker))
+        return;
+    if (const auto record = m_earlierLeases.noteAnswer(worker))
+        appendRecord(*record);
+}
+
+// Returns from when on the run, whose start order was sent, has certainly ended with its lease.
+Instant Coordinator::leaseEndOf(const Run &run) const
+{
+    const WorkerSession &session = m_workers.find(run.workerId)->second.session;
+    const bool isOfEarlierOwner = run.phase == RunPhase::Unconfirmed && run.startFence == 0;
+    if (isOfEarlierOwner && run.confirmationRecorded)
+        return session.confirmedRunsEndAt();
+    const bool endedWithItsLife =
+        run.phase == RunPhase::Running && run.incarnation != session.incarnation();
+    return endedWithItsLife ? session.formerLifeEndsAt() : session.leaseExpiresAt();
+}
+
+// Returns when the first lease on the worker ends.
+Instant Coordinator::nextLeaseEnd(const Worker &worker) const
+{
+    Instant next = worker.session.leaseExpiresAt();
+    if (worker.session.formerLifeEndsAt() == Instant{}
+        && worker.session.confirmedRunsEndAt() == next)
+        return next;
+    for (const RunKey &key : m_runs.onWorker(worker.info.incarnation.workerId))
+        next = std::min(next, leaseEndOf(*m_runs.find(key)));
+    return next;
+}
+
+// Ends the runs of workers whose lease has lapsed, and removes such workers if they are unlisted.
+void Coordinator::expireWorkers(ClockReading now)
+{
+    refreshDueTimes();
+    for (const std::string &id : m_leaseEnds.takeDue(now.monotonic)) {
+        ++m_counters.workersExamined;
+        endLapsedRuns(id, now);
+        const auto it = m_workers.find(id);
+        if (!it->second.session.leaseExpired(now.monotonic)) {
+            markStale(it->second);
+            continue;
+        }
+        if (!it->second.unlistedSince || m_runs.hasRunsOn(id))
+            continue;
+        m_renewals.cancel(id);
+        std::erase(m_staleWorkers, &it->second);
+        m_firstFence = std::max(m_firstFence, it->second.session.fence() + 1);
+        m_quarantine.removeWorker(id);
+        m_bestEffortLimit.removeWorker(id);
+        m_workers.erase(it);
+    }
+}
+
+// Ends the runs on the worker whose lease has lapsed. A run whose start order was not sent holds
+// none.
+void Coordinator::endLapsedRuns(const std::string &id, ClockReading now)
+{
+    std::vector<RunKey> lapsedRuns = m_runs.onWorker(id);
+    std::erase_if(lapsedRuns, [&](const RunKey &key) {
+        const Run &run = *m_runs.find(key);
+        return run.phase == RunPhase::StartPending || now.monotonic < leaseEndOf(run);
+    });
+    Worker &worker = m_workers.at(id);
+    if (worker.lastCallClosed)
+        endLife(worker, "refused", now);
+    if (!lapsedRuns.empty())
+        noteWorker(SchedulerEventKind::WorkerLeaseExpired, id, "lease-over",
+                   now.monotonic - worker.session.lastAnswerAt());
+    for (const RunKey &key : lapsedRuns)
+        endRun(key, RunOutcome::LeaseExpired, {}, now);
+}
+
+} // namespace savorywick::steps
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -33,10 +33,7 @@
         return it->second;
     }
     m_quarantine.addWorker(id);
-    Worker worker{info,
-                  WorkerSession(info.incarnation, info.address, m_firstFence, m_ownedSince,
-                                m_settings.workerSessions),
-                  {}};
+    Worker worker{info, makeSession(info.incarnation, info.address), {}};
     Worker &added = m_workers.emplace(id, std::move(worker)).first->second;
     markStale(added);
     return added;
@@ -69,6 +66,7 @@
     Run run =
         makeRun({task, active.number}, job.spec.steps[task.step], active.worker, m_ownedSince);
     run.phase = RunPhase::Unconfirmed;
+    run.confirmationRecorded = active.confirmed;
     run.onProbation = isSuspected(task);
     if (run.longRunning)
         m_longRunningGaps.noteAdopted(task, m_ownedSince);
@@ -80,8 +78,7 @@
     // lease lapses or another life of it is met at its address.
     const std::string address = m_table.workerAddress(id);
     Worker worker{{.incarnation = active.worker, .address = address},
-                  WorkerSession(active.worker, address, m_firstFence, m_ownedSince,
-                                m_settings.workerSessions),
+                  makeSession(active.worker, address),
                   m_ownedSince};
     m_quarantine.addWorker(id);
     m_workers.emplace(id, std::move(worker));
@@ -105,6 +102,7 @@
             noteWorker(SchedulerEventKind::WorkerUnresponsive, id, toString(reply.outcome),
                        silence);
         worker.session.renewalFailed(now.monotonic);
+        recordSilence(worker, now.monotonic);
         worker.avoidedUntil =
             std::max(worker.avoidedUntil, now.monotonic + m_settings.workerAvoidance);
         if (reply.outcome == CommandOutcome::Fenced)
@@ -121,6 +119,7 @@
         return;
     }
     noteAnswered(worker);
+    recordAnswer(id);
     if (!wasResponsive)
         excuseSilence(id, silence, now.monotonic);
     if (!wasResponsive && worker.session.responsive())
@@ -172,7 +171,7 @@
         run->outcomeOfCrash.reset();
         clearIfLasting(worker, *run);
         if (run->longRunning)
-            m_longRunningGaps.noteSeen(key.task);
+            recordConfirmation(*run);
         const bool wasRunning = run->phase == RunPhase::Running;
         if (!wasRunning) {
             if (run->startFence == 0)
@@ -401,68 +400,6 @@
     }
 }
 
-// Returns from when on the run, whose start order was sent, has certainly ended with its lease.
-Instant Coordinator::leaseEndOf(const Run &run) const
-{
-    const WorkerSession &session = m_workers.find(run.workerId)->second.session;
-    const bool endedWithItsLife =
-        run.phase == RunPhase::Running && run.incarnation != session.incarnation();
-    return endedWithItsLife ? session.formerLifeEndsAt() : session.leaseExpiresAt();
-}
-
-// Returns when the first lease on the worker ends.
-Instant Coordinator::nextLeaseEnd(const Worker &worker) const
-{
-    Instant next = worker.session.leaseExpiresAt();
-    if (worker.session.formerLifeEndsAt() == Instant{})
-        return next;
-    for (const RunKey &key : m_runs.onWorker(worker.info.incarnation.workerId))
-        next = std::min(next, leaseEndOf(*m_runs.find(key)));
-    return next;
-}
-
-// Ends the runs of workers whose lease has lapsed, and removes such workers if they are unlisted.
-void Coordinator::expireWorkers(ClockReading now)
-{
-    refreshDueTimes();
-    for (const std::string &id : m_leaseEnds.takeDue(now.monotonic)) {
-        ++m_counters.workersExamined;
-        endLapsedRuns(id, now);
-        const auto it = m_workers.find(id);
-        if (!it->second.session.leaseExpired(now.monotonic)) {
-            markStale(it->second);
-            continue;
-        }
-        if (!it->second.unlistedSince || m_runs.hasRunsOn(id))
-            continue;
-        m_renewals.cancel(id);
-        std::erase(m_staleWorkers, &it->second);
-        m_firstFence = std::max(m_firstFence, it->second.session.fence() + 1);
-        m_quarantine.removeWorker(id);
-        m_bestEffortLimit.removeWorker(id);
-        m_workers.erase(it);
-    }
-}
-
-// Ends the runs on the worker whose lease has lapsed. A run whose start order was not sent holds
-// none.
-void Coordinator::endLapsedRuns(const std::string &id, ClockReading now)
-{
-    std::vector<RunKey> lapsedRuns = m_runs.onWorker(id);
-    std::erase_if(lapsedRuns, [&](const RunKey &key) {
-        const Run &run = *m_runs.find(key);
-        return run.phase == RunPhase::StartPending || now.monotonic < leaseEndOf(run);
-    });
-    Worker &worker = m_workers.at(id);
-    if (worker.lastCallClosed)
-        endLife(worker, "refused", now);
-    if (!lapsedRuns.empty())
-        noteWorker(SchedulerEventKind::WorkerLeaseExpired, id, "lease-over",
-                   now.monotonic - worker.session.lastAnswerAt());
-    for (const RunKey &key : lapsedRuns)
-        endRun(key, RunOutcome::LeaseExpired, {}, now);
-}
-
 // Moves the runs that would not end before the worker leaves, if they lose little by moving: those
 // that save checkpoints, and long-running ones.
 void Coordinator::evacuate(const Worker &worker)
--- /dev/null
+++ b/src/lib/steps/earlierleases.cpp
@@ -0,0 +1,47 @@
+#include "savorywick/steps/earlierleases.h"
+
+#include <algorithm>
+
+namespace savorywick::steps {
+
+std::optional<Instant> EarlierLeases::endOf(std::optional<std::int64_t> recordedMs) const
+{
+    if (!m_end)
+        return {};
+    return m_end->at
+        - Millis{std::max<std::int64_t>(0, m_end->storeMs - recordedMs.value_or(m_end->storeMs))};
+}
+
+std::optional<WorkerSilent> EarlierLeases::noteSilence(const std::string &worker,
+                                                       std::optional<std::int64_t> recordedMs,
+                                                       Instant now) const
+{
+    if (!m_end || recordedMs || now >= m_end->at)
+        return {};
+    return WorkerSilent{worker, m_end->storeMs};
+}
+
+std::optional<WorkerHeard> EarlierLeases::noteAnswer(const std::string &worker)
+{
+    if (!m_withheld.insert(worker).second)
+        return {};
+    m_uncommitted.push_back({0, worker});
+    return WorkerHeard{worker};
+}
+
+void EarlierLeases::recordsAppended(LogSequenceNumber lsn)
+{
+    for (auto it = m_uncommitted.rbegin(); it != m_uncommitted.rend() && it->lsn == 0; ++it)
+        it->lsn = lsn;
+}
+
+void EarlierLeases::recordsDurable(LogSequenceNumber lsn)
+{
+    while (!m_uncommitted.empty() && m_uncommitted.front().lsn != 0
+           && m_uncommitted.front().lsn <= lsn) {
+        m_withheld.erase(m_uncommitted.front().worker);
+        m_uncommitted.pop_front();
+    }
+}
+
+} // namespace savorywick::steps
--- a/src/lib/steps/jobtable.cpp
+++ b/src/lib/steps/jobtable.cpp
@@ -53,11 +53,21 @@
         if (!task)
             return;
         task->lastRunNumber = std::max(task->lastRunNumber, it.run);
-        task->activeRuns.push_back({it.run, it.worker});
+        task->activeRuns.push_back({it.run, it.worker, false});
         if (job->state == JobState::Queued)
             job->state = JobState::Running;
     }
 
+    void operator()(const RunConfirmed &it) const
+    {
+        Job *job = table.findJob(it.task.job);
+        Task *task = job ? findTask(*job, it.task) : nullptr;
+        if (!task)
+            return;
+        for (ActiveRun &run : task->activeRuns)
+            run.confirmed = run.confirmed || run.number == it.run;
+    }
+
     void operator()(const RunEnded &it) const
     {
         Job *job = table.findJob(it.task.job);
@@ -100,6 +110,13 @@
         table.m_workerAddresses[it.workerId] = it.address;
     }
 
+    void operator()(const WorkerSilent &it) const
+    {
+        table.m_silentUntilMs[it.workerId] = it.leasesEndMs;
+    }
+
+    void operator()(const WorkerHeard &it) const { table.m_silentUntilMs.erase(it.workerId); }
+
     void operator()(const JobCancelled &it) const
     {
         if (Job *job = table.findJob(it.job))
@@ -249,6 +266,12 @@
     return it == m_workerAddresses.end() ? std::string() : it->second;
 }
 
+std::optional<std::int64_t> JobTable::silentUntilMs(std::string_view worker) const
+{
+    const auto it = m_silentUntilMs.find(worker);
+    return it == m_silentUntilMs.end() ? std::nullopt : std::optional(it->second);
+}
+
 std::vector<Record> JobTable::snapshotOf(const Job &job) const
 {
     std::vector<Record> records;
@@ -293,6 +316,10 @@
         if (workers.contains(id))
             records.emplace_back(WorkerAddress{id, address});
     }
+    for (const auto &[id, endMs] : m_silentUntilMs) {
+        if (workers.contains(id))
+            records.emplace_back(WorkerSilent{id, endMs});
+    }
     return records;
 }
 
--- a/src/lib/steps/record.cpp
+++ b/src/lib/steps/record.cpp
@@ -2,6 +2,7 @@
 
 #include "savorywick/errors.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <cstdio>
@@ -294,8 +295,16 @@
         w.text(it.state.checkpoint).number(static_cast<std::int64_t>(it.state.activeRuns.size()));
         for (const ActiveRun &run : it.state.activeRuns)
             w.number(run.number).worker(run.worker);
-        if (it.state.crashes > 0) // There are few such tasks.
+        const auto confirmed = std::count_if(it.state.activeRuns.begin(), it.state.activeRuns.end(),
+                                             [](const ActiveRun &run) { return run.confirmed; });
+        if (it.state.crashes > 0 || confirmed > 0) // There are few such tasks.
             w.number(it.state.crashes).number(it.state.causedCrashes);
+        if (confirmed > 0)
+            w.number(confirmed);
+        for (const ActiveRun &run : it.state.activeRuns) {
+            if (run.confirmed)
+                w.number(run.number);
+        }
         return w.take();
     }
     std::string operator()(const JobStateSnapshot &it) const
@@ -307,6 +316,18 @@
     {
         return FieldWriter('K').task(it.task).take();
     }
+    std::string operator()(const RunConfirmed &it) const
+    {
+        return FieldWriter('V').task(it.task).number(it.run).take();
+    }
+    std::string operator()(const WorkerSilent &it) const
+    {
+        return FieldWriter('W').text(it.workerId).number(it.leasesEndMs).take();
+    }
+    std::string operator()(const WorkerHeard &it) const
+    {
+        return FieldWriter('H').text(it.workerId).take();
+    }
     std::string operator()(const WorkerAddress &it) const
     {
         return FieldWriter('A').text(it.workerId).text(it.address).take();
@@ -364,6 +385,13 @@
         return it;
     it.state.crashes = r.number<int>();
     it.state.causedCrashes = r.number<int>();
+    if (r.atEnd())
+        return it;
+    for (std::size_t n = r.listLength(); n > 0; --n) {
+        const int number = r.number<int>();
+        for (ActiveRun &run : it.state.activeRuns)
+            run.confirmed = run.confirmed || run.number == number;
+    }
     return it;
 }
 
@@ -422,6 +450,20 @@
     }
     case 'K':
         return TaskCleared{r.task()};
+    case 'V': {
+        RunConfirmed it;
+        it.task = r.task();
+        it.run = r.number<int>();
+        return it;
+    }
+    case 'W': {
+        WorkerSilent it;
+        it.workerId = r.text();
+        it.leasesEndMs = r.number();
+        return it;
+    }
+    case 'H':
+        return WorkerHeard{r.text()};
     case 'A': {
         WorkerAddress it;
         it.workerId = r.text();
--- a/src/lib/steps/workersession.cpp
+++ b/src/lib/steps/workersession.cpp
@@ -11,16 +11,31 @@
 
 } // namespace
 
+Millis WorkerSessionSettings::longestFor(Millis clockTime) const
+{
+    const std::int64_t longest =
+        (clockTime.count() * fullPercent + minClockRatePercent - 1) / minClockRatePercent;
+    return Millis{std::max<std::int64_t>(0, longest)};
+}
+
+Millis WorkerSessionSettings::expiryDelay(Millis span) const
+{
+    return longestFor(span + Millis{1} + expiryMargin) - span;
+}
+
 WorkerSession::WorkerSession(const WorkerIncarnation &incarnation, std::string address,
                              Fence firstFence, Instant ownedSince,
-                             const WorkerSessionSettings &settings)
+                             const WorkerSessionSettings &settings,
+                             std::optional<Instant> earlierGrantsEndAt)
     : m_settings(settings)
     , m_incarnation(incarnation)
     , m_address(std::move(address))
     , m_fence(firstFence)
     , m_renewalDueAt(ownedSince)
     , m_lastAnswerAt(ownedSince)
-    , m_earlierLeasesEndAt(ownedSince + longestFor(settings.maxLeaseTerm + settings.expiryMargin))
+    , m_earlierLeasesEndAt(ownedSince
+                           + settings.longestFor(settings.maxLeaseTerm + settings.expiryMargin))
+    , m_earlierGrantsEndAt(earlierGrantsEndAt.value_or(m_earlierLeasesEndAt))
 { }
 
 void WorkerSession::update(const WorkerIncarnation &incarnation, std::string address, Instant now)
@@ -184,30 +199,28 @@
 {
     if (latestEnd)
         term = std::max(Millis{0}, std::min(term, *latestEnd - now));
+    m_hasGranted = true;
     const std::int64_t until = m_clockMs.value_or(0) + (now - m_clockReadAt).count() + term.count();
     m_leaseUntilClockMs = std::max(m_leaseUntilClockMs, until);
     // A worker that has started again under its id may take the lease over by its new clock.
     const Instant takenOverEnd = now + m_settings.maxAnswerTime
-        + longestFor(m_settings.maxLeaseTerm + m_settings.expiryMargin);
+        + m_settings.longestFor(m_settings.maxLeaseTerm + m_settings.expiryMargin);
     m_leasesEndAt = std::max({m_leasesEndAt, ownLeaseEnd(until), takenOverEnd});
     return until;
 }
 
-// Returns the longest time in which the slowest clock advances by `clockTime`.
-Millis WorkerSession::longestFor(Millis clockTime) const
-{
-    const std::int64_t rate = m_settings.minClockRatePercent;
-    const std::int64_t longest = (clockTime.count() * fullPercent + rate - 1) / rate;
-    return Millis{std::max<std::int64_t>(0, longest)};
-}
-
 // Returns from when on a lease until this time on the worker's clock has surely expired, by the
 // latest reading of the clock.
 Instant WorkerSession::ownLeaseEnd(std::int64_t untilClockMs) const
 {
     const Millis untilExpired =
         Millis{untilClockMs - m_clockMs.value_or(0) + 1} + m_settings.expiryMargin;
-    return m_clockReadAt + longestFor(untilExpired);
+    return m_clockReadAt + m_settings.longestFor(untilExpired);
+}
+
+Instant WorkerSession::confirmedRunsEndAt() const
+{
+    return m_hasGranted ? leaseExpiresAt() : std::min(m_earlierGrantsEndAt, leaseExpiresAt());
 }
 
 Instant WorkerSession::leaseExpiresAt() const
--- a/src/node/asyncstore.h
+++ b/src/node/asyncstore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "savorywick/platform.h"
+#include "savorywick/storeclock.h"
 
 #include <functional>
 #include <optional>
@@ -31,6 +32,8 @@
     // order.
     virtual void scan(const std::string &prefix, const std::string &after, std::size_t limit,
                       ReadCallback done) = 0;
+    // Returns the service's clock, or nullptr if the service has none that all entries can read.
+    virtual const StoreClock *storeClock() const { return nullptr; }
 };
 
 // Accesses the platform's object store without blocking; the asynchronous counterpart of
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -122,6 +122,7 @@
 {
     m_restored = true;
     m_journal.setRestoredBytes(m_restoredSnapshotBytes, m_reader.segmentBytes());
+    const Millis earlierLeasesLeft = takeInEarlierLeases();
     m_coordinator.takeOver(now());
     m_coordinator.setWorkers(m_workers, now());
     m_coordinator.setEvacuatedZones(m_evacuatedZones, now());
@@ -132,6 +133,7 @@
              {"epoch", m_owned.row.epoch},
              {"jobs", static_cast<int>(m_coordinator.jobTable().jobs().size())},
              {"runs", static_cast<int>(m_coordinator.runs().all().size())},
+             {"earlierLeasesMs", earlierLeasesLeft.count()},
              {"tookMs", (m_dependencies.clock.now() - m_coordinator.ownedSince()).count()}});
     scheduleProcessing();
 }
@@ -240,6 +242,7 @@
         m_mover.sendJobs(m_coordinator, m_journal.durableLsn(), m_dependencies.clock.now());
     logDecisions();
     storeSnapshot();
+    raiseLeaseLimit();
     commitNext();
     scheduleWakeUp();
     m_load.countRound(m_dependencies.clock.now() - beganAt);
@@ -364,9 +367,7 @@
 void ShardRunner::sendOrders()
 {
     const bool mayStart = hasValidLease() && !m_journal.releasing();
-    // A successor takes the shard no earlier than this entry's lease ends.
-    m_coordinator.limitLeases(m_dependencies.leaseValidUntil()
-                              + m_settings.coordinator.workerSessions.maxLeaseTerm);
+    m_coordinator.limitLeases(latestLeaseEnd());
     for (const steps::WorkerCommand &it :
          mayStart ? m_coordinator.takeOrders(now()) : m_coordinator.takeRenewals(now()))
         sendOrder(it);
--- a/src/node/shardrunner.h
+++ b/src/node/shardrunner.h
@@ -36,6 +36,10 @@
     // lag is left out of account.
     steps::CommitForecastSettings commitForecast;
     JobMoverSettings jobMover;
+    // How far ahead of a commit the shard's row promises that all leases on workers are over. The
+    // longer, the longer runs outlast an outage of the store, and the longer a new owner waits
+    // until it may start again what ran on workers that were lost with the owner before.
+    Millis leaseLimitAhead{8'200};
     Millis restoreRetryDelay{150}; // The delay before a failed read is retried.
     // The delay before a snapshot that was not stored is sent again. It is long, since a snapshot
     // is large and not urgent.
@@ -132,6 +136,7 @@
     void retryRestoreLater(std::string_view what, void (ShardRunner::*step)());
     void retryLater(void (ShardRunner::*step)());
     void finishRestore();
+    Millis takeInEarlierLeases();
 
     void scheduleProcessing();
     void process();
@@ -144,6 +149,8 @@
     void readBack();
     void handleJournalEvent(const JournalStatus &event);
     void sendDurableReplies(LogSequenceNumber durableLsn);
+    void raiseLeaseLimit();
+    Instant latestLeaseEnd() const;
     void sendOrders();
     void sendOrder(const steps::WorkerCommand &order);
     void storeSnapshot();
--- a/tests/adapter/tablestore_test.cpp
+++ b/tests/adapter/tablestore_test.cpp
@@ -71,6 +71,13 @@
     CHECK(page->rows[1].deleted);
     CHECK(page->hasMore);
     CHECK(page->storeVersion == 9);
+    CHECK(page->storeTimeMs == 1);
+}
+
+TEST_CASE("A page tells the time on the store's clock")
+{
+    CHECK(parsePage(R"({"rows":[],"hasMore":false,"ver":9,"nowMs":51230})")->storeTimeMs == 51'230);
+    CHECK_FALSE(parsePage(R"({"rows":[],"hasMore":false,"ver":9})")->storeTimeMs);
 }
 
 // Guards against a spelling that the reader of plain pages takes differently from the general one,
@@ -81,6 +88,8 @@
         if (!page)
             return std::string("none");
         std::string text = std::to_string(page->storeVersion) + (page->hasMore ? " more" : "");
+        if (page->storeTimeMs)
+            text += " at " + std::to_string(*page->storeTimeMs);
         for (const StoredRow &it : page->rows)
             text += "; " + it.key + " " + it.value + " " + std::to_string(it.version)
                 + (it.deleted ? " deleted" : "");
--- a/tests/lib/journal_test.cpp
+++ b/tests/lib/journal_test.cpp
@@ -159,6 +159,29 @@
     CHECK(recover(table, owned) == numberedRecords(0, 1));
 }
 
+// Guards against leases beyond the time that the shard's row promises, and against a commit for
+// each millisecond that the promise could rise.
+TEST_CASE("Journal raises the limit of leases with other work and alone only by a whole step")
+{
+    FakeTable table;
+    Journal journal(claimShard(table, "a"), {.leaseLimitStep = Millis{1'000}});
+    CHECK(journal.leaseLimitMs() == 0);
+    journal.raiseLeaseLimit(8'000);
+    CHECK(journal.leaseLimitMs() == 0); // Not before it is durable.
+    commitOnce(journal, table, Instant{0});
+    CHECK(journal.leaseLimitMs() == 8'000);
+    journal.raiseLeaseLimit(8'999);
+    CHECK_FALSE(journal.nextCommitAt());
+    journal.append(numberedRecords(0, 1));
+    commitOnce(journal, table, Instant{1'000});
+    CHECK(journal.leaseLimitMs() == 8'999);
+    journal.raiseLeaseLimit(5'000); // It never falls.
+    journal.raiseLeaseLimit(9'999);
+    CHECK(journal.nextCommitAt());
+    const OwnedShard next = claimShard(table, "b");
+    CHECK(next.row.leasesEndMs == 8'999); // A claim keeps what the last commit promised.
+}
+
 TEST_CASE("Journal releases the shard after every record is durable")
 {
     FakeTable table;
--- a/tests/steps/coordinatorharness.h
+++ b/tests/steps/coordinatorharness.h
@@ -67,6 +67,8 @@
         m_coordinator = std::make_unique<Coordinator>(++m_epoch, m_now, m_settings);
         for (const std::string &it : m_journal)
             m_coordinator->restore(decodeRecord(it));
+        if (earlierLeasesEnd)
+            m_coordinator->setEarlierLeasesEnd(earlierLeasesEnd->count(), *earlierLeasesEnd);
         m_coordinator->takeOver(now());
         m_coordinator->setWorkers(m_workers, now());
         step();
@@ -201,6 +203,8 @@
         m_endedRuns.insert(run);
     }
 
+    // By when the next owner takes the leases of those before it for over, if it knows.
+    std::optional<Instant> earlierLeasesEnd;
     bool commits = true; // Whether records become durable.
     std::size_t maxListedEnds = 500; // That a worker tells of at a time.
     // Runs that workers have though no owner knows of them, by worker.
--- /dev/null
+++ b/tests/steps/coordinatorleases_test.cpp
@@ -0,0 +1,145 @@
+#include "savorywick/steps/coordinator.h"
+
+#include "coordinatorharness.h"
+#include "historyonfailure.h"
+#include "shardsimulation.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+using namespace savorywick;
+using namespace savorywick::steps;
+using namespace savorywick::steps::testing;
+
+namespace {
+
+constexpr Millis leasesLeft{4'000}; // At the takeover, as the shard's row tells.
+constexpr Millis slack{200}; // Steps of the harness, and the placement.
+
+// A long-running task whose worker is lost with the owner.
+class LostRun
+{
+public:
+    explicit LostRun(bool confirmed = true, bool longRunning = true)
+        : m_harness(2)
+    {
+        StepSpec step;
+        step.demand = {1'000, 1'000, 0};
+        step.longRunning = longRunning;
+        m_harness.submit("a", step);
+        if (confirmed)
+            m_harness.advance(Millis{2'000});
+        m_worker = m_harness.starts.front().target.worker.workerId;
+        m_harness.silentWorkers.insert(m_worker);
+        m_harness.earlierLeasesEnd = m_harness.now().monotonic + leasesLeft;
+        m_harness.replaceOwner();
+    }
+
+    CoordinatorHarness &harness() { return m_harness; }
+    const std::string &worker() const { return m_worker; }
+    // Returns how long after the takeover the task is started again.
+    Millis restartAfter(Instant takenOverAt)
+    {
+        constexpr Millis patience{20'000};
+        while (m_harness.starts.size() < 2 && m_harness.now().monotonic - takenOverAt < patience)
+            m_harness.advance(Millis{20});
+        return m_harness.now().monotonic - takenOverAt;
+    }
+
+private:
+    CoordinatorHarness m_harness;
+    std::string m_worker;
+};
+
+} // namespace
+
+// Guards against a wait for the longest lease that a worker takes, when it is known that all leases
+// are over before.
+TEST_CASE("A task whose worker is lost with the owner starts again once all leases are over")
+{
+    struct Case
+    {
+        std::string what;
+        bool confirmed;
+        bool longRunning;
+        Millis expected;
+    };
+    constexpr Millis longestLease{10'567}; // By the slowest clock, with the margin.
+    for (const Case &it :
+         {Case{"confirmed", true, true, leasesLeft},
+          Case{"not confirmed: a next life may have taken it over", false, true, longestLease},
+          Case{"short: no confirmation is recorded", true, false, longestLease}}) {
+        CAPTURE(it.what);
+        LostRun lost(it.confirmed, it.longRunning);
+        const Millis restart = lost.restartAfter(lost.harness().now().monotonic);
+        CHECK(restart >= it.expected);
+        CHECK(restart <= it.expected + slack);
+    }
+}
+
+// Guards against a wait that begins anew with each owner.
+TEST_CASE("A series of owners waits no longer for a silent worker than the first of them")
+{
+    LostRun lost;
+    CoordinatorHarness &harness = lost.harness();
+    const Instant firstTakeover = harness.now().monotonic;
+    for (int i = 0; i < 3; ++i) {
+        harness.advance(Millis{1'000});
+        harness.earlierLeasesEnd = harness.now().monotonic + Millis{8'000}; // Raised for others.
+        harness.replaceOwner();
+    }
+    CHECK(lost.restartAfter(firstTakeover) >= leasesLeft);
+    CHECK(lost.restartAfter(firstTakeover) <= leasesLeft + slack);
+}
+
+// Guards against a second run beside one whose lease was renewed after the worker had been recorded
+// as silent.
+TEST_CASE("A worker that answers after all keeps its run and is waited for again")
+{
+    LostRun lost;
+    CoordinatorHarness &harness = lost.harness();
+    harness.advance(Millis{500});
+    harness.commits = false;
+    harness.silentWorkers.clear();
+    harness.renewals.clear();
+    harness.advance(Millis{1'000});
+    for (const RenewLeaseCommand &it : harness.renewals) {
+        if (it.target.worker.workerId == lost.worker())
+            CHECK_FALSE(it.leaseUntilClockMs.has_value()); // The record is not withdrawn yet.
+    }
+    harness.commits = true;
+    harness.advance(Millis{500});
+    CHECK(harness.renewals.back().leaseUntilClockMs.has_value());
+    harness.silentWorkers.insert(lost.worker());
+    harness.earlierLeasesEnd = harness.now().monotonic + Millis{7'000};
+    harness.replaceOwner();
+    const Millis restart = lost.restartAfter(harness.now().monotonic);
+    CHECK(restart >= Millis{7'000});
+}
+
+// Guards against two runs of a task at a time, whatever owners know of the leases of those before.
+TEST_CASE("No promise is broken while owners count on what the shard's row tells of leases")
+{
+    CHECK(rc::check("random owners, workers and losses", [](unsigned seed) {
+        ShardSimulation simulation(seed);
+        const HistoryOnFailure history(simulation);
+        simulation.promiseLeaseEnds(Millis{2'500 + simulation.randomBelow(5'000)});
+        for (int i = 0; i < 8; ++i) {
+            JobSpec job;
+            job.id = "job" + std::to_string(i);
+            job.policy = {"q", "matching", 0, 3, 2.0, Millis{500}};
+            StepSpec step;
+            step.taskCount = 1 + simulation.randomBelow(4);
+            step.demand = {500 + simulation.randomBelow(2'500), 500, 0};
+            step.estimatedDuration = Millis{500};
+            step.longRunning = i % 2 == 0;
+            job.steps = {step};
+            simulation.submit(job);
+            simulation.advance(60, true);
+        }
+        simulation.finishAndVerify();
+    }));
+}
--- a/tests/steps/record_test.cpp
+++ b/tests/steps/record_test.cpp
@@ -107,6 +107,10 @@
             TaskSnapshot{task, {4, 1, 2, false, arbitraryText(), {{4, worker}}}},
             TaskSnapshot{task, {4, 1, 2, false, arbitraryText(), {{4, worker}}, 2, 1}},
             TaskCleared{task},
+            TaskSnapshot{task, {4, 1, 2, false, arbitraryText(), {{3, worker}, {4, worker, true}}}},
+            RunConfirmed{task, 4},
+            WorkerSilent{arbitraryText(), 81'234},
+            WorkerHeard{arbitraryText()},
             WorkerAddress{arbitraryText(), arbitraryText()},
             JobStateSnapshot{arbitraryText(), JobState::Failed, 19},
         };
--- a/tests/steps/shardsimulation.h
+++ b/tests/steps/shardsimulation.h
@@ -114,6 +114,10 @@
     // Lets workers tell of this many ends at a time, the earliest first.
     void limitListedEnds(std::size_t limit) { m_maxListedEnds = limit; }
 
+    // Lets the shard's row promise with each commit that all leases are over after this time, as it
+    // does where all owners can read the store's clock, and limits the leases by it.
+    void promiseLeaseEnds(Millis ahead) { m_leaseLimitAhead = ahead; }
+
     // Lets the capacity of workers shrink and grow while faults are injected.
     void changeCapacities() { m_changesCapacities = true; }
 
@@ -184,6 +188,8 @@
         m_owner = std::make_unique<Coordinator>(m_epoch, m_now, ownerSettings());
         for (const std::string &it : m_journal)
             m_owner->restore(decodeRecord(it));
+        if (m_leaseLimit != Instant{})
+            m_owner->setEarlierLeasesEnd(m_leaseLimit.count(), m_leaseLimit);
         m_owner->takeOver(now());
         m_owner->setWorkers(listedWorkers(), now());
         m_scheduledCalls.remove_if([](const ScheduledCall &it) { return it.toOwner; });
@@ -333,12 +339,13 @@
     void commitWhenDue()
     {
         if (m_pendingRecords.empty())
-            return;
+            return raiseLeaseLimit(); // A commit of its own.
         if (m_commitAt == Instant{})
             m_commitAt = m_now + Millis{faultOccurs(20) ? randomBelow(4'000) : 8};
         if (m_now < m_commitAt)
             return;
         m_commitAt = {};
+        raiseLeaseLimit();
         for (std::string &it : m_pendingRecords)
             m_journal.push_back(std::move(it));
         m_pendingRecords.clear();
@@ -350,6 +357,15 @@
         }
     }
 
+    void raiseLeaseLimit()
+    {
+        if (m_leaseLimitAhead == Millis{0})
+            return;
+        m_leaseLimit = m_now + m_leaseLimitAhead;
+        m_owner->limitLeases(m_leaseLimit
+                             - ownerSettings().workerSessions.expiryDelay(m_leaseLimitAhead * 2));
+    }
+
     // Calls `action` after `delay`.
     void schedule(Millis delay, bool toOwner, std::function<void()> action)
     {
@@ -457,6 +473,8 @@
 
     std::mt19937 m_random;
     std::vector<std::string> m_history;
+    Millis m_leaseLimitAhead; // 0 if the row promises nothing.
+    Instant m_leaseLimit; // That the row tells.
     bool m_faults = false;
     Instant m_now{1'000'000};
     std::int64_t m_wallSkewMs = 0; // Of the owner's time of day.
--- a/tests/steps/workersession_test.cpp
+++ b/tests/steps/workersession_test.cpp
@@ -202,6 +202,30 @@
     CHECK(session.leaseExpired(ownedSince + Millis{10'600}));
 }
 
+// Guards against a wait for the longest lease of a worker whose leases are known to be over before.
+TEST_CASE("Runs that an earlier owner knew of end with its grants while this owner grants nothing")
+{
+    const Instant grantsEnd = ownedSince + Millis{3'000};
+    WorkerSession session({"w", 7}, "10.0.0.1:1", firstFence, ownedSince, {}, grantsEnd);
+    CHECK(session.confirmedRunsEndAt() == grantsEnd);
+    CHECK(session.leaseExpiresAt() > grantsEnd); // A run that no worker had confirmed may last.
+    session.nextRenewal(true, maxWait, ownedSince);
+    session.renewalAnswered(reportAt(9'000), ownedSince);
+    CHECK_FALSE(session.hasGranted());
+    CHECK(session.confirmedRunsEndAt() == grantsEnd);
+    session.grantStartLease(ownedSince + Millis{100});
+    CHECK(session.hasGranted());
+    CHECK(session.confirmedRunsEndAt() == session.leaseExpiresAt());
+}
+
+TEST_CASE("A lease has surely expired after the delay by the slowest clock that a worker may have")
+{
+    const WorkerSessionSettings settings;
+    const Millis span{9'700};
+    CHECK(settings.expiryDelay(span) == settings.longestFor(span + Millis{251}) - span);
+    CHECK(settings.expiryDelay(span) > Millis{300}); // 3 % of the span.
+}
+
 TEST_CASE("A new incarnation of the worker resets the session and raises the fence")
 {
     WorkerSession session = startSession();
