Put the new field of a shard's row behind the others

A test that lists the row's fields in order didn't compile since, where the field went before the commit's id. The field's place has no other meaning: rows are stored by the names of their fields.

--- a/include/savorywick/shardrow.h
+++ b/include/savorywick/shardrow.h
@@ -19,10 +19,10 @@
     std::uint64_t snapshot = 0; // Number of the last segment that the snapshot covers.
     std::uint64_t first = 1; // Number of the lowest segment that may still be in the table.
     std::string object; // Name of the snapshot in the object store; empty if there is none.
+    std::string commit; // Id of the last commit, so that its writer recognizes it.
     // When every lease on workers of the shard is over that any owner has granted, on the store's
     // clock in milliseconds; 0 if it is not known.
     std::int64_t leasesEndMs = 0;
-    std::string commit; // Id of the last commit, so that its writer recognizes it.
 };
 
 // A shard that this process has claimed, with its row as the claim wrote it.
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -103,6 +103,9 @@
 void Soak::injectFault()
 {
     ++m_faultCount;
+    constexpr int lossOfAllOneIn = 20;
+    if (randomBelow(lossOfAllOneIn) == 0)
+        return loseAll();
     const int kind = randomBelow(9);
     if (kind < 3)
         return injectEntryFault(
@@ -117,6 +120,19 @@
     injectStoreFault();
 }
 
+// Ends all entries and workers at one moment, as a loss of power does. Some workers stay away for
+// longer than any lease.
+void Soak::loseAll()
+{
+    constexpr Millis longAway{8'000};
+    m_deployment.killAllEntries(randomTime(200, 3'000));
+    for (const auto &it : m_deployment.workers()) {
+        const Millis downtime = randomTime(200, 3'000);
+        const bool staysAway = randomBelow(3) == 0;
+        it->crash(staysAway ? downtime + longAway : downtime, randomBelow(2) == 0);
+    }
+}
+
 void Soak::injectEntryFault(std::size_t entry, int kind)
 {
     NodeProcess &process = *m_deployment.entries()[entry];
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -53,6 +53,7 @@
     SoakJob randomJob();
     void injectFaults();
     void injectFault();
+    void loseAll();
     void injectEntryFault(std::size_t entry, int kind);
     void injectWorkerFault(WorkerStandIn &worker, int kind);
     void injectStoreFault();
