Keep to the first limit of leases from when it is sent

The owner then granted by the old rule, up to 10 s after the end of its own lease, and a successor counted on the row's time, which is earlier. No caller has seen it.

From the moment at which the first time is sent, no lease is granted beyond it. The new test fails on the code before (0 instead of 8,000).

--- a/include/savorywick/journal.h
+++ b/include/savorywick/journal.h
@@ -103,8 +103,13 @@
     {
         m_wantedLeaseLimitMs = std::max(m_wantedLeaseLimitMs, storeMs);
     }
-    // Returns the time that the shard's row tells, or 0 if none was ever written.
-    std::int64_t leaseLimitMs() const { return m_confirmedRow.leasesEndMs; }
+    // Returns the earliest time that the shard's row may tell: what the last confirmed commit
+    // wrote, or what the first one that was sent is to write. Returns 0 while the row tells none.
+    std::int64_t leaseLimitMs() const
+    {
+        return m_confirmedRow.leasesEndMs != 0 ? m_confirmedRow.leasesEndMs
+                                               : m_inFlightRow.leasesEndMs;
+    }
 
     // Returns the transaction to commit now, or nothing if none is due. Each returned transaction
     // must be committed and its result reported by handleCommitResult().
--- a/tests/lib/journal_test.cpp
+++ b/tests/lib/journal_test.cpp
@@ -182,6 +182,20 @@
     CHECK(next.row.leasesEndMs == 8'999); // A claim keeps what the last commit promised.
 }
 
+// Guards against leases beyond the first time that a shard's row tells, when the reply to the
+// commit that wrote it is lost.
+TEST_CASE("Journal keeps to a first limit of leases from when it is sent")
+{
+    FakeTable table;
+    Journal journal(claimShard(table, "a"), {});
+    journal.raiseLeaseLimit(8'000);
+    REQUIRE(journal.nextCommit(Instant{0}));
+    journal.raiseLeaseLimit(9'000);
+    CHECK(journal.leaseLimitMs() == 8'000);
+    journal.handleCommitResult({CommitOutcome::Unknown}, Instant{10});
+    CHECK(journal.leaseLimitMs() == 8'000);
+}
+
 TEST_CASE("Journal releases the shard after every record is durable")
 {
     FakeTable table;
