--- a/tests/soak/longrunningloss_test.cpp
+++ b/tests/soak/longrunningloss_test.cpp
@@ -110,7 +110,7 @@
         });
     }
 
-    void awaitAllRuns(std::function<void()> next)
+    void awaitAllRuns(const std::function<void()> &next)
     {
         const bool late = m_lostAt != Instant{} && m_deployment.clock().now() - m_lostAt > patience;
         if (allTasksRun() || late)
