Let runs outlast an outage of the store on an idle shard, too

Cause: without other work the row's promise about leases was raised only once a second, so that up to a second of it was used up when the outage began. The step is 0.4 s now. A shard with other work raises it with each commit and was not concerned.

--- a/include/savorywick/journal.h
+++ b/include/savorywick/journal.h
@@ -27,7 +27,7 @@
     Millis initialRetryDelay{50}; // Doubles with each retry of the same commit.
     Millis maxRetryDelay{300}; // The upper bound of that delay.
     // The limit of leases is written without other work once it is to rise by so much.
-    Millis leaseLimitStep{1'000};
+    Millis leaseLimitStep{400};
     // A snapshot is due once the segments since the last one number at least `snapshotMinSegments`
     // and hold at least as many bytes as it, or once they number at least `snapshotMaxSegments`.
     std::uint64_t snapshotMinSegments = 256;
--- a/tests/soak/runledger.cpp
+++ b/tests/soak/runledger.cpp
@@ -68,6 +68,7 @@
     --truth.liveRuns;
     truth.done = truth.done || outcome == steps::RunOutcome::Done;
     truth.failures += outcome == steps::RunOutcome::Failed ? 1 : 0;
+    m_lapsedRunCount += outcome == steps::RunOutcome::LeaseExpired ? 1 : 0;
 }
 
 void RunLedger::noteLostRun(const steps::TaskRef &task)
--- a/tests/soak/runledger.h
+++ b/tests/soak/runledger.h
@@ -58,6 +58,8 @@
     const std::vector<std::string> &violations() const { return m_violations; }
     int startCount() const { return m_startCount; }
     int lostRunCount() const { return m_lostRunCount; }
+    // Returns how many runs ended with their lease.
+    int lapsedRunCount() const { return m_lapsedRunCount; }
 
 private:
     struct TaskTruth
@@ -79,6 +81,7 @@
     std::vector<std::string> m_violations;
     int m_startCount = 0;
     int m_lostRunCount = 0;
+    int m_lapsedRunCount = 0;
 };
 
 } // namespace savorywick::testing
