--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -432,6 +432,8 @@
         wakeUpAt = std::min(wakeUpAt, *commitAt);
     if (m_passDue)
         wakeUpAt = std::min(wakeUpAt, m_passPacer.nextBeginAt());
+    if (needsLeaseLimit())
+        wakeUpAt = std::min(wakeUpAt, currentTime + m_settings.journal.leaseLimitStep);
     if (m_wakeUpAt && *m_wakeUpAt <= wakeUpAt && *m_wakeUpAt > currentTime)
         return;
     m_dependencies.loop.cancel(m_wakeUpTimer);
--- a/src/node/shardrunner.h
+++ b/src/node/shardrunner.h
@@ -39,7 +39,7 @@
     // How far ahead of a commit the shard's row promises that all leases on workers are over. The
     // longer, the longer runs outlast an outage of the store, and the longer a new owner waits
     // until it may start again what ran on workers that were lost with the owner before.
-    Millis leaseLimitAhead{8'200};
+    Millis leaseLimitAhead{7'800};
     Millis restoreRetryDelay{150}; // The delay before a failed read is retried.
     // The delay before a snapshot that was not stored is sent again. It is long, since a snapshot
     // is large and not urgent.
@@ -149,6 +149,7 @@
     void readBack();
     void handleJournalEvent(const JournalStatus &event);
     void sendDurableReplies(LogSequenceNumber durableLsn);
+    bool needsLeaseLimit() const;
     void raiseLeaseLimit();
     Instant latestLeaseEnd() const;
     void sendOrders();
--- a/src/node/shardrunnerleases.cpp
+++ b/src/node/shardrunnerleases.cpp
@@ -27,13 +27,19 @@
     return std::max(Millis{0}, *endsAt - m_dependencies.clock.now());
 }
 
+// Returns true if and only if the shard's row is to promise an end of leases that runs need.
+bool ShardRunner::needsLeaseLimit() const
+{
+    return m_dependencies.table.storeClock() && !m_coordinator.runs().all().empty();
+}
+
 // Lets the shard's row promise enough for full leases, as long as some run needs them.
 void ShardRunner::raiseLeaseLimit()
 {
-    const StoreClock *storeClock = m_dependencies.table.storeClock();
-    if (!storeClock || m_coordinator.runs().all().empty())
+    if (!needsLeaseLimit())
         return;
-    if (const auto storeMs = storeClock->latestAt(m_dependencies.clock.now()))
+    const auto storeMs = m_dependencies.table.storeClock()->latestAt(m_dependencies.clock.now());
+    if (storeMs)
         m_journal.raiseLeaseLimit(*storeMs + m_settings.leaseLimitAhead.count());
 }
 
