--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -291,7 +291,7 @@
     void excuseUnlistedRuns(const Worker &worker, const WorkerReport &report, ClockReading now);
     void adoptRun(const Job &job, const TaskRef &task, const ActiveRun &active);
     void endRun(const RunKey &key, RunOutcome how, const std::string &checkpoint, ClockReading now);
-    Instant lastSeenAt(const Run &run) const;
+    Instant lastAnsweredAt(const Run &run) const;
     void updateQuarantine(const Run &run, RunOutcome how, ClockReading now);
     void recordFailure(const Run &run, std::string_view why, ClockReading now);
     void stopGangMembers(const RunKey &key);
--- a/include/savorywick/steps/longrunninggaps.h
+++ b/include/savorywick/steps/longrunninggaps.h
@@ -46,8 +46,8 @@
     void noteAdopted(const TaskRef &task, Instant takenOverAt);
     // Notes that a worker reports a run of the task.
     void noteSeen(const TaskRef &task);
-    // Notes that the task's run was found to be over. Its worker last answered at `lastSeenAt`.
-    void noteEnd(const TaskRef &task, RunOutcome outcome, Instant lastSeenAt, Instant now);
+    // Notes that the task's run was found to be over. Its worker last answered at `lastAnsweredAt`.
+    void noteEnd(const TaskRef &task, RunOutcome outcome, Instant lastAnsweredAt, Instant now);
     // Notes that the task's next run was placed. Returns the gap, if the task had a run before.
     std::optional<LongRunningGap> noteStart(const TaskRef &task, Instant now);
     // Forgets the tasks of a job that has ended or left.
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -295,7 +295,7 @@
         return;
     }
     if (run.longRunning)
-        m_longRunningGaps.noteEnd(key.task, how, lastSeenAt(run), now.monotonic);
+        m_longRunningGaps.noteEnd(key.task, how, lastAnsweredAt(run), now.monotonic);
     if (how == RunOutcome::Done)
         stopDuplicateRuns(key.task);
     else if (job->spec.steps[key.task.step].gang)
@@ -307,7 +307,7 @@
 }
 
 // Returns when the run's worker last answered, or when the run was started if that is later.
-Instant Coordinator::lastSeenAt(const Run &run) const
+Instant Coordinator::lastAnsweredAt(const Run &run) const
 {
     const auto worker = m_workers.find(run.workerId);
     return worker == m_workers.end()
--- a/src/lib/steps/longrunninggaps.cpp
+++ b/src/lib/steps/longrunninggaps.cpp
@@ -14,11 +14,11 @@
     m_open.erase(task);
 }
 
-void LongRunningGaps::noteEnd(const TaskRef &task, RunOutcome outcome, Instant lastSeenAt,
+void LongRunningGaps::noteEnd(const TaskRef &task, RunOutcome outcome, Instant lastAnsweredAt,
                               Instant now)
 {
     OpenGap &gap =
-        m_open.try_emplace(task, OpenGap{.since = lastSeenAt, .knownAt = {}}).first->second;
+        m_open.try_emplace(task, OpenGap{.since = lastAnsweredAt, .knownAt = {}}).first->second;
     if (gap.knownAt) // Its next run never started.
         return;
     gap.knownAt = now;
--- a/tests/steps/shardsimulation.h
+++ b/tests/steps/shardsimulation.h
@@ -335,36 +335,9 @@
                      + it.worker);
     }
 
-    // Makes the pending records durable some time after the first of them, at times much later.
-    void commitWhenDue()
-    {
-        if (m_pendingRecords.empty())
-            return raiseLeaseLimit(); // A commit of its own.
-        if (m_commitAt == Instant{})
-            m_commitAt = m_now + Millis{faultOccurs(20) ? randomBelow(4'000) : 8};
-        if (m_now < m_commitAt)
-            return;
-        m_commitAt = {};
-        raiseLeaseLimit();
-        for (std::string &it : m_pendingRecords)
-            m_journal.push_back(std::move(it));
-        m_pendingRecords.clear();
-        m_durable = m_appended;
-        while (!m_pendingSubmissions.empty() && m_pendingSubmissions.front().lsn != 0
-               && m_pendingSubmissions.front().lsn <= m_durable) {
-            m_accepted.insert(m_pendingSubmissions.front().job);
-            m_pendingSubmissions.pop_front();
-        }
-    }
-
-    void raiseLeaseLimit()
-    {
-        if (m_leaseLimitAhead == Millis{0})
-            return;
-        m_leaseLimit = m_now + m_leaseLimitAhead;
-        m_owner->limitLeases(m_leaseLimit
-                             - ownerSettings().workerSessions.expiryDelay(m_leaseLimitAhead * 2));
-    }
+    // Commits of the journal (shardsimulationcommits.h).
+    void commitWhenDue();
+    void raiseLeaseLimit();
 
     // Calls `action` after `delay`.
     void schedule(Millis delay, bool toOwner, std::function<void()> action)
@@ -511,6 +484,7 @@
 } // namespace savorywick::steps::testing
 
 #include "shardsimulationcalls.h"
+#include "shardsimulationcommits.h"
 #include "shardsimulationfaults.h"
 #include "shardsimulationprogress.h"
 #include "shardsimulationworkers.h"
--- /dev/null
+++ b/tests/steps/shardsimulationcommits.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "shardsimulation.h"
+
+// The member functions of ShardSimulation that make records durable.
+namespace savorywick::steps::testing {
+
+// Makes the pending records durable some time after the first of them, at times much later.
+inline void ShardSimulation::commitWhenDue()
+{
+    if (m_pendingRecords.empty())
+        return raiseLeaseLimit(); // A commit of its own.
+    if (m_commitAt == Instant{})
+        m_commitAt = m_now + Millis{faultOccurs(20) ? randomBelow(4'000) : 8};
+    if (m_now < m_commitAt)
+        return;
+    m_commitAt = {};
+    raiseLeaseLimit();
+    for (std::string &it : m_pendingRecords)
+        m_journal.push_back(std::move(it));
+    m_pendingRecords.clear();
+    m_durable = m_appended;
+    while (!m_pendingSubmissions.empty() && m_pendingSubmissions.front().lsn != 0
+           && m_pendingSubmissions.front().lsn <= m_durable) {
+        m_accepted.insert(m_pendingSubmissions.front().job);
+        m_pendingSubmissions.pop_front();
+    }
+}
+
+// Lets the shard's row promise the end of all leases with this commit.
+inline void ShardSimulation::raiseLeaseLimit()
+{
+    if (m_leaseLimitAhead == Millis{0})
+        return;
+    m_leaseLimit = m_now + m_leaseLimitAhead;
+    m_owner->limitLeases(m_leaseLimit
+                         - ownerSettings().workerSessions.expiryDelay(m_leaseLimitAhead * 2));
+}
+
+} // namespace savorywick::steps::testing
