--- a/review/stage/minion.cpp
+++ b/review/stage/minion.cpp
@@ -254,7 +254,9 @@
         m_leaseUntilMs =
             std::max(m_leaseUntilMs,
                      std::min(order["untilMs"].asInt64(), clockMs() + m_settings.maxLease.count()));
-    m_holds.push_back({m_clock.now() + Millis{order["waitMs"].asInt64()}, respond});
+    const Millis wait{order["waitMs"].asInt64()};
+    m_holds.push_back({m_clock.now() + wait, respond});
+    m_listener.held(m_settings.name, wait);
     answerHolds();
 }
 
--- a/review/stage/minion.h
+++ b/review/stage/minion.h
@@ -71,6 +71,9 @@
         std::function<void(const RunEvent &, const std::string &how)> ended =
             [](const RunEvent &, const std::string &) {};
         std::function<void(const RunEvent &)> crashing = [](const RunEvent &) {};
+        // A hold has come that may wait for so long.
+        std::function<void(const std::string &machine, Millis wait)> held = [](const std::string &,
+                                                                               Millis) {};
         // Tells whether the tasks of this step (ID.K.STEP) work only together.
         std::function<bool(const std::string &step)> isGang = [](const std::string &) {
             return false;
