Read no freed text in the minion stand-in of the review

Cause: the way in which a run ends may be a part of the run that is removed; the address sanitizer found it in a trial. Change: the listener gets the copy that is kept.

--- a/review/stage/minion.cpp
+++ b/review/stage/minion.cpp
@@ -266,7 +266,7 @@
     m_ends.push_back({++m_lastEnd, event.task, event.run, how});
     m_highestEnded[event.task] = std::max(m_highestEnded[event.task], event.run);
     m_runs.erase(it);
-    m_listener.ended(event, how);
+    m_listener.ended(event, m_ends.back().how); // `how` may have been a part of the run.
 }
 
 void Minion::advanceRuns()
