--- a/review/stage/stage.cpp
+++ b/review/stage/stage.cpp
@@ -27,7 +27,7 @@
 constexpr int firstMinionHost = 101;
 constexpr const char *program = "target/src/savorywick";
 constexpr const char *clientHost = "review.example";
-constexpr const char *prefix = "/work/";
+constexpr const char *prefix = "/jobs/";
 constexpr Millis clientTimeout{3'000};
 
 Json::Value defaultBounds()
