Log when a worker that was taken for crashed answers again

The log said worker-crashed with "refused", and nothing after it: a worker whose lease is over and that is listed no more is forgotten, and met anew when it is back. So the log could not tell these apart:

1. a refused connection is taken for the end of a life that goes on; 2. the worker did crash, and another life has its address; 3. the path is cut, and the worker crashes while it is.

The lives that were taken for crashed are remembered, and one that answers again is logged as worker-not-crashed. Nothing else changes.

There is no other-life and no restarted in the log.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -340,7 +340,8 @@
     // Workers that crash, and the runs that may be why (coordinatorcrashes.cpp).
     static void noteUnanswered(Worker &worker, CommandOutcome outcome, bool connectionClosed,
                                Instant now);
-    static void noteAnswered(Worker &worker);
+    void noteAnswered(Worker &worker, Instant now);
+    static void forgetSilence(Worker &worker);
     bool hasCrashed(const Worker &worker, Instant now) const;
     void endLife(Worker &worker, std::string_view why, ClockReading now);
     void meetLife(Worker &worker, const WorkerIncarnation &life, ClockReading now);
@@ -489,6 +490,7 @@
     std::unordered_map<std::string, DurableJob> m_durableJobs;
     std::map<std::string, int, std::less<>> m_pendingJobs; // Count of durable jobs by queue.
     std::optional<Instant> m_unexplainedCrashAt; // The latest crash that no run explains.
+    std::map<WorkerIncarnation, Instant> m_crashedLives; // When they were taken for crashed.
     bool m_placementNeeded = true;
     Instant m_nextPlacementAt; // The earliest time of the next placement pass.
     Instant m_placementDueAt; // The latest time of the next placement pass if steps wait.
--- a/include/savorywick/steps/schedulerevent.h
+++ b/include/savorywick/steps/schedulerevent.h
@@ -29,6 +29,7 @@
     WorkerLeaseExpired, // The worker's lease expired, so all its runs are over.
     WorkerQuarantined, // The worker was quarantined because too many runs fail on it.
     WorkerCrashed, // The worker's life ended without a drain while it answered until then.
+    WorkerNotCrashed, // A life of the worker that was taken for crashed answers again.
     RunSuspected, // The run may be why its worker crashed.
     RunCleared, // The run of a suspected task has lasted, so that the task is suspected no more.
     StepWaiting, // A step has had a task that may start, and no worker for it, for long.
--- a/src/lib/steps/coordinatorcrashes.cpp
+++ b/src/lib/steps/coordinatorcrashes.cpp
@@ -22,7 +22,17 @@
 
 // Notes that the life of the worker that the session is with has answered a renewal. Answers to
 // other orders don't tell which life they are of.
-void Coordinator::noteAnswered(Worker &worker)
+void Coordinator::noteAnswered(Worker &worker, Instant now)
+{
+    const auto node = m_crashedLives.extract(worker.session.incarnation());
+    if (!node.empty())
+        noteWorker(SchedulerEventKind::WorkerNotCrashed, worker.info.incarnation.workerId,
+                   "answered", now - node.mapped());
+    forgetSilence(worker);
+}
+
+// Forgets what calls without an answer have shown of the worker's life.
+void Coordinator::forgetSilence(Worker &worker)
 {
     worker.closedAt.reset();
     worker.lastCallClosed = false;
@@ -54,7 +64,7 @@
     const bool startKnown = worker.session.incarnation().startedWallMs != 0;
     if (startKnown) // Otherwise it may be the same life.
         endLife(worker, "restarted", now);
-    noteAnswered(worker);
+    forgetSilence(worker);
 }
 
 // Ends the runs of a worker at whose address another one answers. They are over, whatever is left
@@ -87,6 +97,7 @@
 void Coordinator::judgeCrash(const Worker &worker, std::string_view why, ClockReading now)
 {
     ++m_counters.workersCrashed;
+    m_crashedLives[worker.session.incarnation()] = now.monotonic;
     noteWorker(SchedulerEventKind::WorkerCrashed, worker.info.incarnation.workerId, why,
                now.monotonic - worker.session.lastAnswerAt());
     const std::vector<RunKey> suspects = runsStartedWithin(worker, m_settings.crashWindow);
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -118,7 +118,7 @@
         worker.session.update(life, worker.info.address, now.monotonic);
         return;
     }
-    noteAnswered(worker);
+    noteAnswered(worker, now.monotonic);
     recordAnswer(id);
     if (!wasResponsive)
         excuseSilence(id, silence, now.monotonic);
--- a/src/lib/steps/schedulerevent.cpp
+++ b/src/lib/steps/schedulerevent.cpp
@@ -39,6 +39,8 @@
         return "worker-suspected";
     case SchedulerEventKind::WorkerCrashed:
         return "worker-crashed";
+    case SchedulerEventKind::WorkerNotCrashed:
+        return "worker-not-crashed";
     case SchedulerEventKind::RunSuspected:
         return "run-suspected";
     case SchedulerEventKind::RunCleared:
--- a/src/node/schedulerlog.cpp
+++ b/src/node/schedulerlog.cpp
@@ -21,6 +21,7 @@
     case SchedulerEventKind::WorkerLeaseExpired:
     case SchedulerEventKind::WorkerQuarantined:
     case SchedulerEventKind::WorkerCrashed:
+    case SchedulerEventKind::WorkerNotCrashed:
     case SchedulerEventKind::StepWaiting:
     case SchedulerEventKind::ZoneEvacuated:
     case SchedulerEventKind::ZoneReturned:
