--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -6,6 +6,7 @@
 #include "savorywick/steps/clockreading.h"
 #include "savorywick/steps/coordinatorcounters.h"
 #include "savorywick/steps/coordinatorsettings.h"
+#include "savorywick/steps/crashjudge.h"
 #include "savorywick/steps/duequeue.h"
 #include "savorywick/steps/durationestimator.h"
 #include "savorywick/steps/earlierleases.h"
@@ -114,6 +115,10 @@
 
     // Replaces the list of the shard's workers. Runs are moved off workers that are draining.
     void setWorkers(std::span<const WorkerInfo> workers, ClockReading now);
+    // Settles what became of lost workers that may have crashed, as far as the list of all shards'
+    // workers tells: another worker may be at the address. Call it now and then while
+    // jobTable().lostLives() has some.
+    void settleLostLives(std::span<const WorkerInfo> allWorkers, ClockReading now);
     // Replaces what is known of evacuated zones. If the settings have a bound for evacuations,
     // nothing is started before the first call, nor while the latest zones are out of date.
     void setEvacuatedZones(const EvacuatedZones &zones, ClockReading now);
@@ -210,7 +215,6 @@
         Instant avoidedUntil; // Until then it gets starts only if no other worker can take them.
         // When its host first closed or refused a connection since the worker last answered.
         std::optional<Instant> closedAt;
-        bool lastCallClosed = false; // So it did at the latest call that got no answer.
         // What runs need that the worker has and this owner does not know, until they are stopped.
         ResourceVector allocatedToStrays;
         bool lifeIsOver = false; // Another life of it, or another worker, has its address.
@@ -269,6 +273,8 @@
     void noteConfirmedStart(const std::string &job);
     void openDueOccurrences(const Job &job, ClockReading now);
     void closeSteps(const std::string &job);
+    void concludeJob(const Job &job, const TaskRef &task, int run, const std::string &worker,
+                     ClockReading now);
     void refreshOccurrence(const Job &job, int occurrence, ClockReading now);
     void refreshStep(const Job &job, const StepRef &ref, ClockReading now);
     void stopJobRuns(const Job &job, std::string_view why);
@@ -338,17 +344,20 @@
     void stopRunsOfDoneTasks();
 
     // Workers that crash, and the runs that may be why (coordinatorcrashes.cpp).
-    static void noteUnanswered(Worker &worker, CommandOutcome outcome, bool connectionClosed,
-                               Instant now);
-    void noteAnswered(Worker &worker, Instant now);
-    static void forgetSilence(Worker &worker);
-    bool hasCrashed(const Worker &worker, Instant now) const;
+    static void noteConnectionClosed(Worker &worker, Instant now);
+    void noteAnswered(Worker &worker, ClockReading now);
+    static LifeObservation observationOf(const Worker &worker);
+    std::vector<RunObservation> observedRunsOn(const Worker &worker) const;
     void endLife(Worker &worker, std::string_view why, ClockReading now);
     void meetLife(Worker &worker, const WorkerIncarnation &life, ClockReading now);
     void meetOtherWorker(Worker &worker, ClockReading now);
-    std::vector<RunKey> runsStartedWithin(const Worker &worker, Millis window) const;
     void judgeCrash(const Worker &worker, std::string_view why, ClockReading now);
-    bool areCertainCause(std::span<const RunKey> causes, Instant now) const;
+    void recordLoss(const Worker &worker, ClockReading now);
+    void settleLife(const LifeSettlement &settlement, ClockReading now);
+    void updateHold(const TaskRef &task, ClockReading now);
+    void updateHoldsOf(const LostLife &life, ClockReading now);
+    void releaseHeldTasks(ClockReading now);
+    void refreshStepOf(const TaskRef &task, ClockReading now);
     void clearIfLasting(Worker &worker, Run &run);
     bool isSuspected(const TaskRef &task) const;
 
@@ -452,6 +461,7 @@
     JobTable m_table;
     JobTransfers m_transfers;
     RunTable m_runs;
+    CrashJudge m_crashJudge;
     Quarantine m_quarantine;
     EvacuatedZones m_evacuatedZones;
     LatencyHeadroomEstimator m_headroomEstimator;
@@ -471,6 +481,7 @@
     DueQueue<std::string> m_leaseEnds; // Of workers that have runs or are unlisted.
     DueQueue<RunKey> m_stallChecks; // At or before the run would count as stalled.
     std::map<StepRef, Instant> m_readySteps; // Steps with tasks that may start, and since when.
+    DueQueue<TaskRef> m_heldTasks; // They may not be started until then.
     // Of jobs with a schedule: the first occurrence that is not due yet.
     std::map<std::string, int> m_nextOccurrence;
     DueQueue<std::string> m_dueOccurrences; // The same jobs, by the wall-clock time of that one.
@@ -489,8 +500,6 @@
     std::vector<WorkerCommand> m_immediateOrders;
     std::unordered_map<std::string, DurableJob> m_durableJobs;
     std::map<std::string, int, std::less<>> m_pendingJobs; // Count of durable jobs by queue.
-    std::optional<Instant> m_unexplainedCrashAt; // The latest crash that no run explains.
-    std::map<WorkerIncarnation, Instant> m_crashedLives; // When they were taken for crashed.
     bool m_placementNeeded = true;
     Instant m_nextPlacementAt; // The earliest time of the next placement pass.
     Instant m_placementDueAt; // The latest time of the next placement pass if steps wait.
--- a/include/savorywick/steps/coordinatorcounters.h
+++ b/include/savorywick/steps/coordinatorcounters.h
@@ -30,6 +30,9 @@
     std::uint64_t duplicatesWon = 0; // Those that ended done before the first run.
     std::uint64_t workersQuarantined = 0;
     std::uint64_t workersCrashed = 0;
+    std::uint64_t workersLost = 0; // That may have crashed because of a run.
+    // Those of them, or of earlier owners, that had not crashed.
+    std::uint64_t workersNotCrashed = 0;
     std::uint64_t runsEvacuated = 0; // Runs moved off workers that are about to leave.
     // Placed runs that were not started, since their zone was evacuated meanwhile or the zones that
     // are evacuated were no longer known.
--- a/include/savorywick/steps/coordinatorsettings.h
+++ b/include/savorywick/steps/coordinatorsettings.h
@@ -3,6 +3,7 @@
 #include "savorywick/clock.h"
 #include "savorywick/quarantine.h"
 #include "savorywick/steps/besteffortlimit.h"
+#include "savorywick/steps/crashjudge.h"
 #include "savorywick/steps/durationestimator.h"
 #include "savorywick/steps/evacuatedzones.h"
 #include "savorywick/steps/jobadmission.h"
@@ -53,19 +54,11 @@
     Millis stallTimeout{2'500};
     int stallEstimatePercent = 60;
 
-    // A worker that crashes may do so because of any run that it started within this time before.
-    Millis crashWindow{1'500};
-    // If just runs of one job were started within this time before, they are taken for the cause.
-    Millis promptCrashWindow{250};
-    // A worker that has not answered for longer is silent or cut off. What becomes of it after that
-    // is no crash.
-    Millis maxSilenceBeforeCrash{2'000};
+    // What tells crashed workers from those that are cut off.
+    CrashJudgeSettings crashes;
     // How long a suspected task waits for a worker without other new runs, and any task for one
     // without a suspect, so that a crash tells which run is why.
     Millis maxIsolationWait{500};
-    // After a crash that no run explains, workers may be failing by themselves. For this time a
-    // task is not found to be the cause when a worker crashes under it for the first time.
-    Millis unexplainedCrashMemory{10'000};
 
     // The time that a worker's measurement of a run covers: a measurement tells about the present
     // load only if the load has not changed within this time.
--- a/include/savorywick/steps/duequeue.h
+++ b/include/savorywick/steps/duequeue.h
@@ -54,6 +54,10 @@
         m_dueTimes.erase(it);
     }
 
+    bool empty() const { return m_dueTimes.empty(); }
+    // Returns true if and only if the key is there.
+    bool contains(const Key &key) const { return m_dueTimes.contains(key); }
+
     // Removes the keys that are due at `now` and returns them, sorted by key.
     std::vector<Key> takeDue(Instant now)
     {
--- a/include/savorywick/steps/job.h
+++ b/include/savorywick/steps/job.h
@@ -185,6 +185,28 @@
     bool confirmed = false; // The worker reported that it has it; set for long-running ones only.
 };
 
+// What became of a life of a worker that was lost and may have crashed. The journal stores the
+// numeric values, so they must not change.
+enum class LifeVerdict {
+    Unknown, // Nothing has proved it for long.
+    Crashed, // Another life has taken its place, and it was not about to leave.
+    NotCrashed, // It answered again, or was about to leave.
+};
+
+// A run that was lost with a worker that may have crashed because of it. The task is suspected
+// until that is settled or one of its runs lasts.
+struct SuspectedRun
+{
+    int number = 0;
+    WorkerIncarnation worker;
+    std::string address; // Of the worker.
+    // If the worker has crashed, only this run, or others of its job, can be why.
+    bool isCause = false;
+    std::int64_t lostWallMs = 0;
+
+    bool operator==(const SuspectedRun &) const = default;
+};
+
 // The durable state of a task.
 struct Task
 {
@@ -204,8 +226,14 @@
     // how many of these crashes it has been found to be the cause of.
     int crashes = 0;
     int causedCrashes = 0;
+    // Runs that count among `crashes` as soon as their worker is known to have crashed.
+    std::vector<SuspectedRun> suspectedRuns;
 };
 
+// Returns true if and only if the task ends its job if so many workers have crashed under its runs
+// in a row, of which it has caused `causedCrashes`.
+bool isOverCrashLimit(int crashes, int causedCrashes);
+
 // The durable state of a step.
 struct Step
 {
--- a/include/savorywick/steps/jobadmission.h
+++ b/include/savorywick/steps/jobadmission.h
@@ -77,6 +77,8 @@
     void restore(const Job &job) { m_backlog.addJob(job); }
     // Takes in a record that has been applied to `table`.
     void apply(const Record &record, const JobTable &table);
+    // Leaves out the job, which has ended.
+    void removeJob(const std::string &id) { m_backlog.removeJob(id); }
     // Sets the present time. Call it at least every few hundred milliseconds.
     void advance(Instant now, std::int64_t wallMs);
     // Returns the decision on a job that is not known, and remembers it if it is refused.
--- a/include/savorywick/steps/jobtable.h
+++ b/include/savorywick/steps/jobtable.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +20,16 @@
     bool complete = false; // The job's state has arrived as a whole, or is being handed over.
 };
 
+// A life of a worker that was lost and may have crashed.
+struct LostLife
+{
+    std::string address;
+    std::int64_t lostWallMs = 0;
+    std::set<TaskRef> tasks; // That had a suspected run there.
+
+    bool operator==(const LostLife &) const = default;
+};
+
 // The durable state of a shard's jobs, built by replaying the records of its journal.
 //
 // Use it to restore the state of a shard and to keep it up to date. Tables to which the same
@@ -34,6 +45,7 @@
     using Jobs = std::map<std::string, Job, std::less<>>;
     using Delegations = std::map<std::string, JobDelegated, std::less<>>;
     using Handovers = std::map<std::string, JobHandover, std::less<>>;
+    using LostLives = std::map<WorkerIncarnation, LostLife>;
 
     // Applies the record. A record of an unknown job or task, such as a job that was purged, is
     // ignored.
@@ -56,6 +68,9 @@
     // Returns the time that the worker's WorkerSilent record tells, unless it was heard since.
     std::optional<std::int64_t> silentUntilMs(std::string_view worker) const;
 
+    // Returns the lives with suspected runs of which it is not settled what became of them.
+    const LostLives &lostLives() const { return m_lostLives; }
+
     // Returns records that produce this state when they are applied to an empty table. Of the tasks
     // of an ended job only those that still have a run are included, as no others matter any more,
     // and of what is known of workers only that of those that have runs.
@@ -72,12 +87,17 @@
     static void finishGang(Job &job, const RunEnded &end);
     static void endGangRun(Job &job, const RunEnded &end);
     static void endJob(Job &job, JobState state, std::int64_t wallMs);
+    static void endIfCrashing(Job &job, const Task &task, std::int64_t wallMs);
+    void addSuspectedRun(const RunSuspected &record);
+    void settleLife(const LifeSettled &record);
+    void clearSuspectedRuns(const TaskRef &ref, Task &task);
 
     Jobs m_jobs;
     Delegations m_delegations;
     Handovers m_handovers;
     std::map<std::string, std::string, std::less<>> m_workerAddresses; // By id.
     std::map<std::string, std::int64_t, std::less<>> m_silentUntilMs; // By the worker's id.
+    LostLives m_lostLives;
 };
 
 } // namespace savorywick::steps
--- a/include/savorywick/steps/record.h
+++ b/include/savorywick/steps/record.h
@@ -49,6 +49,22 @@
     std::int64_t wallMs = 0;
 };
 
+// The worker of the run was lost and may have crashed because of it. LifeSettled tells, if anything
+// does.
+struct RunSuspected
+{
+    TaskRef task;
+    SuspectedRun run;
+};
+
+// It is settled what became of the life of a worker that RunSuspected tells of.
+struct LifeSettled
+{
+    WorkerIncarnation worker;
+    LifeVerdict verdict = LifeVerdict::Unknown;
+    std::int64_t wallMs = 0;
+};
+
 // A run of the task lasted, so that it is no longer suspected of crashing workers.
 struct TaskCleared
 {
@@ -135,7 +151,7 @@
 using Record =
     std::variant<JobAccepted, RunStarted, RunEnded, JobCancelled, JobPurged, JobDelegated,
                  TaskSnapshot, JobStateSnapshot, TaskCleared, WorkerAddress, JobLeaving, JobArrived,
-                 RunConfirmed, WorkerSilent, WorkerHeard>;
+                 RunConfirmed, WorkerSilent, WorkerHeard, RunSuspected, LifeSettled>;
 
 // Returns the record as one line of text without a line end.
 std::string encodeRecord(const Record &record);
--- a/include/savorywick/steps/schedulerevent.h
+++ b/include/savorywick/steps/schedulerevent.h
@@ -28,9 +28,13 @@
     WorkerRecovered, // The worker answers renewals again.
     WorkerLeaseExpired, // The worker's lease expired, so all its runs are over.
     WorkerQuarantined, // The worker was quarantined because too many runs fail on it.
+    WorkerLost, // The worker may have crashed: its host refused connections until the lease was
+                // over.
     WorkerCrashed, // The worker's life ended without a drain while it answered until then.
-    WorkerNotCrashed, // A life of the worker that was taken for crashed answers again.
+    WorkerNotCrashed, // A lost life of the worker answers again, or was about to leave.
+    WorkerNotBack, // It is no longer awaited that anything tells what became of a lost worker.
     RunSuspected, // The run may be why its worker crashed.
+    TaskHeld, // The task is not started again yet, as it may have crashed too many workers.
     RunCleared, // The run of a suspected task has lasted, so that the task is suspected no more.
     StepWaiting, // A step has had a task that may start, and no worker for it, for long.
     ZoneEvacuated, // An operator evacuates the availability zone: nothing is started there.
@@ -55,12 +59,13 @@
     // One of a fixed set of words, such as "gang-broken".
     std::string_view reason;
     // The time since the occurrence was due for JobStarted, RunPlaced and JobEnded, since the
-    // worker last answered for events of workers' leases, and since the step has waited for
-    // StepWaiting; the whole gap for LongRunningRestarted; the time that the run had been on its
-    // worker for RunSuspected, and that the first run has taken for RunDuplicated. StopRequested
-    // and WorkerQuarantined have 0; PreemptionPlanned has the delay that the step's deadline still
-    // allows, and ReservationEnded the time since the reservation; other events have the time since
-    // the run was started.
+    // worker last answered for events of workers' leases and lives, or since it was lost where what
+    // became of it is settled later, and since the step has waited for
+    // StepWaiting; for how long at most for TaskHeld; the whole gap for LongRunningRestarted; the
+    // time that the run had been on its worker for RunSuspected, and that the first run has taken
+    // for RunDuplicated. StopRequested and WorkerQuarantined have 0; PreemptionPlanned has the
+    // delay that the step's deadline still allows, and ReservationEnded the time since the
+    // reservation; other events have the time since the run was started.
     Millis age;
     // The processors left on the worker, in thousandths of a core, for RunPlaced; the new speed in
     // percent for RunThrottled; the progress of the first run for RunDuplicated; the progress in
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -45,6 +45,7 @@
     , m_firstFence(epoch * fencesPerEpoch)
     , m_ownedSince(ownedSince)
     , m_transfers(m_table, [this](const Record &it) { appendRecord(it); })
+    , m_crashJudge(settings.crashes)
     , m_quarantine(settings.quarantine)
     , m_evacuatedZones(settings.zoneEvacuation)
     , m_relaxedStarts(settings.relaxedRunsPerHundredWorkers)
@@ -81,6 +82,8 @@
             stopJobRuns(job, "job-over");
     }
     stopRunsOfDoneTasks();
+    for (const auto &[life, lost] : m_table.lostLives())
+        updateHoldsOf(lost, now);
 }
 
 std::vector<std::string> Coordinator::snapshot() const
@@ -209,6 +212,19 @@
         it = m_readySteps.erase(it);
 }
 
+// Carries out that the job has ended, with a run of the task on the worker.
+void Coordinator::concludeJob(const Job &job, const TaskRef &task, int run,
+                              const std::string &worker, ClockReading now)
+{
+    m_notes.push_back({SchedulerEventKind::JobEnded, task, run, worker, toString(job.state),
+                       Millis{now.wallMs - job.dueWallMs(task.occurrence)}, 0});
+    m_endedJobs.emplace(now.wallMs, job.spec.id);
+    m_admission.removeJob(job.spec.id);
+    publishWhenDurable(job.spec.id);
+    openDueOccurrences(job, now);
+    stopJobRuns(job, "job-over");
+}
+
 // Makes the steps of the job's due occurrences ready. If the job has ended or leaves, removes all
 // of its ready steps instead.
 void Coordinator::openDueOccurrences(const Job &job, ClockReading now)
@@ -303,6 +319,7 @@
 {
     m_admission.advance(now.monotonic, now.wallMs);
     expireWorkers(now);
+    releaseHeldTasks(now);
     stopStalledRuns(now);
     for (const std::string &id : m_dueOccurrences.takeDue(Instant{now.wallMs}))
         openDueOccurrences(*m_table.find(id), now);
--- a/src/lib/steps/coordinatorcrashes.cpp
+++ b/src/lib/steps/coordinatorcrashes.cpp
@@ -1,50 +1,62 @@
-// The part of Coordinator that tells workers that have crashed from those that are silent, and
-// finds the runs that may be why.
+// The part of Coordinator that charges tasks with the crashes of workers, as CrashJudge finds them.
 
 #include "savorywick/steps/coordinator.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace savorywick::steps {
 
-// Notes what a call that got no answer shows of the worker.
-void Coordinator::noteUnanswered(Worker &worker, CommandOutcome outcome, bool connectionClosed,
-                                 Instant now)
+namespace {
+
+SchedulerEventKind eventFor(LifeVerdict verdict)
 {
-    const bool unanswered = outcome == CommandOutcome::Unknown || connectionClosed;
-    if (!unanswered)
-        return;
-    worker.lastCallClosed = connectionClosed;
-    if (connectionClosed && !worker.closedAt)
+    switch (verdict) {
+    case LifeVerdict::Crashed:
+        return SchedulerEventKind::WorkerCrashed;
+    case LifeVerdict::NotCrashed:
+        return SchedulerEventKind::WorkerNotCrashed;
+    case LifeVerdict::Unknown:
+        return SchedulerEventKind::WorkerNotBack;
+    }
+    return SchedulerEventKind::WorkerNotBack;
+}
+
+} // namespace
+
+// Notes that the worker's host has closed or refused a connection.
+void Coordinator::noteConnectionClosed(Worker &worker, Instant now)
+{
+    if (!worker.closedAt)
         worker.closedAt = now;
 }
 
 // Notes that the life of the worker that the session is with has answered a renewal. Answers to
 // other orders don't tell which life they are of.
-void Coordinator::noteAnswered(Worker &worker, Instant now)
+void Coordinator::noteAnswered(Worker &worker, ClockReading now)
 {
-    const auto node = m_crashedLives.extract(worker.session.incarnation());
-    if (!node.empty())
-        noteWorker(SchedulerEventKind::WorkerNotCrashed, worker.info.incarnation.workerId,
-                   "answered", now - node.mapped());
-    forgetSilence(worker);
+    const WorkerIncarnation &life = worker.session.incarnation();
+    if (m_table.lostLives().contains(life))
+        settleLife({life, LifeVerdict::NotCrashed, "answered"}, now);
+    worker.closedAt.reset();
+    worker.lifeIsOver = false;
 }
 
-// Forgets what calls without an answer have shown of the worker's life.
-void Coordinator::forgetSilence(Worker &worker)
+LifeObservation Coordinator::observationOf(const Worker &worker)
 {
-    worker.closedAt.reset();
-    worker.lastCallClosed = false;
-    worker.lifeIsOver = false;
+    return {worker.session.lastAnswerAt(), worker.closedAt, worker.info.draining};
 }
 
-// Returns true if the worker, whose life is over, answered until shortly before its end and did not
-// leave.
-bool Coordinator::hasCrashed(const Worker &worker, Instant now) const
+// Returns the runs on the worker that it may have started, and of which it is not known yet how
+// they count as ended.
+std::vector<RunObservation> Coordinator::observedRunsOn(const Worker &worker) const
 {
-    const Millis silence = worker.closedAt.value_or(now) - worker.session.lastAnswerAt();
-    return !worker.info.draining && silence <= m_settings.maxSilenceBeforeCrash;
+    std::vector<RunObservation> runs;
+    for (const RunKey &key : m_runs.onWorker(worker.info.incarnation.workerId)) {
+        const Run &run = *m_runs.find(key);
+        if (run.phase != RunPhase::StartPending && !run.outcomeOfCrash)
+            runs.push_back({key, run.startedAt, run.phase == RunPhase::Running, run.onProbation});
+    }
+    return runs;
 }
 
 // Records that the life of the worker that the session is with is over.
@@ -52,7 +64,10 @@
 {
     if (std::exchange(worker.lifeIsOver, true))
         return;
-    if (hasCrashed(worker, now.monotonic))
+    const WorkerIncarnation life = worker.session.incarnation();
+    if (m_table.lostLives().contains(life))
+        settleLife({life, LifeVerdict::Crashed, why}, now);
+    else if (m_crashJudge.hasCrashed(observationOf(worker), now.monotonic))
         judgeCrash(worker, why, now);
 }
 
@@ -64,7 +79,8 @@
     const bool startKnown = worker.session.incarnation().startedWallMs != 0;
     if (startKnown) // Otherwise it may be the same life.
         endLife(worker, "restarted", now);
-    forgetSilence(worker);
+    worker.closedAt.reset();
+    worker.lifeIsOver = false;
 }
 
 // Ends the runs of a worker at whose address another one answers. They are over, whatever is left
@@ -80,66 +96,125 @@
     }
 }
 
-// Returns the runs that the worker had started within `window` before it was lost.
-std::vector<RunKey> Coordinator::runsStartedWithin(const Worker &worker, Millis window) const
-{
-    const Instant lostAt = worker.closedAt.value_or(worker.session.lastAnswerAt());
-    std::vector<RunKey> runs = m_runs.onWorker(worker.info.incarnation.workerId);
-    std::erase_if(runs, [&](const RunKey &key) {
-        const Run &run = *m_runs.find(key);
-        return run.phase == RunPhase::StartPending || lostAt - run.startedAt > window;
-    });
-    return runs;
-}
-
-// Decides how the runs that may be why the worker crashed count as ended. What was started at the
-// last moment is the likely cause; where that is not certain, all that were started lately may be.
+// Decides how the runs that may be why the worker crashed count as ended.
 void Coordinator::judgeCrash(const Worker &worker, std::string_view why, ClockReading now)
 {
     ++m_counters.workersCrashed;
-    m_crashedLives[worker.session.incarnation()] = now.monotonic;
     noteWorker(SchedulerEventKind::WorkerCrashed, worker.info.incarnation.workerId, why,
                now.monotonic - worker.session.lastAnswerAt());
-    const std::vector<RunKey> suspects = runsStartedWithin(worker, m_settings.crashWindow);
-    if (suspects.empty())
-        m_unexplainedCrashAt = now.monotonic;
-    std::vector<RunKey> causes = runsStartedWithin(worker, m_settings.promptCrashWindow);
-    if (causes.empty())
-        causes = suspects;
-    const bool certain = areCertainCause(causes, now.monotonic);
-    for (const RunKey &key : suspects) {
-        Run &run = *m_runs.find(key);
-        const bool isCause =
-            certain && std::find(causes.begin(), causes.end(), key) != causes.end();
-        run.outcomeOfCrash = isCause ? RunOutcome::CausedCrash : RunOutcome::WorkerCrashed;
+    for (const CrashSuspect &it :
+         m_crashJudge.findSuspects(observationOf(worker), observedRunsOn(worker), now.monotonic)) {
+        Run &run = *m_runs.find(it.run);
+        run.outcomeOfCrash = it.isCause ? RunOutcome::CausedCrash : RunOutcome::WorkerCrashed;
         noteRun(SchedulerEventKind::RunSuspected, run, toString(*run.outcomeOfCrash),
                 now.monotonic - run.startedAt);
     }
 }
 
-// Returns true if it is certain enough that a run of these crashed their worker, and of which job
-// it is. A run that the worker has not confirmed may never have started there.
-bool Coordinator::areCertainCause(std::span<const RunKey> causes, Instant now) const
+// Records the runs that may be why the worker crashed, if it did. Its lease is over and nothing
+// proves what became of it. The record comes before those of the ends of the runs, so that their
+// tasks are suspected before they are started again.
+void Coordinator::recordLoss(const Worker &worker, ClockReading now)
 {
-    if (causes.empty())
-        return false;
-    const Run &first = *m_runs.find(causes.front());
-    const bool ofOneJob = std::all_of(causes.begin(), causes.end(), [&](const RunKey &it) {
-        return it.task.job == first.key.task.job;
-    });
-    const bool confirmed = std::all_of(causes.begin(), causes.end(), [&](const RunKey &it) {
-        return m_runs.find(it)->phase == RunPhase::Running;
-    });
-    const bool othersCrash =
-        m_unexplainedCrashAt && now - *m_unexplainedCrashAt < m_settings.unexplainedCrashMemory;
-    return ofOneJob && confirmed && (first.onProbation || !othersCrash);
+    const LifeObservation observation = observationOf(worker);
+    const WorkerIncarnation &life = worker.session.incarnation();
+    const bool settled = worker.lifeIsOver || m_table.lostLives().contains(life);
+    if (settled || !m_crashJudge.mayHaveCrashed(observation, now.monotonic))
+        return;
+    noteWorker(SchedulerEventKind::WorkerLost, life.workerId, "refused",
+               now.monotonic - worker.session.lastAnswerAt());
+    const Millis lostFor = now.monotonic - observation.lostAt();
+    const auto suspects =
+        m_crashJudge.findSuspects(observation, observedRunsOn(worker), now.monotonic);
+    m_counters.workersLost += suspects.empty() ? 0 : 1;
+    for (const CrashSuspect &it : suspects) {
+        const Run &run = *m_runs.find(it.run);
+        appendRecord(RunSuspected{
+            it.run.task,
+            {it.run.number, life, worker.info.address, it.isCause, now.wallMs - lostFor.count()}});
+        noteRun(SchedulerEventKind::RunSuspected, run, it.isCause ? "may-be-cause" : "worker-lost",
+                now.monotonic - run.startedAt);
+    }
+}
+
+void Coordinator::settleLostLives(std::span<const WorkerInfo> allWorkers, ClockReading now)
+{
+    if (m_table.lostLives().empty())
+        return;
+    for (const LifeSettlement &it :
+         m_crashJudge.settle(m_table.lostLives(), allWorkers, now.wallMs))
+        settleLife(it, now);
+}
+
+// Records what became of a lost life, and ends the jobs whose tasks have crashed too many workers.
+void Coordinator::settleLife(const LifeSettlement &settlement, ClockReading now)
+{
+    const LostLife lost = m_table.lostLives().at(settlement.life);
+    std::map<std::string, TaskRef> openJobs;
+    for (const TaskRef &it : lost.tasks) {
+        const Job *job = m_table.find(it.job);
+        if (job && !isFinal(job->state))
+            openJobs.emplace(it.job, it);
+    }
+    const std::string &worker = settlement.life.workerId;
+    m_counters.workersCrashed += settlement.verdict == LifeVerdict::Crashed ? 1 : 0;
+    m_counters.workersNotCrashed += settlement.verdict == LifeVerdict::NotCrashed ? 1 : 0;
+    noteWorker(eventFor(settlement.verdict), worker, settlement.why,
+               Millis{now.wallMs - lost.lostWallMs});
+    appendRecord(LifeSettled{settlement.life, settlement.verdict, now.wallMs});
+    m_placementNeeded = true;
+    updateHoldsOf(lost, now);
+    for (const auto &[id, task] : openJobs) {
+        const Job &job = *m_table.find(id);
+        if (isFinal(job.state))
+            concludeJob(job, task, job.findTask(task)->lastRunNumber, worker, now);
+    }
+}
+
+// Holds the task back for as long as it may not be started, or lets it start.
+void Coordinator::updateHold(const TaskRef &task, ClockReading now)
+{
+    const Job *job = m_table.find(task.job);
+    const Task *state = job ? job->findTask(task) : nullptr;
+    const bool mayStart = state && !isFinal(job->state) && !state->done;
+    const Millis hold = mayStart ? m_crashJudge.holdTime(*state, now.wallMs) : Millis{0};
+    if (hold > Millis{0}) {
+        if (!m_heldTasks.contains(task))
+            m_notes.push_back({SchedulerEventKind::TaskHeld, task, state->lastRunNumber,
+                               state->suspectedRuns.back().worker.workerId, "unsettled", hold, 0});
+        m_heldTasks.schedule(task, now.monotonic + hold);
+    } else {
+        m_heldTasks.cancel(task);
+    }
+    refreshStepOf(task, now);
+}
+
+void Coordinator::updateHoldsOf(const LostLife &life, ClockReading now)
+{
+    for (const TaskRef &it : life.tasks)
+        updateHold(it, now);
+}
+
+// Lets the tasks start that were held back for long enough.
+void Coordinator::releaseHeldTasks(ClockReading now)
+{
+    for (const TaskRef &it : m_heldTasks.takeDue(now.monotonic))
+        refreshStepOf(it, now);
+}
+
+// Lets the task's step be ready if it has tasks to start now. A job that leaves starts nothing.
+void Coordinator::refreshStepOf(const TaskRef &task, ClockReading now)
+{
+    const Job *job = m_table.find(task.job);
+    if (job && !m_transfers.leavingTo(task.job))
+        refreshStep(*job, task.stepRef(), now);
 }
 
 // Ends the probation of a run that has lasted.
 void Coordinator::clearIfLasting(Worker &worker, Run &run)
 {
     const bool lasting =
-        worker.session.answeredRenewalSentAt() - run.startedAt > m_settings.crashWindow;
+        worker.session.answeredRenewalSentAt() - run.startedAt > m_settings.crashes.crashWindow;
     if (!run.onProbation || !lasting)
         return;
     run.onProbation = false;
@@ -150,13 +225,13 @@
             worker.session.answeredRenewalSentAt() - run.startedAt);
 }
 
-// Returns true if and only if a worker crashed under a run of the task, which may be why, and none
-// has lasted since.
+// Returns true if and only if a worker crashed under a run of the task, or may have, and the run
+// may be why, and none has lasted since.
 bool Coordinator::isSuspected(const TaskRef &task) const
 {
     const Job *job = m_table.find(task.job);
     const Task *known = job ? job->findTask(task) : nullptr;
-    return known && known->crashes > 0;
+    return known && (known->crashes > 0 || !known->suspectedRuns.empty());
 }
 
 } // namespace savorywick::steps
--- a/src/lib/steps/coordinatorhandover.cpp
+++ b/src/lib/steps/coordinatorhandover.cpp
@@ -67,6 +67,8 @@
     closeSteps(transfer.job);
     m_transfers.take(transfer);
     publishWhenDurable(transfer.job);
+    for (const auto &[life, lost] : m_table.lostLives())
+        updateHoldsOf(lost, now);
     openDueOccurrences(*m_table.find(transfer.job), now);
 }
 
--- a/src/lib/steps/coordinatorleases.cpp
+++ b/src/lib/steps/coordinatorleases.cpp
@@ -103,12 +103,12 @@
         const Run &run = *m_runs.find(key);
         return run.phase == RunPhase::StartPending || now.monotonic < leaseEndOf(run);
     });
-    Worker &worker = m_workers.at(id);
-    if (worker.lastCallClosed)
-        endLife(worker, "refused", now);
-    if (!lapsedRuns.empty())
-        noteWorker(SchedulerEventKind::WorkerLeaseExpired, id, "lease-over",
-                   now.monotonic - worker.session.lastAnswerAt());
+    const Worker &worker = m_workers.at(id);
+    if (lapsedRuns.empty())
+        return;
+    recordLoss(worker, now);
+    noteWorker(SchedulerEventKind::WorkerLeaseExpired, id, "lease-over",
+               now.monotonic - worker.session.lastAnswerAt());
     for (const RunKey &key : lapsedRuns)
         endRun(key, RunOutcome::LeaseExpired, {}, now);
 }
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -103,7 +103,7 @@
     const RunSummary &summary = worker.runSummary;
     CandidateWorker candidate{&worker.info, summary.available, summary.idleMilliCores, {}};
     candidate.runCount = summary.runCount;
-    candidate.hasNewRuns = now - summary.latestStartAt <= m_settings.crashWindow;
+    candidate.hasNewRuns = now - summary.latestStartAt <= m_settings.crashes.crashWindow;
     candidate.avoided = now < worker.avoidedUntil;
     candidate.acceptsBestEffort = acceptsBestEffort(worker, now);
     const bool fitsBestEffort = (candidate.acceptsBestEffort || needs.besideMisses)
@@ -136,8 +136,14 @@
     std::vector<int> indexes;
     const Job *job = m_table.find(ref.job);
     const auto it = job->occurrences.find(ref.occurrence);
-    const int count = job->spec.steps[ref.step].taskCount;
-    for (int i = 0; i < count; ++i) {
+    const StepSpec &spec = job->spec.steps[ref.step];
+    for (int i = 0; i < spec.taskCount; ++i) {
+        const bool held =
+            !m_heldTasks.empty() && m_heldTasks.contains({ref.job, ref.occurrence, ref.step, i});
+        if (held && spec.gang) // All members start together.
+            return {};
+        if (held)
+            continue;
         if (it == job->occurrences.end()) {
             indexes.push_back(i);
             continue;
--- a/src/lib/steps/coordinatorreplies.cpp
+++ b/src/lib/steps/coordinatorreplies.cpp
@@ -26,8 +26,8 @@
     const bool sameLife = worker != m_workers.end()
         && worker->second.session.incarnation() == order.target.worker
         && recordClock(worker->second, reply, now);
-    if (sameLife)
-        noteUnanswered(worker->second, reply.outcome, reply.connectionClosed, now.monotonic);
+    if (sameLife && reply.connectionClosed)
+        noteConnectionClosed(worker->second, now.monotonic);
     const RunKey key{order.task, order.run};
     Run *run = m_runs.find(key);
     if (!run || run->phase != RunPhase::StartSent)
@@ -76,7 +76,8 @@
     if (worker == m_workers.end() || worker->second.session.incarnation() != order.target.worker)
         return;
     recordClock(worker->second, reply, now);
-    noteUnanswered(worker->second, reply.outcome, reply.connectionClosed, now.monotonic);
+    if (reply.connectionClosed)
+        noteConnectionClosed(worker->second, now.monotonic);
     if (reply.outcome == CommandOutcome::WrongIncarnation)
         return meetOtherWorker(worker->second, now);
     Run *run = m_runs.find({order.task, order.run});
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -97,7 +97,8 @@
     const bool wasResponsive = worker.session.responsive();
     const Millis silence = now.monotonic - worker.session.lastAnswerAt();
     if (reply.outcome != CommandOutcome::Done) {
-        noteUnanswered(worker, reply.outcome, reply.connectionClosed, now.monotonic);
+        if (reply.connectionClosed)
+            noteConnectionClosed(worker, now.monotonic);
         if (wasResponsive)
             noteWorker(SchedulerEventKind::WorkerUnresponsive, id, toString(reply.outcome),
                        silence);
@@ -118,7 +119,7 @@
         worker.session.update(life, worker.info.address, now.monotonic);
         return;
     }
-    noteAnswered(worker, now.monotonic);
+    noteAnswered(worker, now);
     recordAnswer(id);
     if (!wasResponsive)
         excuseSilence(id, silence, now.monotonic);
@@ -285,21 +286,16 @@
     // A run that is only found to be gone reports no checkpoint at its end.
     const std::string &resumeFrom = checkpoint.empty() ? run.checkpoint : checkpoint;
     appendRecord(RunEnded{key.task, key.number, how, resumeFrom, now.wallMs});
-    if (job->state != before) {
-        noteRun(SchedulerEventKind::JobEnded, run, toString(job->state),
-                Millis{now.wallMs - job->dueWallMs(key.task.occurrence)});
-        m_endedJobs.emplace(now.wallMs, key.task.job);
-        publishWhenDurable(key.task.job);
-        openDueOccurrences(*job, now);
-        stopJobRuns(*job, "job-over");
-        return;
-    }
+    if (job->state != before)
+        return concludeJob(*job, key.task, key.number, run.workerId, now);
     if (run.longRunning)
         m_longRunningGaps.noteEnd(key.task, how, lastAnsweredAt(run), now.monotonic);
     if (how == RunOutcome::Done)
         stopDuplicateRuns(key.task);
     else if (job->spec.steps[key.task.step].gang)
         stopGangMembers(key);
+    if (isSuspected(key.task))
+        updateHold(key.task, now);
     if (!isFinal(job->state))
         refreshOccurrence(*job, key.task.occurrence, now);
     if (how == RunOutcome::NeverStarted)
--- a/src/lib/steps/job.cpp
+++ b/src/lib/steps/job.cpp
@@ -55,6 +55,17 @@
     return "unnamed";
 }
 
+bool isOverCrashLimit(int crashes, int causedCrashes)
+{
+    // A job is given up once one of its tasks has caused this many crashes in a row: one may be
+    // chance.
+    constexpr int maxCausedCrashes = 2;
+    // Or once this many workers in a row have crashed under one of its tasks, whatever else may be
+    // why.
+    constexpr int maxCrashes = 4;
+    return causedCrashes >= maxCausedCrashes || crashes >= maxCrashes;
+}
+
 std::string_view toString(JobState state)
 {
     switch (state) {
--- a/src/lib/steps/jobtable.cpp
+++ b/src/lib/steps/jobtable.cpp
@@ -12,11 +12,6 @@
 // failure counts once.
 constexpr int gangLeaderIndex = 0;
 
-// A job is given up once one of its tasks has caused this many crashes in a row: one may be chance.
-constexpr int maxCausedCrashes = 2;
-// Or once this many workers in a row have crashed under one of its tasks, whatever else may be why.
-constexpr int maxCrashes = 4;
-
 // Returns true if and only if the task had an active run with this number.
 bool eraseRun(Task &task, int number)
 {
@@ -81,8 +76,7 @@
             task->checkpoint = it.checkpoint;
         if (wasActive)
             recordCrash(*task, it.outcome);
-        if (task->causedCrashes >= maxCausedCrashes || task->crashes >= maxCrashes)
-            endJob(*job, JobState::Failed, it.wallMs);
+        endIfCrashing(*job, *task, it.wallMs);
         const StepSpec &spec = job->spec.steps[it.task.step];
         if (spec.gang)
             return endGangRun(*job, it);
@@ -103,8 +97,13 @@
             return;
         task->crashes = 0;
         task->causedCrashes = 0;
+        table.clearSuspectedRuns(it.task, *task);
     }
 
+    void operator()(const RunSuspected &it) const { table.addSuspectedRun(it); }
+
+    void operator()(const LifeSettled &it) const { table.settleLife(it); }
+
     void operator()(const WorkerAddress &it) const
     {
         table.m_workerAddresses[it.workerId] = it.address;
@@ -161,6 +160,7 @@
         if (it.state.done)
             finishTask(*job, it.task, 0);
         *task = it.state;
+        task->suspectedRuns.clear(); // Records of their own tell of them.
     }
 
     void operator()(const JobStateSnapshot &it) const
@@ -260,6 +260,66 @@
     job.endedWallMs = wallMs;
 }
 
+// Ends the job if its task has crashed too many workers.
+void JobTable::endIfCrashing(Job &job, const Task &task, std::int64_t wallMs)
+{
+    if (isOverCrashLimit(task.crashes, task.causedCrashes))
+        endJob(job, JobState::Failed, wallMs);
+}
+
+void JobTable::addSuspectedRun(const RunSuspected &record)
+{
+    Job *job = findJob(record.task.job);
+    Task *task = job ? findTask(*job, record.task) : nullptr;
+    if (!task)
+        return;
+    const SuspectedRun &run = record.run;
+    const bool known = std::any_of(task->suspectedRuns.begin(), task->suspectedRuns.end(),
+                                   [&](const SuspectedRun &it) { return it.number == run.number; });
+    if (!known)
+        task->suspectedRuns.push_back(run);
+    LostLife &life = m_lostLives[run.worker];
+    life.address = run.address;
+    life.lostWallMs = run.lostWallMs;
+    life.tasks.insert(record.task);
+}
+
+// Counts the crash of the life against the tasks that were suspected, or suspects them no more.
+// While nothing tells what became of it they stay suspected, which ends no job.
+void JobTable::settleLife(const LifeSettled &record)
+{
+    const auto node = m_lostLives.extract(record.worker);
+    if (node.empty() || record.verdict == LifeVerdict::Unknown)
+        return;
+    for (const TaskRef &ref : node.mapped().tasks) {
+        Job *job = findJob(ref.job);
+        Task *task = job ? findTask(*job, ref) : nullptr;
+        if (!task)
+            continue;
+        std::erase_if(task->suspectedRuns, [&](const SuspectedRun &it) {
+            const bool settled = it.worker == record.worker;
+            const bool counts = settled && record.verdict == LifeVerdict::Crashed && !task->done;
+            task->crashes += counts ? 1 : 0;
+            task->causedCrashes += counts && it.isCause ? 1 : 0;
+            return settled;
+        });
+        endIfCrashing(*job, *task, record.wallMs);
+    }
+}
+
+void JobTable::clearSuspectedRuns(const TaskRef &ref, Task &task)
+{
+    for (const SuspectedRun &it : task.suspectedRuns) {
+        const auto life = m_lostLives.find(it.worker);
+        if (life == m_lostLives.end())
+            continue;
+        life->second.tasks.erase(ref);
+        if (life->second.tasks.empty())
+            m_lostLives.erase(life);
+    }
+    task.suspectedRuns.clear();
+}
+
 std::string JobTable::workerAddress(std::string_view worker) const
 {
     const auto it = m_workerAddresses.find(worker);
@@ -280,8 +340,13 @@
         for (int s = 0; s < static_cast<int>(occurrence.steps.size()); ++s) {
             const std::vector<Task> &tasks = occurrence.steps[s].tasks;
             for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
+                const TaskRef ref{job.spec.id, k, s, i};
                 if (!isFinal(job.state) || !tasks[i].activeRuns.empty())
-                    records.emplace_back(TaskSnapshot{{job.spec.id, k, s, i}, tasks[i]});
+                    records.emplace_back(TaskSnapshot{ref, tasks[i]});
+                if (isFinal(job.state))
+                    continue;
+                for (const SuspectedRun &run : tasks[i].suspectedRuns)
+                    records.emplace_back(RunSuspected{ref, run});
             }
         }
     }
--- a/src/lib/steps/jobtransfers.cpp
+++ b/src/lib/steps/jobtransfers.cpp
@@ -14,6 +14,8 @@
         return accepted->spec.id == job;
     if (const auto *task = std::get_if<TaskSnapshot>(&record))
         return task->task.job == job && task->state.activeRuns.empty();
+    if (const auto *suspected = std::get_if<RunSuspected>(&record))
+        return suspected->task.job == job;
     const auto *state = std::get_if<JobStateSnapshot>(&record);
     return state && state->job == job && !isFinal(state->state);
 }
--- a/src/lib/steps/record.cpp
+++ b/src/lib/steps/record.cpp
@@ -316,6 +316,17 @@
     {
         return FieldWriter('K').task(it.task).take();
     }
+    std::string operator()(const RunSuspected &it) const
+    {
+        FieldWriter w('U');
+        w.task(it.task).number(it.run.number).worker(it.run.worker).text(it.run.address);
+        return w.number(it.run.isCause).number(it.run.lostWallMs).take();
+    }
+    std::string operator()(const LifeSettled &it) const
+    {
+        FieldWriter w('X');
+        return w.worker(it.worker).number(static_cast<int>(it.verdict)).number(it.wallMs).take();
+    }
     std::string operator()(const RunConfirmed &it) const
     {
         return FieldWriter('V').task(it.task).number(it.run).take();
@@ -395,6 +406,27 @@
     return it;
 }
 
+RunSuspected readRunSuspected(FieldReader &r)
+{
+    RunSuspected it;
+    it.task = r.task();
+    it.run.number = r.number<int>();
+    it.run.worker = r.worker();
+    it.run.address = r.text();
+    it.run.isCause = r.boolean();
+    it.run.lostWallMs = r.number();
+    return it;
+}
+
+LifeSettled readLifeSettled(FieldReader &r)
+{
+    LifeSettled it;
+    it.worker = r.worker();
+    it.verdict = r.enumerator(LifeVerdict::NotCrashed);
+    it.wallMs = r.number();
+    return it;
+}
+
 Record readRecord(std::string_view line, FieldReader &r)
 {
     switch (line.empty() ? '\0' : line.front()) {
@@ -450,6 +482,10 @@
     }
     case 'K':
         return TaskCleared{r.task()};
+    case 'U':
+        return readRunSuspected(r);
+    case 'X':
+        return readLifeSettled(r);
     case 'V': {
         RunConfirmed it;
         it.task = r.task();
--- a/src/lib/steps/schedulerevent.cpp
+++ b/src/lib/steps/schedulerevent.cpp
@@ -37,12 +37,18 @@
         return "worker-lapsed";
     case SchedulerEventKind::WorkerQuarantined:
         return "worker-suspected";
+    case SchedulerEventKind::WorkerLost:
+        return "worker-lost";
     case SchedulerEventKind::WorkerCrashed:
         return "worker-crashed";
     case SchedulerEventKind::WorkerNotCrashed:
         return "worker-not-crashed";
+    case SchedulerEventKind::WorkerNotBack:
+        return "worker-not-back";
     case SchedulerEventKind::RunSuspected:
         return "run-suspected";
+    case SchedulerEventKind::TaskHeld:
+        return "task-held";
     case SchedulerEventKind::RunCleared:
         return "run-cleared";
     case SchedulerEventKind::StepWaiting:
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -260,6 +260,7 @@
             m_loop, m_clock, m_platform.table, m_platform.objects, m_platform.workers,
             m_shardLatencies, [this] { return m_ownership.leaseValidUntil(); },
             [this](int shard) { shardEnded(shard); }, [this] { return m_loadReporter.lag(); },
+            [this] { return std::span<const steps::WorkerInfo>(m_workers); },
             [this](int shard, bool rejected) { m_ownership.commitEnded(shard, rejected); },
             &m_shardFit,
             [this](int shard, const ShardRequest &request, Millis timeout,
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -52,6 +52,8 @@
     out.writeCounter("runs_stopped_for_interference_total", c.runsStoppedForInterference);
     out.writeCounter("workers_quarantined_total", c.workersQuarantined);
     out.writeCounter("workers_crashed_total", c.workersCrashed);
+    out.writeCounter("workers_lost_total", c.workersLost);
+    out.writeCounter("workers_not_crashed_total", c.workersNotCrashed);
     out.writeCounter("workers_examined_total", c.workersExamined);
     out.writeCounter("runs_examined_total", c.runsExamined);
     for (const auto &[how, n] : c.runsEnded)
--- a/src/node/schedulerlog.cpp
+++ b/src/node/schedulerlog.cpp
@@ -20,8 +20,10 @@
     case SchedulerEventKind::JobEnded:
     case SchedulerEventKind::WorkerLeaseExpired:
     case SchedulerEventKind::WorkerQuarantined:
+    case SchedulerEventKind::WorkerLost:
     case SchedulerEventKind::WorkerCrashed:
     case SchedulerEventKind::WorkerNotCrashed:
+    case SchedulerEventKind::WorkerNotBack:
     case SchedulerEventKind::StepWaiting:
     case SchedulerEventKind::ZoneEvacuated:
     case SchedulerEventKind::ZoneReturned:
@@ -42,6 +44,7 @@
     case SchedulerEventKind::WorkerUnresponsive:
     case SchedulerEventKind::WorkerRecovered:
     case SchedulerEventKind::RunSuspected:
+    case SchedulerEventKind::TaskHeld:
     case SchedulerEventKind::RunCleared:
     case SchedulerEventKind::PreemptionPlanned:
     case SchedulerEventKind::ReservationEnded:
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -17,6 +17,9 @@
 // Sending orders may produce new records, which may release further orders.
 constexpr int maxOrderRounds = 4;
 
+// The list of all workers is long, so it is not searched on each event.
+constexpr Millis lostLivesInterval{200};
+
 } // namespace
 
 ShardRunner::ShardRunner(const OwnedShard &owned, const ShardRunnerSettings &settings,
@@ -257,10 +260,22 @@
     if (m_passDue || m_journal.releasing())
         return;
     ++m_load.passes;
+    settleLostLives();
     m_coordinator.tick(beganAt);
     m_passPacer.recordWork(beganAt.monotonic, m_dependencies.clock.now());
 }
 
+// Settles what became of lost workers that may have crashed.
+void ShardRunner::settleLostLives()
+{
+    const steps::ClockReading currentTime = now();
+    const bool due = currentTime.monotonic >= m_nextSettlingAt;
+    if (!due || !m_dependencies.allWorkers || m_coordinator.jobTable().lostLives().empty())
+        return;
+    m_nextSettlingAt = currentTime.monotonic + lostLivesInterval;
+    m_coordinator.settleLostLives(m_dependencies.allWorkers(), currentTime);
+}
+
 void ShardRunner::logDecisions()
 {
     for (const steps::SchedulerEvent &it : m_coordinator.takeNotes()) {
--- a/src/node/shardrunner.h
+++ b/src/node/shardrunner.h
@@ -69,6 +69,9 @@
     std::function<Instant()> leaseValidUntil;
     std::function<void(int shard)> ended; // Called once, when the shard is lost or released.
     std::function<Millis()> loopLag; // Returns how late the loop runs what is due now.
+    // If set, returns the list of all shards' workers. It tells what became of workers that were
+    // lost, which may be back under ids of another shard.
+    std::function<std::span<const steps::WorkerInfo>()> allWorkers = {};
     // If set, called when the store has rejected a commit without effect, or has answered it.
     std::function<void(int shard, bool rejected)> commitEnded = {};
     // If both are set, jobs are moved to shards whose workers suit them: the shards' workers, and
@@ -141,6 +144,7 @@
     void scheduleProcessing();
     void process();
     void tick();
+    void settleLostLives();
     void logDecisions();
     void finishHandover(const std::string &job, int handovers);
     void appendRecords();
@@ -188,6 +192,7 @@
     steps::CommitForecast m_commitForecast;
     ShardLoad m_load; // Since takeLoad() was called last, without the backlog.
     LogSequenceNumber m_reportedLsn = 0; // The durable one when takeLoad() was called last.
+    Instant m_nextSettlingAt; // The earliest time of the next settleLostLives().
     std::optional<Instant> m_wakeUpAt;
     EventLoop::TimerId m_wakeUpTimer = 0;
 };
--- a/tests/node/shardfixture.h
+++ b/tests/node/shardfixture.h
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -93,9 +94,11 @@
     explicit ShardFixture(const ShardRunnerSettings &settings = {}, const StoredShard &stored = {})
         : runner(std::make_shared<ShardRunner>(
             OwnedShard{0, stored.row, 10}, settings,
-            ShardRunnerDependencies{m_loop, clock, table, objects, m_workers, latencies,
-                                    [this] { return leaseValidUntil(); },
-                                    [this](int) { ++endedCount; }, [this] { return loopLag; }}))
+            ShardRunnerDependencies{
+                m_loop, clock, table, objects, m_workers, latencies,
+                [this] { return leaseValidUntil(); }, [this](int) { ++endedCount; },
+                [this] { return loopLag; },
+                [this] { return std::span<const steps::WorkerInfo>(allWorkers); }}))
     {
         objects.object = stored.snapshot;
         table.segments = stored.segments;
@@ -165,6 +168,7 @@
     UnavailableObjectStore objects;
     ShardLatencies latencies;
     std::optional<ShardReply> reply;
+    std::vector<steps::WorkerInfo> allWorkers; // Of all shards.
 
 private:
     EventLoop m_loop;
--- a/tests/steps/coordinatorcrashsimulation_test.cpp
+++ b/tests/steps/coordinatorcrashsimulation_test.cpp
@@ -62,6 +62,18 @@
     }));
 }
 
+// Guards against jobs that are given up since their workers were cut off and ran on.
+TEST_CASE("Workers that refuse connections and run on end no job")
+{
+    CHECK(rc::check("while owners are replaced and some workers crash", [] {
+        ShardSimulation simulation(*rc::gen::inRange(0U, 1'000'000'000U), workers);
+        const HistoryOnFailure history(simulation);
+        simulation.refuseWhenCutOff();
+        submitJobs(simulation, "", true);
+        simulation.finishAndVerify();
+    }));
+}
+
 // Guards against takeovers that forget crashes, or hold them against others.
 TEST_CASE("With takeovers alone just the jobs that crash workers are given up")
 {
--- a/tests/steps/coordinatorharness.h
+++ b/tests/steps/coordinatorharness.h
@@ -26,7 +26,7 @@
             WorkerInfo info;
             info.incarnation = {"w" + std::to_string(i), 1};
             info.service = "matching";
-            info.address = "10.0.0.1:1";
+            info.address = "10.0.0." + std::to_string(i) + ":1";
             info.capacity = {16'000, 32'000, 0};
             m_workers.push_back(info);
             m_startedWallMs[info.incarnation.workerId] = info.incarnation.startedWallMs;
@@ -135,6 +135,20 @@
         crashes.push_back(worker);
     }
 
+    // Cuts the worker off: its host refuses connections from now on, and the worker runs on.
+    void cutOff(const std::string &worker) { m_refusingWorkers.insert(worker); }
+
+    // Ends the cut. What the worker ran meanwhile has ended with its lease.
+    void reconnect(const std::string &worker)
+    {
+        m_refusingWorkers.erase(worker);
+        for (const StartRunCommand &it : starts) {
+            const RunKey key{it.task, it.run};
+            if (it.target.worker.workerId == worker && !m_endedRuns.contains(key))
+                reportEnd(worker, key, RunOutcome::LeaseExpired);
+        }
+    }
+
     // Crashes all workers that run.
     void crashAll()
     {
@@ -165,6 +179,7 @@
     void step()
     {
         restartCrashedWorkers();
+        m_coordinator->settleLostLives(m_workers, now());
         m_coordinator->tick(now());
         for (int round = 0; round < 3; ++round) {
             for (std::string &it : m_coordinator->takeRecords())
@@ -212,6 +227,7 @@
     std::vector<StartRunCommand> starts;
     std::set<std::string> crashingJobs; // Their first task crashes each worker that starts it.
     Millis crashDowntime{3'000};
+    bool keepsIdOnRestart = false; // Crashed workers are back under the ids that they had.
     std::vector<std::string> crashes; // The workers that have crashed, the earliest first.
     std::vector<StopRunCommand> stops;
     std::vector<ThrottleRunCommand> throttles;
@@ -235,7 +251,7 @@
 private:
     static constexpr int milliCoresInUse = 4'000; // That other runs use at full speed.
 
-    // Lists each worker whose time has come under a new id.
+    // Lists each worker whose time has come, under a new id or the one that it had.
     void restartCrashedWorkers()
     {
         bool changed = false;
@@ -243,17 +259,25 @@
             const auto back = m_backAt.find(it.incarnation.workerId);
             if (back == m_backAt.end() || m_now < back->second)
                 continue;
-            it.incarnation = {it.incarnation.workerId + "'", m_now.count()};
+            if (keepsIdOnRestart)
+                m_backAt.erase(back);
+            else
+                it.incarnation.workerId += "'";
+            it.incarnation.startedWallMs = m_now.count();
             m_startedWallMs[it.incarnation.workerId] = m_now.count();
+            m_fences[it.incarnation.workerId] = 0;
             changed = true;
         }
         if (changed)
             m_coordinator->setWorkers(m_workers, now());
     }
 
-    // Returns how a call to a worker that has crashed fails, or nothing if it has not.
-    std::optional<CommandReply> crashedReply(const CommandTarget &target) const
+    // Returns how a call to a worker that has crashed or is cut off fails, or nothing if it has
+    // not.
+    std::optional<CommandReply> unreachableReply(const CommandTarget &target) const
     {
+        if (m_refusingWorkers.contains(target.worker.workerId))
+            return CommandReply{CommandOutcome::NotSent, {}, true};
         const auto back = m_backAt.find(target.worker.workerId);
         if (back == m_backAt.end())
             return {};
@@ -266,7 +290,7 @@
     void respond(const RenewLeaseCommand &order)
     {
         renewals.push_back(order);
-        if (const auto failure = crashedReply(order.target))
+        if (const auto failure = unreachableReply(order.target))
             return m_coordinator->handleRenewReply(
                 order, {failure->outcome, {}, failure->connectionClosed}, now());
         if (silentWorkers.contains(order.target.worker.workerId))
@@ -311,7 +335,7 @@
     }
     void respond(const StartRunCommand &order)
     {
-        if (const auto failure = crashedReply(order.target))
+        if (const auto failure = unreachableReply(order.target))
             return m_coordinator->handleStartReply(order, *failure, now());
         if (idleWorkers.contains(order.target.worker.workerId))
             return;
@@ -329,7 +353,7 @@
     }
     void respond(const StopRunCommand &order)
     {
-        if (const auto failure = crashedReply(order.target))
+        if (const auto failure = unreachableReply(order.target))
             return m_coordinator->handleStopReply(order, *failure, now());
         stops.push_back(order);
         if (stopsEndRuns)
@@ -365,6 +389,7 @@
     std::map<std::string, std::vector<RunEndReport>> m_endReports;
     std::map<std::string, std::int64_t> m_ackedEnds; // The highest acknowledged, by worker.
     std::set<RunKey> m_endedRuns;
+    std::set<std::string> m_refusingWorkers; // They are cut off.
     std::map<std::string, Instant> m_backAt; // When crashed workers are back under new ids.
     std::map<std::string, Fence> m_fences; // The highest that each worker has seen.
     std::map<std::string, std::int64_t> m_startedWallMs; // When each worker's life began.
--- a/tests/steps/duequeue_test.cpp
+++ b/tests/steps/duequeue_test.cpp
@@ -18,9 +18,12 @@
     queue.schedule("a", Instant{20});
     queue.schedule("c", Instant{21});
     CHECK(queue.nextAt() == Instant{10});
+    CHECK(queue.contains("b"));
+    CHECK_FALSE(queue.contains("d"));
     CHECK(queue.takeDue(Instant{9}).empty());
     CHECK(queue.takeDue(Instant{20}) == std::vector<std::string>{"a", "b"});
     CHECK(queue.takeDue(Instant{20}).empty());
+    CHECK_FALSE(queue.contains("b"));
     CHECK(queue.nextAt() == Instant{21});
 }
 
--- a/tests/steps/jobtable_test.cpp
+++ b/tests/steps/jobtable_test.cpp
@@ -113,6 +113,63 @@
     }
 }
 
+// Guards against a charge without a proof, and against a proof that comes too late to be counted.
+TEST_CASE("Suspected runs count once their worker is known to have crashed")
+{
+    struct Case
+    {
+        std::vector<LifeVerdict> verdicts; // Of two lives that a run was lost with, in order.
+        int crashes;
+        bool suspected;
+        JobState state;
+    };
+    using enum LifeVerdict;
+    const std::vector<Case> cases = {
+        {{}, 0, true, JobState::Running},
+        {{Crashed}, 1, true, JobState::Running},
+        {{Crashed, Crashed}, 2, false, JobState::Failed},
+        {{Crashed, NotCrashed}, 1, false, JobState::Running},
+        {{NotCrashed, NotCrashed}, 0, false, JobState::Running},
+        {{Unknown, Unknown}, 0, true, JobState::Running},
+        {{Crashed, Unknown}, 1, true, JobState::Running},
+    };
+    const TaskRef ref{"j", 0, 0, 1};
+    const WorkerIncarnation lives[] = {{"w0", 1}, {"w1", 1}};
+    for (const Case &it : cases) {
+        for (const bool throughSnapshot : {false, true}) {
+            JobTable table = tableWithJob(twoStepJob());
+            for (int run = 1; run <= 2; ++run) {
+                table.apply(RunSuspected{ref, {run, lives[run - 1], "10.0.0.1:1", true, 5}});
+                applyRun(table, ref, run, RunOutcome::LeaseExpired);
+            }
+            if (throughSnapshot) {
+                JobTable copy;
+                for (const Record &record : table.snapshot())
+                    copy.apply(decodeRecord(encodeRecord(record)));
+                table = copy;
+            }
+            CHECK(table.lostLives().size() == 2);
+            for (std::size_t i = 0; i < it.verdicts.size(); ++i)
+                table.apply(LifeSettled{lives[i], it.verdicts[i], 6});
+            CHECK(table.lostLives().size() == 2 - it.verdicts.size());
+            const Task &task = *table.find("j")->findTask(ref);
+            CHECK(task.crashes == it.crashes);
+            CHECK(task.suspectedRuns.empty() == !it.suspected);
+            CHECK((jobState(table) == it.state));
+        }
+    }
+}
+
+TEST_CASE("A run that lasts clears its task of suspected runs")
+{
+    JobTable table = tableWithJob(twoStepJob());
+    const TaskRef ref{"j", 0, 0, 1};
+    table.apply(RunSuspected{ref, {1, worker, "10.0.0.1:1", true, 5}});
+    table.apply(TaskCleared{ref});
+    CHECK(table.lostLives().empty());
+    CHECK(table.find("j")->findTask(ref)->suspectedRuns.empty());
+}
+
 TEST_CASE("A snapshot keeps what is known of crashes and the addresses of workers with runs")
 {
     JobTable table = tableWithJob(twoStepJob());
--- a/tests/steps/record_test.cpp
+++ b/tests/steps/record_test.cpp
@@ -107,6 +107,8 @@
             TaskSnapshot{task, {4, 1, 2, false, arbitraryText(), {{4, worker}}}},
             TaskSnapshot{task, {4, 1, 2, false, arbitraryText(), {{4, worker}}, 2, 1}},
             TaskCleared{task},
+            RunSuspected{task, {3, worker, arbitraryText(), true, 1'700'000'000'002}},
+            LifeSettled{worker, LifeVerdict::NotCrashed, 20},
             TaskSnapshot{task, {4, 1, 2, false, arbitraryText(), {{3, worker}, {4, worker, true}}}},
             RunConfirmed{task, 4},
             WorkerSilent{arbitraryText(), 81'234},
--- a/tests/steps/shardsimulation.h
+++ b/tests/steps/shardsimulation.h
@@ -118,6 +118,9 @@
     // does where all owners can read the store's clock, and limits the leases by it.
     void promiseLeaseEnds(Millis ahead) { m_leaseLimitAhead = ahead; }
 
+    // Lets hosts that can't be reached refuse connections, in place of leaving calls unanswered.
+    void refuseWhenCutOff() { m_cutsRefuse = true; }
+
     // Lets the capacity of workers shrink and grow while faults are injected.
     void changeCapacities() { m_changesCapacities = true; }
 
@@ -305,6 +308,7 @@
         for (SimulatedWorker &it : m_workers)
             advanceWorker(it, passed, completeGangs);
         commitWhenDue();
+        m_owner->settleLostLives(listedWorkers(), now());
         m_owner->tick(now());
         processOwnerOutput();
         checkCompletedJobs();
@@ -402,6 +406,10 @@
     void recordAcknowledgedEnd(const RunEndReport &end);
     void startRun(SimulatedWorker &worker, const StartRunCommand &order);
     void checkStart(const StartRunCommand &order);
+    bool refuses(const SimulatedWorker &worker) const
+    {
+        return worker.up && worker.partitioned && m_cutsRefuse;
+    }
     bool crashesWorkers(const TaskRef &task) const
     {
         return task.index == 0 && m_crashingJobs.contains(task.job);
@@ -454,6 +462,7 @@
     std::map<std::uint64_t, std::int64_t> m_wallSkews; // Of all owners, by epoch.
     std::set<std::string> m_crashingJobs;
     bool m_changesCapacities = false;
+    bool m_cutsRefuse = false; // Hosts that can't be reached refuse connections.
     std::size_t m_maxListedEnds = 500;
     std::vector<SimulatedWorker> m_workers;
     int m_livesByNewId = 0; // Workers that have started again under a new id.
--- a/tests/steps/shardsimulationcalls.h
+++ b/tests/steps/shardsimulationcalls.h
@@ -24,8 +24,9 @@
 void ShardSimulation::transmit(const OrderType &order)
 {
     SimulatedWorker *target = findWorkerAt(order.target.address);
-    const bool refusesConnections =
-        target && !target->up && (target->closesConnections || randomBelow(2) == 0);
+    const bool refusesConnections = target
+        && (refuses(*target)
+            || (!target->up && (target->closesConnections || randomBelow(2) == 0)));
     if (!target || refusesConnections)
         return scheduleReply(Millis{2}, m_epoch, [this, order, refusesConnections] {
             deliver(order, {CommandOutcome::NotSent, {}, refusesConnections});
@@ -39,7 +40,7 @@
         SimulatedWorker &worker = *findWorkerAt(order.target.address);
         if (worker.up && !worker.partitioned)
             return receive(order, worker, epoch);
-        const bool closes = !worker.up && worker.closesConnections;
+        const bool closes = refuses(worker) || (!worker.up && worker.closesConnections);
         scheduleReply(closes ? latency : timeoutOf(order), epoch, [this, order, closes] {
             deliver(order, {CommandOutcome::Unknown, {}, closes});
         });
@@ -91,11 +92,12 @@
 inline void ShardSimulation::answerHeldRenewals(SimulatedWorker &worker)
 {
     std::erase_if(worker.heldRenewals, [&](const HeldRenewal &it) {
-        const bool due = m_now >= it.until || !worker.unacknowledgedEnds.empty() || !worker.up;
+        const bool due = m_now >= it.until || !worker.unacknowledgedEnds.empty() || !worker.up
+            || refuses(worker);
         if (!due)
             return false;
         const bool answers = worker.up && !worker.partitioned;
-        const bool closes = !worker.up && worker.closesConnections;
+        const bool closes = refuses(worker) || (!worker.up && worker.closesConnections);
         const RenewLeaseReply reply =
             answers ? reportOf(worker) : RenewLeaseReply{CommandOutcome::Unknown, {}, closes};
         const Millis delay = answers || closes ? Millis{2 + randomBelow(10)} : replyTimeout;
