--- a/src/lib/steps/jobtable.cpp
+++ b/src/lib/steps/jobtable.cpp
@@ -340,11 +340,10 @@
         for (int s = 0; s < static_cast<int>(occurrence.steps.size()); ++s) {
             const std::vector<Task> &tasks = occurrence.steps[s].tasks;
             for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
-                const TaskRef ref{job.spec.id, k, s, i};
-                if (!isFinal(job.state) || !tasks[i].activeRuns.empty())
-                    records.emplace_back(TaskSnapshot{ref, tasks[i]});
-                if (isFinal(job.state))
+                if (isFinal(job.state) && tasks[i].activeRuns.empty())
                     continue;
+                const TaskRef ref{job.spec.id, k, s, i};
+                records.emplace_back(TaskSnapshot{ref, tasks[i]});
                 for (const SuspectedRun &run : tasks[i].suspectedRuns)
                     records.emplace_back(RunSuspected{ref, run});
             }
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -260,17 +260,16 @@
     if (m_passDue || m_journal.releasing())
         return;
     ++m_load.passes;
-    settleLostLives();
+    if (!m_coordinator.jobTable().lostLives().empty())
+        settleLostLives(beganAt);
     m_coordinator.tick(beganAt);
     m_passPacer.recordWork(beganAt.monotonic, m_dependencies.clock.now());
 }
 
 // Settles what became of lost workers that may have crashed.
-void ShardRunner::settleLostLives()
+void ShardRunner::settleLostLives(steps::ClockReading currentTime)
 {
-    const steps::ClockReading currentTime = now();
-    const bool due = currentTime.monotonic >= m_nextSettlingAt;
-    if (!due || !m_dependencies.allWorkers || m_coordinator.jobTable().lostLives().empty())
+    if (currentTime.monotonic < m_nextSettlingAt || !m_dependencies.allWorkers)
         return;
     m_nextSettlingAt = currentTime.monotonic + lostLivesInterval;
     m_coordinator.settleLostLives(m_dependencies.allWorkers(), currentTime);
--- a/src/node/shardrunner.h
+++ b/src/node/shardrunner.h
@@ -144,7 +144,7 @@
     void scheduleProcessing();
     void process();
     void tick();
-    void settleLostLives();
+    void settleLostLives(steps::ClockReading currentTime);
     void logDecisions();
     void finishHandover(const std::string &job, int handovers);
     void appendRecords();
