Charge nobody with the crash of a life that was given up

What callers would see: a job ends as failed sooner than its crashes allow, since a loss that was given up as unknown a minute after it is charged once the shard has a new owner. It needs a worker that was away for over a minute, a task of which no run has lasted since, and another life of that worker (its operator may have restarted it) when the owner is replaced.

The next owner takes them for pending, and believed any proof of them, however late: from the list of workers, and from the first answer of the other life.

The fix: a proof of a crash counts within a minute of the loss, whoever owns the shard, as it did for an owner that stays. That the life goes on still counts at any time.

Regression tests, on the code before: "A life that was given up is charged to nobody after a takeover" failed (one crash counted, 0 expected), and so did two rows of "The list of workers settles what became of a lost life". All of both files pass now.

--- a/include/savorywick/steps/crashjudge.h
+++ b/include/savorywick/steps/crashjudge.h
@@ -108,10 +108,17 @@
                                        std::span<const WorkerInfo> workers,
                                        std::int64_t wallMs) const;
 
+    // Returns what to record of a lost life once `found` tells what became of it. A crash that is
+    // proved only after the life was given up doesn't count: the table restores such lives from a
+    // snapshot, and with jobs that are handed over.
+    LifeSettlement inTime(const LifeSettlement &found, const LostLife &lost,
+                          std::int64_t wallMs) const;
+
     // Returns for how long the task is not to be started yet.
     Millis holdTime(const Task &task, std::int64_t wallMs) const;
 
 private:
+    bool isGivenUp(const LostLife &lost, std::int64_t wallMs) const;
     bool areCertainCause(std::span<const RunObservation> causes, Instant now) const;
 
     CrashJudgeSettings m_settings;
--- a/src/lib/steps/coordinatorcrashes.cpp
+++ b/src/lib/steps/coordinatorcrashes.cpp
@@ -65,8 +65,10 @@
     if (std::exchange(worker.lifeIsOver, true))
         return;
     const WorkerIncarnation life = worker.session.incarnation();
-    if (m_table.lostLives().contains(life))
-        settleLife({life, LifeVerdict::Crashed, why}, now);
+    const auto lost = m_table.lostLives().find(life);
+    if (lost != m_table.lostLives().end())
+        settleLife(m_crashJudge.inTime({life, LifeVerdict::Crashed, why}, lost->second, now.wallMs),
+                   now);
     else if (m_crashJudge.hasCrashed(observationOf(worker), now.monotonic))
         judgeCrash(worker, why, now);
 }
--- a/src/lib/steps/crashjudge.cpp
+++ b/src/lib/steps/crashjudge.cpp
@@ -11,6 +11,8 @@
 
 using LostLifeEntry = JobTable::LostLives::value_type;
 
+constexpr std::string_view notBack = "not-back";
+
 // Returns those of the runs that were started within `window` before the worker was lost.
 std::vector<RunObservation> startedWithin(std::span<const RunObservation> runs,
                                           const LifeObservation &life, Millis window)
@@ -131,13 +133,26 @@
     std::vector<LifeSettlement> result;
     for (const auto &[life, lost] : lives) {
         if (const auto it = settled.find(life); it != settled.end())
-            result.push_back(it->second);
-        else if (wallMs - lost.lostWallMs > m_settings.maxReturnTime.count())
-            result.push_back({life, LifeVerdict::Unknown, "not-back"});
+            result.push_back(inTime(it->second, lost, wallMs));
+        else if (isGivenUp(lost, wallMs))
+            result.push_back({life, LifeVerdict::Unknown, notBack});
     }
     return result;
 }
 
+LifeSettlement CrashJudge::inTime(const LifeSettlement &found, const LostLife &lost,
+                                  std::int64_t wallMs) const
+{
+    if (found.verdict == LifeVerdict::Crashed && isGivenUp(lost, wallMs))
+        return {found.life, LifeVerdict::Unknown, notBack};
+    return found;
+}
+
+bool CrashJudge::isGivenUp(const LostLife &lost, std::int64_t wallMs) const
+{
+    return wallMs - lost.lostWallMs > m_settings.maxReturnTime.count();
+}
+
 Millis CrashJudge::holdTime(const Task &task, std::int64_t wallMs) const
 {
     if (task.suspectedRuns.empty())
--- a/tests/steps/coordinatorharness.h
+++ b/tests/steps/coordinatorharness.h
@@ -74,6 +74,14 @@
         step();
     }
 
+    // Replaces the owner by one that restores a snapshot of its state.
+    void replaceOwnerFromSnapshot()
+    {
+        m_journal = m_coordinator->snapshot();
+        m_lsn = m_journal.size();
+        replaceOwner();
+    }
+
     // Changes the worker's capacity, as its entry in the list shows.
     void setCapacity(int worker, const ResourceVector &capacity)
     {
--- a/tests/steps/coordinatorlostlives_test.cpp
+++ b/tests/steps/coordinatorlostlives_test.cpp
@@ -135,6 +135,28 @@
     CHECK(isIn(JobState::Running, shard, "patient"));
 }
 
+// Guards against crashes that are charged since a snapshot restores lives that were given up.
+TEST_CASE("A life that was given up is charged to nobody after a takeover")
+{
+    constexpr int workers = 3;
+    CoordinatorHarness shard(workers);
+    shard.keepsIdOnRestart = true;
+    shard.advance(settling);
+    shard.submit("patient", tasks(1, 2'000));
+    const std::string worker = latestWorkerOf(shard, "patient");
+    for (int i = 0; i < workers; ++i)
+        shard.cutOff("w" + std::to_string(i));
+    shard.advance(Millis{70'000});
+    REQUIRE(shard.coordinator().jobTable().lostLives().empty());
+    shard.crash(worker, Millis{0}); // Another life of it is listed as the next owner begins.
+    shard.replaceOwnerFromSnapshot();
+    shard.advance(Millis{400});
+    const Job *job = shard.coordinator().jobTable().find("patient");
+    CHECK(job->findTask({"patient", 0, 0, 0})->crashes == 0);
+    CHECK(shard.coordinator().jobTable().lostLives().empty());
+    CHECK(shard.coordinator().counters().workersCrashed == 0);
+}
+
 // Guards against crashes that a job gets rid of by being handed over to another shard.
 TEST_CASE("A suspicion goes with a job that is handed over")
 {
--- a/tests/steps/crashjudge_test.cpp
+++ b/tests/steps/crashjudge_test.cpp
@@ -147,6 +147,14 @@
         {"an earlier worker there", entry("w0", born - 5, address), justNow, {}},
         {"nothing for a minute", entry("w2", born + 5, "10.0.0.2:1"), Millis{60'001},
          LifeVerdict::Unknown},
+        {"a later life just within a minute", entry("w1", born + 5, address), Millis{60'000},
+         LifeVerdict::Crashed},
+        {"a later life after a minute", entry("w1", born + 5, address), Millis{60'001},
+         LifeVerdict::Unknown},
+        {"a later worker there after a minute", entry("w9", born + 5, address), Millis{60'001},
+         LifeVerdict::Unknown},
+        {"it drains after a minute", entry("w1", born, address, true), Millis{60'001},
+         LifeVerdict::NotCrashed},
     };
     const CrashJudge judge({});
     for (const Case &it : cases) {
