Take no worker that drained for crashed, in whatever order workers are listed

What callers would see: a task is charged with a crash although its worker had announced that it leaves. It needs a worker that was lost with a young run, drains afterwards, and is still listed when the next one at its address is. Not seen in a run; found by reading again.

Cause: CrashJudge::settle() kept the first thing that the list of workers told of a life. The list is ordered by id, so the id of the next worker decided whether that was its start or the drain of the one before.

The fix: that a life drained goes before what is at its address now.

Regression test: "A worker that drained has not crashed though another one is at its address" failed on the code before with the next worker listed first, and passes now in both orders.

--- a/src/lib/steps/crashjudge.cpp
+++ b/src/lib/steps/crashjudge.cpp
@@ -122,8 +122,12 @@
     std::map<WorkerIncarnation, LifeSettlement> settled;
     const auto consider = [&](const WorkerInfo &worker, const auto &range) {
         for (auto it = range.first; it != range.second; ++it) {
-            if (const auto settlement = settleBy(worker, it->second->first))
-                settled.try_emplace(settlement->life, *settlement);
+            const auto found = settleBy(worker, it->second->first);
+            if (!found)
+                continue;
+            LifeSettlement &known = settled.try_emplace(found->life, *found).first->second;
+            if (found->verdict == LifeVerdict::NotCrashed) // It left, whoever is there now.
+                known = *found;
         }
     };
     for (const WorkerInfo &it : workers) {
--- a/tests/steps/crashjudge_test.cpp
+++ b/tests/steps/crashjudge_test.cpp
@@ -168,6 +168,23 @@
     }
 }
 
+// Guards against a worker that counts as crashed since the next one at its address is listed before
+// the entry that says that it left.
+TEST_CASE("A worker that drained has not crashed though another one is at its address")
+{
+    const std::int64_t born = lostLife.startedWallMs;
+    const WorkerInfo drained = entry("w1", born, address, true);
+    const WorkerInfo next = entry("w0", born + 5, address);
+    for (const std::vector<WorkerInfo> &listed :
+         {std::vector<WorkerInfo>{next, drained}, std::vector<WorkerInfo>{drained, next}}) {
+        CAPTURE(listed.front().incarnation.workerId);
+        const CrashJudge judge({});
+        const auto settled = judge.settle(lostFor(Millis{9'000}), listed, wallMs);
+        REQUIRE(settled.size() == 1);
+        CHECK(settled.front().verdict == LifeVerdict::NotCrashed);
+    }
+}
+
 // Guards against a task that takes down one worker after the other before any of the crashes is
 // proved, and against innocent ones that wait for nothing.
 TEST_CASE("A task waits that may have crashed too many workers")
