Suspect tasks no more once a life that was given up answers

What callers would see: a task whose worker was away for over a minute, and runs on, is started apart from others, and held for 10 s after its next loss, until one of its runs has lasted. It ends no job.

Cause: JobTable forgot a life as soon as nothing was known of it for a minute, so its answer after that found nothing to withdraw. The suspected run stayed with the task.

The fix: such a life stays in the table, apart from those that are still looked for, as long as tasks of open jobs are suspected because of it. It goes when a run lasts, and with the job.

Regression tests: "A worker that answers after it was given up has not crashed" failed on the code before, without and after a takeover (one suspected run where none is expected, at the task's next start); it passes now. "A life that was given up is known until it answers or its tasks are suspected no more" is a table of what ends it.

--- a/include/savorywick/steps/jobtable.h
+++ b/include/savorywick/steps/jobtable.h
@@ -70,6 +70,9 @@
 
     // Returns the lives with suspected runs of which it is not settled what became of them.
     const LostLives &lostLives() const { return m_lostLives; }
+    // Returns the life with the tasks that have suspected runs there, also if it was given up, or
+    // nothing if there are none.
+    std::optional<LostLife> lostLife(const WorkerIncarnation &life) const;
 
     // Returns records that produce this state when they are applied to an empty table. Of the tasks
     // of an ended job only those that still have a run are included, as no others matter any more,
@@ -90,7 +93,9 @@
     static void endIfCrashing(Job &job, const Task &task, std::int64_t wallMs);
     void addSuspectedRun(const RunSuspected &record);
     void settleLife(const LifeSettled &record);
+    void giveUpLife(const WorkerIncarnation &life, const LostLife &lost);
     void clearSuspectedRuns(const TaskRef &ref, Task &task);
+    void forgetLivesGivenUp(std::string_view job);
 
     Jobs m_jobs;
     Delegations m_delegations;
@@ -98,6 +103,7 @@
     std::map<std::string, std::string, std::less<>> m_workerAddresses; // By id.
     std::map<std::string, std::int64_t, std::less<>> m_silentUntilMs; // By the worker's id.
     LostLives m_lostLives;
+    LostLives m_livesGivenUp; // Of open jobs. Their tasks stay suspected unless the life answers.
 };
 
 } // namespace savorywick::steps
--- a/src/lib/steps/coordinatorcrashes.cpp
+++ b/src/lib/steps/coordinatorcrashes.cpp
@@ -35,7 +35,7 @@
 void Coordinator::noteAnswered(Worker &worker, ClockReading now)
 {
     const WorkerIncarnation &life = worker.session.incarnation();
-    if (m_table.lostLives().contains(life))
+    if (m_table.lostLife(life))
         settleLife({life, LifeVerdict::NotCrashed, "answered"}, now);
     worker.closedAt.reset();
     worker.lifeIsOver = false;
@@ -151,7 +151,7 @@
 // Records what became of a lost life, and ends the jobs whose tasks have crashed too many workers.
 void Coordinator::settleLife(const LifeSettlement &settlement, ClockReading now)
 {
-    const LostLife lost = m_table.lostLives().at(settlement.life);
+    const LostLife lost = m_table.lostLife(settlement.life).value_or(LostLife{});
     std::map<std::string, TaskRef> openJobs;
     for (const TaskRef &it : lost.tasks) {
         const Job *job = m_table.find(it.job);
--- a/src/lib/steps/jobtable.cpp
+++ b/src/lib/steps/jobtable.cpp
@@ -124,6 +124,7 @@
 
     void operator()(const JobPurged &it) const
     {
+        table.forgetLivesGivenUp(it.job);
         if (table.m_jobs.erase(it.job) > 0)
             return;
         table.m_delegations.erase(it.job);
@@ -132,6 +133,7 @@
 
     void operator()(const JobDelegated &it) const
     {
+        table.forgetLivesGivenUp(it.job);
         table.m_jobs.erase(it.job);
         table.m_handovers.erase(it.job);
         table.m_delegations[it.job] = it;
@@ -145,6 +147,7 @@
 
     void operator()(const JobArrived &it) const
     {
+        table.forgetLivesGivenUp(it.job);
         table.m_jobs.erase(it.job);
         table.m_delegations.erase(it.job);
         table.m_handovers[it.job] = {it.handovers, {}, false};
@@ -288,10 +291,17 @@
 // While nothing tells what became of it they stay suspected, which ends no job.
 void JobTable::settleLife(const LifeSettled &record)
 {
-    const auto node = m_lostLives.extract(record.worker);
-    if (node.empty() || record.verdict == LifeVerdict::Unknown)
-        return;
-    for (const TaskRef &ref : node.mapped().tasks) {
+    std::set<TaskRef> tasks;
+    if (const auto lost = m_lostLives.extract(record.worker)) {
+        if (record.verdict == LifeVerdict::Unknown)
+            return giveUpLife(record.worker, lost.mapped());
+        tasks = lost.mapped().tasks;
+    }
+    if (record.verdict == LifeVerdict::NotCrashed) {
+        if (auto givenUp = m_livesGivenUp.extract(record.worker))
+            tasks.merge(givenUp.mapped().tasks);
+    }
+    for (const TaskRef &ref : tasks) {
         Job *job = findJob(ref.job);
         Task *task = job ? findTask(*job, ref) : nullptr;
         if (!task)
@@ -307,19 +317,55 @@
     }
 }
 
+void JobTable::giveUpLife(const WorkerIncarnation &life, const LostLife &lost)
+{
+    for (const TaskRef &it : lost.tasks) {
+        const Job *job = find(it.job);
+        if (!job || isFinal(job->state))
+            continue;
+        LostLife &givenUp = m_livesGivenUp[life];
+        givenUp.address = lost.address;
+        givenUp.lostWallMs = lost.lostWallMs;
+        givenUp.tasks.insert(it);
+    }
+}
+
+std::optional<LostLife> JobTable::lostLife(const WorkerIncarnation &life) const
+{
+    std::optional<LostLife> found;
+    for (const LostLives *lives : {&m_lostLives, &m_livesGivenUp}) {
+        const auto it = lives->find(life);
+        if (it == lives->end())
+            continue;
+        if (!found)
+            found = it->second;
+        found->tasks.insert(it->second.tasks.begin(), it->second.tasks.end());
+    }
+    return found;
+}
+
 void JobTable::clearSuspectedRuns(const TaskRef &ref, Task &task)
 {
     for (const SuspectedRun &it : task.suspectedRuns) {
-        const auto life = m_lostLives.find(it.worker);
-        if (life == m_lostLives.end())
-            continue;
-        life->second.tasks.erase(ref);
-        if (life->second.tasks.empty())
-            m_lostLives.erase(life);
+        for (LostLives *lives : {&m_lostLives, &m_livesGivenUp}) {
+            const auto life = lives->find(it.worker);
+            if (life == lives->end())
+                continue;
+            life->second.tasks.erase(ref);
+            if (life->second.tasks.empty())
+                lives->erase(life);
+        }
     }
     task.suspectedRuns.clear();
 }
 
+void JobTable::forgetLivesGivenUp(std::string_view job)
+{
+    for (auto &[life, lost] : m_livesGivenUp)
+        std::erase_if(lost.tasks, [&](const TaskRef &it) { return it.job == job; });
+    std::erase_if(m_livesGivenUp, [](const auto &it) { return it.second.tasks.empty(); });
+}
+
 std::string JobTable::workerAddress(std::string_view worker) const
 {
     const auto it = m_workerAddresses.find(worker);
--- a/tests/steps/coordinatorlostlives_test.cpp
+++ b/tests/steps/coordinatorlostlives_test.cpp
@@ -135,6 +135,36 @@
     CHECK(isIn(JobState::Running, shard, "patient"));
 }
 
+// Guards against a suspicion that stays although the life goes on, since nothing was known of it
+// for long.
+TEST_CASE("A worker that answers after it was given up has not crashed")
+{
+    constexpr int workers = 3;
+    for (const bool takeover : {false, true}) {
+        CAPTURE(takeover);
+        CoordinatorHarness shard(workers);
+        shard.advance(settling);
+        shard.submit("patient", tasks(1, 2'000));
+        const std::string worker = latestWorkerOf(shard, "patient");
+        for (int i = 0; i < workers; ++i)
+            shard.cutOff("w" + std::to_string(i));
+        shard.advance(Millis{70'000});
+        REQUIRE(shard.coordinator().jobTable().lostLives().empty());
+        if (takeover)
+            shard.replaceOwner();
+        const auto suspectedRuns = [&] {
+            const Job *job = shard.coordinator().jobTable().find("patient");
+            return job->findTask({"patient", 0, 0, 0})->suspectedRuns.size();
+        };
+        REQUIRE(suspectedRuns() == 1);
+        shard.reconnect(worker);
+        advanceToNextStart(shard, "patient", longerThanLeases);
+        CHECK(shard.startCount({"patient", 0, 0, 0}) == 2);
+        CHECK(suspectedRuns() == 0);
+        CHECK(shard.coordinator().counters().workersNotCrashed == 1);
+    }
+}
+
 // Guards against crashes that are charged since a snapshot restores lives that were given up.
 TEST_CASE("A life that was given up is charged to nobody after a takeover")
 {
--- a/tests/steps/jobtable_test.cpp
+++ b/tests/steps/jobtable_test.cpp
@@ -2,6 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
+#include <string>
+#include <vector>
+
 using namespace savorywick;
 using namespace savorywick::steps;
 
@@ -160,6 +164,46 @@
     }
 }
 
+// Guards against a suspicion that outlasts the proof that the life goes on, and against lives that
+// stay in the table though no task of an open job is suspected.
+TEST_CASE("A life that was given up is known until it answers or its tasks are suspected no more")
+{
+    struct Case
+    {
+        std::string name;
+        std::function<void(JobTable &)> next; // After the life was given up.
+        bool known;
+        std::size_t suspectedRuns;
+    };
+    const TaskRef ref{"j", 0, 0, 1};
+    const std::vector<Case> cases = {
+        {"nothing", [](JobTable &) {}, true, 1},
+        {"it answers",
+         [](JobTable &table) {
+             table.apply(LifeSettled{worker, LifeVerdict::NotCrashed, 9});
+         },
+         false, 0},
+        {"a run lasts", [&](JobTable &table) { table.apply(TaskCleared{ref}); }, false, 0},
+        {"the job leaves",
+         [](JobTable &table) {
+             table.apply(JobDelegated{"j", 1, 9, 1});
+         },
+         false, 0},
+        {"the job is purged", [](JobTable &table) { table.apply(JobPurged{"j"}); }, false, 0},
+    };
+    for (const Case &it : cases) {
+        CAPTURE(it.name);
+        JobTable table = tableWithJob(twoStepJob());
+        table.apply(RunSuspected{ref, {1, worker, "10.0.0.1:1", true, 5}});
+        table.apply(LifeSettled{worker, LifeVerdict::Unknown, 6});
+        CHECK(table.lostLives().empty());
+        it.next(table);
+        CHECK(table.lostLife(worker).has_value() == it.known);
+        const Job *job = table.find("j");
+        CHECK((job ? job->findTask(ref)->suspectedRuns.size() : 0) == it.suspectedRuns);
+    }
+}
+
 TEST_CASE("A run that lasts clears its task of suspected runs")
 {
     JobTable table = tableWithJob(twoStepJob());
