--- a/src/lib/steps/coordinatorcrashes.cpp
+++ b/src/lib/steps/coordinatorcrashes.cpp
@@ -35,7 +35,7 @@
 void Coordinator::noteAnswered(Worker &worker, ClockReading now)
 {
     const WorkerIncarnation &life = worker.session.incarnation();
-    if (m_table.lostLives().contains(life))
+    if (m_table.lostLife(life))
         settleLife({life, LifeVerdict::NotCrashed, "answered"}, now);
     worker.closedAt.reset();
     worker.lifeIsOver = false;
@@ -65,8 +65,10 @@
     if (std::exchange(worker.lifeIsOver, true))
         return;
     const WorkerIncarnation life = worker.session.incarnation();
-    if (m_table.lostLives().contains(life))
-        settleLife({life, LifeVerdict::Crashed, why}, now);
+    const auto lost = m_table.lostLives().find(life);
+    if (lost != m_table.lostLives().end())
+        settleLife(m_crashJudge.inTime({life, LifeVerdict::Crashed, why}, lost->second, now.wallMs),
+                   now);
     else if (m_crashJudge.hasCrashed(observationOf(worker), now.monotonic))
         judgeCrash(worker, why, now);
 }
@@ -149,7 +151,7 @@
 // Records what became of a lost life, and ends the jobs whose tasks have crashed too many workers.
 void Coordinator::settleLife(const LifeSettlement &settlement, ClockReading now)
 {
-    const LostLife lost = m_table.lostLives().at(settlement.life);
+    const LostLife lost = m_table.lostLife(settlement.life).value_or(LostLife{});
     std::map<std::string, TaskRef> openJobs;
     for (const TaskRef &it : lost.tasks) {
         const Job *job = m_table.find(it.job);
--- a/tests/steps/crashjudge_test.cpp
+++ b/tests/steps/crashjudge_test.cpp
@@ -147,6 +147,14 @@
         {"an earlier worker there", entry("w0", born - 5, address), justNow, {}},
         {"nothing for a minute", entry("w2", born + 5, "10.0.0.2:1"), Millis{60'001},
          LifeVerdict::Unknown},
+        {"a later life just within a minute", entry("w1", born + 5, address), Millis{60'000},
+         LifeVerdict::Crashed},
+        {"a later life after a minute", entry("w1", born + 5, address), Millis{60'001},
+         LifeVerdict::Unknown},
+        {"a later worker there after a minute", entry("w9", born + 5, address), Millis{60'001},
+         LifeVerdict::Unknown},
+        {"it drains after a minute", entry("w1", born, address, true), Millis{60'001},
+         LifeVerdict::NotCrashed},
     };
     const CrashJudge judge({});
     for (const Case &it : cases) {
@@ -160,6 +168,23 @@
     }
 }
 
+// Guards against a worker that counts as crashed since the next one at its address is listed before
+// the entry that says that it left.
+TEST_CASE("A worker that drained has not crashed though another one is at its address")
+{
+    const std::int64_t born = lostLife.startedWallMs;
+    const WorkerInfo drained = entry("w1", born, address, true);
+    const WorkerInfo next = entry("w0", born + 5, address);
+    for (const std::vector<WorkerInfo> &listed :
+         {std::vector<WorkerInfo>{next, drained}, std::vector<WorkerInfo>{drained, next}}) {
+        CAPTURE(listed.front().incarnation.workerId);
+        const CrashJudge judge({});
+        const auto settled = judge.settle(lostFor(Millis{9'000}), listed, wallMs);
+        REQUIRE(settled.size() == 1);
+        CHECK(settled.front().verdict == LifeVerdict::NotCrashed);
+    }
+}
+
 // Guards against a task that takes down one worker after the other before any of the crashes is
 // proved, and against innocent ones that wait for nothing.
 TEST_CASE("A task waits that may have crashed too many workers")
