--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -153,8 +153,11 @@
 {
     constexpr int fullPercent = 100;
     switch (kind) {
-    case 0:
-        return worker.crash(randomTime(500, 6'000), randomBelow(2) == 0);
+    case 0: {
+        const Millis down = randomTime(500, 6'000);
+        const bool underNewId = randomBelow(2) == 0;
+        return worker.crash(down, underNewId);
+    }
     case 1:
         worker.setSilent(true);
         m_deployment.loop().runAfter(randomTime(300, 4'000),
--- a/tests/steps/coordinator_test.cpp
+++ b/tests/steps/coordinator_test.cpp
@@ -46,7 +46,11 @@
     std::vector<StepSpec> all;
     const int steps = 1 + simulation.randomBelow(3);
     for (int i = 0; i < steps; ++i) {
-        StepSpec s = step(1 + simulation.randomBelow(5), 500 + simulation.randomBelow(6'000));
+        // Arguments would be evaluated in another order on another kind of processor, and a seed
+        // would play another day there.
+        const int taskCount = 1 + simulation.randomBelow(5);
+        const int milliCores = 500 + simulation.randomBelow(6'000);
+        StepSpec s = step(taskCount, milliCores);
         if (i > 0)
             s.dependsOn = {simulation.randomBelow(i)};
         s.maxTasksPerWorker = simulation.randomBelow(4) == 0 ? 2 : 0;
