Show two runs of a task at once after a worker has taken a lease meant for its former life

A renewal for the former life reaches the next one, which takes its longest lease (10 s) from then on; a run that it starts and confirms has that lease, while the successor of the owner starts the task again by the row's promise (7.8 s after the last commit).

The simulation missed it: its workers were down for long, so the owner had noticed before the next life began.

--- a/tests/steps/coordinatorleases_test.cpp
+++ b/tests/steps/coordinatorleases_test.cpp
@@ -54,6 +54,28 @@
     std::string m_worker;
 };
 
+// Runs jobs, half of them long-running, while owners and workers are lost and the shard's row
+// promises by when leases are over. Throws if a promise is broken.
+void runJobsAmidLosses(ShardSimulation &simulation)
+{
+    const HistoryOnFailure history(simulation);
+    simulation.promiseLeaseEnds(Millis{2'500 + simulation.randomBelow(5'000)});
+    for (int i = 0; i < 8; ++i) {
+        JobSpec job;
+        job.id = "job" + std::to_string(i);
+        job.policy = {"q", "matching", 0, 3, 2.0, Millis{500}};
+        StepSpec step;
+        step.taskCount = 1 + simulation.randomBelow(4);
+        step.demand = {500 + simulation.randomBelow(2'500), 500, 0};
+        step.estimatedDuration = Millis{500};
+        step.longRunning = i % 2 == 0;
+        job.steps = {step};
+        simulation.submit(job);
+        simulation.advance(60, true);
+    }
+    simulation.finishAndVerify();
+}
+
 } // namespace
 
 // Guards against a wait for the longest lease that a worker takes, when it is known that all leases
@@ -120,26 +142,62 @@
     CHECK(restart >= Millis{7'000});
 }
 
+// Guards against a second run beside one that has a longer lease than its owner granted: a renewal
+// for the worker's former life reached the next one, before the run was started there.
+TEST_CASE("A successor waits for the lease that a worker took from a renewal for its former life")
+{
+    constexpr Millis rowPromise{7'800};
+    constexpr Millis longestLease{10'000};
+    constexpr Millis slowestClockDelay{204}; // Of a clock that is 2 % slow.
+    constexpr Millis longestLeaseByOwner{10'567}; // With the owner's margins.
+    constexpr Millis restartNoticed{500};
+    CoordinatorHarness harness(2);
+    harness.listWorkers({0});
+    harness.submit("a", longRunningTask());
+    harness.advance(Millis{2'000});
+    REQUIRE(harness.renewals.back().leaseUntilClockMs.has_value());
+    // The next life takes the renewal that is on its way: its clock is far behind the lease's end.
+    harness.restartUnlisted(0);
+    const Instant leaseTakenAt = harness.now().monotonic;
+    harness.advance(restartNoticed);
+    REQUIRE(harness.starts.size() == 1); // In the next life, which has confirmed it.
+    harness.silentWorkers.insert("w0");
+    harness.earlierLeasesEnd = harness.now().monotonic + rowPromise;
+    harness.replaceOwner();
+    while (harness.starts.size() < 2 && harness.now().monotonic - leaseTakenAt < Millis{30'000})
+        harness.advance(Millis{20});
+    const Millis startedAfter = harness.now().monotonic - leaseTakenAt;
+    CHECK(startedAfter >= longestLease + slowestClockDelay);
+    CHECK(startedAfter <= restartNoticed + longestLeaseByOwner + slack);
+}
+
 // Guards against two runs of a task at a time, whatever owners know of the leases of those before.
 TEST_CASE("No promise is broken while owners count on what the shard's row tells of leases")
 {
     CHECK(rc::check("random owners, workers and losses", [](unsigned seed) {
         ShardSimulation simulation(seed);
-        const HistoryOnFailure history(simulation);
-        simulation.promiseLeaseEnds(Millis{2'500 + simulation.randomBelow(5'000)});
-        for (int i = 0; i < 8; ++i) {
-            JobSpec job;
-            job.id = "job" + std::to_string(i);
-            job.policy = {"q", "matching", 0, 3, 2.0, Millis{500}};
-            StepSpec step;
-            step.taskCount = 1 + simulation.randomBelow(4);
-            step.demand = {500 + simulation.randomBelow(2'500), 500, 0};
-            step.estimatedDuration = Millis{500};
-            step.longRunning = i % 2 == 0;
-            job.steps = {step};
-            simulation.submit(job);
-            simulation.advance(60, true);
-        }
-        simulation.finishAndVerify();
+        runJobsAmidLosses(simulation);
+    }));
+}
+
+// Guards against two runs of a task at a time, one of which has a lease that its worker took from
+// an order for its former life.
+TEST_CASE("No promise is broken while workers restart before their owner knows")
+{
+    CHECK(rc::check("random owners, workers and losses", [](unsigned seed) {
+        ShardSimulation simulation(seed);
+        simulation.restartWorkersAtOnce();
+        runJobsAmidLosses(simulation);
+    }));
+}
+
+// Guards against two runs of a task at a time, one of which began seconds after its order was sent,
+// in a life of the worker that the order wasn't meant for.
+TEST_CASE("No promise is broken while late orders reach the next lives of their workers")
+{
+    CHECK(rc::check("random owners, workers and losses", [](unsigned seed) {
+        ShardSimulation simulation(seed);
+        simulation.deliverLateOrdersToNextLives();
+        runJobsAmidLosses(simulation);
     }));
 }
--- a/tests/steps/shardsimulation.h
+++ b/tests/steps/shardsimulation.h
@@ -118,6 +118,13 @@
     // does where all owners can read the store's clock, and limits the leases by it.
     void promiseLeaseEnds(Millis ahead) { m_leaseLimitAhead = ahead; }
 
+    // Lets workers crash and start again under their ids at once, so that orders that are sent
+    // before that is noticed reach the next life.
+    void restartWorkersAtOnce() { m_restartsAtOnce = true; }
+
+    // Lets orders that are executed late reach whatever life of their worker has its id by then.
+    void deliverLateOrdersToNextLives() { m_lateOrdersReachNextLives = true; }
+
     // Lets hosts that can't be reached refuse connections, in place of leaving calls unanswered.
     void refuseWhenCutOff() { m_cutsRefuse = true; }
 
@@ -371,6 +378,7 @@
     void crashSoon(const std::string &address);
     void changeCapacity(SimulatedWorker &worker);
     void restart(SimulatedWorker &worker, bool sameId);
+    void restartAtOnce(SimulatedWorker &worker);
     void repair(SimulatedWorker &worker);
     void refreshList();
     SimulatedWorker &randomWorker();
@@ -463,6 +471,8 @@
     std::set<std::string> m_crashingJobs;
     bool m_changesCapacities = false;
     bool m_cutsRefuse = false; // Hosts that can't be reached refuse connections.
+    bool m_lateOrdersReachNextLives = false;
+    bool m_restartsAtOnce = false;
     std::size_t m_maxListedEnds = 500;
     std::vector<SimulatedWorker> m_workers;
     int m_livesByNewId = 0; // Workers that have started again under a new id.
--- a/tests/steps/shardsimulationcalls.h
+++ b/tests/steps/shardsimulationcalls.h
@@ -47,15 +47,16 @@
     });
 }
 
-// Gives the order no reply. A process that executes it late is the one that it was sent to.
+// Gives the order no reply. What executes it late is the life that it was sent to, or also the next
+// one.
 template<typename OrderType>
 void ShardSimulation::loseCall(const OrderType &order, SimulatedWorker &target)
 {
-    if (target.up && randomBelow(3) == 0) {
+    if ((target.up || m_lateOrdersReachNextLives) && randomBelow(3) == 0) {
         const Millis lateness{randomBelow(12'000)};
         schedule(lateness, false, [this, order, life = target.startedAt] {
             SimulatedWorker &worker = *findWorkerAt(order.target.address);
-            if (worker.up && worker.startedAt == life)
+            if (worker.up && (worker.startedAt == life || m_lateOrdersReachNextLives))
                 execute(order, worker);
         });
     }
--- a/tests/steps/shardsimulationfaults.h
+++ b/tests/steps/shardsimulationfaults.h
@@ -19,6 +19,8 @@
         injectWorkerFault(randomWorker());
     if (m_changesCapacities && faultOccurs(60))
         changeCapacity(randomWorker());
+    if (m_restartsAtOnce && faultOccurs(150))
+        restartAtOnce(randomWorker());
     if (faultOccurs(40))
         m_owner->setWorkers(listedWorkers(), now());
     for (SimulatedWorker &it : m_workers) {
@@ -131,6 +133,24 @@
     worker.entryChangesAt = m_now + Millis{randomBelow(static_cast<int>(maxListDelay.count()))};
 }
 
+// Crashes the worker and starts its next life under the same id. At times it is cut off soon after.
+inline void ShardSimulation::restartAtOnce(SimulatedWorker &worker)
+{
+    if (!worker.up)
+        return;
+    crash(worker);
+    restart(worker, true);
+    if (randomBelow(2) == 0)
+        return;
+    const Millis untilCut{500 + randomBelow(2'500)};
+    schedule(untilCut, false, [this, &worker] {
+        if (!m_faults)
+            return;
+        worker.partitioned = true;
+        logEvent(" * " + worker.info.incarnation.workerId + " is unreachable");
+    });
+}
+
 // Ends all faults of the worker. If it is down it starts again.
 inline void ShardSimulation::repair(SimulatedWorker &worker)
 {
