Tell the next owner by when the leases are over that a worker inherited

Cause: a renewal or start that is sent before it is known that the worker has started again is executed by its next life. It names an end on the clock of the life before, so the next one, whose clock starts anew, takes its longest lease, and all that it starts later has that lease as well. The owner allowed for it in memory; its successor went by the shard's row, which tells what was granted on the clock of the life it was granted to.

Change: a session reckons when the leases are over that the present life may have inherited. When the life answers for the first time it has seen the raised fence and executes no older command, so they end one longest term after that. The first owner of a shard knows that nobody granted before it. Journals of the version before are read; entries of the version before can't read the new field, so all are replaced at once. The tests' simulated owner now takes the limit of the row that it finds: it granted without one until its first commit, which the product does not.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -76,6 +76,9 @@
     // Sets by when the leases of earlier owners are over, if that is known, on the store's clock
     // and on this process's. Call it before takeOver().
     void setEarlierLeasesEnd(std::int64_t endMs, Instant at) { m_earlierLeases.setEnd(endMs, at); }
+    // Sets the store's clock, on which the ends of leases are recorded for later owners. It must
+    // outlive the coordinator. Without one, later owners wait for the longest leases.
+    void setStoreClock(const StoreClock *clock) { m_earlierLeases.setStoreClock(clock); }
     // Starts to act on the restored state. Must be called once, before all functions below.
     void takeOver(ClockReading now);
     // Returns the state as journal records that restore() accepts.
@@ -269,7 +272,7 @@
 
     // Leases of this owner and of earlier ones (coordinatorleases.cpp).
     WorkerSession makeSession(const WorkerIncarnation &life, const std::string &address) const;
-    void recordConfirmation(Run &run);
+    void recordConfirmation(const Worker &worker, Run &run, Instant now);
     void recordSilence(const Worker &worker, Instant now);
     void recordAnswer(const std::string &worker);
     LeaseBound leaseBoundOf(const Run &run) const;
@@ -415,6 +418,7 @@
 
     CoordinatorSettings m_settings;
     Fence m_firstFence; // Of a new session; above those of sessions that were forgotten.
+    bool m_hasPredecessors; // The shard had owners before this one.
     Instant m_ownedSince;
     EarlierLeases m_earlierLeases;
     std::optional<Instant> m_latestLeaseEnd; // Of workers' leases that are granted from now on.
--- a/include/savorywick/steps/earlierleases.h
+++ b/include/savorywick/steps/earlierleases.h
@@ -3,6 +3,7 @@
 #include "savorywick/clock.h"
 #include "savorywick/journal.h"
 #include "savorywick/steps/record.h"
+#include "savorywick/storeclock.h"
 
 #include <cstdint>
 #include <deque>
@@ -32,6 +33,14 @@
     // Sets by when all leases of earlier owners are over, on the store's clock and on this
     // process's.
     void setEnd(std::int64_t endMs, Instant endsAt) { m_end = {endMs, endsAt}; }
+    // Sets the store's clock, which must outlive this object. Without one no time can be recorded.
+    void setStoreClock(const StoreClock *clock) { m_storeClock = clock; }
+    // Returns the time on the store's clock to record for something that ends at `at`, or nothing
+    // if it is not known.
+    std::optional<std::int64_t> storeTimeOf(Instant at) const;
+    // Returns when something has surely ended for which an earlier owner recorded this time, or
+    // nothing if it is not known.
+    std::optional<Instant> endOfRecorded(std::int64_t storeMs) const;
     // Returns by when those of a worker are over, whose record tells `recordedMs`, or nothing if it
     // is not known.
     std::optional<Instant> endOf(std::optional<std::int64_t> recordedMs) const;
@@ -64,6 +73,7 @@
         std::string worker;
     };
 
+    const StoreClock *m_storeClock = nullptr;
     std::optional<End> m_end;
     std::deque<UncommittedAnswer> m_uncommitted; // In the order of their records.
     std::set<std::string, std::less<>> m_withheld;
--- a/include/savorywick/steps/job.h
+++ b/include/savorywick/steps/job.h
@@ -183,6 +183,7 @@
     int number = 0;
     WorkerIncarnation worker;
     bool confirmed = false; // The worker reported that it has it; set for long-running ones only.
+    std::int64_t inheritedLeasesEndMs = 0; // Of a confirmed run, as in RunConfirmed.
 };
 
 // What became of a life of a worker that was lost and may have crashed. The journal stores the
--- a/include/savorywick/steps/record.h
+++ b/include/savorywick/steps/record.h
@@ -36,6 +36,9 @@
 {
     TaskRef task;
     int run = 0;
+    // By when the leases are over, on the store's clock in milliseconds, that the worker may have
+    // inherited: see WorkerSession::inheritedLeasesEndAt(). 0 if they are over already.
+    std::int64_t inheritedLeasesEndMs = 0;
 };
 
 // A run of the task ended.
--- a/include/savorywick/steps/runtable.h
+++ b/include/savorywick/steps/runtable.h
@@ -46,6 +46,9 @@
     Instant startedAt;
     // The journal tells that the worker has the run.
     bool confirmationRecorded = false;
+    // Of a run of an earlier owner: when the leases are over that its worker may have inherited, if
+    // the journal tells.
+    std::optional<Instant> inheritedLeasesEndAt;
     // When the worker first confirmed that it has the run.
     Instant confirmedAt;
     // Since when the step had been waiting for a worker; for a run of an earlier owner, when this
--- a/include/savorywick/steps/workersession.h
+++ b/include/savorywick/steps/workersession.h
@@ -41,6 +41,8 @@
 
     // Returns the longest time in which the slowest clock advances by `clockTime`.
     Millis longestFor(Millis clockTime) const;
+    // Returns how long a lease lasts at most after a worker has taken it.
+    Millis longestLease() const { return longestFor(maxLeaseTerm + expiryMargin); }
     // Returns how long after its end a lease has surely expired that ends no more than `span` after
     // the worker's clock was read.
     Millis expiryDelay(Millis span) const;
@@ -52,6 +54,7 @@
 // - "longest-lease": other owners, or this one to another life, granted it; a worker shortens it to
 //   the longest term.
 // - "earlier-grants": earlier owners granted it, and told the next ones by when it is over.
+// - "inherited-leases": as "longest-lease", and an earlier owner recorded by when they are over.
 // - "former-life": this owner granted it to a life that has been replaced since.
 struct LeaseBound
 {
@@ -59,6 +62,15 @@
     std::string_view basis;
 };
 
+// The leases that earlier owners of a shard granted to a worker.
+struct EarlierGrants
+{
+    // None was granted after this.
+    Instant lastAt;
+    // When they are over, if it is known: see WorkerSession::confirmedRunsEndAt().
+    std::optional<Instant> endAt = {};
+};
+
 // The session of a shard's owner with one worker: fence, lease, worker clock and acknowledgements
 // of ended runs.
 //
@@ -77,11 +89,11 @@
 {
 public:
     // `firstFence` must be higher than every fence that an earlier owner used. `ownedSince` is when
-    // the shard was taken over; no earlier owner sent a command after it. `earlierGrantsEndAt` is
-    // when what earlier owners granted is over, if it is known: see confirmedRunsEndAt().
+    // the shard was taken over; no earlier owner sent a command after it. `earlierGrants` tells of
+    // the leases of earlier owners; nothing if there were none.
     WorkerSession(const WorkerIncarnation &incarnation, std::string address, Fence firstFence,
                   Instant ownedSince, const WorkerSessionSettings &settings,
-                  std::optional<Instant> earlierGrantsEndAt = {});
+                  const std::optional<EarlierGrants> &earlierGrants = {});
 
     // Changes the address. A different incarnation resets the session and raises the fence.
     void update(const WorkerIncarnation &incarnation, std::string address, Instant now);
@@ -154,11 +166,16 @@
     // A run that none has confirmed may have been taken over by the present one. Call it only if
     // update() was called with another incarnation.
     Instant formerLifeEndsAt() const { return m_formerLifeEndsAt; }
+    // Returns from when on all leases are over that the present incarnation may have inherited:
+    // taken from commands of earlier owners, or from commands that this one sent to earlier
+    // incarnations. It takes them by its own clock, which starts anew, for up to the longest term,
+    // and a run that it starts later has them as well. Call it only if hasAnswered() is true.
+    Instant inheritedLeasesEndAt() const { return m_earlierLeasesEndAt; }
     // Returns for how long the leases granted so far may last, if the worker's next life takes
     // them.
     Millis leasesLeftInNextLife(Instant now) const
     {
-        return std::max(Millis{0}, std::max(m_earlierLeasesEndAt, m_leasesEndAt) - now);
+        return std::max(Millis{0}, leasesOfNextLifeEndAt() - now);
     }
 
     // Records that ended runs up to `number` were applied to the state, but not durably yet.
@@ -171,6 +188,9 @@
 
 private:
     void reset(Instant now);
+    void boundInheritedLeases(Instant now);
+    Instant inheritedEndOf(Instant grantedAt) const;
+    Instant leasesOfNextLifeEndAt() const;
     // Returns true if and only if acknowledging the ends that are durable makes the worker tell of
     // further ones.
     bool hasFurtherEnds() const
@@ -213,12 +233,11 @@
     Instant m_clockReadAt;
     // When the longest granted lease expires, on the worker's clock.
     std::int64_t m_leaseUntilClockMs = 0;
-    // When every lease that was granted to the present incarnation has expired, whichever life of
-    // the worker took it. This assumes that a new life takes over an order no later than
-    // `maxAnswerTime` after it was sent. What arrives later is refused by its fence once a renewal
-    // has told the new life the raised one; what arrives before that is not covered.
-    Instant m_leasesEndAt;
-    // When every lease of earlier owners, and every one granted to earlier incarnations, has.
+    std::optional<Instant> m_lastGrantAt; // To the present incarnation.
+    // When the last lease was granted by an earlier owner, or to an earlier incarnation.
+    std::optional<Instant> m_lastEarlierGrantAt;
+    // When every lease of earlier owners, and every one granted to earlier incarnations, has
+    // expired.
     Instant m_earlierLeasesEndAt;
     // When every lease that earlier owners granted has, by the clock of the life they granted it
     // to.
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -11,6 +11,8 @@
 // each time that earlier orders to the worker must become void.
 constexpr Fence fencesPerEpoch = 1U << 20U;
 
+constexpr std::uint64_t firstEpoch = 1;
+
 // Returns true if the task's state shows that a worker has started it. Otherwise it may have
 // started as well.
 bool showsStart(const Task &task)
@@ -43,6 +45,7 @@
                          const CoordinatorSettings &settings)
     : m_settings(settings)
     , m_firstFence(epoch * fencesPerEpoch)
+    , m_hasPredecessors(epoch > firstEpoch)
     , m_ownedSince(ownedSince)
     , m_transfers(m_table, [this](const Record &it) { appendRecord(it); })
     , m_crashJudge(settings.crashes)
--- a/src/lib/steps/coordinatorleases.cpp
+++ b/src/lib/steps/coordinatorleases.cpp
@@ -11,21 +11,27 @@
 WorkerSession Coordinator::makeSession(const WorkerIncarnation &life,
                                        const std::string &address) const
 {
-    return {life,
-            address,
-            m_firstFence,
-            m_ownedSince,
-            m_settings.workerSessions,
-            m_earlierLeases.endOf(m_table.silentUntilMs(life.workerId))};
+    std::optional<EarlierGrants> earlierGrants;
+    if (m_hasPredecessors)
+        earlierGrants = {m_ownedSince, m_earlierLeases.endOf(m_table.silentUntilMs(life.workerId))};
+    return {life, address, m_firstFence, m_ownedSince, m_settings.workerSessions, earlierGrants};
 }
 
 // Records that a worker has the long-running run. For others the record would cost more than it
-// saves: they end soon.
-void Coordinator::recordConfirmation(Run &run)
+// saves: they end soon. It is put off while it can't tell a later owner how long leases may last
+// that the worker inherited.
+void Coordinator::recordConfirmation(const Worker &worker, Run &run, Instant now)
 {
     m_longRunningGaps.noteSeen(run.key.task);
-    if (!std::exchange(run.confirmationRecorded, true))
-        appendRecord(RunConfirmed{run.key.task, run.key.number});
+    if (run.confirmationRecorded)
+        return;
+    const Instant inheritedEndAt = worker.session.inheritedLeasesEndAt();
+    const auto endMs = inheritedEndAt <= now ? std::optional<std::int64_t>(0)
+                                             : m_earlierLeases.storeTimeOf(inheritedEndAt);
+    if (!endMs)
+        return;
+    run.confirmationRecorded = true;
+    appendRecord(RunConfirmed{run.key.task, run.key.number, *endMs});
 }
 
 // Records for the next owner that a worker with runs of earlier owners does not answer.
@@ -52,8 +58,13 @@
 {
     const WorkerSession &session = m_workers.find(run.workerId)->second.session;
     const bool isOfEarlierOwner = run.phase == RunPhase::Unconfirmed && run.startFence == 0;
-    if (isOfEarlierOwner && run.confirmationRecorded)
-        return session.confirmedRunsBound();
+    if (isOfEarlierOwner && run.confirmationRecorded) {
+        const LeaseBound granted = session.confirmedRunsBound();
+        const Instant inheritedEndAt = run.inheritedLeasesEndAt.value_or(granted.end);
+        if (inheritedEndAt <= granted.end)
+            return granted;
+        return {std::min(inheritedEndAt, session.leaseExpiresAt()), "inherited-leases"};
+    }
     const bool endedWithItsLife =
         run.phase == RunPhase::Running && run.incarnation != session.incarnation();
     if (endedWithItsLife)
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -67,6 +67,8 @@
         makeRun({task, active.number}, job.spec.steps[task.step], active.worker, m_ownedSince);
     run.phase = RunPhase::Unconfirmed;
     run.confirmationRecorded = active.confirmed;
+    if (active.inheritedLeasesEndMs != 0)
+        run.inheritedLeasesEndAt = m_earlierLeases.endOfRecorded(active.inheritedLeasesEndMs);
     run.onProbation = isSuspected(task);
     if (run.longRunning)
         m_longRunningGaps.noteAdopted(task, m_ownedSince);
@@ -172,7 +174,7 @@
         run->outcomeOfCrash.reset();
         clearIfLasting(worker, *run);
         if (run->longRunning)
-            recordConfirmation(*run);
+            recordConfirmation(worker, *run, now.monotonic);
         const bool wasRunning = run->phase == RunPhase::Running;
         if (!wasRunning) {
             if (run->startFence == 0)
--- a/src/lib/steps/earlierleases.cpp
+++ b/src/lib/steps/earlierleases.cpp
@@ -4,12 +4,23 @@
 
 namespace savorywick::steps {
 
+std::optional<std::int64_t> EarlierLeases::storeTimeOf(Instant at) const
+{
+    return m_storeClock ? m_storeClock->latestAt(at) : std::nullopt;
+}
+
+std::optional<Instant> EarlierLeases::endOfRecorded(std::int64_t storeMs) const
+{
+    if (!m_end)
+        return {};
+    return m_end->at + Millis{storeMs - m_end->storeMs};
+}
+
 std::optional<Instant> EarlierLeases::endOf(std::optional<std::int64_t> recordedMs) const
 {
     if (!m_end)
         return {};
-    return m_end->at
-        - Millis{std::max<std::int64_t>(0, m_end->storeMs - recordedMs.value_or(m_end->storeMs))};
+    return endOfRecorded(std::min(m_end->storeMs, recordedMs.value_or(m_end->storeMs)));
 }
 
 std::optional<WorkerSilent> EarlierLeases::noteSilence(const std::string &worker,
--- a/src/lib/steps/jobtable.cpp
+++ b/src/lib/steps/jobtable.cpp
@@ -48,7 +48,7 @@
         if (!task)
             return;
         task->lastRunNumber = std::max(task->lastRunNumber, it.run);
-        task->activeRuns.push_back({it.run, it.worker, false});
+        task->activeRuns.push_back({it.run, it.worker});
         if (job->state == JobState::Queued)
             job->state = JobState::Running;
     }
@@ -59,8 +59,12 @@
         Task *task = job ? findTask(*job, it.task) : nullptr;
         if (!task)
             return;
-        for (ActiveRun &run : task->activeRuns)
-            run.confirmed = run.confirmed || run.number == it.run;
+        for (ActiveRun &run : task->activeRuns) {
+            if (run.number != it.run)
+                continue;
+            run.confirmed = true;
+            run.inheritedLeasesEndMs = it.inheritedLeasesEndMs;
+        }
     }
 
     void operator()(const RunEnded &it) const
--- a/src/lib/steps/record.cpp
+++ b/src/lib/steps/record.cpp
@@ -120,6 +120,10 @@
             if (run.confirmed)
                 w.number(run.number);
         }
+        for (const ActiveRun &run : it.state.activeRuns) { // Older versions end before these.
+            if (run.inheritedLeasesEndMs != 0)
+                w.number(run.number).number(run.inheritedLeasesEndMs);
+        }
         return w.take();
     }
     std::string operator()(const JobStateSnapshot &it) const
@@ -144,7 +148,11 @@
     }
     std::string operator()(const RunConfirmed &it) const
     {
-        return FieldWriter('V').task(it.task).number(it.run).take();
+        FieldWriter w('V');
+        w.task(it.task).number(it.run);
+        if (it.inheritedLeasesEndMs != 0)
+            w.number(it.inheritedLeasesEndMs);
+        return w.take();
     }
     std::string operator()(const WorkerSilent &it) const
     {
@@ -218,6 +226,14 @@
         for (ActiveRun &run : it.state.activeRuns)
             run.confirmed = run.confirmed || run.number == number;
     }
+    while (!r.atEnd()) {
+        const int number = r.number<int>();
+        const std::int64_t endMs = r.number();
+        for (ActiveRun &run : it.state.activeRuns) {
+            if (run.number == number)
+                run.inheritedLeasesEndMs = endMs;
+        }
+    }
     return it;
 }
 
@@ -305,6 +321,7 @@
         RunConfirmed it;
         it.task = r.task();
         it.run = r.number<int>();
+        it.inheritedLeasesEndMs = r.atEnd() ? 0 : r.number();
         return it;
     }
     case 'W': {
--- a/src/lib/steps/workersession.cpp
+++ b/src/lib/steps/workersession.cpp
@@ -26,17 +26,21 @@
 WorkerSession::WorkerSession(const WorkerIncarnation &incarnation, std::string address,
                              Fence firstFence, Instant ownedSince,
                              const WorkerSessionSettings &settings,
-                             std::optional<Instant> earlierGrantsEndAt)
+                             const std::optional<EarlierGrants> &earlierGrants)
     : m_settings(settings)
     , m_incarnation(incarnation)
     , m_address(std::move(address))
     , m_fence(firstFence)
     , m_renewalDueAt(ownedSince)
     , m_lastAnswerAt(ownedSince)
-    , m_earlierLeasesEndAt(ownedSince
-                           + settings.longestFor(settings.maxLeaseTerm + settings.expiryMargin))
-    , m_earlierGrantsEndAt(earlierGrantsEndAt.value_or(m_earlierLeasesEndAt))
-{ }
+    , m_earlierLeasesEndAt(ownedSince + settings.longestLease())
+    , m_earlierGrantsEndAt(m_earlierLeasesEndAt)
+{
+    if (!earlierGrants)
+        return;
+    m_lastEarlierGrantAt = earlierGrants->lastAt;
+    m_earlierGrantsEndAt = earlierGrants->endAt.value_or(m_earlierLeasesEndAt);
+}
 
 void WorkerSession::update(const WorkerIncarnation &incarnation, std::string address, Instant now)
 {
@@ -59,7 +63,9 @@
 {
     if (m_clockMs) // Otherwise the incarnation that ends now has confirmed no run.
         m_formerLifeEndsAt = std::max(m_formerLifeEndsAt, leaseExpiresAt());
-    m_earlierLeasesEndAt = std::max(m_earlierLeasesEndAt, m_leasesEndAt);
+    m_earlierLeasesEndAt = std::max(m_earlierLeasesEndAt, leasesOfNextLifeEndAt());
+    if (m_lastGrantAt)
+        m_lastEarlierGrantAt = std::exchange(m_lastGrantAt, {});
     m_lastAnswerAt = now;
     m_renewalInFlight = false;
     m_renewalIsVoid = false;
@@ -69,7 +75,6 @@
     m_reportWasPartial = false;
     m_clockMs.reset();
     m_leaseUntilClockMs = 0;
-    m_leasesEndAt = {};
     m_appliedEnds = 0;
     m_durableEnds = 0;
     m_answeredAck = 0;
@@ -142,6 +147,8 @@
     const bool lifeIsOver = std::exchange(m_renewalIsVoid, false);
     if (lifeIsOver || report.startedWallMs != m_incarnation.startedWallMs)
         return false;
+    if (!hasAnswered())
+        boundInheritedLeases(now);
     m_answeredFence = m_renewalFence;
     m_answeredSentAt = m_renewalSentAt;
     m_answeredAck = std::max(m_answeredAck, m_renewalAck);
@@ -156,6 +163,31 @@
     return true;
 }
 
+// Reckons when inherited leases are over, as the present incarnation answers for the first time. It
+// has seen the fence, so it executes no command any more that was sent by an earlier owner or to an
+// earlier incarnation.
+void WorkerSession::boundInheritedLeases(Instant now)
+{
+    const Instant lastTakenBefore = now + m_settings.longestLease();
+    m_earlierLeasesEndAt = m_lastEarlierGrantAt
+        ? std::min(lastTakenBefore, inheritedEndOf(*m_lastEarlierGrantAt))
+        : Instant{};
+}
+
+// Returns when a lease is over that was granted at `grantedAt`, whichever incarnation takes it and
+// however late.
+Instant WorkerSession::inheritedEndOf(Instant grantedAt) const
+{
+    return grantedAt + m_settings.maxAnswerTime + m_settings.longestLease();
+}
+
+// Returns when all leases are over that the next incarnation may inherit.
+Instant WorkerSession::leasesOfNextLifeEndAt() const
+{
+    const std::optional<Instant> lastGrantAt = m_lastGrantAt ? m_lastGrantAt : m_lastEarlierGrantAt;
+    return lastGrantAt ? inheritedEndOf(*lastGrantAt) : Instant{};
+}
+
 void WorkerSession::renewalFailed(Instant now)
 {
     m_renewalInFlight = false;
@@ -202,10 +234,7 @@
     m_hasGranted = true;
     const std::int64_t until = m_clockMs.value_or(0) + (now - m_clockReadAt).count() + term.count();
     m_leaseUntilClockMs = std::max(m_leaseUntilClockMs, until);
-    // A worker that has started again under its id may take the lease over by its new clock.
-    const Instant takenOverEnd = now + m_settings.maxAnswerTime
-        + m_settings.longestFor(m_settings.maxLeaseTerm + m_settings.expiryMargin);
-    m_leasesEndAt = std::max({m_leasesEndAt, ownLeaseEnd(until), takenOverEnd});
+    m_lastGrantAt = now;
     return until;
 }
 
@@ -232,7 +261,7 @@
     const LeaseBound earlier{m_earlierLeasesEndAt, "longest-lease"};
     if (!m_clockMs)
         return earlier;
-    const Instant ownEnd = std::min(ownLeaseEnd(m_leaseUntilClockMs), m_leasesEndAt);
+    const Instant ownEnd = ownLeaseEnd(m_leaseUntilClockMs);
     return ownEnd > earlier.end ? LeaseBound{ownEnd, "own-lease"} : earlier;
 }
 
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -49,7 +49,9 @@
     , m_passPacer(settings.passes)
     , m_evacuatedZones(settings.coordinator.zoneEvacuation)
     , m_commitForecast(settings.commitForecast)
-{ }
+{
+    m_coordinator.setStoreClock(m_dependencies.table.storeClock());
+}
 
 steps::ClockReading ShardRunner::now() const
 {
--- a/tests/steps/coordinatorharness.h
+++ b/tests/steps/coordinatorharness.h
@@ -31,9 +31,7 @@
             m_workers.push_back(info);
             m_startedWallMs[info.incarnation.workerId] = info.incarnation.startedWallMs;
         }
-        m_coordinator->takeOver(now());
-        m_coordinator->setWorkers(m_workers, now());
-        step();
+        takeOver();
     }
 
     Coordinator &coordinator() { return *m_coordinator; }
@@ -69,9 +67,7 @@
             m_coordinator->restore(decodeRecord(it));
         if (earlierLeasesEnd)
             m_coordinator->setEarlierLeasesEnd(earlierLeasesEnd->count(), *earlierLeasesEnd);
-        m_coordinator->takeOver(now());
-        m_coordinator->setWorkers(m_workers, now());
-        step();
+        takeOver();
     }
 
     // Replaces the owner by one that restores a snapshot of its state.
@@ -257,6 +253,16 @@
     int fencedRenewals = 0; // That a worker refused, since it had seen a higher fence.
 
 private:
+    // Lets the coordinator act on the restored state. The store's clock shows the virtual time.
+    void takeOver()
+    {
+        m_storeClock.observe(m_now, m_now, m_now.count());
+        m_coordinator->setStoreClock(&m_storeClock);
+        m_coordinator->takeOver(now());
+        m_coordinator->setWorkers(m_workers, now());
+        step();
+    }
+
     static constexpr int milliCoresInUse = 4'000; // That other runs use at full speed.
 
     // Lists each worker whose time has come, under a new id or the one that it had.
@@ -391,6 +397,7 @@
     std::vector<WorkerInfo> m_workers;
     CoordinatorSettings m_settings;
     std::uint64_t m_epoch = 1;
+    StoreClock m_storeClock;
     std::unique_ptr<Coordinator> m_coordinator;
     std::vector<std::string> m_journal;
     LogSequenceNumber m_lsn = 0;
--- a/tests/steps/coordinatorleases_test.cpp
+++ b/tests/steps/coordinatorleases_test.cpp
@@ -151,24 +151,30 @@
     constexpr Millis slowestClockDelay{204}; // Of a clock that is 2 % slow.
     constexpr Millis longestLeaseByOwner{10'567}; // With the owner's margins.
     constexpr Millis restartNoticed{500};
-    CoordinatorHarness harness(2);
-    harness.listWorkers({0});
-    harness.submit("a", longRunningTask());
-    harness.advance(Millis{2'000});
-    REQUIRE(harness.renewals.back().leaseUntilClockMs.has_value());
-    // The next life takes the renewal that is on its way: its clock is far behind the lease's end.
-    harness.restartUnlisted(0);
-    const Instant leaseTakenAt = harness.now().monotonic;
-    harness.advance(restartNoticed);
-    REQUIRE(harness.starts.size() == 1); // In the next life, which has confirmed it.
-    harness.silentWorkers.insert("w0");
-    harness.earlierLeasesEnd = harness.now().monotonic + rowPromise;
-    harness.replaceOwner();
-    while (harness.starts.size() < 2 && harness.now().monotonic - leaseTakenAt < Millis{30'000})
-        harness.advance(Millis{20});
-    const Millis startedAfter = harness.now().monotonic - leaseTakenAt;
-    CHECK(startedAfter >= longestLease + slowestClockDelay);
-    CHECK(startedAfter <= restartNoticed + longestLeaseByOwner + slack);
+    for (const bool fromSnapshot : {false, true}) {
+        CAPTURE(fromSnapshot);
+        CoordinatorHarness harness(2);
+        harness.listWorkers({0});
+        harness.submit("a", longRunningTask());
+        harness.advance(Millis{2'000});
+        REQUIRE(harness.renewals.back().leaseUntilClockMs.has_value());
+        // The next life takes the renewal on its way: its clock is far behind the lease's end.
+        harness.restartUnlisted(0);
+        const Instant leaseTakenAt = harness.now().monotonic;
+        harness.advance(restartNoticed);
+        REQUIRE(harness.starts.size() == 1); // In the next life, which has confirmed it.
+        harness.silentWorkers.insert("w0");
+        harness.earlierLeasesEnd = harness.now().monotonic + rowPromise;
+        if (fromSnapshot)
+            harness.replaceOwnerFromSnapshot();
+        else
+            harness.replaceOwner();
+        while (harness.starts.size() < 2 && harness.now().monotonic - leaseTakenAt < Millis{30'000})
+            harness.advance(Millis{20});
+        const Millis startedAfter = harness.now().monotonic - leaseTakenAt;
+        CHECK(startedAfter >= longestLease + slowestClockDelay);
+        CHECK(startedAfter <= restartNoticed + longestLeaseByOwner + slack);
+    }
 }
 
 // Guards against two runs of a task at a time, whatever owners know of the leases of those before.
--- a/tests/steps/record_test.cpp
+++ b/tests/steps/record_test.cpp
@@ -111,6 +111,9 @@
             LifeSettled{worker, LifeVerdict::NotCrashed, 20},
             TaskSnapshot{task, {4, 1, 2, false, arbitraryText(), {{3, worker}, {4, worker, true}}}},
             RunConfirmed{task, 4},
+            RunConfirmed{task, 4, 91'234},
+            TaskSnapshot{
+                task, {4, 1, 2, false, arbitraryText(), {{3, worker}, {4, worker, true, 91'234}}}},
             WorkerSilent{arbitraryText(), 81'234},
             WorkerHeard{arbitraryText()},
             WorkerAddress{arbitraryText(), arbitraryText()},
@@ -124,6 +127,21 @@
     }));
 }
 
+// Guards against a journal of the version before that can't be restored.
+TEST_CASE("Records of confirmed runs without an end of inherited leases are read as having none")
+{
+    const auto confirmed = std::get<RunConfirmed>(decodeRecord("V job 0 0 0 4"));
+    CHECK(confirmed.run == 4);
+    CHECK(confirmed.inheritedLeasesEndMs == 0);
+    const TaskSnapshot before{{"job", 0, 0, 0}, {4, 1, 2, false, "", {{4, {"w", 7}, true}}}};
+    const std::string line = encodeRecord(before);
+    const auto older = std::get<TaskSnapshot>(decodeRecord(line));
+    CHECK(older.state.activeRuns.front().confirmed);
+    CHECK(older.state.activeRuns.front().inheritedLeasesEndMs == 0);
+    const auto newer = std::get<TaskSnapshot>(decodeRecord(line + " 4 91234"));
+    CHECK(newer.state.activeRuns.front().inheritedLeasesEndMs == 91'234);
+}
+
 TEST_CASE("Decoding rejects malformed lines")
 {
     const std::string lines[] = {
--- a/tests/steps/shardsimulation.h
+++ b/tests/steps/shardsimulation.h
@@ -188,7 +188,7 @@
     void replaceOwner()
     {
         ++m_takeoverCount;
-        logEvent(" * the owner is replaced");
+        logEvent(" * the owner is replaced; the row promises " + std::to_string(m_leaseLimit.count()));
         m_pendingRecords.clear();
         m_pendingSubmissions.clear();
         m_commitAt = {};
@@ -200,6 +200,9 @@
             m_owner->restore(decodeRecord(it));
         if (m_leaseLimit != Instant{})
             m_owner->setEarlierLeasesEnd(m_leaseLimit.count(), m_leaseLimit);
+        m_storeClock.observe(m_now, m_now, m_now.count());
+        m_owner->setStoreClock(&m_storeClock);
+        limitLeasesByRow();
         m_owner->takeOver(now());
         m_owner->setWorkers(listedWorkers(), now());
         m_scheduledCalls.remove_if([](const ScheduledCall &it) { return it.toOwner; });
@@ -349,6 +352,7 @@
     // Commits of the journal (shardsimulationcommits.h).
     void commitWhenDue();
     void raiseLeaseLimit();
+    void limitLeasesByRow();
 
     // Calls `action` after `delay`.
     void schedule(Millis delay, bool toOwner, std::function<void()> action)
@@ -476,6 +480,7 @@
     std::size_t m_maxListedEnds = 500;
     std::vector<SimulatedWorker> m_workers;
     int m_livesByNewId = 0; // Workers that have started again under a new id.
+    StoreClock m_storeClock; // It shows the virtual time.
     std::unique_ptr<Coordinator> m_owner;
     std::uint64_t m_epoch = 0;
     int m_takeoverCount = -1; // The takeover by the first owner is not counted.
--- a/tests/steps/shardsimulationcommits.h
+++ b/tests/steps/shardsimulationcommits.h
@@ -33,8 +33,15 @@
     if (m_leaseLimitAhead == Millis{0})
         return;
     m_leaseLimit = m_now + m_leaseLimitAhead;
-    m_owner->limitLeases(m_leaseLimit
-                         - ownerSettings().workerSessions.expiryDelay(m_leaseLimitAhead * 2));
+    limitLeasesByRow();
+}
+
+// Lets the owner grant no lease beyond what the shard's row promises, if it promises anything.
+inline void ShardSimulation::limitLeasesByRow()
+{
+    if (m_leaseLimit != Instant{})
+        m_owner->limitLeases(m_leaseLimit
+                             - ownerSettings().workerSessions.expiryDelay(m_leaseLimitAhead * 2));
 }
 
 } // namespace savorywick::steps::testing
--- a/tests/steps/workersession_test.cpp
+++ b/tests/steps/workersession_test.cpp
@@ -206,7 +206,8 @@
 TEST_CASE("Runs that an earlier owner knew of end with its grants while this owner grants nothing")
 {
     const Instant grantsEnd = ownedSince + Millis{3'000};
-    WorkerSession session({"w", 7}, "10.0.0.1:1", firstFence, ownedSince, {}, grantsEnd);
+    WorkerSession session({"w", 7}, "10.0.0.1:1", firstFence, ownedSince, {},
+                          EarlierGrants{ownedSince, grantsEnd});
     CHECK(session.confirmedRunsEndAt() == grantsEnd);
     CHECK(session.leaseExpiresAt() > grantsEnd); // A run that no worker had confirmed may last.
     session.nextRenewal(true, maxWait, ownedSince);
@@ -261,6 +262,25 @@
     }
 }
 
+// Guards against waits for leases that nobody can have inherited.
+TEST_CASE("A worker that a shard's first owner meets has inherited no lease")
+{
+    WorkerSession session = startSession();
+    session.nextRenewal(true, maxWait, ownedSince);
+    session.renewalAnswered(reportAt(1'000), ownedSince);
+    CHECK(session.inheritedLeasesEndAt() <= ownedSince);
+}
+
+TEST_CASE("An order of an earlier owner is executed within the longest delay or not at all")
+{
+    WorkerSession session({"w", 7}, "10.0.0.1:1", firstFence, ownedSince, {},
+                          EarlierGrants{ownedSince});
+    const Instant joinedAt = ownedSince + Millis{60'000};
+    session.nextRenewal(false, maxWait, joinedAt);
+    session.renewalAnswered(reportAt(1'000), joinedAt);
+    CHECK(session.inheritedLeasesEndAt() < joinedAt);
+}
+
 // Guards against ends that are lost: a worker that starts again under its id numbers its ends from
 // 1 and forgets those that the number of the life before covers.
 TEST_CASE("An acknowledgement that a worker has answered is not sent again")
