Send no start while the record of its worker's silence isn't withdrawn

Cause: only renewals asked whether a worker may be granted a lease yet.

Change: such a start ends as never started, and the task is placed again. The directed test failed before: a start order was sent.

--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -421,7 +421,8 @@
         const bool mayStart = job && !isFinal(job->state) && !run->stopRequested
             && it != m_workers.end() && it->second.session.incarnation() == run->incarnation
             && it->second.session.responsive() && !it->second.lifeIsOver
-            && !it->second.info.draining && fitsStill(it->second, *run);
+            && !m_earlierLeases.withholds(run->workerId) && !it->second.info.draining
+            && fitsStill(it->second, *run);
         const bool zoneAllows = !mayStart || mayStartInZoneOf(it->second, now.monotonic);
         m_counters.startsWithheld += zoneAllows ? 0 : 1;
         if (!mayStart || !zoneAllows) {
--- a/tests/steps/coordinatorleases_test.cpp
+++ b/tests/steps/coordinatorleases_test.cpp
@@ -177,6 +177,35 @@
     }
 }
 
+// Guards against a second run beside one whose lease a start extended, while the journal still told
+// the next owner that the worker had none.
+TEST_CASE("No start grants a lease before the record of its worker's silence is withdrawn")
+{
+    CoordinatorHarness harness(1);
+    harness.submit("y", longRunningTask());
+    harness.advance(Millis{20'000});
+    harness.silentWorkers.insert("w0");
+    harness.earlierLeasesEnd = harness.now().monotonic + leasesLeft;
+    harness.replaceOwner();
+    harness.advance(Millis{100}); // Its silence is durable.
+    harness.commits = false;
+    harness.silentWorkers.clear();
+    harness.advance(Millis{300}); // Its answer is not.
+    harness.submit("x", task(1'000));
+    harness.advance(Millis{100});
+    const LogSequenceNumber placed = harness.appendedLsn();
+    harness.silentWorkers.insert("w0");
+    harness.advance(Millis{1'500});
+    const LogSequenceNumber silentAgain = harness.appendedLsn();
+    REQUIRE(silentAgain > placed);
+    harness.silentWorkers.clear();
+    harness.advance(Millis{600});
+    REQUIRE(harness.appendedLsn() > silentAgain); // It has answered again.
+    harness.coordinator().recordsDurable(silentAgain);
+    for (const WorkerCommand &it : harness.coordinator().takeOrders(harness.now()))
+        CHECK_FALSE(std::holds_alternative<StartRunCommand>(it));
+}
+
 // Guards against two runs of a task at a time, whatever owners know of the leases of those before.
 TEST_CASE("No promise is broken while owners count on what the shard's row tells of leases")
 {
