--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -272,6 +272,7 @@
 
     // Leases of this owner and of earlier ones (coordinatorleases.cpp).
     WorkerSession makeSession(const WorkerIncarnation &life, const std::string &address) const;
+    void noteKnownLife(WorkerSession &session, const Run &run);
     void recordConfirmation(const Worker &worker, Run &run, Instant now);
     void recordSilence(const Worker &worker, Instant now);
     void recordAnswer(const std::string &worker);
--- a/include/savorywick/steps/workersession.h
+++ b/include/savorywick/steps/workersession.h
@@ -175,6 +175,9 @@
     // incarnations. It takes them by its own clock, which starts anew, for up to the longest term,
     // and a run that it starts later has them as well. Call it only if hasAnswered() is true.
     Instant inheritedLeasesEndAt() const { return m_earlierLeasesEndAt; }
+    // Records that the present incarnation confirmed a run to an earlier owner, and that all leases
+    // are over by `leasesEndAt` that it has of earlier owners or had inherited by then.
+    void noteKnownLife(Instant leasesEndAt);
     // Returns when a lease was last granted to any incarnation, or may have been by an earlier
     // owner; nothing if there was none.
     std::optional<Instant> lastGrantAt() const
@@ -200,6 +203,8 @@
     void reset(Instant now);
     void boundInheritedLeases(Instant now);
     Instant inheritedEndOf(Instant grantedAt) const;
+    // Returns when all leases are over that the next incarnation may inherit. Of the commands of
+    // earlier owners this assumes that none is executed after the takeover.
     Instant leasesOfNextLifeEndAt() const;
     // Returns true if and only if acknowledging the ends that are durable makes the worker tell of
     // further ones.
@@ -246,6 +251,8 @@
     std::optional<Instant> m_lastGrantAt; // To the present incarnation.
     // When the last lease was granted by an earlier owner, or to an earlier incarnation.
     std::optional<Instant> m_lastEarlierGrantAt;
+    // As noteKnownLife() recorded for the present incarnation.
+    std::optional<Instant> m_knownLeasesEndAt;
     // When every lease of earlier owners, and every one granted to earlier incarnations, has
     // expired.
     Instant m_earlierLeasesEndAt;
--- a/src/lib/steps/coordinatorcrashes.cpp
+++ b/src/lib/steps/coordinatorcrashes.cpp
@@ -89,9 +89,10 @@
     if (life == worker.session.incarnation())
         return;
     const bool startKnown = worker.session.incarnation().startedWallMs != 0;
-    if (startKnown) // Otherwise it may be the same life.
+    if (startKnown) { // Otherwise it may be the same life.
         endLife(worker, "restarted", now);
-    noteRestart(worker, life, now.monotonic);
+        noteRestart(worker, life, now.monotonic);
+    }
     worker.closedAt.reset();
     worker.lifeIsOver = false;
 }
--- a/src/lib/steps/coordinatorleases.cpp
+++ b/src/lib/steps/coordinatorleases.cpp
@@ -20,6 +20,14 @@
     return {life, address, m_firstFence, m_ownedSince, m_settings.workerSessions, earlierGrants};
 }
 
+// Tells the session with the run's worker that the life that it is with has confirmed the run to an
+// earlier owner.
+void Coordinator::noteKnownLife(WorkerSession &session, const Run &run)
+{
+    if (run.confirmationRecorded && run.incarnation == session.incarnation())
+        session.noteKnownLife(leaseBoundOf(run).end);
+}
+
 // Records that a worker has the long-running run. For others the record would cost more than it
 // saves: they end soon. It is put off while it can't tell a later owner how long leases may last
 // that the worker inherited.
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -74,16 +74,17 @@
         m_longRunningGaps.noteAdopted(task, m_ownedSince);
     trackStraggler(m_runs.add(std::move(run)), {m_ownedSince});
     const std::string &id = active.worker.workerId;
-    if (m_workers.contains(id))
-        return noteRunsChanged(id);
-    // The platform has not listed the worker yet. If it never does, the run ends when the worker's
-    // lease lapses or another life of it is met at its address.
-    const std::string address = m_table.workerAddress(id);
-    Worker worker{{.incarnation = active.worker, .address = address},
-                  makeSession(active.worker, address),
-                  m_ownedSince};
-    m_quarantine.addWorker(id);
-    m_workers.emplace(id, std::move(worker));
+    if (!m_workers.contains(id)) {
+        // The platform has not listed the worker yet. If it never does, the run ends when the
+        // worker's lease lapses or another life of it is met at its address.
+        const std::string address = m_table.workerAddress(id);
+        Worker worker{{.incarnation = active.worker, .address = address},
+                      makeSession(active.worker, address),
+                      m_ownedSince};
+        m_quarantine.addWorker(id);
+        m_workers.emplace(id, std::move(worker));
+    }
+    noteKnownLife(m_workers.at(id).session, *m_runs.find({task, active.number}));
     noteRunsChanged(id);
 }
 
--- a/src/lib/steps/workersession.cpp
+++ b/src/lib/steps/workersession.cpp
@@ -63,7 +63,8 @@
 {
     if (m_clockMs) // Otherwise the incarnation that ends now has confirmed no run.
         m_formerLifeEndsAt = std::max(m_formerLifeEndsAt, leaseExpiresAt());
-    m_earlierLeasesEndAt = std::max(m_earlierLeasesEndAt, leasesOfNextLifeEndAt());
+    m_earlierLeasesEndAt = leasesOfNextLifeEndAt();
+    m_knownLeasesEndAt.reset();
     if (m_lastGrantAt)
         m_lastEarlierGrantAt = std::exchange(m_lastGrantAt, {});
     m_lastAnswerAt = now;
@@ -168,10 +169,19 @@
 // earlier incarnation.
 void WorkerSession::boundInheritedLeases(Instant now)
 {
-    const Instant lastTakenBefore = now + m_settings.longestLease();
-    m_earlierLeasesEndAt = m_lastEarlierGrantAt
-        ? std::min(lastTakenBefore, inheritedEndOf(*m_lastEarlierGrantAt))
-        : Instant{};
+    if (!m_lastEarlierGrantAt) {
+        m_earlierLeasesEndAt = {};
+        return;
+    }
+    m_earlierLeasesEndAt =
+        std::min(now + m_settings.longestLease(), inheritedEndOf(*m_lastEarlierGrantAt));
+    if (m_knownLeasesEndAt)
+        m_earlierLeasesEndAt = std::min(m_earlierLeasesEndAt, *m_knownLeasesEndAt);
+}
+
+void WorkerSession::noteKnownLife(Instant leasesEndAt)
+{
+    m_knownLeasesEndAt = std::min(leasesEndAt, m_knownLeasesEndAt.value_or(leasesEndAt));
 }
 
 // Returns when a lease is over that was granted at `grantedAt`, whichever incarnation takes it and
@@ -181,11 +191,10 @@
     return grantedAt + m_settings.maxExecutionDelay + m_settings.longestLease();
 }
 
-// Returns when all leases are over that the next incarnation may inherit.
 Instant WorkerSession::leasesOfNextLifeEndAt() const
 {
-    const std::optional<Instant> lastGrantAt = m_lastGrantAt ? m_lastGrantAt : m_lastEarlierGrantAt;
-    return lastGrantAt ? inheritedEndOf(*lastGrantAt) : Instant{};
+    return m_lastGrantAt ? std::max(m_earlierLeasesEndAt, inheritedEndOf(*m_lastGrantAt))
+                         : m_earlierLeasesEndAt;
 }
 
 void WorkerSession::renewalFailed(Instant now)
--- a/tests/steps/coordinatorleases_test.cpp
+++ b/tests/steps/coordinatorleases_test.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr Millis leasesLeft{4'000}; // At the takeover, as the shard's row tells.
+constexpr int workerCount = 4;
+constexpr Millis longestLeaseTerm{10'000};
 constexpr Millis slack{200}; // Steps of the harness, and the placement.
 
 // A long-running task whose worker is lost with the owner.
@@ -234,6 +236,31 @@
     CHECK(harness.now().monotonic - inheritedAt >= longestLease);
 }
 
+// Guards against a wait for leases that the worker is known not to have: the life that answers the
+// new owner is the one that confirmed a run to the owner before.
+TEST_CASE("A worker lost soon after a takeover is waited for no longer than it was granted")
+{
+    constexpr Millis longestGrant{7'000}; // A full lease and its margins.
+    for (const Millis cutFor : {Millis{0}, Millis{2'000}, Millis{5'000}}) {
+        CAPTURE(cutFor);
+        CoordinatorHarness harness(2);
+        harness.listWorkers({0});
+        harness.submit("a", longRunningTask());
+        harness.advance(Millis{20'000});
+        harness.silentWorkers.insert("w0");
+        harness.earlierLeasesEnd = harness.now().monotonic + Millis{7'800};
+        harness.replaceOwner();
+        harness.advance(cutFor);
+        harness.silentWorkers.clear();
+        harness.advance(Millis{1'000});
+        harness.silentWorkers.insert("w0");
+        const Instant lostAt = harness.now().monotonic;
+        while (harness.starts.size() < 2 && harness.now().monotonic - lostAt < Millis{40'000})
+            harness.advance(Millis{20});
+        CHECK(harness.now().monotonic - lostAt <= longestGrant + slack);
+    }
+}
+
 // Guards against two runs of a task at a time, whatever owners know of the leases of those before.
 TEST_CASE("No promise is broken while owners count on what the shard's row tells of leases")
 {
@@ -248,7 +275,7 @@
 TEST_CASE("No promise is broken while workers restart before their owner knows")
 {
     CHECK(rc::check("random owners, workers and losses", [](unsigned seed) {
-        ShardSimulation simulation(seed);
+        ShardSimulation simulation(seed, workerCount, longestLeaseTerm);
         simulation.restartWorkersAtOnce();
         runJobsAmidLosses(simulation);
     }));
@@ -259,7 +286,7 @@
 TEST_CASE("No promise is broken while late orders reach the next lives of their workers")
 {
     CHECK(rc::check("random owners, workers and losses", [](unsigned seed) {
-        ShardSimulation simulation(seed);
+        ShardSimulation simulation(seed, workerCount, longestLeaseTerm);
         simulation.deliverLateOrdersToNextLives();
         runJobsAmidLosses(simulation);
     }));
--- a/tests/steps/shardsimulation.h
+++ b/tests/steps/shardsimulation.h
@@ -36,8 +36,10 @@
 class ShardSimulation
 {
 public:
-    explicit ShardSimulation(unsigned seed, int workers = 4)
+    // Workers shorten leases to `maxLeaseTerm`; the default is what owners grant.
+    explicit ShardSimulation(unsigned seed, int workers = 4, Millis maxLeaseTerm = Millis{6'000})
         : m_random(seed)
+        , m_maxLeaseTerm(maxLeaseTerm)
     {
         for (int i = 0; i < workers; ++i)
             addWorker("w" + std::to_string(i));
@@ -116,7 +118,13 @@
 
     // Lets the shard's row promise with each commit that all leases are over after this time, as it
     // does where all owners can read the store's clock, and limits the leases by it.
-    void promiseLeaseEnds(Millis ahead) { m_leaseLimitAhead = ahead; }
+    // It promises so at once: before the first promise owners grant full leases, which are longer
+    // than a short `ahead`.
+    void promiseLeaseEnds(Millis ahead)
+    {
+        m_leaseLimitAhead = ahead;
+        raiseLeaseLimit();
+    }
 
     // Lets workers crash and start again under their ids at once, so that orders that are sent
     // before that is noticed reach the next life.
@@ -188,7 +196,8 @@
     void replaceOwner()
     {
         ++m_takeoverCount;
-        logEvent(" * the owner is replaced; the row promises " + std::to_string(m_leaseLimit.count()));
+        logEvent(" * the owner is replaced; the row promises "
+                 + std::to_string(m_leaseLimit.count()));
         m_pendingRecords.clear();
         m_pendingSubmissions.clear();
         m_commitAt = {};
@@ -214,7 +223,6 @@
     static constexpr int maxWallSkewMs = 3'000; // Of an owner's time of day.
     static constexpr int fenceBitsBelowEpoch = 20;
     static constexpr Millis replyTimeout{500};
-    static constexpr Millis maxLeaseTerm{6'000};
     // How long a worker that is gone stays listed, and one that has come back stays unlisted.
     static constexpr Millis maxListDelay{3'000};
     // For how long a start may still count on a capacity that has shrunk.
@@ -234,10 +242,10 @@
         std::string job;
     };
 
-    static CoordinatorSettings ownerSettings()
+    CoordinatorSettings ownerSettings() const
     {
         CoordinatorSettings settings;
-        settings.workerSessions.maxLeaseTerm = maxLeaseTerm;
+        settings.workerSessions.maxLeaseTerm = m_maxLeaseTerm;
         settings.quarantine.initialProbeDelay = Millis{4'000};
         settings.quarantine.maxProbeDelay = Millis{16'000};
         settings.quarantine.probeTimeout = Millis{10'000};
@@ -440,7 +448,7 @@
                 RunOutcome outcome);
 
     // The check that jobs make progress (shardsimulationprogress.h).
-    static Millis calmBound();
+    Millis calmBound() const;
     bool isUsable(const SimulatedWorker &worker, const StepSpec &spec) const;
     int freeSlots(const SimulatedWorker &worker, const StepRef &step) const;
     bool hasRoomTwice(const StepRef &step) const;
@@ -465,6 +473,7 @@
     }
 
     std::mt19937 m_random;
+    Millis m_maxLeaseTerm;
     std::vector<std::string> m_history;
     Millis m_leaseLimitAhead; // 0 if the row promises nothing.
     Instant m_leaseLimit; // That the row tells.
--- a/tests/steps/shardsimulationprogress.h
+++ b/tests/steps/shardsimulationprogress.h
@@ -9,7 +9,7 @@
 // owner believes to run on a worker that is gone ends with the lease, which lasts longest by the
 // slowest clock. A renewal that was under way at the end of the faults must fail or be answered
 // first, and the next one be sent.
-inline Millis ShardSimulation::calmBound()
+inline Millis ShardSimulation::calmBound() const
 {
     const CoordinatorSettings settings = ownerSettings();
     const WorkerSessionSettings &sessions = settings.workerSessions;
--- a/tests/steps/shardsimulationworkers.h
+++ b/tests/steps/shardsimulationworkers.h
@@ -33,7 +33,7 @@
     std::erase_if(worker.unacknowledgedEnds,
                   [&](const RunEndReport &it) { return it.endNumber <= order.ackedEndNumber; });
     if (order.leaseUntilClockMs)
-        worker.extendLease(*order.leaseUntilClockMs, maxLeaseTerm, m_now);
+        worker.extendLease(*order.leaseUntilClockMs, m_maxLeaseTerm, m_now);
     return reportOf(worker);
 }
 
@@ -101,7 +101,7 @@
     }
     if (order.leaseUntilClockMs <= worker.clockMs(m_now))
         return {CommandOutcome::TooLate, worker.clockMs(m_now)};
-    worker.extendLease(order.leaseUntilClockMs, maxLeaseTerm, m_now);
+    worker.extendLease(order.leaseUntilClockMs, m_maxLeaseTerm, m_now);
     const auto ended = worker.highestEndedRun.find(order.task);
     if (ended != worker.highestEndedRun.end() && ended->second >= order.run)
         return {CommandOutcome::StaleRun, worker.clockMs(m_now)};
