--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -198,7 +198,12 @@
 
 void logInfo(std::string_view event, std::initializer_list<LogField> fields)
 {
-    logLine(LogLevel::Info, event, {fields.begin(), fields.size()});
+    logInfoFields(event, std::span(fields.begin(), fields.size()));
+}
+
+void logInfoFields(std::string_view event, std::span<const LogField> fields)
+{
+    logLine(LogLevel::Info, event, fields);
 }
 
 void logWarning(std::string_view event, std::initializer_list<LogField> fields)
@@ -212,15 +217,25 @@
 }
 
 void logRoutine(std::string_view event, std::initializer_list<LogField> fields)
+{
+    logRoutineFields(event, std::span(fields.begin(), fields.size()));
+}
+
+void logRoutineFields(std::string_view event, std::span<const LogField> fields)
 {
     if (allows(LogWeight::Routine))
-        logLine(LogLevel::Info, event, {fields.begin(), fields.size()});
+        logLine(LogLevel::Info, event, fields);
 }
 
 void logNotable(std::string_view event, std::initializer_list<LogField> fields)
+{
+    logNotableFields(event, std::span(fields.begin(), fields.size()));
+}
+
+void logNotableFields(std::string_view event, std::span<const LogField> fields)
 {
     if (allows(LogWeight::Notable))
-        logLine(LogLevel::Info, event, {fields.begin(), fields.size()});
+        logLine(LogLevel::Info, event, fields);
 }
 
 void printBoundAddresses(std::string_view entry, std::string_view callers, std::string_view peers)
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -66,6 +66,11 @@
 void logRoutine(std::string_view event, std::initializer_list<LogField> fields = {});
 void logNotable(std::string_view event, std::initializer_list<LogField> fields = {});
 
+// The same, for fields whose number is not known at compile time.
+void logInfoFields(std::string_view event, std::span<const LogField> fields);
+void logRoutineFields(std::string_view event, std::span<const LogField> fields);
+void logNotableFields(std::string_view event, std::span<const LogField> fields);
+
 // Writes text that holds one or more finished lines to the log's stream, at once. For LogBatch, as
 // is logDescriptor(), which returns the descriptor of the stream.
 void writeLogText(std::string_view text);
--- a/src/node/schedulerlog.cpp
+++ b/src/node/schedulerlog.cpp
@@ -2,7 +2,10 @@
 
 #include "core/log.h"
 
-#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace savorywick {
 
@@ -10,7 +13,7 @@
 
 using steps::SchedulerEvent;
 using steps::SchedulerEventKind;
-using Write = void (*)(std::string_view event, std::initializer_list<LogField> fields);
+using Write = void (*)(std::string_view event, std::span<const LogField> fields);
 
 // Returns the function that writes an event of this kind.
 Write writerFor(const SchedulerEvent &note)
@@ -29,14 +32,18 @@
     case SchedulerEventKind::ZoneEvacuated:
     case SchedulerEventKind::ZoneReturned:
     case SchedulerEventKind::LongRunningRestarted:
-        return logInfo;
+        return logInfoFields;
     case SchedulerEventKind::RunPlaced:
-        return note.run > 1 ? logNotable : logRoutine;
+        if (note.run > 1)
+            return logNotableFields;
+        return logRoutineFields;
     case SchedulerEventKind::RunEnded:
-        return note.reason == steps::toString(steps::RunOutcome::Done) ? logRoutine : logNotable;
+        if (note.reason == steps::toString(steps::RunOutcome::Done))
+            return logRoutineFields;
+        return logNotableFields;
     case SchedulerEventKind::RunConfirmed:
     case SchedulerEventKind::RunThrottled:
-        return logRoutine;
+        return logRoutineFields;
     case SchedulerEventKind::RunDuplicated:
     case SchedulerEventKind::StartRefused:
     case SchedulerEventKind::StopRequested:
@@ -50,48 +57,57 @@
     case SchedulerEventKind::RunCleared:
     case SchedulerEventKind::PreemptionPlanned:
     case SchedulerEventKind::ReservationEnded:
-        return logNotable;
+        return logNotableFields;
     }
-    return logInfo;
+    return logInfoFields;
 }
 
-void logGap(const SchedulerEvent &note, Write write)
+std::vector<LogField> zoneFields(const SchedulerEvent &note)
 {
-    write(toString(note.kind),
-          {{"requestId", note.task.job},
-           {"task", steps::toString(note.task)},
-           {"run", note.run},
-           {"worker", note.worker},
-           {"why", note.reason},
-           {"gapMs", note.gap->total.count()},
-           {"untilKnownMs", note.gap->untilKnown.count()},
-           {"untilPlacedMs", note.gap->untilPlaced.count()},
-           {"sinceTakeover", note.gap->sinceTakeover},
-           {"epoch", note.gap->epoch}});
+    return {{"zone", note.zone}, {"workers", note.workerCount}, {"runs", note.value}};
 }
 
-void logRestart(const SchedulerEvent &note, Write write)
+std::vector<LogField> workerFields(const SchedulerEvent &note)
 {
-    write(toString(note.kind),
-          {{"worker", note.worker},
-           {"why", note.reason},
-           {"ageMs", note.age.count()},
-           {"formerLife", note.lives->earlierMs},
-           {"life", note.lives->presentMs},
-           {"otherLeasesMs", note.value}});
+    std::vector<LogField> fields{
+        {"worker", note.worker}, {"why", note.reason}, {"ageMs", note.age.count()}};
+    if (note.lives) {
+        fields.emplace_back("formerLife", note.lives->earlierMs);
+        fields.emplace_back("life", note.lives->presentMs);
+        fields.emplace_back("otherLeasesMs", note.value);
+    }
+    return fields;
+}
+
+void addGap(std::vector<LogField> &fields, const steps::LongRunningGap &gap)
+{
+    fields.emplace_back("gapMs", gap.total.count());
+    fields.emplace_back("untilKnownMs", gap.untilKnown.count());
+    fields.emplace_back("untilPlacedMs", gap.untilPlaced.count());
+    fields.emplace_back("sinceTakeover", gap.sinceTakeover);
+    fields.emplace_back("epoch", gap.epoch);
 }
 
-void logLeaseEnd(const SchedulerEvent &note, Write write)
+// `task` is the name of the note's task and must outlive the fields.
+std::vector<LogField> runFields(const SchedulerEvent &note, const std::string &task)
 {
-    write(toString(note.kind),
-          {{"requestId", note.task.job},
-           {"task", steps::toString(note.task)},
-           {"run", note.run},
-           {"worker", note.worker},
-           {"why", note.reason},
-           {"ageMs", note.age.count()},
-           {"runLife", note.lives->earlierMs},
-           {"life", note.lives->presentMs}});
+    std::vector<LogField> fields{{"requestId", note.task.job},
+                                 {"task", task},
+                                 {"run", note.run},
+                                 {"worker", note.worker},
+                                 {"why", note.reason}};
+    if (note.gap) {
+        addGap(fields, *note.gap);
+        return fields;
+    }
+    fields.emplace_back("ageMs", note.age.count());
+    if (note.lives) {
+        fields.emplace_back("runLife", note.lives->earlierMs);
+        fields.emplace_back("life", note.lives->presentMs);
+        return fields;
+    }
+    fields.emplace_back("value", note.value);
+    return fields;
 }
 
 } // namespace
@@ -99,30 +115,12 @@
 void log(const SchedulerEvent &note)
 {
     const Write write = writerFor(note);
-    if (!note.zone.empty()) {
-        write(toString(note.kind),
-              {{"zone", note.zone}, {"workers", note.workerCount}, {"runs", note.value}});
-        return;
-    }
-    if (note.kind == SchedulerEventKind::WorkerRestarted && note.lives)
-        return logRestart(note, write);
-    if (note.task.job.empty()) {
-        write(toString(note.kind),
-              {{"worker", note.worker}, {"why", note.reason}, {"ageMs", note.age.count()}});
-        return;
-    }
-    if (note.gap)
-        return logGap(note, write);
-    if (note.lives)
-        return logLeaseEnd(note, write);
-    write(toString(note.kind),
-          {{"requestId", note.task.job},
-           {"task", steps::toString(note.task)},
-           {"run", note.run},
-           {"worker", note.worker},
-           {"why", note.reason},
-           {"ageMs", note.age.count()},
-           {"value", note.value}});
+    const std::string_view event = toString(note.kind);
+    if (!note.zone.empty())
+        return write(event, zoneFields(note));
+    if (note.task.job.empty())
+        return write(event, workerFields(note));
+    write(event, runFields(note, steps::toString(note.task)));
 }
 
 } // namespace savorywick
