Show over real processes that a run with a former life's lease is not started twice

The fix was shown by tests of the coordinator only; over real processes no worker carried out a call that was meant for its former life.

The stand-in of a worker can now start again under its id and address as a call arrives that grants a lease, and the next life, with a new clock, no fence and ends numbered anew, carries that call out before the store tells of it. It can be cut off from the entries and run on with its lease. Its first life is a minute old, so that such leases end late on the next clock.

Tried and left out: a start that is sent after the restart.

What longrunningloss_test and this one share moved to the ledger and the deployment.

--- a/tests/soak/longrunningloss_test.cpp
+++ b/tests/soak/longrunningloss_test.cpp
@@ -100,34 +100,14 @@
 
     void submitJobs()
     {
-        for (int i = 0; i < jobCount; ++i) {
-            SoakJob job;
-            char id[17];
-            std::snprintf(id, sizeof id, "%016x", i + 1);
-            job.spec.id = id;
-            job.spec.payload = "service";
-            steps::StepSpec step;
-            step.taskCount = tasksPerJob;
-            step.demand = {2'000, 1'000, 0};
-            step.estimatedDuration = Millis{500};
-            step.longRunning = true;
-            job.spec.steps = {step};
-            m_deployment.callers().submit(std::move(job));
-        }
-    }
-
-    bool allTasksRun()
-    {
-        const auto &jobs = m_deployment.ledger().jobs();
-        return std::all_of(jobs.begin(), jobs.end(), [this](const auto &it) {
-            return m_deployment.ledger().liveRuns(it.first) == tasksPerJob;
-        });
+        for (int i = 0; i < jobCount; ++i)
+            m_deployment.callers().submit(longRunningJob(i + 1, tasksPerJob));
     }
 
     void awaitAllRuns(const std::function<void()> &next)
     {
         const bool late = m_lostAt != Instant{} && m_deployment.clock().now() - m_lostAt > patience;
-        if (allTasksRun() || late)
+        if (m_deployment.ledger().allTasksRun() || late)
             return next();
         m_deployment.loop().runAfter(pollInterval, [this, next] { awaitAllRuns(next); });
     }
@@ -155,11 +135,7 @@
 
     void lose()
     {
-        std::vector<WorkerStandIn *> workers;
-        for (const auto &it : m_deployment.workers())
-            workers.push_back(it.get());
-        std::sort(workers.begin(), workers.end(),
-                  [](const auto *a, const auto *b) { return a->runCount() > b->runCount(); });
+        const std::vector<WorkerStandIn *> workers = m_deployment.busiestWorkers();
         if (m_loss.entries)
             m_deployment.killAllEntries(downtime);
         for (std::size_t i = 0; i < workers.size(); ++i) {
--- a/tests/soak/runledger.cpp
+++ b/tests/soak/runledger.cpp
@@ -1,6 +1,7 @@
 #include "runledger.h"
 
 #include <algorithm>
+#include <cstdio>
 #include <utility>
 
 namespace savorywick::testing {
@@ -16,6 +17,22 @@
 
 } // namespace
 
+SoakJob longRunningJob(int number, int taskCount)
+{
+    SoakJob job;
+    char id[17];
+    std::snprintf(id, sizeof id, "%016x", static_cast<unsigned>(number));
+    job.spec.id = id;
+    job.spec.payload = "service";
+    steps::StepSpec step;
+    step.taskCount = taskCount;
+    step.demand = {2'000, 1'000, 0};
+    step.estimatedDuration = Millis{500};
+    step.longRunning = true;
+    job.spec.steps = {step};
+    return job;
+}
+
 SoakJob &RunLedger::addJob(SoakJob job)
 {
     const std::string id = job.spec.id;
@@ -117,6 +134,13 @@
     });
 }
 
+bool RunLedger::allTasksRun() const
+{
+    return std::all_of(m_jobs.begin(), m_jobs.end(), [this](const auto &it) {
+        return liveRuns(it.first) == it.second.spec.steps.front().taskCount;
+    });
+}
+
 int RunLedger::liveRuns(const std::string &job) const
 {
     int count = 0;
--- a/tests/soak/runledger.h
+++ b/tests/soak/runledger.h
@@ -21,6 +21,9 @@
     bool ended = false; // It was shown as completed or failed.
 };
 
+// Returns a job of tasks that run until they are cancelled, four of which fill a worker.
+SoakJob longRunningJob(int number, int taskCount);
+
 // Collects what callers and workers see of the runs in a soak, and the promises that were broken.
 //
 // Workers report the starts, the ends and the acknowledgements of runs; callers register jobs and
@@ -53,6 +56,9 @@
     // Notes a broken promise.
     void violate(const std::string &what) { m_violations.push_back(what); }
 
+    // Returns true if and only if as many runs as it has tasks are there of each job, which has one
+    // step.
+    bool allTasksRun() const;
     // Returns how many runs of the job are on workers that are up.
     int liveRuns(const std::string &job) const;
     const std::vector<std::string> &violations() const { return m_violations; }
--- a/tests/soak/soakdeployment.cpp
+++ b/tests/soak/soakdeployment.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/json.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <utility>
@@ -114,4 +115,14 @@
         killEntry(i, downtime);
 }
 
+std::vector<WorkerStandIn *> SoakDeployment::busiestWorkers() const
+{
+    std::vector<WorkerStandIn *> workers;
+    for (const auto &it : m_workers)
+        workers.push_back(it.get());
+    std::stable_sort(workers.begin(), workers.end(),
+                     [](const auto *a, const auto *b) { return a->runCount() > b->runCount(); });
+    return workers;
+}
+
 } // namespace savorywick::testing
--- a/tests/soak/soakdeployment.h
+++ b/tests/soak/soakdeployment.h
@@ -47,6 +47,9 @@
     // Kills all entries at one moment and starts them again after `downtime`.
     void killAllEntries(Millis downtime);
 
+    // Returns the workers, those with most runs first.
+    std::vector<WorkerStandIn *> busiestWorkers() const;
+
     EventLoop &loop() { return m_loop; }
     const BootClock &clock() const { return m_clock; }
     RunLedger &ledger() { return m_ledger; }
--- a/tests/soak/workerstandin.cpp
+++ b/tests/soak/workerstandin.cpp
@@ -5,14 +5,13 @@
 #include "savorywick/steps/runtable.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace savorywick::testing {
 
 namespace {
 
-using Responder = AsyncHttpServer::Responder;
-
 constexpr steps::ResourceVector fullCapacity{8'000, 16'000, 0};
 constexpr int fullPercent = 100;
 constexpr Millis tickInterval{50};
@@ -26,6 +25,12 @@
 // For how long a start may still count on a capacity that has shrunk.
 constexpr Millis capacityGrace{5'100};
 
+bool grantsLease(const HttpRequest &request)
+{
+    const auto order = platform::parseJson(request.body);
+    return order && order->isMember("untilMs");
+}
+
 } // namespace
 
 WorkerStandIn::WorkerStandIn(EventLoop &loop, const BootClock &clock, PlatformStandIn &store,
@@ -45,12 +50,30 @@
     tick();
 }
 
+// Begins a life as soon as the address is free: an entry that was forked just now may still have
+// the socket of the life before.
+void WorkerStandIn::beginNextLife(bool underNewId)
+{
+    try {
+        beginLife(underNewId);
+    } catch (const std::exception &) {
+        m_server.reset();
+        m_loop.runAfter(tickInterval, [this, underNewId] { beginNextLife(underNewId); });
+    }
+}
+
 void WorkerStandIn::beginLife(bool underNewId)
 {
+    m_server = std::make_unique<AsyncHttpServer>(
+        m_loop, AsyncHttpServerLimits{}, [this](HttpRequest request, Responder respond) {
+            receive(std::move(request), std::move(respond));
+        });
+    m_server->listen(m_address);
     if (underNewId)
         m_id = m_name + "-" + std::to_string(++m_lives);
-    m_bornAt = m_clock.now();
-    m_bornWallMs = wallClockMs();
+    const Millis age = std::exchange(m_age, Millis{0});
+    m_bornAt = m_clock.now() - age;
+    m_bornWallMs = wallClockMs() - age.count();
     m_sequence = 0;
     m_fence = 0;
     m_leaseUntilMs = 0;
@@ -58,14 +81,53 @@
     m_lastEnd = 0;
     m_lapsedEnd = 0;
     m_highestEnded.clear();
-    m_server = std::make_unique<AsyncHttpServer>(
-        m_loop, AsyncHttpServerLimits{}, [this](HttpRequest request, Responder respond) {
-            if (m_silent)
-                return m_heldCalls.push_back({std::move(request), std::move(respond)});
-            handle(request, respond);
-        });
-    m_server->listen(m_address);
-    writeEntry();
+    if (m_listingDelay > Millis{0})
+        m_nextEntryAt = m_bornAt + std::exchange(m_listingDelay, Millis{0});
+    else
+        writeEntry();
+    if (!m_callForNextLife)
+        return;
+    m_loop.runAfter(m_callDelay, [this, call = std::move(*m_callForNextLife)] {
+        if (isUp() && !m_silent && !m_cutOff)
+            handle(call, [](const HttpResponse &) {});
+    });
+    m_callForNextLife.reset();
+}
+
+void WorkerStandIn::receive(HttpRequest request, Responder respond)
+{
+    if (m_cutOff)
+        return m_lostCalls.push_back(std::move(respond));
+    if (m_silent)
+        return m_heldCalls.push_back({std::move(request), std::move(respond)});
+    if (m_restart && grantsLease(request)
+        && (m_restart->path.empty() || m_restart->path == request.path)) {
+        m_heldCalls.push_back({request, std::move(respond)});
+        return restartWith(std::move(request));
+    }
+    handle(request, respond);
+}
+
+// Ends the life that the call was meant for before it carries out another one.
+void WorkerStandIn::restartWith(HttpRequest request)
+{
+    m_silent = true;
+    m_callForNextLife = std::move(request);
+    m_callDelay = m_restart->callDelay;
+    m_listingDelay = m_restart->listingDelay;
+    const Millis downtime = std::exchange(m_restart, {})->downtime;
+    m_loop.runAfter(Millis{0}, [this, downtime, life = m_bornWallMs] {
+        if (m_bornWallMs == life)
+            crash(downtime, false);
+    });
+}
+
+void WorkerStandIn::restartUnlisted(Millis listingDelay)
+{
+    if (!isUp())
+        return;
+    m_listingDelay = listingDelay;
+    crash(Millis{0}, false);
 }
 
 void WorkerStandIn::crash(Millis downtime, bool underNewId)
@@ -73,7 +135,7 @@
     if (!isUp())
         return;
     endLife();
-    m_loop.runAfter(downtime, [this, underNewId] { beginLife(underNewId); });
+    m_loop.runAfter(downtime, [this, underNewId] { beginNextLife(underNewId); });
 }
 
 void WorkerStandIn::vanish()
@@ -89,6 +151,7 @@
     m_runs.clear();
     m_holds.clear();
     m_heldCalls.clear();
+    m_lostCalls.clear();
     m_silent = false;
     m_server.reset();
     m_staleId = m_id;
@@ -106,6 +169,13 @@
     }
 }
 
+void WorkerStandIn::setCutOff(bool cutOff)
+{
+    m_cutOff = cutOff;
+    if (!cutOff)
+        m_lostCalls.clear();
+}
+
 void WorkerStandIn::setCapacity(int percent)
 {
     m_earlierCapacity = m_capacity;
@@ -315,7 +385,7 @@
 
 void WorkerStandIn::answerHolds()
 {
-    if (m_silent)
+    if (m_silent || m_cutOff)
         return;
     std::vector<WaitingHold> waiting = std::exchange(m_holds, {});
     for (WaitingHold &it : waiting) {
--- a/tests/soak/workerstandin.h
+++ b/tests/soak/workerstandin.h
@@ -20,8 +20,9 @@
 // told to. It checks from its side that no start exceeds its capacity, and reports all it sees to
 // the ledger.
 //
-// Its process can crash and come back, under a new id or the one that it had; it can fall silent,
-// and then carry out late what it was told meanwhile; its capacity can shrink and grow. Use several
+// Its process can crash and come back, under a new id or the one that it had, and then carry out a
+// call that was meant for its former life; it can fall silent, and then carry out late what it was
+// told meanwhile; it can be cut off from the entries; its capacity can shrink and grow. Use several
 // in a soak, on the loop of the soak. Not thread-safe.
 //
 // Example:
@@ -36,8 +37,29 @@
 
     // Ends the process. A new life begins after `downtime`, under the same id or a new one.
     void crash(Millis downtime, bool underNewId);
+    // How a worker starts again under its id before anyone knows.
+    struct Restart
+    {
+        // The path of the call that it ends at, which its next life carries out; any call that
+        // grants a lease if this is empty.
+        std::string path = {};
+        Millis downtime;
+        Millis callDelay; // From the start of the next life until it carries the call out.
+        Millis listingDelay; // From the start of the next life until it writes to the store.
+    };
+    // Starts the process again under its id as the next call that grants a lease arrives: that call
+    // is held back on its way and reaches the next life.
+    void restartAtNextGrant(Restart restart) { m_restart = std::move(restart); }
+    // Starts the process again under its id at once. The next life writes to the store after
+    // `listingDelay` only, so calls come that are meant for the life before.
+    void restartUnlisted(Millis listingDelay);
     // Ends the process for good.
     void vanish();
+    // Keeps all calls of the entries away until setCutOff(false), and the answers to earlier ones.
+    // It reaches the store, and what runs there runs on.
+    void setCutOff(bool cutOff);
+    // Returns how long the lease still lasts on the clock of this life; negative once it is over.
+    Millis leaseLeft() const { return Millis{m_leaseUntilMs - clockMs()}; }
     // Returns how many runs it has.
     std::size_t runCount() const { return m_runs.size(); }
     // Leaves all calls unanswered until setSilent(false), which carries out some of them late.
@@ -47,6 +69,7 @@
     bool isUp() const { return m_server != nullptr; }
 
 private:
+    using Responder = AsyncHttpServer::Responder;
     struct LiveRun
     {
         steps::TaskRef task;
@@ -58,24 +81,27 @@
     struct WaitingHold
     {
         Instant until;
-        AsyncHttpServer::Responder respond;
+        Responder respond;
     };
     struct HeldCall
     {
         HttpRequest request;
-        AsyncHttpServer::Responder respond;
+        Responder respond;
     };
 
+    void receive(HttpRequest request, Responder respond);
+    void restartWith(HttpRequest request);
+    void beginNextLife(bool underNewId);
     void beginLife(bool underNewId);
     void endLife();
     void tick();
     void writeEntry();
-    void handle(const HttpRequest &request, const AsyncHttpServer::Responder &respond);
-    void start(const Json::Value &order, const AsyncHttpServer::Responder &respond);
-    void stop(const Json::Value &order, const AsyncHttpServer::Responder &respond);
-    void hold(const Json::Value &order, const AsyncHttpServer::Responder &respond);
-    void confirm(const AsyncHttpServer::Responder &respond) const;
-    void refuse(const AsyncHttpServer::Responder &respond, const char *reason) const;
+    void handle(const HttpRequest &request, const Responder &respond);
+    void start(const Json::Value &order, const Responder &respond);
+    void stop(const Json::Value &order, const Responder &respond);
+    void hold(const Json::Value &order, const Responder &respond);
+    void confirm(const Responder &respond) const;
+    void refuse(const Responder &respond, const char *reason) const;
     void acknowledge(std::int64_t lastSeen);
     void checkCapacity(const steps::TaskRef &task);
     void addRun(const steps::TaskRef &task, int number);
@@ -100,6 +126,8 @@
     std::unique_ptr<AsyncHttpServer> m_server; // Null while the process is down.
     std::string m_id;
     int m_lives = 0;
+    // At the start; leases of a life this old end late on the clock of the next one.
+    Millis m_age{60'000};
     Instant m_bornAt;
     std::int64_t m_bornWallMs = 0;
     Instant m_nextEntryAt;
@@ -117,6 +145,12 @@
     std::vector<WaitingHold> m_holds;
     bool m_silent = false;
     std::vector<HeldCall> m_heldCalls;
+    bool m_cutOff = false;
+    std::vector<Responder> m_lostCalls; // While it is cut off.
+    std::optional<Restart> m_restart; // At the next call that grants a lease.
+    std::optional<HttpRequest> m_callForNextLife;
+    Millis m_callDelay{0};
+    Millis m_listingDelay{0}; // Of the next life.
     steps::ResourceVector m_capacity;
     steps::ResourceVector m_earlierCapacity;
     Instant m_capacityChangedAt;
