Keep the soak's signal handlers out of entries that are being started

A soak stops an entry at random; one that is forked and not yet executed has the test's handler, which prints that the test crashed. Signals now wait from the fork until the handler is reset, so such an entry just ends.

--- a/tests/soak/nodeprocess.cpp
+++ b/tests/soak/nodeprocess.cpp
@@ -31,7 +31,14 @@
         return;
     const char *arguments[] = {m_program.c_str(), "node", "--settings", m_settingsPath.c_str(),
                                nullptr};
+    // The test's handlers must not answer a signal that is meant for the program.
+    sigset_t all;
+    sigset_t before;
+    ::sigfillset(&all);
+    ::sigprocmask(SIG_SETMASK, &all, &before);
     const pid_t pid = ::fork();
+    if (pid != 0)
+        ::sigprocmask(SIG_SETMASK, &before, nullptr);
     if (pid < 0)
         throw std::runtime_error("can't start " + m_program);
     if (pid > 0) {
@@ -39,6 +46,8 @@
         return;
     }
     // Only async-signal-safe functions from here on.
+    ::signal(SIGTERM, SIG_DFL);
+    ::sigprocmask(SIG_SETMASK, &before, nullptr);
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int log = ::open(m_logPath.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
     ::dup2(log, STDOUT_FILENO);
