Let workers of the soak start again with leases meant for their former lives

The soak couldn't find it: workers that came back told the store at once, no call reached a next life, none was cut off while it ran on, and the longest lease of 4 s is shorter than the 7.8 s that rows promise.

New among the random faults, one in eight: about half of the workers start again under their ids, two thirds of them with a call that grants a lease on its way, and tell the store up to a second late; 0.8 to 2.5 s later they are cut off from the entries for longer than leases last, and one entry or all of them are killed. Seeds that are even have leases of 12 s, the others of 4 s as before.

--- a/tests/soak/nodesoak_test.cpp
+++ b/tests/soak/nodesoak_test.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
+#include <iostream>
 #include <string>
 
 #include <unistd.h>
@@ -15,7 +16,10 @@
 namespace {
 
 // Seeds that have failed, each with its cause.
-constexpr unsigned regressionSeeds[] = {1};
+constexpr unsigned regressionSeeds[] = {
+    1,
+    9012, // A successor started a run again that had the lease of its worker's former life.
+};
 
 int numberFromEnvironment(const char *name, int fallback)
 {
@@ -28,6 +32,10 @@
 {
     SoakSettings settings;
     settings.seed = seed;
+    // Every other seed has leases that outlast what the shards' rows promise.
+    constexpr Millis longLease{12'000};
+    if (seed % 2 == 0)
+        settings.maxLeaseTerm = longLease;
     settings.program = ENTRY_PROGRAM;
     settings.directory = std::filesystem::temp_directory_path().string() + "/nodesoak-"
         + std::to_string(::getpid()) + "-" + std::to_string(seed);
@@ -45,6 +53,7 @@
         FAIL_CHECK("seed " << seed << ": " << it << "; logs in " << settings.directory
                            << "; again: NODESOAK_SEEDS=" << seed << ":1 nodesoak_test");
     CHECK(result.accepted > result.jobs / 4);
+    std::cout.flush(); // What was found so far stays if a later seed ends the program.
     if (result.violations.empty())
         std::filesystem::remove_all(settings.directory);
 }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -23,7 +23,8 @@
                     .program = m_settings.program,
                     .directory = m_settings.directory,
                     .entries = m_settings.entries,
-                    .workers = m_settings.workers})
+                    .workers = m_settings.workers,
+                    .maxLeaseTerm = m_settings.maxLeaseTerm})
 { }
 
 SoakResult Soak::run()
@@ -51,6 +52,7 @@
 {
     constexpr int crashingPercent = 8;
     constexpr int lastingPercent = 6;
+    constexpr int firstLastingJobs = 4; // So that there are such runs when faults begin.
     SoakJob job;
     char id[17];
     std::snprintf(id, sizeof id, "%08x%08x", m_settings.seed, ++m_jobCount);
@@ -68,8 +70,8 @@
         job.spec.steps.push_back(std::move(step));
     }
     const int kind = randomBelow(100);
-    job.crashesWorkers = kind < crashingPercent;
-    if (kind >= 100 - lastingPercent) {
+    job.crashesWorkers = kind < crashingPercent && m_jobCount > firstLastingJobs;
+    if (m_jobCount <= firstLastingJobs || kind >= 100 - lastingPercent) {
         job.spec.steps.resize(1);
         job.spec.steps.front().longRunning = true;
         job.spec.steps.front().demand.milliCores = 400;
@@ -104,8 +106,11 @@
 {
     ++m_faultCount;
     constexpr int lossOfAllOneIn = 20;
+    constexpr int restartsOneIn = 8;
     if (randomBelow(lossOfAllOneIn) == 0)
         return loseAll();
+    if (randomBelow(restartsOneIn) == 0)
+        return restartWorkers();
     const int kind = randomBelow(9);
     if (kind < 3)
         return injectEntryFault(
@@ -133,6 +138,42 @@
     }
 }
 
+// Starts about half of the workers again under their ids, each with an order for its former life on
+// the way, and cuts off some of them soon after, when they have runs again.
+void Soak::restartWorkers()
+{
+    std::vector<WorkerStandIn *> restarted;
+    for (const auto &it : m_deployment.workers()) {
+        if (randomBelow(2) == 0)
+            continue;
+        restarted.push_back(it.get());
+        const Millis downtime = randomTime(0, 500);
+        const Millis callDelay = randomTime(0, 300);
+        const Millis listingDelay = randomTime(0, 1'000);
+        if (randomBelow(3) == 0)
+            it->restartUnlisted(listingDelay);
+        else
+            it->restartAtNextGrant({{}, downtime, callDelay, listingDelay});
+    }
+    m_deployment.loop().runAfter(randomTime(800, 2'500),
+                                 [this, restarted = std::move(restarted)] { cutOff(restarted); });
+}
+
+// Cuts the workers off for longer than their leases last, and kills one entry or all of them.
+void Soak::cutOff(const std::vector<WorkerStandIn *> &workers)
+{
+    constexpr Millis beyondLease{1'000};
+    for (WorkerStandIn *it : workers) {
+        it->setCutOff(true);
+        m_deployment.loop().runAfter(m_settings.maxLeaseTerm + beyondLease,
+                                     [it] { it->setCutOff(false); });
+    }
+    if (randomBelow(3) != 0)
+        return m_deployment.killAllEntries(randomTime(200, 1'500));
+    const int entry = randomBelow(static_cast<int>(m_deployment.entries().size()));
+    m_deployment.killEntry(static_cast<std::size_t>(entry), randomTime(200, 3'000));
+}
+
 void Soak::injectEntryFault(std::size_t entry, int kind)
 {
     NodeProcess &process = *m_deployment.entries()[entry];
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -15,6 +15,7 @@
     std::string directory; // For settings and logs of the entries.
     int entries = 4;
     int workers = 10;
+    Millis maxLeaseTerm{4'000}; // The longest lease that a worker takes.
     Millis faultTime{12'000}; // For how long faults are injected.
     Millis settlingTime{60'000}; // In which every accepted job must end once they are over.
 };
@@ -35,8 +36,9 @@
 // the system hold: while faults are injected, and once they are over every accepted job must end.
 //
 // The faults: entries are killed, paused, stopped and started again; workers crash, also because of
-// tasks, fall silent, carry out orders late, shrink and grow; the store refuses, is silent or slow,
-// loses answers and forgets its history. Ends only the processes that it started.
+// tasks, fall silent, carry out orders late, also those for their former lives, are cut off, shrink
+// and grow; the store refuses, is silent or slow, loses answers and forgets its history. Ends only
+// the processes that it started.
 //
 // Example:
 //   Soak soak({.seed = 7, .program = program, .directory = directory});
@@ -54,6 +56,8 @@
     void injectFaults();
     void injectFault();
     void loseAll();
+    void restartWorkers();
+    void cutOff(const std::vector<WorkerStandIn *> &workers);
     void injectEntryFault(std::size_t entry, int kind);
     void injectWorkerFault(WorkerStandIn &worker, int kind);
     void injectStoreFault();
