Acknowledge no ends while a worker's next life may have ends of its own

What callers would see: a task runs again after it has ended 'done' (rule TWICE).

Cause: a worker starts again under its id, which its owner doesn't know yet. The owner starts a run there; it ends as end 1 of the new life. The next renewal acknowledges ends up to N of the life before, so the new life forgets an end that it has told nobody, and the owner, which finds no run, starts the task again.

Change: a session acknowledges ends only once no later life can have executed one of its starts: none is in flight, and each was answered with a clock that no life can have that began since the last answered renewal was sent, or was followed by a renewal that the present life has answered. So a steady flow of starts holds acknowledgements back only while one is in flight, but for the first seconds of a life. Until then the worker is asked as usual, not at once for the next page of ends, and doesn't hold the answer.

--- a/include/savorywick/steps/workersession.h
+++ b/include/savorywick/steps/workersession.h
@@ -137,9 +137,12 @@
     // Returns the recipient and fence for a command that is sent now.
     CommandTarget target() const { return {m_incarnation, m_address, m_fence}; }
     // Returns when the lease that a start sent now grants expires, on the worker's clock in
-    // milliseconds, and records the grant. It is not beyond `latestEnd`, if that is set. Call it
-    // only if hasAnswered() is true.
+    // milliseconds, and records the grant and the start. It is not beyond `latestEnd`, if that is
+    // set. Call it only if hasAnswered() is true, and call startReplied() once for it.
     std::int64_t grantStartLease(Instant now, std::optional<Instant> latestEnd = {});
+    // Records that a start was answered or got no answer. `clockMs` is the worker's clock, in
+    // milliseconds, if the answer tells it. Call it before recordClock().
+    void startReplied(std::optional<std::int64_t> clockMs, Instant now);
 
     // Returns true if and only if this owner has granted the worker a lease.
     bool hasGranted() const { return m_hasGranted; }
@@ -193,6 +196,11 @@
     void boundInheritedLeases(Instant now);
     Instant inheritedEndOf(Instant grantedAt) const;
     Instant leasesOfNextLifeEndAt() const;
+    // Returns true if and only if no later incarnation can have executed one of the starts.
+    bool startsAreSettled() const
+    {
+        return m_startsInFlight == 0 && (!m_startInDoubtAt || *m_startInDoubtAt < m_answeredSentAt);
+    }
     // Returns true if and only if acknowledging the ends that are durable makes the worker tell of
     // further ones.
     bool hasFurtherEnds() const
@@ -250,6 +258,9 @@
     std::int64_t m_durableEnds = 0;
     std::int64_t m_renewalAck = 0; // The ends that the latest renewal acknowledged; 0 for none.
     std::int64_t m_answeredAck = 0; // The highest acknowledgement that was answered.
+    int m_startsInFlight = 0; // To any incarnation.
+    // When the last start was replied to that a later incarnation may have executed.
+    std::optional<Instant> m_startInDoubtAt;
 };
 
 } // namespace savorywick::steps
--- a/src/lib/steps/coordinatorreplies.cpp
+++ b/src/lib/steps/coordinatorreplies.cpp
@@ -23,6 +23,10 @@
     const auto worker = m_workers.find(order.target.worker.workerId);
     if (worker != m_workers.end() && worker->second.startsInFlight > 0)
         --worker->second.startsInFlight;
+    if (worker != m_workers.end()) {
+        worker->second.session.startReplied(reply.clockMs, now.monotonic);
+        markStale(worker->second);
+    }
     const bool sameLife = worker != m_workers.end()
         && worker->second.session.incarnation() == order.target.worker
         && recordClock(worker->second, reply, now);
--- a/src/lib/steps/workersession.cpp
+++ b/src/lib/steps/workersession.cpp
@@ -103,9 +103,12 @@
         return m_renewalDueAt;
     if (m_durableEnds < m_appliedEnds)
         return m_lastAnswerAt + m_settings.maxAckDelay;
-    if (hasFurtherEnds() && !m_unresponsive)
+    if (hasFurtherEnds() && !m_unresponsive && startsAreSettled())
         return m_lastAnswerAt;
-    return hasRuns ? m_renewalDueAt : m_renewalDueAt + m_settings.idleRenewalDelay;
+    const bool holdsAckBack = m_durableEnds > m_answeredAck && !startsAreSettled();
+    if (holdsAckBack && m_startsInFlight > 0 && !m_unresponsive)
+        return m_renewalDueAt + m_settings.renewalDelay; // Replies that come first settle them.
+    return hasRuns || holdsAckBack ? m_renewalDueAt : m_renewalDueAt + m_settings.idleRenewalDelay;
 }
 
 std::optional<RenewLeaseCommand> WorkerSession::nextRenewal(bool hasRuns, Millis maxWait,
@@ -120,9 +123,10 @@
     m_renewalFence = m_fence;
     m_renewalCoversRuns = hasRuns;
     // The next life of the worker, which numbers its ends anew, would take an acknowledgement for
-    // its own. So none is sent again once it was answered, and none to a worker of which it is not
-    // known whether it has started again.
-    m_renewalAck = responsive() && m_durableEnds > m_answeredAck ? m_durableEnds : 0;
+    // its own. So none is sent again once it was answered, none to a worker of which it is not
+    // known whether it has started again, and none while a next life may have ends to forget.
+    const bool mayAcknowledge = responsive() && startsAreSettled();
+    m_renewalAck = mayAcknowledge && m_durableEnds > m_answeredAck ? m_durableEnds : 0;
     RenewLeaseCommand renewal{target(), m_renewalAck, {}, {}};
     // A renewal that gets no answer may still extend the lease on the worker. Granting a lease with
     // every renewal to an unresponsive worker would thus postpone its expiry for ever. A worker
@@ -135,7 +139,8 @@
     m_renewalMayGrant = mayGrant;
     // A worker with a short lease answers at once, so that there is time to repeat a lost renewal.
     const bool mayWait = renewal.leaseUntilClockMs && !wasShort && m_answeredFence == m_fence
-        && m_durableEnds == m_appliedEnds && !m_reportWasPartial;
+        && m_durableEnds == m_appliedEnds && !m_reportWasPartial
+        && m_durableEnds <= std::max(m_answeredAck, m_renewalAck);
     if (mayWait)
         renewal.maxWait = maxWait;
     return renewal;
@@ -224,9 +229,22 @@
 
 std::int64_t WorkerSession::grantStartLease(Instant now, std::optional<Instant> latestEnd)
 {
+    ++m_startsInFlight;
     return grantLease(m_settings.startLeaseTerm, now, latestEnd);
 }
 
+// An incarnation that began after the latest answered renewal was sent has a clock that shows less
+// than the time since then.
+void WorkerSession::startReplied(std::optional<std::int64_t> clockMs, Instant now)
+{
+    if (m_startsInFlight > 0)
+        --m_startsInFlight;
+    const bool mayBeOfLaterLife =
+        !hasAnswered() || !clockMs || *clockMs <= (now - m_answeredSentAt).count();
+    if (mayBeOfLaterLife)
+        m_startInDoubtAt = now;
+}
+
 std::int64_t WorkerSession::grantLease(Millis term, Instant now, std::optional<Instant> latestEnd)
 {
     if (latestEnd)
