--- a/tests/soak/nodeprocess.h
+++ b/tests/soak/nodeprocess.h
@@ -28,6 +28,8 @@
     void signal(int number) const;
     // Returns whether the process runs, stopped by a signal or not. Reaps it if it has ended.
     bool isRunning();
+    // Returns the id of the process, or 0 if it was not started or is known to have ended.
+    pid_t pid() const { return m_pid; }
 
 private:
     std::string m_program;
--- a/tests/soak/soakdeployment.cpp
+++ b/tests/soak/soakdeployment.cpp
@@ -39,7 +39,7 @@
         const std::string name = m_settings.directory + "/entry-" + std::to_string(i);
         m_entries.push_back(
             std::make_unique<NodeProcess>(m_settings.program, writeNodeFile(i), name + ".log"));
-        addresses.push_back(ipOf(firstEntryHost + i) + ":8161");
+        addresses.push_back(ipOfEntry(i) + ":8161");
     }
     m_restartAt.resize(m_entries.size());
     m_callers = std::make_unique<SoakCallers>(m_loop, m_clock, m_ledger, std::move(addresses),
@@ -55,6 +55,11 @@
         + std::to_string(1 + process % hostsPerByte) + "." + std::to_string(host);
 }
 
+std::string SoakDeployment::ipOfEntry(int entry) const
+{
+    return ipOf(firstEntryHost + entry);
+}
+
 void SoakDeployment::writeConfiguration()
 {
     Json::Value route;
@@ -68,12 +73,16 @@
     Json::Value configuration;
     configuration["version"] = 1;
     configuration["routes"].append(route);
+    if (m_settings.maxHeaderBytes)
+        configuration["limits"]["maxHeaderBytes"] = *m_settings.maxHeaderBytes;
+    if (m_settings.maxBodyBytes)
+        configuration["limits"]["maxBodyBytes"] = *m_settings.maxBodyBytes;
     m_store->put("op", "config", platform::serializeJson(configuration));
 }
 
 std::string SoakDeployment::writeNodeFile(int entry) const
 {
-    const std::string ip = ipOf(firstEntryHost + entry);
+    const std::string ip = ipOfEntry(entry);
     Json::Value node;
     node["nodeName"] = "entry-" + std::to_string(entry);
     node["ip"] = ip;
--- a/tests/soak/soakdeployment.h
+++ b/tests/soak/soakdeployment.h
@@ -10,6 +10,7 @@
 #include "net/eventloop.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,9 @@
     int entries = 4;
     int workers = 10;
     Millis maxLeaseTerm{4'000}; // The longest lease that a worker takes.
+    // Limits of a caller's request that the manifest sets; without a value, it sets none.
+    std::optional<int> maxHeaderBytes = {};
+    std::optional<int> maxBodyBytes = {};
 };
 
 // A deployment of real processes of `savorywick node` on loopback addresses, with stand-ins of the
@@ -55,6 +59,7 @@
     SoakCallers &callers() { return *m_callers; }
     std::vector<std::unique_ptr<WorkerStandIn>> &workers() { return m_workers; }
     std::vector<std::unique_ptr<NodeProcess>> &entries() { return m_entries; }
+    std::string ipOfEntry(int entry) const;
 
 private:
     std::string ipOf(int host) const;
