Bound what is held of a request that has no end

What the operator saw: clients ended a process, which ran out of memory, by trailers without end behind a chunked body. endlessrequests_test shows it.

Cause: the server left reading to Beast's async_read over a buffer without a limit. The parser's header_limit is checked in the head only. The line of a chunk (its size and its extensions) and everything from the last chunk to the end of the trailers is used once it is whole, and until then it was buffered whatever its length. The same server answers callers, peers, readiness checks and metrics. A head that came in pieces could be twice as long as the limit, since the limit holds for the part that the parser is given at once.

Change: HttpRequestReader feeds the same parser piece by piece and fails with 431 as soon as the head, or what is unused of the lines of a chunked body, is longer than maxHeaderBytes; a piece has 16 KiB at most. It does no I/O, so its test feeds 15 bad requests in pieces of four sizes. What decoded targets moves there with it. A connection's buffer is freed between two requests once it is larger than 4 KiB. Beast asserts that 5 bytes of a last chunk have come where 3 are enough, which ends a build with assertions; they are off in that file. A request within the limits is read as before: 431 and 413 mean not run, as all statuses without the handler. caller_requests_unreadable_total counts the refused ones.

--- a/src/net/asynchttpserver.cpp
+++ b/src/net/asynchttpserver.cpp
@@ -3,10 +3,10 @@
 #include "core/log.h"
 #include "net/address.h"
 #include "net/eventloopimpl.h"
+#include "net/httprequestreader.h"
 #include "savorywick/errors.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
@@ -15,6 +15,7 @@
 #include <limits>
 #include <optional>
 #include <set>
+#include <span>
 #include <utility>
 
 namespace savorywick {
@@ -26,7 +27,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 using Tcp = asio::ip::tcp;
-using Parser = http::request_parser<http::string_body>;
 using Response = http::response<http::string_body>;
 
 // The wait after a failed accept, for example when the process is out of file descriptors.
@@ -38,64 +38,6 @@
     return std::chrono::milliseconds(span.count());
 }
 
-// Returns the value of a hexadecimal digit, or -1 if `c` is none.
-int hexDigitValue(char c)
-{
-    if (c >= '0' && c <= '9')
-        return c - '0';
-    if (c >= 'a' && c <= 'f')
-        return c - 'a' + 10;
-    if (c >= 'A' && c <= 'F')
-        return c - 'A' + 10;
-    return -1;
-}
-
-// Returns the text with %XX escapes decoded. A malformed escape is kept unchanged.
-std::string percentDecode(std::string_view text)
-{
-    std::string buf;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        const bool complete = text[i] == '%' && i + 2 < text.size();
-        const int high = complete ? hexDigitValue(text[i + 1]) : -1;
-        const int low = complete ? hexDigitValue(text[i + 2]) : -1;
-        if (high < 0 || low < 0) {
-            buf += text[i];
-            continue;
-        }
-        buf += static_cast<char>(high * 16 + low);
-        i += 2;
-    }
-    return buf;
-}
-
-HttpHeaders parseQuery(std::string_view query)
-{
-    HttpHeaders parameters;
-    while (!query.empty()) {
-        const std::string_view pair = query.substr(0, query.find('&'));
-        query.remove_prefix(std::min(query.size(), pair.size() + 1));
-        const std::size_t equals = std::min(pair.find('='), pair.size());
-        const std::string_view value = pair.substr(std::min(pair.size(), equals + 1));
-        parameters.push_back({percentDecode(pair.substr(0, equals)), percentDecode(value)});
-    }
-    return parameters;
-}
-
-HttpRequest toRequest(Parser &parser)
-{
-    auto message = parser.release();
-    HttpRequest request;
-    request.method = std::string(message.method_string());
-    const std::string_view target(message.target().data(), message.target().size());
-    const std::size_t pathLength = std::min(target.find('?'), target.size());
-    request.path = percentDecode(target.substr(0, pathLength));
-    request.queryParameters = parseQuery(target.substr(std::min(target.size(), pathLength + 1)));
-    for (const auto &field : message)
-        request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    request.body = std::move(message.body());
-    return request;
-}
-
 // Returns the client's address, or an empty text if the connection has failed.
 std::string remoteAddress(const Tcp::socket &socket)
 {
@@ -106,19 +48,6 @@
     return client.address().to_string() + ":" + std::to_string(client.port());
 }
 
-// Returns the status code for a request that could not be read, or 0 if no response is due because
-// the connection failed or was closed.
-int errorStatus(const error_code &ec)
-{
-    if (ec == http::error::header_limit)
-        return 431;
-    if (ec == http::error::body_limit)
-        return 413;
-    if (ec == http::error::end_of_stream || ec == http::error::partial_message)
-        return 0;
-    return ec.category() == http::make_error_code(http::error::bad_method).category() ? 400 : 0;
-}
-
 } // namespace
 
 struct AsyncHttpServer::Impl : std::enable_shared_from_this<Impl>
@@ -173,22 +102,20 @@
     // request timeout.
     void awaitRequest()
     {
-        m_parser.emplace();
-        m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits.maxHeaderBytes));
-        m_parser->body_limit(m_server->limits.maxBodyBytes);
-        if (m_buffer.size() > 0)
+        m_reader.start({m_server->limits.maxHeaderBytes, m_server->limits.maxBodyBytes});
+        if (m_reader.hasUnparsedBytes())
             return read();
         m_stream.expires_after(
             toChrono(m_rejects ? m_server->limits.rejectionTimeout : m_server->limits.idleTimeout));
         m_isWaiting = true;
-        m_stream.async_read_some(m_buffer.prepare(firstReadBytes),
+        m_stream.async_read_some(prepare(firstReadBytes),
                                  [self = shared_from_this()](const error_code &ec, std::size_t n) {
                                      self->m_isWaiting = false;
                                      if (self->mustWaitAgain(ec))
                                          return self->awaitRequest();
                                      if (ec)
                                          return;
-                                     self->m_buffer.commit(n);
+                                     self->m_reader.commit(n);
                                      self->read();
                                  });
     }
@@ -221,22 +148,44 @@
 
 private:
     static constexpr std::size_t firstReadBytes = 4'096;
+    static constexpr std::size_t furtherReadBytes = 16'384;
 
     void read()
     {
         m_stream.expires_after(toChrono(m_server->limits.requestTimeout));
-        http::async_read(m_stream, m_buffer, *m_parser,
-                         [self = shared_from_this()](const error_code &ec, std::size_t) {
-                             if (ec)
-                                 return self->sendError(errorStatus(ec));
-                             self->handle();
-                         });
+        parse();
+    }
+
+    void parse()
+    {
+        const HttpRequestReader::State state = m_reader.parse();
+        if (state == HttpRequestReader::State::Failed)
+            return sendError(m_reader.errorStatus());
+        if (state == HttpRequestReader::State::Complete)
+            return handle();
+        readMore();
+    }
+
+    void readMore()
+    {
+        m_stream.async_read_some(prepare(furtherReadBytes),
+                                 [self = shared_from_this()](const error_code &ec, std::size_t n) {
+                                     if (ec)
+                                         return;
+                                     self->m_reader.commit(n);
+                                     self->parse();
+                                 });
+    }
+
+    asio::mutable_buffer prepare(std::size_t bytes)
+    {
+        const std::span<char> room = m_reader.prepare(bytes);
+        return asio::buffer(room.data(), room.size());
     }
 
     void sendError(int status)
     {
-        if (status == 0)
-            return;
+        ++m_server->counts.unreadable;
         m_keepAlive = false;
         writeResponse({.status = status, .headers = {}, .body = {}});
     }
@@ -246,7 +195,7 @@
         if (m_rejects)
             return reject();
         m_stream.expires_never();
-        m_keepAlive = m_parser->keep_alive();
+        m_keepAlive = m_reader.keepAlive();
         m_awaitsResponse = true;
         m_wasUsed = true;
         ++m_server->inFlight;
@@ -255,7 +204,7 @@
             if (!std::exchange(*responded, true))
                 self->writeResponse(std::move(response));
         };
-        m_server->handler(toRequest(*m_parser), respond);
+        m_server->handler(m_reader.takeRequest(), respond);
     }
 
     void reject()
@@ -304,7 +253,7 @@
         m_server->counts.unanswered += unanswered ? 1 : 0;
     }
 
-    bool hasUnreadBytes() { return m_buffer.size() > 0 || hasArrivedBytes(); }
+    bool hasUnreadBytes() { return m_reader.hasUnparsedBytes() || hasArrivedBytes(); }
 
     void halfClose()
     {
@@ -317,9 +266,9 @@
     // response.
     void linger()
     {
-        m_buffer.clear();
+        m_reader.discardUnparsedBytes();
         m_isWaiting = true;
-        m_stream.async_read_some(m_buffer.prepare(firstReadBytes),
+        m_stream.async_read_some(prepare(firstReadBytes),
                                  [self = shared_from_this()](const error_code &ec, std::size_t n) {
                                      self->m_isWaiting = false;
                                      if (self->mustWaitAgain(ec) || !ec)
@@ -344,8 +293,7 @@
 
     beast::tcp_stream m_stream;
     std::shared_ptr<Impl> m_server;
-    beast::flat_buffer m_buffer;
-    std::optional<Parser> m_parser;
+    HttpRequestReader m_reader;
     Response m_response;
     bool m_keepAlive = true;
     const bool m_rejects;
--- a/src/net/asynchttpserver.h
+++ b/src/net/asynchttpserver.h
@@ -19,7 +19,8 @@
     // Limit of connections that wait for status 503. A further one is closed without a response.
     std::size_t maxRejections = 256;
     Millis rejectionTimeout{2'000}; // Closes a connection over the limit that sends no request.
-    std::size_t maxHeaderBytes = 16'384; // Larger headers get status 431.
+    // Larger headers get status 431, as do longer chunk extensions and trailers of a chunked body.
+    std::size_t maxHeaderBytes = 16'384;
     std::size_t maxBodyBytes = 1U << 20U; // A larger body gets status 413.
     Millis requestTimeout{10'000}; // From the first byte of a request to its last.
     Millis idleTimeout{60'000}; // A connection that waits this long for a request is closed.
@@ -36,6 +37,8 @@
     std::uint64_t unanswered = 0;
     // Bytes that were read and discarded because they came after the last response of a connection.
     std::uint64_t discardedBytes = 0;
+    // Requests that were malformed or over a size limit: status 400, 413 or 431.
+    std::uint64_t unreadable = 0;
 };
 
 // Serves HTTP/1.1 on an EventLoop and passes every request to one handler.
@@ -43,7 +46,8 @@
 // Use it to serve many clients from one thread: the handler may keep the responder and respond
 // later, while other connections are served. Requests on one connection are handled in sequence.
 // A request that cannot be read gets status 400, 413 or 431 without the handler, and its
-// connection is closed. Not thread-safe.
+// connection is closed. However requests are cut into pieces, and whether or not they end, what is
+// held of each is bounded by the limits. Not thread-safe.
 //
 // Example:
 //   AsyncHttpServer server(loop, limits, [](HttpRequest r, AsyncHttpServer::Responder respond) {
