Bound what is held of all requests of a listener together

What callers could do: many connections, each with a body within the limit that stays unfinished, took more memory than a process may hold. With 4,100 descriptors 656 connections of callers may hold 256 KiB each, those of other entries 4 MiB each; the users' machines have 260 MB.

Cause: each request had a limit, their sum had none. What was refused also stayed in memory for as long as its connection lingered, a second. The addresses for readiness checks and metrics, which need few connections and no bodies, had the limits of any server: 3,000 connections, 1 MiB of body.

Change: a listener counts the bytes of all requests from their first byte until their response is written. Above 32 MiB (maxHeldBytes) a request that is larger than an equal share for each allowed connection (40 KiB with 4,100 descriptors) gets 503 with Retry-After before the handler has seen it, so it never runs; a smaller one is always let in, and so at most twice the limit is held. A submission of some steps with a spec of 4,000 bytes has 5 to 10 KiB. Between entries 503 counts as undecided, as before. A request is freed as soon as it is refused.

Measured with the third case of endlessrequests_test, 100 callers that send 2 MiB of a body of 4 MiB: the memory grows by 212 MB before, where 67 MB are allowed, and by 37 MB now; with the count alone, without freeing what was refused, by 71 MB. All three cases pass (286 checks); none of their processes holds more than 55 MB. requestmemory_test, the other tests of tests/net that use the server, node_test, nodedrain_test, callerapi_test and shardlink_test pass.

--- a/src/net/asynchttpserver.cpp
+++ b/src/net/asynchttpserver.cpp
@@ -64,6 +64,8 @@
     void accept();
     void admit(Tcp::socket socket);
     void acceptWaiting(int limit);
+    // Returns whether a request of this size is to be refused for what is held of all requests.
+    bool mustRefuse(std::size_t bytes) const;
 
     EventLoop &loop;
     AsyncHttpServerLimits limits;
@@ -71,6 +73,7 @@
     Tcp::acceptor acceptor;
     std::set<Session *> sessions; // Of all open connections.
     std::size_t inFlight = 0;
+    std::size_t heldBytes = 0; // Of all requests.
     AsyncHttpServerCounts counts;
     bool draining = false;
     bool closing = false;
@@ -91,6 +94,7 @@
     ~Session()
     {
         endRequest(m_awaitsResponse);
+        hold(0);
         if (m_discardedBytes > 0)
             logInfo("request-bytes-discarded", {{"client", m_client}, {"bytes", m_discardedBytes}});
         m_server->sessions.erase(this);
@@ -159,8 +163,13 @@
     void parse()
     {
         const HttpRequestReader::State state = m_reader.parse();
+        hold(m_reader.heldBytes());
         if (state == HttpRequestReader::State::Failed)
             return sendError(m_reader.errorStatus());
+        if (m_server->mustRefuse(m_heldBytes)) {
+            ++m_server->counts.refusedForMemory;
+            return reject();
+        }
         if (state == HttpRequestReader::State::Complete)
             return handle();
         readMore();
@@ -183,6 +192,13 @@
         return asio::buffer(room.data(), room.size());
     }
 
+    // Sets how many bytes are held for this connection's request.
+    void hold(std::size_t bytes)
+    {
+        m_server->heldBytes += bytes;
+        m_server->heldBytes -= std::exchange(m_heldBytes, bytes);
+    }
+
     void sendError(int status)
     {
         ++m_server->counts.unreadable;
@@ -234,6 +250,7 @@
     void onWritten(const error_code &ec)
     {
         endRequest(ec.failed());
+        hold(0);
         if (ec)
             return;
         // A client that was only asked to close the connection may have sent its next request
@@ -266,7 +283,7 @@
     // response.
     void linger()
     {
-        m_reader.discardUnparsedBytes();
+        m_reader.discard();
         m_isWaiting = true;
         m_stream.async_read_some(prepare(firstReadBytes),
                                  [self = shared_from_this()](const error_code &ec, std::size_t n) {
@@ -294,6 +311,7 @@
     beast::tcp_stream m_stream;
     std::shared_ptr<Impl> m_server;
     HttpRequestReader m_reader;
+    std::size_t m_heldBytes = 0; // Of the request that is read or awaits its response.
     Response m_response;
     bool m_keepAlive = true;
     const bool m_rejects;
@@ -350,6 +368,15 @@
     }
 }
 
+// A request that is no larger than an equal share is always let in, so that the large ones of a few
+// clients are no reason to refuse it. So at most twice the limit is held.
+bool AsyncHttpServer::Impl::mustRefuse(std::size_t bytes) const
+{
+    const std::size_t connections = limits.maxConnections + limits.maxRejections;
+    return heldBytes > limits.maxHeldBytes
+        && bytes > limits.maxHeldBytes / std::max<std::size_t>(connections, 1);
+}
+
 AsyncHttpServer::AsyncHttpServer(EventLoop &loop, const AsyncHttpServerLimits &limits,
                                  Handler handler)
     : m_impl(std::make_shared<Impl>(loop, limits, std::move(handler)))
--- a/src/net/asynchttpserver.h
+++ b/src/net/asynchttpserver.h
@@ -22,6 +22,9 @@
     // Larger headers get status 431, as do longer chunk extensions and trailers of a chunked body.
     std::size_t maxHeaderBytes = 16'384;
     std::size_t maxBodyBytes = 1U << 20U; // A larger body gets status 413.
+    // Limit of the bytes that are held of all requests that are being read or handled. Beyond it, a
+    // request gets status 503 if it is larger than an equal share of the limit for each connection.
+    std::size_t maxHeldBytes = 32U << 20U;
     Millis requestTimeout{10'000}; // From the first byte of a request to its last.
     Millis idleTimeout{60'000}; // A connection that waits this long for a request is closed.
     Millis writeTimeout{10'000}; // Closes the connection to a client that stops reading.
@@ -39,6 +42,8 @@
     std::uint64_t discardedBytes = 0;
     // Requests that were malformed or over a size limit: status 400, 413 or 431.
     std::uint64_t unreadable = 0;
+    // Requests that got status 503 because of `maxHeldBytes`.
+    std::uint64_t refusedForMemory = 0;
 };
 
 // Serves HTTP/1.1 on an EventLoop and passes every request to one handler.
@@ -47,7 +52,7 @@
 // later, while other connections are served. Requests on one connection are handled in sequence.
 // A request that cannot be read gets status 400, 413 or 431 without the handler, and its
 // connection is closed. However requests are cut into pieces, and whether or not they end, what is
-// held of each is bounded by the limits. Not thread-safe.
+// held of each and of all is bounded by the limits. Not thread-safe.
 //
 // Example:
 //   AsyncHttpServer server(loop, limits, [](HttpRequest r, AsyncHttpServer::Responder respond) {
--- a/src/net/httprequestreader.cpp
+++ b/src/net/httprequestreader.cpp
@@ -124,6 +124,12 @@
         return std::max(head, unparsed) > limits.maxHeaderBytes;
     }
 
+    void freeLargeBuffer()
+    {
+        if (buffer.capacity() > maxIdleBufferBytes)
+            buffer.shrink_to_fit();
+    }
+
     HttpRequestLimits limits;
     beast::flat_buffer buffer; // What was received and not parsed yet.
     std::optional<Parser> parser;
@@ -144,8 +150,7 @@
     m_impl->parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
     m_impl->parser->body_limit(limits.maxBodyBytes);
     m_impl->headBytes = 0;
-    if (m_impl->buffer.capacity() > maxIdleBufferBytes)
-        m_impl->buffer.shrink_to_fit();
+    m_impl->freeLargeBuffer();
 }
 
 std::span<char> HttpRequestReader::prepare(std::size_t n)
@@ -201,9 +206,11 @@
     return m_impl->buffer.size() > 0;
 }
 
-void HttpRequestReader::discardUnparsedBytes()
+void HttpRequestReader::discard()
 {
+    m_impl->parser.reset();
     m_impl->buffer.clear();
+    m_impl->freeLargeBuffer();
 }
 
 } // namespace savorywick
--- a/src/net/httprequestreader.h
+++ b/src/net/httprequestreader.h
@@ -63,8 +63,8 @@
     std::size_t heldBytes() const;
     // Returns true if and only if bytes are held that no request has used yet.
     bool hasUnparsedBytes() const;
-    // Discards the bytes that no request has used yet.
-    void discardUnparsedBytes();
+    // Discards all that is held. Call start() before the next parse().
+    void discard();
 
 private:
     struct Impl;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -30,6 +30,17 @@
     return limits;
 }
 
+// Checks of readiness and readings of metrics come from few clients and have no bodies.
+AsyncHttpServerLimits probeLimits()
+{
+    AsyncHttpServerLimits limits;
+    limits.maxConnections = 128;
+    limits.maxRejections = 16;
+    limits.maxBodyBytes = 4'096;
+    limits.maxHeldBytes = 1U << 20U;
+    return limits;
+}
+
 void respondStatus(const AsyncHttpServer::Responder &respond, int status)
 {
     respond({.status = status, .headers = {}, .body = {}});
@@ -110,7 +121,7 @@
                          ++m_callerRequestCount;
                          m_callerApi.handle(request, respond);
                      })
-    , m_readinessServer(loop, {},
+    , m_readinessServer(loop, probeLimits(),
                         [this](const HttpRequest &, const AsyncHttpServer::Responder &respond) {
                             respondStatus(respond, isReady() ? 200 : 503);
                         })
@@ -118,7 +129,7 @@
                    [this](const HttpRequest &request, const AsyncHttpServer::Responder &respond) {
                        m_shardServer.handle(request, respond);
                    })
-    , m_metricsServer(loop, {},
+    , m_metricsServer(loop, probeLimits(),
                       [this](const HttpRequest &, const AsyncHttpServer::Responder &respond) {
                           respond({.status = 200,
                                    .headers = {},
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -94,6 +94,8 @@
     out.writeCounter("caller_requests_unanswered_total", m_callerServer.counts().unanswered);
     out.writeCounter("caller_bytes_discarded_total", m_callerServer.counts().discardedBytes);
     out.writeCounter("caller_requests_unreadable_total", m_callerServer.counts().unreadable);
+    out.writeCounter("caller_requests_refused_for_memory_total",
+                     m_callerServer.counts().refusedForMemory);
     out.writeGauge("owned_shards", m_runners.size());
     out.writeCounter("rejection_handovers_total", m_ownership.rejectionHandovers());
     out.writeGauge("ready", isReady() ? 1 : 0);
--- a/tests/soak/endlessrequests_test.cpp
+++ b/tests/soak/endlessrequests_test.cpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <filesystem>
+#include <list>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -36,6 +37,7 @@
 constexpr std::size_t pieceBytes = 4'096; // What a client hands to the kernel at once.
 constexpr std::size_t bytesPerClient = 48U << 20U;
 constexpr int crowd = 4;
+constexpr std::size_t lowBodyLimit = 65'536;
 // What the entry may take up beyond what it held before the crowd came: a quarter of the memory of
 // a small machine. And what it may hold open at all.
 constexpr std::size_t maxGrowthBytes = 64U << 20U;
@@ -163,10 +165,10 @@
 class LimitedEntry
 {
 public:
-    LimitedEntry()
+    explicit LimitedEntry(std::size_t maxBodyBytes)
         : m_directory(std::filesystem::temp_directory_path().string() + "/endlessrequests-"
                       + std::to_string(::getpid()))
-        , m_deployment(settings())
+        , m_deployment(settings(maxBodyBytes))
     {
         entry().start();
         m_platform = std::thread([this] { m_deployment.loop().run(); });
@@ -205,7 +207,7 @@
     }
 
 private:
-    SoakDeploymentSettings settings() const
+    SoakDeploymentSettings settings(std::size_t maxBodyBytes) const
     {
         std::filesystem::create_directories(m_directory);
         SoakDeploymentSettings settings;
@@ -214,7 +216,7 @@
         settings.entries = 1;
         settings.workers = 1;
         settings.maxHeaderBytes = 8'192;
-        settings.maxBodyBytes = 65'536;
+        settings.maxBodyBytes = static_cast<int>(maxBodyBytes);
         return settings;
     }
 
@@ -228,7 +230,8 @@
     for (const EndlessRequest &it : endlessRequests()) {
         CAPTURE(port);
         CAPTURE(it.name);
-        LimitedEntry deployment; // A process keeps what it has freed, so each has one of its own.
+        // A process keeps what it has freed, so each request has one of its own.
+        LimitedEntry deployment(lowBodyLimit);
         REQUIRE(deployment.acceptsJob());
         const ProcessUsageOf usage(deployment.entry().pid());
         const std::size_t before = usage.residentBytes();
@@ -255,3 +258,32 @@
     for (const int port : {7'720, 8'167, 9'464})
         checkAddress(port);
 }
+
+// Guards against many bodies that are each within their limit and together more than a process may
+// hold.
+TEST_CASE("Callers whose bodies stay unfinished take no entry's memory or answers")
+{
+    constexpr int callers = 100;
+    constexpr std::size_t sentBytes = 2U << 20U;
+    LimitedEntry deployment(2 * sentBytes);
+    REQUIRE(deployment.acceptsJob());
+    const ProcessUsageOf usage(deployment.entry().pid());
+    const std::size_t before = usage.residentBytes();
+    const std::string head = "POST /jobs/00000000000000aa HTTP/1.1\r\nHost: soak.example\r\n"
+                             "Content-Length: "
+        + std::to_string(2 * sentBytes) + "\r\n\r\n";
+    const std::string part(sentBytes, 'x');
+    std::list<Connection> open;
+    for (int i = 0; i < callers; ++i) {
+        Connection &connection = open.emplace_back(deployment.address(callersPort));
+        if (connection.send(head))
+            connection.send(part);
+    }
+    CHECK_MESSAGE(deployment.acceptsJob(), "an ordinary job is not accepted meanwhile");
+    for (Connection &it : open)
+        it.receive(); // Waits until the entry refuses the request or gives it up.
+    CHECK_MESSAGE(deployment.entry().isRunning(), "the entry has ended");
+    CHECK(usage.peakResidentBytes() <= before + maxGrowthBytes);
+    CHECK(usage.openDescriptors() <= maxDescriptors);
+    CHECK_MESSAGE(deployment.acceptsJob(), "an ordinary job is not accepted any more");
+}
