Bound what an HttpServer reads of one request

What callers could do: end an entry of the system's own interface by a line, or by header lines, without end. httpserverendless_test shows it.

Cause: cpp-httplib bounds the body alone. It reads a line to its end, into a buffer that grows, and any number of header lines.

Change: the server hands cpp-httplib a stream of ours, by way of the virtual function that serves a connection. The stream yields 64 KiB and twice the limit of a body for one request, its head and the lines between its chunks included, and fails then; the connection is closed. Without chunks a request within the limits has the body's limit and its head; a chunked one has room for as many bytes between its chunks as in them. Status 413 for a body over its limit is as before.

--- a/src/core/httpserver.cpp
+++ b/src/core/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "core/httpserver.h"
 
+#include "core/boundedhttplibserver.h"
 #include "savorywick/errors.h"
 
 #include <httplib.h>
@@ -150,7 +151,7 @@
     Handler handler;
     ErrorResponder makeErrorResponse;
     HttpServerLimits limits;
-    httplib::Server server;
+    BoundedHttplibServer server;
     std::thread thread;
     std::atomic<bool> draining{false};
     std::atomic<std::size_t> openConnections{0};
@@ -174,7 +175,7 @@
     impl.handler = std::move(handler);
     impl.makeErrorResponse = std::move(makeErrorResponse);
     impl.limits = limits;
-    httplib::Server &server = impl.server;
+    BoundedHttplibServer &server = impl.server;
     const std::size_t maxConnections = limits.maxConnections;
     server.new_task_queue = [&impl, maxConnections] {
         return new ConnectionThreadPool(maxConnections, impl.openConnections);
@@ -184,6 +185,7 @@
     server.set_read_timeout(std::chrono::milliseconds(limits.readTimeout.count()));
     server.set_write_timeout(std::chrono::milliseconds(limits.readTimeout.count()));
     server.set_payload_max_length(limits.maxBodyBytes);
+    server.setMaxRequestBytes(limits.maxHeaderBytes + 2 * limits.maxBodyBytes);
     server.set_tcp_nodelay(true);
     server.set_socket_options([&impl](socket_t fd) {
         const int on = 1;
--- a/src/core/httpserver.h
+++ b/src/core/httpserver.h
@@ -17,6 +17,9 @@
     // Connections served at the same time. Further ones get status 503 and are closed.
     std::size_t maxConnections = 1'024;
     std::size_t maxBodyBytes = 1U << 20U; // Of a request; a larger one gets status 413.
+    // A connection is closed once a request has more bytes than these and twice `maxBodyBytes`, so
+    // that a chunked body has room for the lines between its chunks.
+    std::size_t maxHeaderBytes = 65'536;
     Millis readTimeout{5'000}; // For each single read or write.
     // A keep-alive connection without a request is closed after it. Rounded down to whole seconds,
     // but at least one.
