--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -10,7 +10,6 @@
 // Fences reserved for one epoch, so that a later owner's are higher. A worker's session uses up one
 // each time that earlier orders to the worker must become void.
 constexpr Fence fencesPerEpoch = 1U << 20U;
-
 constexpr std::uint64_t firstEpoch = 1;
 
 // Returns true if the task's state shows that a worker has started it. Otherwise it may have
--- a/tests/steps/shardsimulation.h
+++ b/tests/steps/shardsimulation.h
@@ -193,30 +193,7 @@
 
     // Ends the owner's process. The next owner restores the durable records; what was not durable
     // and the replies on their way to the old owner are lost.
-    void replaceOwner()
-    {
-        ++m_takeoverCount;
-        logEvent(" * the owner is replaced; the row promises "
-                 + std::to_string(m_leaseLimit.count()));
-        m_pendingRecords.clear();
-        m_pendingSubmissions.clear();
-        m_commitAt = {};
-        m_durable = m_appended = static_cast<LogSequenceNumber>(m_journal.size());
-        m_wallSkewMs = m_faults ? randomBelow(2 * maxWallSkewMs) - maxWallSkewMs : 0;
-        m_wallSkews[++m_epoch] = m_wallSkewMs;
-        m_owner = std::make_unique<Coordinator>(m_epoch, m_now, ownerSettings());
-        for (const std::string &it : m_journal)
-            m_owner->restore(decodeRecord(it));
-        if (m_leaseLimit != Instant{})
-            m_owner->setEarlierLeasesEnd(m_leaseLimit.count(), m_leaseLimit);
-        m_storeClock.observe(m_now, m_now, m_now.count());
-        m_owner->setStoreClock(&m_storeClock);
-        limitLeasesByRow();
-        m_owner->takeOver(now());
-        m_owner->setWorkers(listedWorkers(), now());
-        m_scheduledCalls.remove_if([](const ScheduledCall &it) { return it.toOwner; });
-        processOwnerOutput();
-    }
+    void replaceOwner();
 
 private:
     static constexpr std::int64_t wallOffset = 1'700'000'000'000; // From m_now to the time of day.
