Review: an entry that lost the shard while restoring it ends by itself

Cause: JournalReader::parseSegments() throws when the next owner has deleted the segment that a former one reads next, and nothing between it and the event loop catches that; the former owner goes on reading without asking whether its lease still holds.

--- a/review/fleet/fleet.cpp
+++ b/review/fleet/fleet.cpp
@@ -14,6 +14,7 @@
 
 constexpr int storeMachine = 1;
 constexpr int firstEntry = 11;
+constexpr int firstGate = 51;
 constexpr int firstMinion = 100;
 constexpr Millis clientDeadline{3'000};
 constexpr Millis retryDelay{300};
@@ -86,6 +87,9 @@
                                                       {"a", rack},
                                                       {64'000, 256'000, 0}}));
     }
+    for (int i = 0; i < m_settings.entries; ++i)
+        m_gates.push_back(std::make_unique<StoreGate>(m_loop, ipOf(firstGate + i) + ":8169",
+                                                      ipOf(storeMachine) + ":8169"));
     for (int i = 0; i < m_settings.entries; ++i)
         m_entries.push_back(std::make_unique<testing::NodeProcess>(
             m_settings.program, writeSettings(i),
@@ -139,7 +143,7 @@
     json["heartbeatMs"] = 1'100;
     json["bounds"] = bounds();
     json["orders"] = "invoke";
-    json["platform"]["address"] = ipOf(storeMachine) + ":8169";
+    json["platform"]["address"] = ipOf(firstGate + entry) + ":8169";
     json["platform"]["form"] = "table";
     json["platform"]["rowBytes"] = 65'536;
     const std::string path = m_settings.directory + "/edge-" + std::to_string(entry) + ".json";
--- a/review/fleet/fleet.h
+++ b/review/fleet/fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "minion.h"
+#include "storegate.h"
 #include "submissions.h"
 
 #include "core/bootclock.h"
@@ -62,6 +63,7 @@
     Submissions &submissions() { return m_submissions; }
     testing::PlatformStandIn &store() { return m_store; }
     std::vector<std::unique_ptr<Minion>> &minions() { return m_minions; }
+    StoreGate &gate(int entry) { return *m_gates[static_cast<std::size_t>(entry)]; }
     testing::NodeProcess &entry(int index) { return *m_entries[static_cast<std::size_t>(index)]; }
     // While it is false, entries that end are not started again.
     void setRestarts(bool restarts) { m_restarts = restarts; }
@@ -80,6 +82,7 @@
     testing::PlatformStandIn m_store;
     MinionWorld m_world;
     std::vector<std::unique_ptr<Minion>> m_minions;
+    std::vector<std::unique_ptr<StoreGate>> m_gates; // By entry.
     std::vector<std::unique_ptr<testing::NodeProcess>> m_entries;
     AsyncHttpClient m_clients;
     bool m_restarts = true;
