--- a/review/fleet/fleet.cpp
+++ b/review/fleet/fleet.cpp
@@ -146,7 +146,7 @@
     json["platform"]["address"] = ipOf(firstGate + entry) + ":8169";
     json["platform"]["form"] = "table";
     json["platform"]["rowBytes"] = 65'536;
-    const std::string path = m_settings.directory + "/edge-" + std::to_string(entry) + ".json";
+    std::string path = m_settings.directory + "/edge-" + std::to_string(entry) + ".json";
     std::ofstream(path) << platform::serializeJson(json);
     return path;
 }
