Review: tasks that last wait for a sound minion that was quarantined

Cause: a probe that fails puts the next one off by 8 s, and a step is tried on a quarantined minion earlier only if no other minion could run it when empty. Where the others are full of tasks that last, tasks wait for a sound and empty minion long after it has stopped to fail.

--- a/review/fleet/fleet.h
+++ b/review/fleet/fleet.h
@@ -63,6 +63,7 @@
     Submissions &submissions() { return m_submissions; }
     testing::PlatformStandIn &store() { return m_store; }
     std::vector<std::unique_ptr<Minion>> &minions() { return m_minions; }
+    const std::vector<std::unique_ptr<Minion>> &minions() const { return m_minions; }
     StoreGate &gate(int entry) { return *m_gates[static_cast<std::size_t>(entry)]; }
     testing::NodeProcess &entry(int index) { return *m_entries[static_cast<std::size_t>(index)]; }
     // While it is false, entries that end are not started again.
--- a/review/fleet/minion.cpp
+++ b/review/fleet/minion.cpp
@@ -14,6 +14,7 @@
 constexpr Millis entryInterval{1'100};
 constexpr std::size_t maxListedEnds = 500;
 constexpr int fullPercent = 100;
+constexpr Millis greyWork{150}; // Of a task that a grey minion has started.
 
 } // namespace
 
@@ -98,6 +99,19 @@
         m_unanswered.clear();
 }
 
+void Minion::setGrey(bool grey)
+{
+    m_world.submissions.note(m_identity.id, grey ? "fails all that it starts" : "is sound again");
+    m_greySince = grey ? std::optional(m_world.clock.now()) : std::nullopt;
+}
+
+void Minion::failRuns()
+{
+    const std::vector<LiveRun> runs = m_runs;
+    for (const LiveRun &it : runs)
+        endRun(it.task, it.number, "failed");
+}
+
 void Minion::receive(const HttpRequest &request, const Responder &respond)
 {
     if (m_cut)
@@ -170,16 +184,20 @@
     answerClock(respond);
 }
 
-bool Minion::hasRoomFor(const steps::TaskRef &task) const
+steps::ResourceVector Minion::room() const
 {
-    steps::ResourceVector booked;
-    if (const steps::StepSpec *step = m_world.submissions.findStep(task))
-        booked += steps::allocationFor(*step);
+    steps::ResourceVector room = m_identity.capacity;
     for (const LiveRun &it : m_runs) {
         if (const steps::StepSpec *step = m_world.submissions.findStep(it.task))
-            booked += steps::allocationFor(*step);
+            room -= steps::allocationFor(*step);
     }
-    return booked.fitsIn(m_identity.capacity);
+    return room;
+}
+
+bool Minion::hasRoomFor(const steps::TaskRef &task) const
+{
+    const steps::StepSpec *step = m_world.submissions.findStep(task);
+    return !step || steps::allocationFor(*step).fitsIn(room());
 }
 
 bool Minion::isGang(const steps::TaskRef &task) const
@@ -296,6 +314,8 @@
     const auto since = worksSince(run);
     if (!since)
         return now - run.startedAt >= m_world.gangTimeout ? "alone" : "";
+    if (m_greySince && run.startedAt >= *m_greySince && now - *since >= greyWork)
+        return "failed";
     const auto end = m_world.ownEnd(run.task, run.number);
     return end && now - *since >= end->afterWork ? end->how : "";
 }
--- a/review/fleet/minion.h
+++ b/review/fleet/minion.h
@@ -82,7 +82,13 @@
     void crash(Millis downtime);
     // Leaves all calls unanswered and not carried out until it is called with false.
     void setCut(bool cut);
+    // Fails all that it starts, soon after the start, until it is called with false.
+    void setGrey(bool grey);
+    // Ends all runs as failed.
+    void failRuns();
     std::size_t runCount() const { return m_runs.size(); }
+    // Returns what is left of its capacity.
+    steps::ResourceVector room() const;
 
 private:
     using Responder = AsyncHttpServer::Responder;
@@ -141,6 +147,7 @@
     std::map<steps::TaskRef, int> m_highestEnded;
     std::vector<WaitingHold> m_holds;
     bool m_cut = false;
+    std::optional<Instant> m_greySince;
     std::vector<Responder> m_unanswered;
     std::unique_ptr<AsyncHttpServer> m_server; // Null while the process is down.
 };
