--- a/review/fleet/minion.cpp
+++ b/review/fleet/minion.cpp
@@ -184,6 +184,13 @@
     answerClock(respond);
 }
 
+std::size_t Minion::runCountOf(const std::string &submission) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_runs.begin(), m_runs.end(),
+                      [&](const LiveRun &it) { return it.task.job == submission; }));
+}
+
 steps::ResourceVector Minion::room() const
 {
     steps::ResourceVector room = m_identity.capacity;
--- a/review/fleet/minion.h
+++ b/review/fleet/minion.h
@@ -87,6 +87,8 @@
     // Ends all runs as failed.
     void failRuns();
     std::size_t runCount() const { return m_runs.size(); }
+    // Returns how many runs of the submission's tasks it has.
+    std::size_t runCountOf(const std::string &submission) const;
     // Returns what is left of its capacity.
     steps::ResourceVector room() const;
 
