Start a task again only where its unanswered start may still be executed

A start got no answer, its worker started again twice under its id within 3.5 s, and the second next life executed the start while the task already ran elsewhere.

Cause: once one life of the worker answers with a higher fence, the start counts as void and the task is placed anywhere (endMissingRuns(), and the end of the lease likewise). That holds for this life. The next one has seen no fence, and the order may be on its way for 15 s.

Ruled out on paper: any wait. A task may have no run for 9 s, an order may come 15 s late.

Change: where the next run goes. While an order may still be executed, the next run of its task goes to the same worker: a life that has the fence refuses the late start, one that has not runs nothing else of the task. A late start that a report lists and whose task has no other run is taken over as that run, not stopped. Members of gangs go back as well; tasks that allow duplicates are left alone. The wait is not longer than before while the worker is silent (2.5 s since the start), up to 5.5 s since it last answered if its host refuses connections, which shows when it crashed. A worker that leaves a second start unanswered while it answers, refuses the start, drains, has an evacuated zone or another id at its address keeps no task.

What remains: a worker that is back after the task has stopped waiting for it, or once the task is done, and executes the start before a new fence reaches it.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -23,6 +23,7 @@
 #include "savorywick/steps/runtable.h"
 #include "savorywick/steps/schedulerevent.h"
 #include "savorywick/steps/stragglerdetector.h"
+#include "savorywick/steps/unansweredstarts.h"
 #include "savorywick/steps/unplaceablesteps.h"
 #include "savorywick/steps/workercommands.h"
 #include "savorywick/steps/workersession.h"
@@ -252,7 +253,10 @@
     // Workers and their runs (coordinatorworkers.cpp).
     Worker &findOrAddWorker(const WorkerInfo &info, ClockReading now);
     void processEndReports(Worker &worker, const WorkerReport &report, ClockReading now);
-    void processRunningReports(Worker &worker, const WorkerReport &report, ClockReading now);
+    std::vector<RunningReport> processRunningReports(Worker &worker, const WorkerReport &report,
+                                                     ClockReading now);
+    void settleUnknownRuns(Worker &worker, std::span<const RunningReport> reports,
+                           ClockReading now);
     void stopUnknownRun(Worker &worker, const RunningReport &report);
     void endMissingRuns(Worker &worker, const WorkerReport &report, ClockReading now);
     void excuseUnlistedRuns(const Worker &worker, const WorkerReport &report, ClockReading now);
@@ -331,6 +335,23 @@
     static void endStartBackoff(Worker &worker);
     void markStartUnknown(const RunKey &key, ClockReading now);
 
+    // Starts that got no answer, and may be executed late (coordinatorunanswered.cpp).
+    void restoreUnansweredStart(const TaskRef &task, const Task &state);
+    void settleStart(const Run &run, RunOutcome how, ClockReading now);
+    void noteUnansweredStart(const Run &run, ClockReading now);
+    bool leavesStartsUnanswered(const std::string &workerId) const;
+    Instant waitsUntil(const Run &run) const;
+    void voidOrdersTo(const std::string &workerId, ClockReading now);
+    void releaseWaitingTasks(ClockReading now);
+    void reopen(const WaitingTask &waiting, std::string_view why, ClockReading now);
+    void placeUnansweredTasks(ClockReading now);
+    void placeOnItsWorker(const WaitingTask &waiting, const Job &job, Worker &worker,
+                          ClockReading now);
+    std::size_t addWorkersOfGang(const ReadyStep &step, PlacementPass &pass, Instant now);
+    bool takesNoMoreStarts(const Worker &worker, Instant now) const;
+    bool mayRetryOn(const Worker &worker, const TaskRef &task, Instant now) const;
+    bool adoptLateRun(Worker &worker, const RunningReport &report, ClockReading now);
+
     // Interference of best-effort with latency-critical runs (coordinatorinterference.cpp).
     void controlInterference(Worker &worker, ClockReading now);
     std::optional<std::vector<BestEffortLoad>> steadyBestEffortLoads(std::span<const RunKey> keys,
@@ -369,6 +390,9 @@
     Instant placementAt() const;
     bool isUsable(const Worker &worker, Instant now) const;
     bool isReachable(const Worker &worker, Instant now) const;
+    bool isOutOfQuarantine(const Worker &worker, Instant now) const;
+    bool mayBeGivenStarts(const Worker &worker, Instant now) const;
+    bool hasTasksToPlace() const;
     PassNeeds needsOf(std::span<const ReadyStep> steps, Instant now) const;
     void summarizeRuns(Worker &worker) const;
     bool acceptsBestEffort(const Worker &worker, Instant now) const;
@@ -390,6 +414,8 @@
                      ClockReading now);
     void forgetIfPlaced(const StepRef &ref);
     bool placeGang(const ReadyStep &step, PlacementPass &pass, ClockReading now);
+    std::vector<std::size_t> chooseForGang(const ReadyStep &step, PlacementConstraints constraints,
+                                           std::vector<CandidateWorker> workers) const;
     void restoreTurn(const Run &run);
     void startRun(const TaskRef &task, int run, const StepSpec &spec, CandidateWorker &worker,
                   ClockReading now);
@@ -447,6 +473,7 @@
     DueQueue<RunKey> m_stallChecks; // At or before the run would count as stalled.
     std::map<StepRef, Instant> m_readySteps; // Steps with tasks that may start, and since when.
     DueQueue<TaskRef> m_heldTasks; // They may not be started until then.
+    UnansweredStarts m_unansweredStarts;
     // Of jobs with a schedule: the first occurrence that is not due yet.
     std::map<std::string, int> m_nextOccurrence;
     DueQueue<std::string> m_dueOccurrences; // The same jobs, by the wall-clock time of that one.
--- a/include/savorywick/steps/coordinatorcounters.h
+++ b/include/savorywick/steps/coordinatorcounters.h
@@ -24,6 +24,8 @@
     // Ends that workers told of runs that had been given up, or that no owner knew.
     std::uint64_t endsOfUnknownRuns = 0;
     std::map<CommandOutcome, std::uint64_t> startReplies;
+    // Runs whose start got no answer, that were taken for gone, and that were found running later.
+    std::uint64_t lateStartsAdopted = 0;
     std::uint64_t runsStalled = 0;
     std::uint64_t durationsObserved = 0; // Runs that durations were learned from.
     std::uint64_t duplicatesStarted = 0; // Second runs of tasks that took too long.
--- a/include/savorywick/steps/coordinatorsettings.h
+++ b/include/savorywick/steps/coordinatorsettings.h
@@ -40,6 +40,14 @@
     // that left a renewal unanswered, for the first time.
     Millis workerAvoidance{2'000};
     Millis maxWorkerAvoidance{16'000};
+    // A task whose start a worker left unanswered waits for that worker, without a run, for the
+    // first time since the start was sent, or if its host has closed or refused a connection for
+    // the second time since it last answered. Both are shorter than a long-running task may be
+    // without a run in a calm fleet, which counts from when the worker crashed.
+    Millis maxWaitForSilentWorker{2'500};
+    Millis maxWaitForCrashedWorker{5'500};
+    // How long such a task's next start there may take to be answered.
+    Millis repeatedStartTimeout{250};
     // A worker that still answers is given tasks for this time after it left the platform's list.
     Millis unlistedGracePeriod{2'500};
 
--- a/include/savorywick/steps/job.h
+++ b/include/savorywick/steps/job.h
@@ -176,6 +176,9 @@
 
 // Returns the outcome's name for logs and metrics, such as "never-started".
 std::string_view toString(RunOutcome outcome);
+// Returns true if and only if the run was found to be gone, rather than that its worker told of its
+// end.
+bool isFoundGone(RunOutcome outcome);
 
 // A run that may be executing on a worker.
 struct ActiveRun
@@ -208,6 +211,17 @@
     bool operator==(const SuspectedRun &) const = default;
 };
 
+// A start that its worker left unanswered, and may execute late, also in its next life.
+struct UnansweredStart
+{
+    int run = 0;
+    std::string workerId;
+    // When it was sent at the latest, on the store's clock in milliseconds; 0 if that is not known.
+    std::int64_t sentMs = 0;
+
+    bool operator==(const UnansweredStart &) const = default;
+};
+
 // The durable state of a task.
 struct Task
 {
@@ -229,6 +243,9 @@
     int causedCrashes = 0;
     // Runs that count among `crashes` as soon as their worker is known to have crashed.
     std::vector<SuspectedRun> suspectedRuns;
+    // The latest one, unless the worker has told since how a run of the task ended there, or the
+    // task has been started elsewhere.
+    std::optional<UnansweredStart> unansweredStart;
 };
 
 // Returns true if and only if the task ends its job if so many workers have crashed under its runs
--- a/include/savorywick/steps/placement.h
+++ b/include/savorywick/steps/placement.h
@@ -157,6 +157,8 @@
     // Returns the index of the worker that a task should start on, or nothing if none can take it
     // now.
     std::optional<std::size_t> choose() const;
+    // Returns the index of this worker, or nothing if it can't take a task now.
+    std::optional<std::size_t> chooseOnly(std::string_view workerId) const;
     // Notes that a task of the step was given to the worker: that worker, its entry in
     // `tasksPerWorker` and `currentRack` may have changed, nothing else.
     void noteTask(std::size_t index);
--- a/include/savorywick/steps/record.h
+++ b/include/savorywick/steps/record.h
@@ -52,6 +52,13 @@
     std::int64_t wallMs = 0;
 };
 
+// A worker left the start of a run unanswered, which has ended as far as is known.
+struct StartUnanswered
+{
+    TaskRef task;
+    UnansweredStart start;
+};
+
 // The worker of the run was lost and may have crashed because of it. LifeSettled tells, if anything
 // does.
 struct RunSuspected
@@ -151,10 +158,10 @@
     std::int64_t endedWallMs = 0;
 };
 
-using Record =
-    std::variant<JobAccepted, RunStarted, RunEnded, JobCancelled, JobPurged, JobDelegated,
-                 TaskSnapshot, JobStateSnapshot, TaskCleared, WorkerAddress, JobLeaving, JobArrived,
-                 RunConfirmed, WorkerSilent, WorkerHeard, RunSuspected, LifeSettled>;
+using Record = std::variant<JobAccepted, RunStarted, RunEnded, JobCancelled, JobPurged,
+                            JobDelegated, TaskSnapshot, JobStateSnapshot, TaskCleared,
+                            WorkerAddress, JobLeaving, JobArrived, RunConfirmed, WorkerSilent,
+                            WorkerHeard, RunSuspected, LifeSettled, StartUnanswered>;
 
 // Returns the record as one line of text without a line end.
 std::string encodeRecord(const Record &record);
--- a/include/savorywick/steps/runtable.h
+++ b/include/savorywick/steps/runtable.h
@@ -44,6 +44,9 @@
     // When the start command was sent. Before that, or if an earlier owner sent it, when this owner
     // learned of the run.
     Instant startedAt;
+    // The start command was sent, here or maybe by an earlier owner, and nothing tells whether the
+    // worker has executed it: it may yet do so.
+    bool startUnanswered = false;
     // The journal tells that the worker has the run.
     bool confirmationRecorded = false;
     // Of a run of an earlier owner: when the leases are over that its worker may have inherited, if
--- a/include/savorywick/steps/schedulerevent.h
+++ b/include/savorywick/steps/schedulerevent.h
@@ -24,6 +24,8 @@
     StopFailed, // The worker refused to stop the run, or did not answer.
     RunUnconfirmed, // The start command got no answer, so whether the worker has the run is
                     // unknown.
+    TaskAwaitsWorker, // The start got no answer, so the task is started again only on that worker.
+    TaskReleased, // The task has waited for its worker for long, and may be started on any other.
     RunThrottled, // The run was throttled to another share of its full speed.
     JobEnded, // The job ended.
     WorkerUnresponsive, // The worker no longer answers renewals.
--- a/include/savorywick/steps/workercommands.h
+++ b/include/savorywick/steps/workercommands.h
@@ -68,6 +68,8 @@
     std::string checkpoint;
     // When the lease expires, on the worker's clock.
     std::int64_t leaseUntilClockMs = 0;
+    // The longest time to wait for an answer, if it is shorter than usual.
+    std::optional<Millis> answerTimeout = {};
 };
 
 // Stops a run.
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -57,6 +57,7 @@
     , m_stragglers(settings.stragglers, m_durations, ownedSince)
     , m_admission(settings.admission)
     , m_longRunningGaps(epoch)
+    , m_unansweredStarts(settings.workerSessions.maxExecutionDelay)
 { }
 
 void Coordinator::takeOver(ClockReading now)
@@ -74,6 +75,7 @@
             for (int s = 0; s < static_cast<int>(occurrence.steps.size()); ++s) {
                 const std::vector<Task> &tasks = occurrence.steps[s].tasks;
                 for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
+                    restoreUnansweredStart({id, k, s, i}, tasks[i]);
                     for (const ActiveRun &active : tasks[i].activeRuns)
                         adoptRun(job, {id, k, s, i}, active);
                 }
@@ -209,6 +211,7 @@
     m_nextOccurrence.erase(job);
     m_dueOccurrences.cancel(job);
     m_longRunningGaps.forgetJob(job);
+    m_unansweredStarts.forgetJob(job);
     for (auto it = m_readySteps.lower_bound({job, 0, 0});
          it != m_readySteps.end() && it->first.job == job;)
         it = m_readySteps.erase(it);
@@ -322,6 +325,7 @@
     m_admission.advance(now.monotonic, now.wallMs);
     expireWorkers(now);
     releaseHeldTasks(now);
+    releaseWaitingTasks(now);
     stopStalledRuns(now);
     for (const std::string &id : m_dueOccurrences.takeDue(Instant{now.wallMs}))
         openDueOccurrences(*m_table.find(id), now);
@@ -431,13 +435,19 @@
         WorkerSession &session = it->second.session;
         run->phase = RunPhase::StartSent;
         run->startFence = session.fence();
+        run->startUnanswered = true;
         run->startedAt = now.monotonic;
         run->lastProgressAt = now.monotonic;
         ++it->second.startsInFlight;
-        orders.emplace_back(
-            StartRunCommand{session.target(), key.task, key.number, job->spec.payload,
-                            job->findTask(key.task)->checkpoint,
-                            session.grantStartLease(now.monotonic, m_latestLeaseEnd)});
+        StartRunCommand order{session.target(),
+                              key.task,
+                              key.number,
+                              job->spec.payload,
+                              job->findTask(key.task)->checkpoint,
+                              session.grantStartLease(now.monotonic, m_latestLeaseEnd)};
+        if (m_unansweredStarts.workerFor(key.task))
+            order.answerTimeout = m_settings.repeatedStartTimeout;
+        orders.emplace_back(std::move(order));
         markStale(it->second);
     }
 }
@@ -481,7 +491,7 @@
 Instant Coordinator::wakeAt(Instant now)
 {
     const Instant at = ordersDueAt(now);
-    if (m_readySteps.empty())
+    if (!hasTasksToPlace())
         return at;
     // A pass is overdue only while tick() is not called.
     const bool overdue = placementAt() <= now;
--- a/src/lib/steps/coordinatorcrashes.cpp
+++ b/src/lib/steps/coordinatorcrashes.cpp
@@ -104,6 +104,7 @@
     if (!worker.lifeIsOver)
         worker.session.raiseFence(now.monotonic); // A renewal confirms it at once.
     endLife(worker, "other-life", now);
+    voidOrdersTo(worker.info.incarnation.workerId, now);
     for (const RunKey &key : m_runs.onWorker(worker.info.incarnation.workerId)) {
         if (m_runs.find(key)->phase != RunPhase::StartPending)
             endRun(key, RunOutcome::LeaseExpired, {}, now);
--- a/src/lib/steps/coordinatorhandover.cpp
+++ b/src/lib/steps/coordinatorhandover.cpp
@@ -21,6 +21,8 @@
 {
     std::vector<WaitingJob> waiting;
     for (const auto &[ref, since] : m_readySteps) {
+        if (m_unansweredStarts.concerns(ref.job))
+            continue; // One of its tasks may run on a worker of this shard yet.
         if (now.monotonic - since < minWait * m_transfers.patienceFactor(ref.job))
             continue;
         const bool sameJob = !waiting.empty() && waiting.back().job == ref.job;
@@ -39,7 +41,8 @@
 bool Coordinator::handOver(const std::string &job, int shard, ClockReading now)
 {
     const Job *known = m_table.find(job);
-    if (!known || isFinal(known->state) || m_transfers.leavingTo(job) || !m_runs.ofJob(job).empty())
+    if (!known || isFinal(known->state) || m_transfers.leavingTo(job) || !m_runs.ofJob(job).empty()
+        || m_unansweredStarts.concerns(job))
         return false;
     m_transfers.begin(job, shard);
     openDueOccurrences(*known, now);
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -3,6 +3,7 @@
 #include "savorywick/steps/coordinator.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace savorywick::steps {
 
@@ -13,6 +14,12 @@
 
 } // namespace
 
+// Returns true if and only if tasks wait for a worker.
+bool Coordinator::hasTasksToPlace() const
+{
+    return !m_readySteps.empty() || m_unansweredStarts.hasWaiting();
+}
+
 // Returns when the next placement pass is to be made if steps wait.
 Instant Coordinator::placementAt() const
 {
@@ -22,20 +29,27 @@
 // Returns true if and only if the worker is listed, answers and may be given a start now, whatever
 // the quarantine says of it.
 bool Coordinator::isReachable(const Worker &worker, Instant now) const
+{
+    return mayBeGivenStarts(worker, now) && now >= worker.blockedUntil;
+}
+
+// Returns the same of a worker, whatever became of the last starts.
+bool Coordinator::mayBeGivenStarts(const Worker &worker, Instant now) const
 {
     if (!worker.everListed || worker.info.draining || !worker.session.responsive())
         return false;
     if (worker.lifeIsOver || !mayStartInZoneOf(worker, now))
         return false;
-    if (worker.unlistedSince && now - *worker.unlistedSince > m_settings.unlistedGracePeriod)
-        return false;
-    return now >= worker.blockedUntil;
+    return !worker.unlistedSince || now - *worker.unlistedSince <= m_settings.unlistedGracePeriod;
 }
 
 bool Coordinator::isUsable(const Worker &worker, Instant now) const
 {
-    if (!isReachable(worker, now))
-        return false;
+    return isReachable(worker, now) && isOutOfQuarantine(worker, now);
+}
+
+bool Coordinator::isOutOfQuarantine(const Worker &worker, Instant now) const
+{
     const std::string &id = worker.info.incarnation.workerId;
     switch (m_quarantine.availability(id, now)) {
     case WorkerAvailability::Available:
@@ -130,7 +144,8 @@
     return candidates;
 }
 
-// Returns the indexes of the step's tasks that are neither done nor placed.
+// Returns the indexes of the step's tasks that are neither done nor placed, and that may start on
+// any worker, or are of a gang.
 std::vector<int> Coordinator::tasksToStart(const StepRef &ref) const
 {
     std::vector<int> indexes;
@@ -142,7 +157,8 @@
             !m_heldTasks.empty() && m_heldTasks.contains({ref.job, ref.occurrence, ref.step, i});
         if (held && spec.gang) // All members start together.
             return {};
-        if (held)
+        if (held
+            || (!spec.gang && m_unansweredStarts.workerFor({ref.job, ref.occurrence, ref.step, i})))
             continue;
         if (it == job->occurrences.end()) {
             indexes.push_back(i);
@@ -212,8 +228,9 @@
 {
     m_placementNeeded = false;
     m_placementDueAt = now.monotonic + m_settings.maxPlacementInterval;
-    if (m_readySteps.empty())
+    if (!hasTasksToPlace())
         return;
+    placeUnansweredTasks(now);
     std::vector<ReadyStep> steps = sortedReadySteps(now);
     if (static_cast<int>(steps.size()) > m_settings.maxStepsPerPass)
         steps.resize(m_settings.maxStepsPerPass);
@@ -232,7 +249,7 @@
             tryQuarantinedWorkers(step, pass, now);
     }
     preemptForUrgentSteps(steps, pass, now);
-    if (!m_readySteps.empty())
+    if (hasTasksToPlace())
         m_nextPlacementAt = now.monotonic + m_settings.placementInterval;
 }
 
@@ -394,6 +411,35 @@
     return {task, run};
 }
 
+// Returns the indexes of workers for all tasks of the gang, by task, or nothing if there are none.
+// Tasks that must go to their workers come first.
+std::vector<std::size_t> Coordinator::chooseForGang(const ReadyStep &step,
+                                                    PlacementConstraints constraints,
+                                                    std::vector<CandidateWorker> workers) const
+{
+    const auto taskAt = [&](int index) {
+        return TaskRef{step.ref.job, step.ref.occurrence, step.ref.step, index};
+    };
+    std::vector<int> order(step.spec->taskCount);
+    std::iota(order.begin(), order.end(), 0);
+    std::stable_partition(order.begin(), order.end(),
+                          [&](int it) { return m_unansweredStarts.workerFor(taskAt(it)); });
+    WorkerChooser chooser(*step.spec, constraints, workers);
+    std::vector<std::size_t> chosen(step.spec->taskCount);
+    for (const int index : order) {
+        const std::string *required = m_unansweredStarts.workerFor(taskAt(index));
+        const auto it = required ? chooser.chooseOnly(*required) : chooser.choose();
+        if (!it)
+            return {};
+        chosen[index] = *it;
+        workers[*it].available -= allocationFor(*step.spec);
+        ++constraints.tasksPerWorker[workers[*it].info->incarnation.workerId];
+        constraints.currentRack = workers[*it].info->rack;
+        chooser.noteTask(*it);
+    }
+    return chosen;
+}
+
 // Starts all tasks of the gang under one run number, or none. Returns true if and only if it did.
 bool Coordinator::placeGang(const ReadyStep &step, PlacementPass &pass, ClockReading now)
 {
@@ -404,19 +450,15 @@
     constraints.onProbation = std::any_of(members.begin(), members.end(), [&](int index) {
         return isSuspected({step.ref.job, step.ref.occurrence, step.ref.step, index});
     });
-    std::vector<CandidateWorker> remaining = pass.workers;
-    WorkerChooser chooser(*step.spec, constraints, remaining);
-    std::vector<std::size_t> chosen;
+    const std::size_t usableWorkers = addWorkersOfGang(step, pass, now.monotonic);
+    const std::vector<std::size_t> chosen =
+        chooseForGang(step, std::move(constraints), pass.workers);
+    for (std::size_t i = usableWorkers; i < pass.workers.size(); ++i)
+        pass.workers[i].closeToTasks();
+    if (chosen.empty())
+        return false;
     int run = 0;
     for (int i = 0; i < step.spec->taskCount; ++i) {
-        const auto it = chooser.choose();
-        if (!it)
-            return false;
-        chosen.push_back(*it);
-        remaining[*it].available -= allocationFor(*step.spec);
-        ++constraints.tasksPerWorker[remaining[*it].info->incarnation.workerId];
-        constraints.currentRack = remaining[*it].info->rack;
-        chooser.noteTask(*it);
         const Task *known =
             step.job->findTask({step.ref.job, step.ref.occurrence, step.ref.step, i});
         run = std::max(run, known ? known->lastRunNumber : 0);
@@ -476,6 +518,7 @@
     if (added.isProbe || isRetry)
         worker.closeToTasks(); // It is tried with this one task.
     trackStraggler(m_runs.add(std::move(added)), now);
+    m_unansweredStarts.notePlaced(task);
     m_preemption.noteStart(task);
     m_uncommittedStarts.push_back({0, {task, run}});
     ++m_counters.runsStarted;
--- a/src/lib/steps/coordinatorreplies.cpp
+++ b/src/lib/steps/coordinatorreplies.cpp
@@ -34,6 +34,8 @@
         noteConnectionClosed(worker->second, now.monotonic);
     const RunKey key{order.task, order.run};
     Run *run = m_runs.find(key);
+    if (run && reply.outcome != CommandOutcome::Unknown)
+        run->startUnanswered = false;
     if (!run || run->phase != RunPhase::StartSent)
         return;
     if (sameLife && reply.outcome == CommandOutcome::Done)
@@ -66,6 +68,8 @@
                 now.monotonic - run->startedAt);
         if (sameLife && reply.outcome == CommandOutcome::NotSent)
             worker->second.session.markUnresponsive();
+        if (reply.outcome != CommandOutcome::NotSent)
+            m_unansweredStarts.settle(key.task); // It won't take the task.
         endRun(key, RunOutcome::NeverStarted, {}, now);
         if (sameLife && reply.outcome == CommandOutcome::WrongIncarnation)
             meetOtherWorker(worker->second, now);
--- a/src/lib/steps/coordinatorworkers.cpp
+++ b/src/lib/steps/coordinatorworkers.cpp
@@ -67,6 +67,7 @@
         makeRun({task, active.number}, job.spec.steps[task.step], active.worker, m_ownedSince);
     run.phase = RunPhase::Unconfirmed;
     run.confirmationRecorded = active.confirmed;
+    run.startUnanswered = !active.confirmed;
     if (active.inheritedLeasesEndMs != 0)
         run.inheritedLeasesEndAt = m_earlierLeases.endOfRecorded(active.inheritedLeasesEndMs);
     run.onProbation = isSuspected(task);
@@ -129,8 +130,9 @@
     if (!wasResponsive && worker.session.responsive())
         noteWorker(SchedulerEventKind::WorkerRecovered, id, "answered", silence);
     processEndReports(worker, reply.report, now);
-    processRunningReports(worker, reply.report, now);
+    const std::vector<RunningReport> unknownRuns = processRunningReports(worker, reply.report, now);
     endMissingRuns(worker, reply.report, now);
+    settleUnknownRuns(worker, unknownRuns, now);
     controlInterference(worker, now);
     m_placementNeeded = true;
 }
@@ -150,6 +152,7 @@
             continue;
         }
         noteConfirmedStart(key.task.job);
+        m_runs.find(key)->startUnanswered = false;
         endRun(key, end.outcome, end.checkpoint, now);
     }
     if (highest == worker.session.appliedEnds())
@@ -158,18 +161,20 @@
     m_uncommittedAcks.push_back({0, worker.session.incarnation(), highest});
 }
 
-// Confirms the runs that the worker reports as running and updates their progress.
-void Coordinator::processRunningReports(Worker &worker, const WorkerReport &report,
-                                        ClockReading now)
+// Confirms the runs that the worker reports as running and updates their progress. Returns those
+// that are not known to be there.
+std::vector<RunningReport>
+Coordinator::processRunningReports(Worker &worker, const WorkerReport &report, ClockReading now)
 {
-    const ResourceVector strays = std::exchange(worker.allocatedToStrays, {});
+    std::vector<RunningReport> unknown;
     for (const RunningReport &it : report.running) {
         const RunKey key{it.task, it.run};
         Run *run = m_runs.find(key);
         if (!run || run->workerId != worker.info.incarnation.workerId) {
-            stopUnknownRun(worker, it);
+            unknown.push_back(it);
             continue;
         }
+        run->startUnanswered = false;
         if (run->incarnation != worker.session.incarnation())
             m_runs.setIncarnation(key, worker.session.incarnation());
         run->outcomeOfCrash.reset();
@@ -208,6 +213,19 @@
         if (!wasRunning && worker.info.draining)
             evacuate(worker);
     }
+    return unknown;
+}
+
+// Takes over those of the runs that are late starts of tasks without another run, and stops the
+// others. Call it when the runs have ended that the worker is known not to have any more.
+void Coordinator::settleUnknownRuns(Worker &worker, std::span<const RunningReport> reports,
+                                    ClockReading now)
+{
+    const ResourceVector strays = std::exchange(worker.allocatedToStrays, {});
+    for (const RunningReport &it : reports) {
+        if (!adoptLateRun(worker, it, now))
+            stopUnknownRun(worker, it);
+    }
     worker.runSummaryStale = worker.runSummaryStale || strays != worker.allocatedToStrays;
 }
 
@@ -289,6 +307,7 @@
     // A run that is only found to be gone reports no checkpoint at its end.
     const std::string &resumeFrom = checkpoint.empty() ? run.checkpoint : checkpoint;
     appendRecord(RunEnded{key.task, key.number, how, resumeFrom, now.wallMs});
+    settleStart(run, how, now);
     if (job->state != before)
         return concludeJob(*job, key.task, key.number, run.workerId, now);
     if (run.longRunning)
--- a/src/lib/steps/job.cpp
+++ b/src/lib/steps/job.cpp
@@ -55,6 +55,24 @@
     return "unnamed";
 }
 
+bool isFoundGone(RunOutcome outcome)
+{
+    switch (outcome) {
+    case RunOutcome::LeaseExpired:
+    case RunOutcome::NeverStarted:
+    case RunOutcome::WorkerCrashed:
+    case RunOutcome::CausedCrash:
+        return true;
+    case RunOutcome::Done:
+    case RunOutcome::Failed:
+    case RunOutcome::Stopped:
+    case RunOutcome::GangBroken:
+    case RunOutcome::GangIncomplete:
+        return false;
+    }
+    return false;
+}
+
 bool isOverCrashLimit(int crashes, int causedCrashes)
 {
     // A job is given up once one of its tasks has caused this many crashes in a row: one may be
--- a/src/lib/steps/jobtable.cpp
+++ b/src/lib/steps/jobtable.cpp
@@ -49,6 +49,8 @@
             return;
         task->lastRunNumber = std::max(task->lastRunNumber, it.run);
         task->activeRuns.push_back({it.run, it.worker});
+        if (task->unansweredStart && task->unansweredStart->workerId != it.worker.workerId)
+            task->unansweredStart.reset();
         if (job->state == JobState::Queued)
             job->state = JobState::Running;
     }
@@ -74,6 +76,8 @@
         if (!task)
             return;
         const bool wasActive = eraseRun(*task, it.run);
+        if (!isFoundGone(it.outcome))
+            task->unansweredStart.reset();
         if (task->done && !job->spec.steps[it.task.step].gang)
             return; // The run was a duplicate that is no longer needed.
         if (!it.checkpoint.empty())
@@ -106,6 +110,13 @@
 
     void operator()(const RunSuspected &it) const { table.addSuspectedRun(it); }
 
+    void operator()(const StartUnanswered &it) const
+    {
+        Job *job = table.findJob(it.task.job);
+        if (Task *task = job ? findTask(*job, it.task) : nullptr)
+            task->unansweredStart = it.start;
+    }
+
     void operator()(const LifeSettled &it) const { table.settleLife(it); }
 
     void operator()(const WorkerAddress &it) const
@@ -167,7 +178,8 @@
         if (it.state.done)
             finishTask(*job, it.task, 0);
         *task = it.state;
-        task->suspectedRuns.clear(); // Records of their own tell of them.
+        task->suspectedRuns.clear(); // Records of their own tell of these.
+        task->unansweredStart.reset();
     }
 
     void operator()(const JobStateSnapshot &it) const
@@ -396,6 +408,8 @@
                 records.emplace_back(TaskSnapshot{ref, tasks[i]});
                 for (const SuspectedRun &run : tasks[i].suspectedRuns)
                     records.emplace_back(RunSuspected{ref, run});
+                if (tasks[i].unansweredStart)
+                    records.emplace_back(StartUnanswered{ref, *tasks[i].unansweredStart});
             }
         }
     }
--- a/src/lib/steps/placement.cpp
+++ b/src/lib/steps/placement.cpp
@@ -304,6 +304,15 @@
     return best;
 }
 
+std::optional<std::size_t> WorkerChooser::chooseOnly(std::string_view workerId) const
+{
+    for (std::size_t i = 0; i < m_ranks.size(); ++i) {
+        if (m_ranks[i].eligible && m_workers[i].info->incarnation.workerId == workerId)
+            return i;
+    }
+    return {};
+}
+
 std::string_view toString(WaitReason reason)
 {
     switch (reason) {
--- a/src/lib/steps/record.cpp
+++ b/src/lib/steps/record.cpp
@@ -141,6 +141,12 @@
         w.task(it.task).number(it.run.number).worker(it.run.worker).text(it.run.address);
         return w.number(it.run.isCause).number(it.run.lostWallMs).take();
     }
+    std::string operator()(const StartUnanswered &it) const
+    {
+        FieldWriter w('Q');
+        w.task(it.task).number(it.start.run).text(it.start.workerId);
+        return w.number(it.start.sentMs).take();
+    }
     std::string operator()(const LifeSettled &it) const
     {
         FieldWriter w('X');
@@ -249,6 +255,16 @@
     return it;
 }
 
+StartUnanswered readStartUnanswered(FieldReader &r)
+{
+    StartUnanswered it;
+    it.task = r.task();
+    it.start.run = r.number<int>();
+    it.start.workerId = r.text();
+    it.start.sentMs = r.number();
+    return it;
+}
+
 LifeSettled readLifeSettled(FieldReader &r)
 {
     LifeSettled it;
@@ -317,6 +333,8 @@
         return readRunSuspected(r);
     case 'X':
         return readLifeSettled(r);
+    case 'Q':
+        return readStartUnanswered(r);
     case 'V': {
         RunConfirmed it;
         it.task = r.task();
--- a/src/lib/steps/schedulerevent.cpp
+++ b/src/lib/steps/schedulerevent.cpp
@@ -25,6 +25,10 @@
         return "stop-not-done";
     case SchedulerEventKind::RunUnconfirmed:
         return "run-doubted";
+    case SchedulerEventKind::TaskAwaitsWorker:
+        return "task-awaits-worker";
+    case SchedulerEventKind::TaskReleased:
+        return "task-released";
     case SchedulerEventKind::RunThrottled:
         return "run-paced";
     case SchedulerEventKind::JobEnded:
--- a/src/node/schedulerlog.cpp
+++ b/src/node/schedulerlog.cpp
@@ -49,6 +49,8 @@
     case SchedulerEventKind::StopRequested:
     case SchedulerEventKind::StopFailed:
     case SchedulerEventKind::RunUnconfirmed:
+    case SchedulerEventKind::TaskAwaitsWorker:
+    case SchedulerEventKind::TaskReleased:
     case SchedulerEventKind::RunLeaseExpired:
     case SchedulerEventKind::WorkerUnresponsive:
     case SchedulerEventKind::WorkerRecovered:
--- a/tests/steps/jobtable_test.cpp
+++ b/tests/steps/jobtable_test.cpp
@@ -117,6 +117,43 @@
     }
 }
 
+// Guards against a task that a later owner starts elsewhere although its worker may execute a start
+// late, and against one that is tied to a worker for no reason.
+TEST_CASE(
+    "An unanswered start is known until its worker tells of an end or another one has the task")
+{
+    struct Case
+    {
+        std::string what;
+        std::vector<Record> records;
+        bool known;
+    };
+    const TaskRef ref{"j", 0, 0, 0};
+    const std::vector<Case> cases = {
+        {"nothing follows", {}, true},
+        {"another run there is lost",
+         {RunStarted{ref, 2, {"w", 1}}, RunEnded{ref, 2, RunOutcome::LeaseExpired, "", 3}},
+         true},
+        {"another run there fails",
+         {RunStarted{ref, 2, {"w", 1}}, RunEnded{ref, 2, RunOutcome::Failed, "", 3}},
+         false},
+        {"it is started elsewhere", {RunStarted{ref, 2, {"x", 1}}}, false},
+    };
+    for (const Case &it : cases) {
+        CAPTURE(it.what);
+        JobTable table = tableWithJob(twoStepJob());
+        applyRun(table, ref, 1, RunOutcome::NeverStarted);
+        table.apply(StartUnanswered{ref, {1, "w", 91'234}});
+        for (const Record &record : it.records)
+            table.apply(record);
+        JobTable restored;
+        for (const Record &record : table.snapshot())
+            restored.apply(decodeRecord(encodeRecord(record)));
+        for (const JobTable *known : {&table, &restored})
+            CHECK(known->find("j")->findTask(ref)->unansweredStart.has_value() == it.known);
+    }
+}
+
 // Guards against a charge without a proof, and against a proof that comes too late to be counted.
 TEST_CASE("Suspected runs count once their worker is known to have crashed")
 {
--- a/tests/steps/record_test.cpp
+++ b/tests/steps/record_test.cpp
@@ -109,6 +109,7 @@
             TaskCleared{task},
             RunSuspected{task, {3, worker, arbitraryText(), true, 1'700'000'000'002}},
             LifeSettled{worker, LifeVerdict::NotCrashed, 20},
+            StartUnanswered{task, {3, arbitraryText(), 91'234}},
             TaskSnapshot{task, {4, 1, 2, false, arbitraryText(), {{3, worker}, {4, worker, true}}}},
             RunConfirmed{task, 4},
             RunConfirmed{task, 4, 91'234},
--- a/tests/steps/shardsimulationcalls.h
+++ b/tests/steps/shardsimulationcalls.h
@@ -136,6 +136,8 @@
 inline Millis ShardSimulation::timeoutOf(const WorkerCommand &order)
 {
     const auto *renewal = std::get_if<RenewLeaseCommand>(&order);
+    if (const auto *start = std::get_if<StartRunCommand>(&order))
+        return std::min(replyTimeout, start->answerTimeout.value_or(replyTimeout));
     return replyTimeout + (renewal ? renewal->maxWait : Millis{0});
 }
 
