Cancel a job whose submission comes after its cancelling was answered

Cause: the owner answers the cancelling of an id that it doesn't know from what it knows at that moment, and keeps nothing of it. A submission that was sent before and comes after counts as new: here from an entry that had stood still for 4 s and read the request only then.

Of the hypotheses, no takeover lay between (one shard-taken), no hand-over, and the entry that answered was not behind (it was the owner's answer). The entry that woke counts the client's time limit from when it reads the request, so its own clock can't drop it.

Change: the owner records the cancelling (UnknownJobCancelled) and answers 410 once that is durable; a submission of that id that comes later is accepted as cancelled: the answer is true and ends the client's retries, and nothing starts. At most 2,000 for each queue, which is what tells client accounts apart here; a flood gets 503 for further unknown ids of its own queue, never a 410 that isn't kept, and pushes nothing out. Jobs that are known are cancelled as before. With several shards the one that submissions come to first remembers it, or the one that the job was left to, which is told so only once that is durable; the others are only asked. While the store can't persist it, the cancelling is refused with 503.

The peers' cancel carries the queue in its body; one without is answered as before.

--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -44,6 +44,7 @@
 enum class SubmitResult {
     Accepted,
     Repeated, // A job with the same id is known; the submission has no effect.
+    Cancelled, // Its caller has cancelled it already: it is known, and never starts.
 };
 
 // Schedules the jobs of one shard: decides which tasks start where, what the workers are ordered to
@@ -87,7 +88,8 @@
 
     // Returns whether a job that is not known is to be accepted. submit() accepts it in any case.
     JobAdmissionDecision decideAdmission(const JobSpec &spec, ClockReading now);
-    // Accepts the job unless one with the same id is known.
+    // Accepts the job unless one with the same id is known. One that was cancelled before is
+    // cancelled at once.
     SubmitResult submit(const JobSpec &spec, ClockReading now);
     // Returns what was left or handed over to other shards. Once a job's delegation is durable its
     // callers must be sent there. Jobs that are known are handed over by handOver() only.
@@ -109,6 +111,10 @@
     // Cancels the job and requests its runs to stop; has no effect if the job has ended. Returns
     // false if the job is unknown.
     bool cancel(const std::string &job, ClockReading now);
+    // Records that the caller cancelled a job of the queue that is not known here, so that it is
+    // cancelled as soon as it is accepted. The caller may be told so once the record is durable.
+    // Returns false, and records nothing, if there are too many such jobs of the queue.
+    bool rememberCancellation(const std::string &job, const std::string &queue, ClockReading now);
     // Returns the job's state as of the latest durable record, or nothing if it is unknown.
     std::optional<JobState> durableState(std::string_view job) const;
     // Returns how many jobs of the queue are durably accepted, have not ended, and have no task
--- a/include/savorywick/steps/coordinatorsettings.h
+++ b/include/savorywick/steps/coordinatorsettings.h
@@ -11,6 +11,7 @@
 #include "savorywick/steps/stragglerdetector.h"
 #include "savorywick/steps/workersession.h"
 
+#include <cstddef>
 #include <optional>
 
 namespace savorywick::steps {
@@ -25,6 +26,9 @@
     PreemptionSettings preemption;
     JobAdmissionSettings admission;
     Millis endedJobRetention{150'000}; // An ended job is forgotten after this time.
+    // So is a cancellation of a job that was not known, of which there are no more than this for
+    // each queue: a submission of it may be on its way. No pause of an entry lasts as long.
+    std::size_t maxEarlyCancellations = 2'000;
     // So is where a job was left to. Until then a repeated submission is sent to the same shard.
     Millis delegationRetention{3'600'000};
 
--- a/include/savorywick/steps/jobtable.h
+++ b/include/savorywick/steps/jobtable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "savorywick/steps/earlycancellations.h"
 #include "savorywick/steps/record.h"
 
 #include <functional>
@@ -62,6 +63,9 @@
     // the hand-over has no effect.
     const Handovers &handovers() const { return m_handovers; }
 
+    // Returns the jobs that were cancelled before they were accepted here.
+    const EarlyCancellations &earlyCancellations() const { return m_earlyCancellations; }
+
     // Returns the worker's address, or an empty string if it is unknown.
     std::string workerAddress(std::string_view worker) const;
 
@@ -100,6 +104,7 @@
     Jobs m_jobs;
     Delegations m_delegations;
     Handovers m_handovers;
+    EarlyCancellations m_earlyCancellations;
     std::map<std::string, std::string, std::less<>> m_workerAddresses; // By id.
     std::map<std::string, std::int64_t, std::less<>> m_silentUntilMs; // By the worker's id.
     LostLives m_lostLives;
--- a/include/savorywick/steps/record.h
+++ b/include/savorywick/steps/record.h
@@ -110,6 +110,21 @@
     std::int64_t wallMs = 0;
 };
 
+// A caller cancelled a job of the queue that is not known here. If it is accepted later, it is
+// cancelled.
+struct UnknownJobCancelled
+{
+    std::string job;
+    std::string queue;
+    std::int64_t wallMs = 0;
+};
+
+// UnknownJobCancelled no longer holds, because its retention period is over.
+struct CancellationForgotten
+{
+    std::string job;
+};
+
 // The job, or the note of its delegation, was removed, because its retention period is over.
 struct JobPurged
 {
@@ -158,10 +173,11 @@
     std::int64_t endedWallMs = 0;
 };
 
-using Record = std::variant<JobAccepted, RunStarted, RunEnded, JobCancelled, JobPurged,
-                            JobDelegated, TaskSnapshot, JobStateSnapshot, TaskCleared,
-                            WorkerAddress, JobLeaving, JobArrived, RunConfirmed, WorkerSilent,
-                            WorkerHeard, RunSuspected, LifeSettled, StartUnanswered>;
+using Record =
+    std::variant<JobAccepted, RunStarted, RunEnded, JobCancelled, JobPurged, JobDelegated,
+                 TaskSnapshot, JobStateSnapshot, TaskCleared, WorkerAddress, JobLeaving, JobArrived,
+                 RunConfirmed, WorkerSilent, WorkerHeard, RunSuspected, LifeSettled,
+                 StartUnanswered, UnknownJobCancelled, CancellationForgotten>;
 
 // Returns the record as one line of text without a line end.
 std::string encodeRecord(const Record &record);
--- a/src/lib/steps/coordinator.cpp
+++ b/src/lib/steps/coordinator.cpp
@@ -120,8 +120,13 @@
     ++m_counters.jobsAccepted;
     appendRecord(JobAccepted{spec, now.wallMs});
     publishWhenDurable(spec.id);
-    openDueOccurrences(*m_table.find(spec.id), now);
-    return SubmitResult::Accepted;
+    const Job &job = *m_table.find(spec.id);
+    openDueOccurrences(job, now);
+    if (!isFinal(job.state))
+        return SubmitResult::Accepted;
+    m_endedJobs.emplace(now.wallMs, spec.id);
+    m_admission.removeJob(spec.id);
+    return SubmitResult::Cancelled;
 }
 
 bool Coordinator::cancel(const std::string &job, ClockReading now)
@@ -139,6 +144,18 @@
     return true;
 }
 
+bool Coordinator::rememberCancellation(const std::string &job, const std::string &queue,
+                                       ClockReading now)
+{
+    const EarlyCancellations &known = m_table.earlyCancellations();
+    if (known.contains(job))
+        return true;
+    if (known.countOf(queue) >= m_settings.maxEarlyCancellations)
+        return false;
+    appendRecord(UnknownJobCancelled{job, queue, now.wallMs});
+    return true;
+}
+
 std::optional<JobState> Coordinator::durableState(std::string_view job) const
 {
     const auto it = m_durableJobs.find(std::string(job));
@@ -330,6 +347,9 @@
     for (const std::string &id : m_dueOccurrences.takeDue(Instant{now.wallMs}))
         openDueOccurrences(*m_table.find(id), now);
     forgetExpiredJobs(now);
+    for (const std::string &it :
+         m_table.earlyCancellations().expired(m_settings.endedJobRetention, now.wallMs))
+        appendRecord(CancellationForgotten{it});
     m_transfers.forgetExpired(m_settings.delegationRetention, now.wallMs);
     if (now.monotonic >= placementAt())
         placeReadySteps(now);
--- a/src/lib/steps/coordinatorhandover.cpp
+++ b/src/lib/steps/coordinatorhandover.cpp
@@ -67,12 +67,15 @@
     if (m_transfers.hasTaken(transfer.job, transfer.handovers))
         return;
     ++m_counters.jobsTaken;
+    const bool cancelled = m_table.earlyCancellations().contains(transfer.job);
     closeSteps(transfer.job);
     m_transfers.take(transfer);
     publishWhenDurable(transfer.job);
     for (const auto &[life, lost] : m_table.lostLives())
         updateHoldsOf(lost, now);
     openDueOccurrences(*m_table.find(transfer.job), now);
+    if (cancelled)
+        cancel(transfer.job, now);
 }
 
 } // namespace savorywick::steps
--- a/src/lib/steps/jobtable.cpp
+++ b/src/lib/steps/jobtable.cpp
@@ -38,6 +38,9 @@
         Job job;
         job.spec = it.spec;
         job.acceptedWallMs = it.wallMs;
+        if (table.m_earlyCancellations.contains(it.spec.id))
+            endJob(job, JobState::Cancelled, it.wallMs);
+        table.m_earlyCancellations.remove(it.spec.id);
         table.m_jobs.try_emplace(it.spec.id, std::move(job));
     }
 
@@ -137,6 +140,16 @@
             endJob(*job, JobState::Cancelled, it.wallMs);
     }
 
+    void operator()(const UnknownJobCancelled &it) const
+    {
+        table.m_earlyCancellations.add(it.job, it.queue, it.wallMs);
+    }
+
+    void operator()(const CancellationForgotten &it) const
+    {
+        table.m_earlyCancellations.remove(it.job);
+    }
+
     void operator()(const JobPurged &it) const
     {
         table.forgetLivesGivenUp(it.job);
@@ -440,6 +453,8 @@
     }
     for (const auto &[id, delegation] : m_delegations)
         records.emplace_back(delegation);
+    for (const auto &[id, cancellation] : m_earlyCancellations.all())
+        records.emplace_back(UnknownJobCancelled{id, cancellation.queue, cancellation.wallMs});
     for (const auto &[id, address] : m_workerAddresses) {
         if (workers.contains(id))
             records.emplace_back(WorkerAddress{id, address});
--- a/src/lib/steps/record.cpp
+++ b/src/lib/steps/record.cpp
@@ -82,6 +82,14 @@
     {
         return FieldWriter('C').text(it.job).number(it.wallMs).take();
     }
+    std::string operator()(const UnknownJobCancelled &it) const
+    {
+        return FieldWriter('P').text(it.job).text(it.queue).number(it.wallMs).take();
+    }
+    std::string operator()(const CancellationForgotten &it) const
+    {
+        return FieldWriter('G').text(it.job).take();
+    }
     std::string operator()(const JobPurged &it) const
     {
         return FieldWriter('F').text(it.job).take();
@@ -294,6 +302,15 @@
         it.wallMs = r.number();
         return it;
     }
+    case 'P': {
+        UnknownJobCancelled it;
+        it.job = r.text();
+        it.queue = r.text();
+        it.wallMs = r.number();
+        return it;
+    }
+    case 'G':
+        return CancellationForgotten{r.text()};
     case 'F':
         return JobPurged{r.text()};
     case 'D': {
--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -111,7 +111,7 @@
     if (request.method == "GET")
         return GetJobState{key};
     if (request.method == "DELETE")
-        return CancelJob{key};
+        return CancelJob{key, policy.queue};
     if (request.method != "POST") {
         errorResponse.status = 405;
         return {};
--- a/src/node/jobrequests.cpp
+++ b/src/node/jobrequests.cpp
@@ -27,6 +27,24 @@
              {"retryAfterMs", decision.retryAfter.count()}});
 }
 
+std::string_view eventFor(steps::SubmitResult result)
+{
+    switch (result) {
+    case steps::SubmitResult::Accepted:
+        return "job-accepted";
+    case steps::SubmitResult::Repeated:
+        return "job-repeated";
+    case steps::SubmitResult::Cancelled:
+        return "job-accepted-cancelled";
+    }
+    return "unnamed";
+}
+
+bool isCancelledEarly(const steps::Coordinator &coordinator, std::string_view job)
+{
+    return coordinator.jobTable().earlyCancellations().contains(job);
+}
+
 class RequestHandler
 {
 public:
@@ -40,16 +58,14 @@
 
     ShardReply operator()(const SubmitJob &it) const
     {
+        const bool cancelled = isCancelledEarly(m_coordinator, it.spec.id);
+        if (cancelled) // Here as well as elsewhere: it starts nowhere.
+            return accept(it);
         if (const auto shard = shardElsewhere(it))
             return delegated(*shard);
         if (const auto refusal = refusalOf(it))
             return *refusal;
-        const auto result = m_coordinator.submit(it.spec, m_now);
-        logInfo(result == steps::SubmitResult::Accepted ? "job-accepted" : "job-repeated",
-                {{"requestId", it.spec.id},
-                 {"queue", it.spec.policy.queue},
-                 {"steps", static_cast<int>(it.spec.steps.size())}});
-        return {ShardOutcome::Ok, {}, 0};
+        return accept(it);
     }
     ShardReply operator()(const CancelJob &it) const
     {
@@ -60,7 +76,12 @@
             return {ShardOutcome::NotOwner, {}, 0};
         const bool known = m_coordinator.cancel(it.jobId, m_now);
         logInfo("job-cancelled", {{"requestId", it.jobId}, {"known", known}});
-        return {known ? ShardOutcome::Ok : ShardOutcome::UnknownJob, {}, 0};
+        if (known)
+            return {ShardOutcome::Ok, {}, 0};
+        if (it.queue.empty() || m_coordinator.rememberCancellation(it.jobId, it.queue, m_now))
+            return {ShardOutcome::UnknownJob, {}, 0};
+        logWarning("cancel-refused", {{"requestId", it.jobId}, {"queue", it.queue}});
+        return {ShardOutcome::Overloaded, {}, 0};
     }
     ShardReply operator()(const GetJobState &it) const
     {
@@ -89,6 +110,16 @@
     }
 
 private:
+    ShardReply accept(const SubmitJob &it) const
+    {
+        const steps::SubmitResult result = m_coordinator.submit(it.spec, m_now);
+        logInfo(eventFor(result),
+                {{"requestId", it.spec.id},
+                 {"queue", it.spec.policy.queue},
+                 {"steps", static_cast<int>(it.spec.steps.size())}});
+        return {ShardOutcome::Ok, {}, 0};
+    }
+
     static ShardReply delegated(int shard) { return {ShardOutcome::Delegated, {}, 0, shard}; }
 
     // Returns the refusal of a job that could not complete while it is useful; nothing for others
@@ -129,6 +160,18 @@
 
 } // namespace
 
+namespace {
+
+bool changesState(const steps::Coordinator &coordinator, const CancelJob &cancel)
+{
+    if (const steps::Job *job = coordinator.jobTable().find(cancel.jobId))
+        return !isFinal(job->state) && !coordinator.transfers().leavingTo(cancel.jobId);
+    return !cancel.queue.empty() && !isCancelledEarly(coordinator, cancel.jobId)
+        && !coordinator.transfers().delegatedTo(cancel.jobId);
+}
+
+} // namespace
+
 bool changesState(const steps::Coordinator &coordinator, const ShardRequest &request)
 {
     if (const auto *submission = std::get_if<SubmitJob>(&request))
@@ -136,8 +179,7 @@
     if (const auto *take = std::get_if<TakeJob>(&request))
         return !coordinator.transfers().hasTaken(take->transfer.job, take->transfer.handovers);
     const auto *cancel = std::get_if<CancelJob>(&request);
-    const steps::Job *job = cancel ? coordinator.jobTable().find(cancel->jobId) : nullptr;
-    return job && !isFinal(job->state) && !coordinator.transfers().leavingTo(cancel->jobId);
+    return cancel && changesState(coordinator, *cancel);
 }
 
 ShardReply applyRequest(steps::Coordinator &coordinator, int shard, JobDealer &dealer,
@@ -149,13 +191,17 @@
 bool awaitsCommit(const steps::Coordinator &coordinator, const ShardRequest &request,
                   const ShardReply &reply)
 {
+    const auto *cancel = std::get_if<CancelJob>(&request);
+    const bool rememberedElsewhere = reply.outcome == ShardOutcome::Delegated;
+    if (cancel && !cancel->queue.empty()
+        && (rememberedElsewhere || reply.outcome == ShardOutcome::UnknownJob))
+        return true; // What it rests on may not be durable yet.
     if (reply.outcome != ShardOutcome::Ok)
         return false;
     if (const auto *submission = std::get_if<SubmitJob>(&request))
         return !coordinator.durableState(submission->spec.id);
     if (std::holds_alternative<TakeJob>(request))
         return true; // Its first copy may not be durable yet.
-    const auto *cancel = std::get_if<CancelJob>(&request);
     if (!cancel)
         return false;
     const auto state = coordinator.durableState(cancel->jobId);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -61,6 +61,14 @@
     sum.pendingCount += it.pendingCount;
 }
 
+// Returns the request for shards that are only asked whether they know the job. The shard that its
+// submissions come to first remembers what is cancelled.
+ShardRequest withoutMemory(const ShardRequest &request)
+{
+    const auto *cancel = std::get_if<CancelJob>(&request);
+    return cancel ? ShardRequest(CancelJob{cancel->jobId, {}, cancel->answerDueAt}) : request;
+}
+
 // Takes the reply of the shard that knows the job. If none does, a shard that did not say so comes
 // before those that don't know it.
 void addJobReply(ShardReply &found, const ShardReply &it)
@@ -198,7 +206,7 @@
                             int followed, const ShardReplyCallback &onReply)
 {
     if (reply.outcome == ShardOutcome::UnknownJob)
-        return sendToAllShards(request, timeout, reply, addJobReply, onReply);
+        return sendToAllShards(withoutMemory(request), timeout, reply, addJobReply, onReply);
     if (reply.outcome != ShardOutcome::Delegated || reply.shard < 0
         || reply.shard >= m_ownership.shardCount())
         return onReply(reply);
--- a/src/node/shardlink.cpp
+++ b/src/node/shardlink.cpp
@@ -22,7 +22,7 @@
 //   a
 //                                    record a line
 //   GET    /shards/N/jobs/ID         GetJobState
-//   DELETE /shards/N/jobs/ID         CancelJob
+//   DELETE /shards/N/jobs/ID         CancelJob; the queue is in the body, if it is set
 //   GET    /shards/N/pending/QUEUE   CountPendingJobs
 //   POST   /freed                    notification that shards have become free
 // A request that may change state has the header `Answer-Within-Ms`: how many milliseconds its
@@ -63,7 +63,10 @@
         return call("POST", path, steps::encodeRecord(steps::JobAccepted{it.spec, 0}));
     }
     HttpCall operator()(const GetJobState &it) const { return call("GET", "jobs/" + it.jobId); }
-    HttpCall operator()(const CancelJob &it) const { return call("DELETE", "jobs/" + it.jobId); }
+    HttpCall operator()(const CancelJob &it) const
+    {
+        return call("DELETE", "jobs/" + it.jobId, it.queue);
+    }
     HttpCall operator()(const CountPendingJobs &it) const
     {
         return call("GET", "pending/" + it.queue);
@@ -170,7 +173,7 @@
     if (http.method == "GET" && rest.starts_with(jobs))
         return GetJobState{std::string(rest.substr(jobs.size()))};
     if (http.method == "DELETE" && rest.starts_with(jobs))
-        return CancelJob{std::string(rest.substr(jobs.size()))};
+        return CancelJob{std::string(rest.substr(jobs.size())), http.body};
     if (http.method == "GET" && rest.starts_with(pending))
         return CountPendingJobs{std::string(rest.substr(pending.size()))};
     return {};
--- a/src/node/shardrequest.h
+++ b/src/node/shardrequest.h
@@ -36,6 +36,9 @@
 struct CancelJob
 {
     std::string jobId;
+    // The queue that it was submitted to. If it is set, and the job is not known, the cancellation
+    // is remembered for a submission that may be on its way.
+    std::string queue = {};
     std::optional<Instant> answerDueAt = {};
 };
 
--- a/src/node/shardrunner.cpp
+++ b/src/node/shardrunner.cpp
@@ -164,7 +164,7 @@
     const ShardReply reply = applyRequest(m_coordinator, shard(), m_dealer, request, now());
     if (reply.outcome == ShardOutcome::NoCapacity)
         ++m_load.capacityRefusals;
-    const bool changed = changes && reply.outcome != ShardOutcome::NoCapacity;
+    const bool changed = changes && !hadNoEffect(reply.outcome);
     if (!changed && !awaitsCommit(m_coordinator, request, reply))
         return onReply(reply);
     appendRecords();
--- a/tests/node/shardlink_test.cpp
+++ b/tests/node/shardlink_test.cpp
@@ -113,6 +113,18 @@
     CHECK(submitted->spec.steps.size() == 2);
 }
 
+TEST_CASE("A cancellation reaches the owner with its queue if it has one")
+{
+    for (const std::string queue : {"", "q 1"}) {
+        PeerPair peers({ShardOutcome::Ok, {}, 0});
+        CHECK((peers.request(CancelJob{"j", queue}).outcome == ShardOutcome::Ok));
+        const auto *cancel = std::get_if<CancelJob>(&*peers.received);
+        REQUIRE(cancel != nullptr);
+        CHECK(cancel->jobId == "j");
+        CHECK(cancel->queue == queue);
+    }
+}
+
 TEST_CASE("Each outcome reaches the requester with the state and the pending count")
 {
     for (const ShardOutcome outcome :
--- a/tests/steps/record_test.cpp
+++ b/tests/steps/record_test.cpp
@@ -99,6 +99,8 @@
             RunEnded{task, 3, RunOutcome::GangBroken, arbitraryText(), 17},
             JobCancelled{arbitraryText(), 18},
             JobPurged{arbitraryText()},
+            UnknownJobCancelled{arbitraryText(), arbitraryText(), 18},
+            CancellationForgotten{arbitraryText()},
             JobDelegated{arbitraryText(), 3, 1'700'000'000'000},
             JobDelegated{arbitraryText(), 3, 1'700'000'000'000, 2},
             JobLeaving{arbitraryText(), 3, 2},
