Try long-running tasks on a rested quarantined worker when no other has room

Cause: the worker had been quarantined for failures, and a failed probe puts the next one off to 8 s. tryQuarantinedWorkers() is to prevent such a wait, but passes over steps that some other worker could run if it were empty. Workers that are full of tasks that last won't be.

Change: a long-running step that has waited for 2 s and finds no room is tried on a quarantined worker with room, one task at a time, and only if nothing was tried there, nor failed, for 2 s (Quarantine::hasRested()): a worker that fails all it starts costs one short run each 2 s, of tasks that have no limit of attempts; the first success frees it. A probe that has gone on for 2 s keeps no long-running task away either. Tasks that end keep the rule that they had, since failed runs use up their attempts and other workers will have room.

--- a/include/savorywick/quarantine.h
+++ b/include/savorywick/quarantine.h
@@ -101,8 +101,12 @@
 
     // Returns whether `worker` may be given work at `now`. An unknown worker is available.
     WorkerAvailability availability(std::string_view worker, Instant now) const;
-    // Makes the next probe of `worker` due now, unless one is in progress. Use it if nothing but
-    // this worker can run a job. Does nothing if the worker is not in quarantine.
+    // Returns true if and only if `worker` is in quarantine and for at least `rest` neither was
+    // given a task nor has one failed there.
+    bool hasRested(std::string_view worker, Millis rest, Instant now) const;
+    // Makes the next probe of `worker` due now, unless one is in progress: then the worker may be
+    // given one further task. Use it if nothing but this worker can run a job. Does nothing if the
+    // worker is not in quarantine.
     void hastenProbe(std::string_view worker, Instant now);
     // Starts the probe that is due for `worker`. Returns false and does nothing if none is due.
     bool beginProbe(std::string_view worker, Instant now);
@@ -138,6 +142,7 @@
         Instant quarantinedAt;
         bool probing = false;
         Instant nextProbeAt; // While a probe is in progress, the time at which it times out.
+        Instant lastTriedAt; // When it last was given a task in quarantine, or one failed.
         Millis probeDelay;
     };
 
--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -410,6 +410,7 @@
     PlacementConstraints slowStartConstraintsFor(const StepRef &ref, Instant now) const;
     CandidateWorker candidateOf(Worker &worker, const PassNeeds &needs, Instant now);
     void tryQuarantinedWorkers(const ReadyStep &step, const PlacementPass &pass, ClockReading now);
+    bool mayTryQuarantined(const std::string &id, bool longRunning, Instant now) const;
     bool placeStep(const ReadyStep &step, PlacementPass &pass, ClockReading now);
     bool placeStepAt(const ReadyStep &step, double minHeadroom, PlacementPass &pass,
                      ClockReading now);
--- a/include/savorywick/steps/coordinatorsettings.h
+++ b/include/savorywick/steps/coordinatorsettings.h
@@ -97,8 +97,9 @@
     // its relative deadline. Its runs are throttled at times, so that with less it would most
     // likely end late, and keep others from ending in time.
     int minBestEffortLaxityPercent = 0;
-    // A step that no worker outside the quarantine could ever run is tried on one in it after this
-    // wait.
+    // A step that no worker outside the quarantine could ever run, or a long-running one that none
+    // has room for, is tried on one in it after this wait; a long-running one only if the worker
+    // has rested for as long.
     Millis tryQuarantinedAfter{2'000};
     // Best-effort runs are throttled if the headroom of a run beside them is below the first value,
     // and as far as is estimated to raise it to the second.
--- a/src/lib/quarantine.cpp
+++ b/src/lib/quarantine.cpp
@@ -61,6 +61,7 @@
     worker.quarantined = true;
     worker.quarantinedAt = now;
     worker.probing = false;
+    worker.lastTriedAt = now;
     worker.probeDelay = m_options.initialProbeDelay;
     worker.nextProbeAt = now + worker.probeDelay;
     ++m_quarantinedCount;
@@ -118,6 +119,7 @@
     Job &j = m_jobs[std::string(job)];
     QuarantineDecision verdict;
     if (w.quarantined) {
+        w.lastTriedAt = now;
         if (w.probing) {
             w.probing = false;
             w.probeDelay = std::min(w.probeDelay * 2, m_options.maxProbeDelay);
@@ -179,10 +181,19 @@
     return it->second.probing ? WorkerAvailability::Probing : WorkerAvailability::Quarantined;
 }
 
+bool Quarantine::hasRested(std::string_view worker, Millis rest, Instant now) const
+{
+    const auto it = m_workers.find(worker);
+    return it != m_workers.end() && it->second.quarantined && now - it->second.lastTriedAt >= rest;
+}
+
 void Quarantine::hastenProbe(std::string_view worker, Instant now)
 {
     const auto it = m_workers.find(worker);
-    if (it != m_workers.end() && it->second.quarantined && !it->second.probing)
+    if (it == m_workers.end() || !it->second.quarantined)
+        return;
+    it->second.lastTriedAt = now;
+    if (!it->second.probing)
         it->second.nextProbeAt = std::min(it->second.nextProbeAt, now);
 }
 
@@ -192,6 +203,7 @@
         return false;
     Worker &w = m_workers.find(worker)->second;
     w.probing = true;
+    w.lastTriedAt = now;
     w.nextProbeAt = now + m_options.probeTimeout;
     return true;
 }
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -365,8 +365,9 @@
     forgetIfPlaced(step.ref);
 }
 
-// Tries one task of a step on a quarantined worker if no other worker could ever run it: the probe
-// that is due some time later would come too late for it.
+// Tries one task of a step on a quarantined worker if no other worker could ever run it, or if it
+// is long-running and no other worker has room: the probe that is due some time later would come
+// too late for it.
 void Coordinator::tryQuarantinedWorkers(const ReadyStep &step, const PlacementPass &pass,
                                         ClockReading now)
 {
@@ -374,14 +375,14 @@
     if (!waitedLongEnough || step.spec->gang || m_quarantine.quarantinedCount() == 0)
         return;
     const PlacementConstraints constraints = constraintsFor(step.ref, now.monotonic);
-    if (couldEverRun(*step.spec, constraints, pass.workers))
+    // What fills other workers may last, so that room there is of no use to a long-running task.
+    if (!step.longRunning && couldEverRun(*step.spec, constraints, pass.workers))
         return;
     std::vector<CandidateWorker> quarantined;
     for (const std::string &id : m_quarantine.quarantinedWorkers()) {
         const auto it = m_workers.find(id);
-        const bool rests =
-            m_quarantine.availability(id, now.monotonic) == WorkerAvailability::Quarantined;
-        if (it != m_workers.end() && rests && isReachable(it->second, now.monotonic))
+        if (it != m_workers.end() && mayTryQuarantined(id, step.longRunning, now.monotonic)
+            && isReachable(it->second, now.monotonic))
             quarantined.push_back(candidateOf(it->second, {}, now.monotonic));
     }
     const auto chosen = chooseWorker(*step.spec, constraints, quarantined);
@@ -393,6 +394,16 @@
     forgetIfPlaced(step.ref);
 }
 
+// Returns true if and only if a task may be tried on the quarantined worker out of turn. A failed
+// run costs a long-running task little, but others wait for their turn on the worker as well, so
+// they are tried there at intervals. A probe that has gone on for as long does no harm to them.
+bool Coordinator::mayTryQuarantined(const std::string &id, bool longRunning, Instant now) const
+{
+    if (longRunning)
+        return m_quarantine.hasRested(id, m_settings.tryQuarantinedAfter, now);
+    return m_quarantine.availability(id, now) == WorkerAvailability::Quarantined;
+}
+
 // Removes the step from the ready ones if all of its tasks are placed.
 void Coordinator::forgetIfPlaced(const StepRef &ref)
 {
--- a/tests/lib/quarantine_test.cpp
+++ b/tests/lib/quarantine_test.cpp
@@ -125,6 +125,25 @@
     CHECK(quarantine.recordFailure("failing", "w5", "exit 1", Instant{6}).giveUpJob);
 }
 
+TEST_CASE("a quarantined worker has rested if nothing was tried there for long enough")
+{
+    constexpr Millis rest{2'000};
+    Quarantine quarantine(options);
+    CHECK_FALSE(quarantine.hasRested("w", rest, Instant{10'000}));
+    for (int i = 0; i < 3; ++i)
+        quarantine.recordFailure(jobName(i), "w", "exit 1", Instant{1'000});
+    CHECK_FALSE(quarantine.hasRested("w", rest, Instant{2'999}));
+    CHECK(quarantine.hasRested("w", rest, Instant{3'000}));
+    quarantine.hastenProbe("w", Instant{3'000});
+    REQUIRE(quarantine.beginProbe("w", Instant{3'000}));
+    CHECK_FALSE(quarantine.hasRested("w", rest, Instant{4'999}));
+    quarantine.recordFailure("j9", "w", "exit 1", Instant{4'999});
+    CHECK_FALSE(quarantine.hasRested("w", rest, Instant{6'998}));
+    CHECK(quarantine.hasRested("w", rest, Instant{6'999}));
+    quarantine.recordSuccess("j9", "w", Instant{7'000});
+    CHECK_FALSE(quarantine.hasRested("w", rest, Instant{20'000}));
+}
+
 TEST_CASE("a worker is probed with exponential back-off and released on success")
 {
     Quarantine quarantine(options);
