--- a/include/savorywick/steps/coordinator.h
+++ b/include/savorywick/steps/coordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "savorywick/internal/coordinatedworker.h"
+#include "savorywick/internal/uncommitted.h"
 #include "savorywick/journal.h"
 #include "savorywick/quarantine.h"
 #include "savorywick/steps/besteffortlimit.h"
@@ -207,32 +208,6 @@
         std::optional<int> bestEffortMilliCores;
         bool besideMisses = false; // Some may start beside runs that miss their targets.
     };
-    // What is held back until its records are durable. The log sequence number is 0 until they are
-    // appended.
-    struct UncommittedStart
-    {
-        LogSequenceNumber lsn = 0;
-        RunKey run;
-    };
-    struct UncommittedAck
-    {
-        LogSequenceNumber lsn = 0;
-        WorkerIncarnation worker;
-        std::int64_t endNumber = 0;
-    };
-    struct UncommittedState
-    {
-        LogSequenceNumber lsn = 0;
-        std::string job;
-        std::optional<JobState> state; // Nothing if the job is forgotten.
-    };
-    struct DurableJob
-    {
-        JobState state = JobState::Queued;
-        std::string queue;
-        bool startConfirmed = false; // A worker has started a task.
-    };
-
     // Records, and orders and job states that depend on them (coordinator.cpp).
     void appendRecord(const Record &record);
     void publishWhenDurable(const std::string &job);
@@ -251,6 +226,8 @@
     void noteWorker(SchedulerEventKind kind, const std::string &worker, std::string_view why,
                     Millis age);
     void forgetExpiredJobs(ClockReading now);
+
+    // Orders to workers (coordinatororders.cpp).
     ResourceVector availableOn(const Worker &worker) const;
     bool fitsStill(const Worker &worker, const Run &run) const;
     void addStartOrders(std::vector<WorkerCommand> &orders, ClockReading now);
@@ -353,7 +330,6 @@
     void placeUnansweredTasks(ClockReading now);
     void placeOnItsWorker(const WaitingTask &waiting, const Job &job, Worker &worker,
                           ClockReading now);
-    std::size_t addWorkersOfGang(const ReadyStep &step, PlacementPass &pass, Instant now);
     bool takesNoMoreStarts(const Worker &worker, Instant now) const;
     bool mayRetryOn(const Worker &worker, const TaskRef &task, Instant now) const;
     bool adoptLateRun(Worker &worker, const RunningReport &report, ClockReading now);
@@ -420,9 +396,6 @@
     RunKey startTask(const ReadyStep &step, int index, CandidateWorker &worker, int speedPercent,
                      ClockReading now);
     void forgetIfPlaced(const StepRef &ref);
-    bool placeGang(const ReadyStep &step, PlacementPass &pass, ClockReading now);
-    std::vector<std::size_t> chooseForGang(const ReadyStep &step, PlacementConstraints constraints,
-                                           std::vector<CandidateWorker> workers) const;
     void restoreTurn(const Run &run);
     void startRun(const TaskRef &task, int run, const StepSpec &spec, CandidateWorker &worker,
                   ClockReading now);
@@ -430,6 +403,12 @@
     PlacementConstraints constraintsFor(const StepRef &ref, Instant now) const;
     Instant readySince(const StepRef &ref, Instant now) const;
 
+    // Gangs (coordinatorgangs.cpp).
+    std::size_t addWorkersOfGang(const ReadyStep &step, PlacementPass &pass, Instant now);
+    bool placeGang(const ReadyStep &step, PlacementPass &pass, ClockReading now);
+    std::vector<std::size_t> chooseForGang(const ReadyStep &step, PlacementConstraints constraints,
+                                           std::vector<CandidateWorker> workers) const;
+
     // Notes on steps that wait (coordinatorwaits.cpp).
     std::vector<StepRef> nextStepsToNote(Instant now) const;
     void noteWaitingSteps(ClockReading now);
--- a/src/lib/steps/coordinatorplacement.cpp
+++ b/src/lib/steps/coordinatorplacement.cpp
@@ -3,7 +3,6 @@
 #include "savorywick/steps/coordinator.h"
 
 #include <algorithm>
-#include <numeric>
 
 namespace savorywick::steps {
 
@@ -422,64 +421,6 @@
     return {task, run};
 }
 
-// Returns the indexes of workers for all tasks of the gang, by task, or nothing if there are none.
-// Tasks that must go to their workers come first.
-std::vector<std::size_t> Coordinator::chooseForGang(const ReadyStep &step,
-                                                    PlacementConstraints constraints,
-                                                    std::vector<CandidateWorker> workers) const
-{
-    const auto taskAt = [&](int index) {
-        return TaskRef{step.ref.job, step.ref.occurrence, step.ref.step, index};
-    };
-    std::vector<int> order(step.spec->taskCount);
-    std::iota(order.begin(), order.end(), 0);
-    std::stable_partition(order.begin(), order.end(),
-                          [&](int it) { return m_unansweredStarts.workerFor(taskAt(it)); });
-    WorkerChooser chooser(*step.spec, constraints, workers);
-    std::vector<std::size_t> chosen(step.spec->taskCount);
-    for (const int index : order) {
-        const std::string *required = m_unansweredStarts.workerFor(taskAt(index));
-        const auto it = required ? chooser.chooseOnly(*required) : chooser.choose();
-        if (!it)
-            return {};
-        chosen[index] = *it;
-        workers[*it].available -= allocationFor(*step.spec);
-        ++constraints.tasksPerWorker[workers[*it].info->incarnation.workerId];
-        constraints.currentRack = workers[*it].info->rack;
-        chooser.noteTask(*it);
-    }
-    return chosen;
-}
-
-// Starts all tasks of the gang under one run number, or none. Returns true if and only if it did.
-bool Coordinator::placeGang(const ReadyStep &step, PlacementPass &pass, ClockReading now)
-{
-    PlacementConstraints constraints = constraintsFor(step.ref, now.monotonic);
-    if (!constraints.tasksPerWorker.empty())
-        return false; // Members of the previous run have not ended yet.
-    const std::vector<int> members = tasksToStart(step.ref);
-    constraints.onProbation = std::any_of(members.begin(), members.end(), [&](int index) {
-        return isSuspected({step.ref.job, step.ref.occurrence, step.ref.step, index});
-    });
-    const std::size_t usableWorkers = addWorkersOfGang(step, pass, now.monotonic);
-    const std::vector<std::size_t> chosen =
-        chooseForGang(step, std::move(constraints), pass.workers);
-    for (std::size_t i = usableWorkers; i < pass.workers.size(); ++i)
-        pass.workers[i].closeToTasks();
-    if (chosen.empty())
-        return false;
-    int run = 0;
-    for (int i = 0; i < step.spec->taskCount; ++i) {
-        const Task *known =
-            step.job->findTask({step.ref.job, step.ref.occurrence, step.ref.step, i});
-        run = std::max(run, known ? known->lastRunNumber : 0);
-    }
-    for (int i = 0; i < step.spec->taskCount; ++i)
-        startRun({step.ref.job, step.ref.occurrence, step.ref.step, i}, run + 1, *step.spec,
-                 pass.workers[chosen[i]], now);
-    return true;
-}
-
 // Lets the step of a run that had no effect wait as if the run had not been placed.
 void Coordinator::restoreTurn(const Run &run)
 {
--- a/src/lib/steps/coordinatorunanswered.cpp
+++ b/src/lib/steps/coordinatorunanswered.cpp
@@ -11,16 +11,6 @@
 
 constexpr int fullPercent = 100;
 
-void addIfMissing(std::vector<CandidateWorker> &workers, const CandidateWorker &added)
-{
-    const std::string &id = added.info->incarnation.workerId;
-    const bool known = std::any_of(workers.begin(), workers.end(), [&](const CandidateWorker &it) {
-        return it.info->incarnation.workerId == id;
-    });
-    if (!known)
-        workers.push_back(added);
-}
-
 } // namespace
 
 // Takes in that an earlier owner recorded an unanswered start.
@@ -156,21 +146,6 @@
     return mayBeGivenStarts(worker, now) && !blocked && isOutOfQuarantine(worker, now);
 }
 
-// Adds the workers to the pass that members of the gang must go to, and that are blocked for other
-// tasks. Returns how many it had before: the others are to be closed to other tasks.
-std::size_t Coordinator::addWorkersOfGang(const ReadyStep &step, PlacementPass &pass, Instant now)
-{
-    const std::size_t before = pass.workers.size();
-    for (int i = 0; i < step.spec->taskCount; ++i) {
-        const TaskRef task{step.ref.job, step.ref.occurrence, step.ref.step, i};
-        const std::string *id = m_unansweredStarts.workerFor(task);
-        const auto worker = id ? m_workers.find(*id) : m_workers.end();
-        if (worker != m_workers.end() && mayRetryOn(worker->second, task, now))
-            addIfMissing(pass.workers, candidateOf(worker->second, {}, now));
-    }
-    return before;
-}
-
 // Starts the task on its worker, if it has room.
 void Coordinator::placeOnItsWorker(const WaitingTask &waiting, const Job &job, Worker &worker,
                                    ClockReading now)
