--- a/src/lib/steps/coordinatorcounters.cpp
+++ b/src/lib/steps/coordinatorcounters.cpp
@@ -14,6 +14,7 @@
         runsEnded[outcome] += n;
     for (const auto &[outcome, n] : other.startReplies)
         startReplies[outcome] += n;
+    lateStartsAdopted += other.lateStartsAdopted;
     partialReports += other.partialReports;
     endsOfUnknownRuns += other.endsOfUnknownRuns;
     runsStalled += other.runsStalled;
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -40,6 +40,7 @@
     out.writeCounter("runs_started_total", c.runsStarted);
     out.writeCounter("runs_adopted_total", c.runsAdopted);
     out.writeCounter("partial_reports_total", c.partialReports);
+    out.writeCounter("late_starts_adopted_total", c.lateStartsAdopted);
     out.writeCounter("ends_of_unknown_runs_total", c.endsOfUnknownRuns);
     out.writeCounter("runs_stalled_total", c.runsStalled);
     out.writeCounter("durations_observed_total", c.durationsObserved);
